--- /dev/null
+++ b/crates/zinniahatch_base/src/digest.rs
@@ -0,0 +1,42 @@
+//! Digests of text, short tags and rendezvous ranks.
+
+use crate::PartHash;
+use crate::ShortTag;
+
+/// Bytes of a digest that are kept; 128 bits make an accidental collision implausible.
+const DIGEST_BYTES: usize = 16;
+
+/// Gives the content address of a text as 32 hexadecimal digits.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(zinniahatch_base::digest_text("a").len(), 32);
+/// ```
+pub fn digest_text(text: &str) -> PartHash {
+    let hash = blake3::hash(text.as_bytes());
+    let hex = hash.to_hex();
+    Box::from(&hex.as_str()[..DIGEST_BYTES * 2])
+}
+
+/// Gives the short tag of a name.
+pub fn tag_of(name: &str) -> ShortTag {
+    let hash = blake3::hash(name.as_bytes());
+    let bytes = hash.as_bytes();
+    u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+}
+
+/// Gives the rendezvous rank of a member for an object; the highest rank owns the object.
+///
+/// A member that joins or leaves moves only the objects it owns, which keeps
+/// recoveries small with hundreds of replacements a day.
+pub fn rank_member(object: &str, member: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(object.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(member.as_bytes());
+    let hash = hasher.finalize();
+    let mut first = [0_u8; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/crates/zinniahatch_base/src/lib.rs
@@ -0,0 +1,28 @@
+//! Ids, result codes and macros that every crate of the gateway shares.
+
+mod digest;
+mod domain;
+mod ids;
+pub mod prelude;
+mod result_code;
+
+pub use digest::digest_text;
+pub use digest::rank_member;
+pub use digest::tag_of;
+pub use ids::AccountId;
+pub use ids::CallerId;
+pub use ids::DataCentreId;
+pub use ids::Incarnation;
+pub use ids::ModelId;
+pub use ids::NodeId;
+pub use ids::OperatorId;
+pub use ids::PartHash;
+pub use ids::PresetId;
+pub use ids::RegionId;
+pub use ids::ReplicaId;
+pub use ids::RequestId;
+pub use ids::Revision;
+pub use ids::ServiceId;
+pub use ids::ShortTag;
+pub use result_code::Execution;
+pub use result_code::ResultCode;
--- /dev/null
+++ b/crates/zinniahatch_config/src/cluster.rs
@@ -0,0 +1,107 @@
+//! The whole configuration of one revision, read from its parts.
+
+use crate::AccountTable;
+use crate::BackendEntry;
+use crate::ConfigError;
+use crate::ConfigHead;
+use crate::OperatorEntry;
+use crate::PresetEntry;
+use crate::PriceEntry;
+use crate::ServiceEntry;
+use crate::TopologyTable;
+use crate::checks;
+use crate::operators;
+use crate::prices;
+use crate::services;
+use zinniahatch_base::prelude::*;
+
+/// The text of each part by its name.
+pub type PartTexts = BTreeMap<Box<str>, Box<str>>;
+
+/// Everything that one revision says; immutable, shared by reference.
+#[derive(Clone, Debug, Default)]
+pub struct ClusterConfig {
+    /// The revision.
+    pub revision: Revision,
+    /// The name of the preset in force.
+    pub preset_name: PresetId,
+    /// Regions and links.
+    pub topology: TopologyTable,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, ServiceEntry>,
+    /// Backend servers by name.
+    pub backends: BTreeMap<ReplicaId, BackendEntry>,
+    /// Accounts and callers.
+    pub accounts: AccountTable,
+    /// Operators by the digest of their token.
+    pub operators: BTreeMap<PartHash, OperatorEntry>,
+    /// Prices by service.
+    pub prices: BTreeMap<ServiceId, PriceEntry>,
+    /// Presets by name.
+    pub presets: BTreeMap<PresetId, PresetEntry>,
+}
+
+impl ClusterConfig {
+    /// Reads and checks a whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// Names file, section, key and what would be right for the first thing that is wrong.
+    pub fn build(head: &ConfigHead, texts: &PartTexts) -> Result<Self, ConfigError> {
+        let mut config = Self {
+            revision: head.revision,
+            preset_name: head.preset.clone(),
+            ..Self::default()
+        };
+        for (name, text) in texts {
+            config.add_part(name, text)?;
+        }
+        checks::check(&config)?;
+        Ok(config)
+    }
+
+    fn add_part(&mut self, name: &str, text: &str) -> Result<(), ConfigError> {
+        match name {
+            "topology" => self.topology = TopologyTable::parse(name, text)?,
+            "services" => self.services = services::parse_services(name, text)?,
+            "backends" => self.backends = services::parse_backends(name, text)?,
+            "operators" => self.operators = operators::parse(name, text)?,
+            "prices" => self.prices = prices::parse(name, text)?,
+            _ if name.starts_with("accounts") => self.accounts.add(name, text)?,
+            _ => {
+                let Some(preset) = name.strip_prefix("preset-") else {
+                    return Err(ConfigError::new(
+                        name,
+                        "-",
+                        "-",
+                        "unknown part",
+                        "the parts are: topology, services, backends, accounts, operators, prices, preset-NAME",
+                    ));
+                };
+                self.presets
+                    .insert(preset.into(), PresetEntry::parse(name, text)?);
+            }
+        }
+        Ok(())
+    }
+
+    /// Gives the preset in force.
+    ///
+    /// # Panics
+    ///
+    /// Never: [`ClusterConfig::build`] refuses a head whose preset is missing.
+    pub fn preset(&self) -> &PresetEntry {
+        &self.presets[&self.preset_name]
+    }
+
+    /// Gives a service's backend servers in a data centre.
+    pub fn backends_in<'a>(
+        &'a self,
+        service: &'a str,
+        data_centre: &'a str,
+    ) -> impl Iterator<Item = (&'a ReplicaId, &'a BackendEntry)> {
+        self.backends.iter().filter(move |(_, backend)| {
+            &*backend.service == service && &*backend.data_centre == data_centre
+        })
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_config/src/lib.rs
@@ -0,0 +1,44 @@
+//! Settings of one node, and the parts of the configuration that all nodes share.
+
+mod accounts;
+mod checks;
+mod cluster;
+mod error;
+mod head;
+mod operators;
+mod preset;
+mod prices;
+mod section;
+mod services;
+mod settings;
+mod topology;
+mod units;
+
+pub use accounts::ACCOUNT_SHARDS;
+pub use accounts::AccountEntry;
+pub use accounts::AccountTable;
+pub use accounts::CallerEntry;
+pub use accounts::shard_of;
+pub use accounts::split_accounts;
+pub use cluster::ClusterConfig;
+pub use cluster::PartTexts;
+pub use error::ConfigError;
+pub use head::ChangeNote;
+pub use head::ConfigHead;
+pub use head::KEPT_CHANGES;
+pub use operators::OperatorEntry;
+pub use operators::OperatorRole;
+pub use preset::PresetEntry;
+pub use prices::PriceEntry;
+pub use services::BackendEntry;
+pub use services::BindingRule;
+pub use services::FencingRule;
+pub use services::RepeatRule;
+pub use services::ServiceEntry;
+pub use services::ServiceKind;
+pub use services::WorkKind;
+pub use settings::NodeSettings;
+pub use topology::RegionEntry;
+pub use topology::TopologyTable;
+pub use units::format_duration;
+pub use units::parse_duration;
--- /dev/null
+++ b/crates/zinniahatch_config/src/prices.rs
@@ -0,0 +1,68 @@
+//! The price list.
+
+use crate::ConfigError;
+use crate::section::SectionFile;
+use zinniahatch_base::prelude::*;
+
+domain! {
+    /// What one service costs, in the list's own money.
+    #[derive(Default)]
+    pub struct PriceEntry {
+        /// For a million prompt tokens computed anew.
+        pub input: f64,
+        /// For a million prompt tokens found in a cache.
+        pub cached: f64,
+        /// For a million tokens generated.
+        pub output: f64,
+        /// For one call, whatever its size.
+        pub call: f64,
+        /// For a call served away from its home region, on top.
+        pub egress: f64,
+    }
+}
+
+impl PriceEntry {
+    /// Gives the cost of one request.
+    pub fn cost(&self, input: u64, cached: u64, output: u64, away: bool) -> f64 {
+        const MILLION: f64 = 1e6;
+        let fresh = input.saturating_sub(cached) as f64;
+        let tokens = fresh * self.input + cached as f64 * self.cached + output as f64 * self.output;
+        let egress = if away { self.egress } else { 0.0 };
+        tokens / MILLION + self.call + egress
+    }
+}
+
+pub(crate) fn parse(
+    file: &str,
+    text: &str,
+) -> Result<BTreeMap<ServiceId, PriceEntry>, ConfigError> {
+    let parsed = SectionFile::parse(file, text)?;
+    let mut prices = BTreeMap::new();
+    for section in parsed.of_kinds(&["price"])? {
+        let price = PriceEntry {
+            input: section.number("input_per_million", Some(0.0))?,
+            cached: section.number("cached_per_million", Some(0.0))?,
+            output: section.number("output_per_million", Some(0.0))?,
+            call: section.number("per_call", Some(0.0))?,
+            egress: section.number("egress_per_call", Some(0.0))?,
+        };
+        for (key, value) in [
+            ("input_per_million", price.input),
+            ("output_per_million", price.output),
+            ("per_call", price.call),
+            ("egress_per_call", price.egress),
+        ] {
+            if value.is_finite() && value >= 0.0 {
+                continue;
+            }
+            return Err(section.error(
+                key,
+                &format!("{value} is no price"),
+                "write a number of at least 0",
+            ));
+        }
+        prices.insert(section.name.clone(), price);
+        section.finish()?;
+    }
+    Ok(prices)
+}
--- /dev/null
+++ b/crates/zinniahatch_control/src/rounds.rs
@@ -0,0 +1,297 @@
+//! One round of a keeper: from what the nodes need to what each may hold.
+
+use crate::ShareDemand;
+use crate::fill_shares;
+use crate::keeper::HolderState;
+use zinniahatch_base::prelude::*;
+
+/// Part of the free slots that the keeper holds back for the next that asks.
+///
+/// With a quarter held back, a node that runs out gets slots in one exchange; without it, another
+/// node must first give some back.
+const HELD_BACK: u32 = 4;
+
+pub(crate) struct RoundInput<'a> {
+    pub(crate) now: Instant,
+    pub(crate) slots: &'a BTreeMap<ShortTag, u16>,
+    pub(crate) pool_holders: &'a BTreeMap<NodeId, HolderState>,
+    pub(crate) credits: &'a mut BTreeMap<ShortTag, f64>,
+    pub(crate) last_round: Instant,
+}
+
+pub(crate) struct RoundOutput {
+    pub(crate) contended: bool,
+    pub(crate) holders: Vec<HolderGrant>,
+}
+
+type HolderGrant = (NodeId, BTreeMap<ShortTag, u16>, Vec<(ShortTag, u16)>);
+type Quotas = BTreeMap<NodeId, Vec<(ShortTag, u16)>>;
+
+/// Runs one round.
+pub(crate) fn run_round(mut input: RoundInput<'_>) -> RoundOutput {
+    let capacity: u32 = input.slots.values().map(|slots| u32::from(*slots)).sum();
+    let needs: BTreeMap<&NodeId, u32> = input
+        .pool_holders
+        .iter()
+        .map(|(name, holder)| (name, holder.running() + holder.waiting()))
+        .collect();
+    let need: u32 = needs.values().sum();
+    let waiting = input
+        .pool_holders
+        .values()
+        .any(|holder| holder.waiting() > 0);
+    let contended = waiting && need > capacity;
+    let mut quotas = Quotas::new();
+    let mut targets: BTreeMap<NodeId, u32> = BTreeMap::new();
+    if contended {
+        quotas = share_out(capacity, &mut input);
+        for (name, lines) in &quotas {
+            targets.insert(
+                name.clone(),
+                lines.iter().map(|(_, quota)| u32::from(*quota)).sum(),
+            );
+        }
+    } else {
+        input.credits.clear();
+        let spare = capacity.saturating_sub(need);
+        let each = (spare - spare / HELD_BACK) / (needs.len().max(1) as u32);
+        for (name, own) in &needs {
+            targets.insert((*name).clone(), own + each);
+        }
+    }
+    let mut table = LimitTable::new(input.slots, input.pool_holders);
+    table.recall(&targets, &needs, contended);
+    table.hand_out(&targets, &needs);
+    let holders = table
+        .limits
+        .into_iter()
+        .map(|(name, limits)| {
+            let lines = quotas.remove(&name).unwrap_or_default();
+            (name, limits, lines)
+        })
+        .collect();
+    RoundOutput { contended, holders }
+}
+
+/// Shares a contended pool out between tenants, and each tenant's share between its nodes.
+fn share_out(capacity: u32, input: &mut RoundInput<'_>) -> Quotas {
+    let mut demands: BTreeMap<ShortTag, ShareDemand> = BTreeMap::new();
+    for holder in input.pool_holders.values() {
+        for line in &holder.report.tenants {
+            let demand = demands.entry(line.tenant).or_insert(ShareDemand {
+                tenant: line.tenant,
+                weight: f64::from(line.weight.max(1)),
+                demand: 0,
+                running: 0,
+                credit: input.credits.get(&line.tenant).copied().unwrap_or(0.0),
+            });
+            demand.demand += u32::from(line.running) + u32::from(line.waiting);
+            demand.running += u32::from(line.running);
+        }
+    }
+    let list: Vec<ShareDemand> = demands.values().copied().collect();
+    let shares = fill_shares(capacity, &list);
+    let mut quotas: Quotas = input
+        .pool_holders
+        .keys()
+        .map(|name| (name.clone(), Vec::new()))
+        .collect();
+    let elapsed = input.now.duration_since(input.last_round).as_secs_f64();
+    input
+        .credits
+        .retain(|tenant, _| shares.contains_key(tenant));
+    for (tenant, (share, due)) in shares {
+        let credit = input.credits.entry(tenant).or_default();
+        *credit = if due > 0.0 {
+            *credit + due * elapsed
+        } else {
+            0.0
+        };
+        split_share(tenant, share, input.pool_holders, &mut quotas);
+    }
+    quotas
+}
+
+/// Splits a tenant's share between the nodes: first what runs, then evenly what waits.
+fn split_share(
+    tenant: ShortTag,
+    share: u32,
+    holders: &BTreeMap<NodeId, HolderState>,
+    quotas: &mut Quotas,
+) {
+    let mut lines = Vec::new();
+    for (name, holder) in holders {
+        let Some(line) = holder
+            .report
+            .tenants
+            .iter()
+            .find(|line| line.tenant == tenant)
+        else {
+            continue;
+        };
+        lines.push((name, line.running, line.waiting, 0_u16));
+    }
+    let mut left = share;
+    for line in &mut lines {
+        let kept = u32::from(line.1).min(left);
+        line.3 = kept as u16;
+        left -= kept;
+    }
+    while left > 0 {
+        let mut given = false;
+        for line in &mut lines {
+            if left == 0 || line.3 >= line.1.saturating_add(line.2) {
+                continue;
+            }
+            line.3 += 1;
+            left -= 1;
+            given = true;
+        }
+        if !given {
+            break;
+        }
+    }
+    for (name, _, _, quota) in lines {
+        if let Some(list) = quotas.get_mut(name) {
+            list.push((tenant, quota));
+        }
+    }
+}
+
+/// The limits of every node while a round changes them.
+struct LimitTable<'a> {
+    holders: &'a BTreeMap<NodeId, HolderState>,
+    limits: BTreeMap<NodeId, BTreeMap<ShortTag, u16>>,
+    free: BTreeMap<ShortTag, u16>,
+}
+
+impl<'a> LimitTable<'a> {
+    fn new(slots: &BTreeMap<ShortTag, u16>, holders: &'a BTreeMap<NodeId, HolderState>) -> Self {
+        let mut free = slots.clone();
+        let mut limits = BTreeMap::new();
+        for (name, holder) in holders {
+            for (replica, count) in &holder.committed {
+                if let Some(left) = free.get_mut(replica) {
+                    *left = left.saturating_sub(*count);
+                }
+            }
+            // A backend server that is no longer usable keeps no limit.
+            let kept: BTreeMap<ShortTag, u16> = holder
+                .limits
+                .iter()
+                .filter(|(replica, limit)| **limit > 0 && slots.contains_key(replica))
+                .map(|(replica, limit)| (*replica, (*limit).min(slots[replica])))
+                .collect();
+            limits.insert(name.clone(), kept);
+        }
+        Self {
+            holders,
+            limits,
+            free,
+        }
+    }
+
+    fn held(&self, name: &NodeId) -> u32 {
+        self.limits[name]
+            .values()
+            .map(|limit| u32::from(*limit))
+            .sum()
+    }
+
+    /// Lowers limits of nodes above their target, as far as others lack slots.
+    fn recall(
+        &mut self,
+        targets: &BTreeMap<NodeId, u32>,
+        needs: &BTreeMap<&NodeId, u32>,
+        contended: bool,
+    ) {
+        let mut missing = 0_u32;
+        for (name, target) in targets {
+            let goal = if contended {
+                *target
+            } else {
+                needs.get(name).copied().unwrap_or(0)
+            };
+            missing += goal.saturating_sub(self.held(name));
+        }
+        let free: u32 = self.free.values().map(|count| u32::from(*count)).sum();
+        let mut shortage = missing.saturating_sub(free);
+        let names: Vec<NodeId> = self.limits.keys().cloned().collect();
+        for name in names {
+            let target = targets.get(&name).copied().unwrap_or(0);
+            let mut excess = self.held(&name).saturating_sub(target).min(shortage);
+            while excess > 0 && self.lower_one(&name) {
+                excess -= 1;
+                shortage -= 1;
+            }
+        }
+    }
+
+    /// Takes one slot from where the node has the most idle ones.
+    fn lower_one(&mut self, name: &NodeId) -> bool {
+        let report = &self.holders[name].report;
+        let Some(limits) = self.limits.get_mut(name) else {
+            return false;
+        };
+        let idle = |replica: ShortTag, limit: u16| {
+            let running = report
+                .slots
+                .iter()
+                .find(|line| line.replica == replica)
+                .map_or(0, |line| line.running);
+            i32::from(limit) - i32::from(running)
+        };
+        let Some(replica) = limits
+            .iter()
+            .filter(|(_, limit)| **limit > 0)
+            .max_by_key(|(replica, limit)| idle(**replica, **limit))
+            .map(|(replica, _)| *replica)
+        else {
+            return false;
+        };
+        if let Some(limit) = limits.get_mut(&replica) {
+            *limit -= 1;
+        }
+        limits.retain(|_, limit| *limit > 0);
+        true
+    }
+
+    /// Hands free slots to nodes below their target: those with waiting requests first.
+    fn hand_out(&mut self, targets: &BTreeMap<NodeId, u32>, needs: &BTreeMap<&NodeId, u32>) {
+        for by_need in [true, false] {
+            loop {
+                let mut given = false;
+                for (name, target) in targets {
+                    let goal = if by_need {
+                        (*target).min(needs.get(name).copied().unwrap_or(0))
+                    } else {
+                        *target
+                    };
+                    if self.held(name) >= goal {
+                        continue;
+                    }
+                    given |= self.raise_one(name);
+                }
+                if !given {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn raise_one(&mut self, name: &NodeId) -> bool {
+        let Some((replica, left)) = self
+            .free
+            .iter_mut()
+            .filter(|(_, left)| **left > 0)
+            .max_by_key(|(_, left)| **left)
+        else {
+            return false;
+        };
+        *left -= 1;
+        if let Some(limits) = self.limits.get_mut(name) {
+            *limits.entry(*replica).or_default() += 1;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_ctl/src/lib.rs
@@ -0,0 +1,14 @@
+//! The command-line tool of operators and managers.
+
+mod args;
+mod client;
+mod commands;
+mod directory_of_parts;
+mod error;
+mod report;
+mod table;
+
+pub use args::CtlArgs;
+pub use commands::run;
+pub use directory_of_parts::read_parts;
+pub use error::CtlError;
--- /dev/null
+++ b/crates/zinniahatch_ctl/src/report.rs
@@ -0,0 +1,71 @@
+//! Reports.
+
+use crate::CtlError;
+use crate::args::ReportArgs;
+use crate::client::AdminClient;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+use zinniahatch_report::ReportResult;
+use zinniahatch_report::render_csv;
+use zinniahatch_report::render_html;
+use zinniahatch_report::render_table;
+
+const SECONDS_PER_HOUR: u64 = 3_600;
+
+/// Fetches a report and renders it.
+pub(crate) async fn run(
+    client: &AdminClient,
+    format: &str,
+    args: &ReportArgs,
+) -> Result<String, CtlError> {
+    if !["table", "json", "csv", "html"].contains(&format) {
+        return Err(CtlError::Refused(format!(
+            "`{format}` is no format; a report's formats are: table, json, csv, html"
+        )));
+    }
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |age| age.as_secs())
+        / SECONDS_PER_HOUR;
+    let from = hour(now, args.from);
+    let until = hour(now, args.until);
+    let result = fetch(client, &args.by, from, until).await?;
+    match format {
+        "json" => Ok(serde_json::to_string_pretty(&result).unwrap_or_default() + "\n"),
+        "csv" => Ok(render_csv(&result)),
+        "html" => {
+            let span = until.saturating_sub(from) + 1;
+            let previous = fetch(
+                client,
+                &args.by,
+                from.saturating_sub(span),
+                until.saturating_sub(span),
+            )
+            .await?;
+            render_html("Who got what", &result, &previous).map_err(CtlError::Refused)
+        }
+        _ => Ok(render_table(&result)),
+    }
+}
+
+async fn fetch(
+    client: &AdminClient,
+    by: &str,
+    from: u64,
+    until: u64,
+) -> Result<ReportResult, CtlError> {
+    let query = [
+        ("by", by.to_owned()),
+        ("from", from.to_string()),
+        ("until", until.to_string()),
+    ];
+    client.get("report", &query).await
+}
+
+/// Gives an hour from the epoch; one that is not positive counts back from now.
+fn hour(now: u64, given: i64) -> u64 {
+    if given > 0 {
+        return given.unsigned_abs();
+    }
+    now.saturating_sub(given.unsigned_abs())
+}
--- /dev/null
+++ b/crates/zinniahatch_daemon/src/counts.rs
@@ -0,0 +1,228 @@
+//! Counts on their way to the store: sealed, copied to their merger, merged.
+
+use crate::clock::epoch_minute;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+use zinniahatch_control::TickOutput;
+use zinniahatch_gateway::GatewayCore;
+use zinniahatch_gateway::hour_key;
+use zinniahatch_platform::PutOutcome;
+use zinniahatch_platform::StoreClient;
+use zinniahatch_platform::StoreError;
+use zinniahatch_protocol::CountsNote;
+use zinniahatch_protocol::NodeMessage;
+use zinniahatch_report::CountSheet;
+use zinniahatch_report::HourLedger;
+use zinniahatch_report::MergeDesk;
+use zinniahatch_report::MergeTask;
+
+/// Tries of one write in one round; the next round tries again.
+const MOST_TRIES: u32 = 4;
+/// Pause between writes, so that one merger asks little of the store at once.
+const WRITE_GAP: Duration = Duration::from_millis(20);
+/// Merge intervals after which a sheet is sent again to a merger that has not merged it.
+const AGAIN_INTERVALS: u32 = 3;
+
+/// What this node has received as a merger.
+#[derive(Default)]
+pub(crate) struct CountDesk {
+    desk: Mutex<MergeDesk>,
+    closing: std::sync::atomic::AtomicBool,
+}
+
+impl CountDesk {
+    /// Takes what a tick gave.
+    pub(crate) fn take(&self, core: &GatewayCore, output: TickOutput) {
+        for (node, incarnation, note) in output.counts {
+            let Ok(sheet) = postcard::from_bytes::<CountSheet>(&note.rows) else {
+                continue;
+            };
+            self.lock().take(
+                note.shard,
+                &node,
+                incarnation,
+                note.number,
+                note.minute,
+                note.last,
+                sheet,
+            );
+        }
+        for (shard, incarnation, numbers) in output.merged {
+            if incarnation == core.identity.incarnation {
+                core.book().merged(shard, &numbers);
+            }
+        }
+        for (node, incarnation) in output.deaths {
+            if owns(core, 0) {
+                self.lock().note_death(&node, incarnation, epoch_minute());
+            }
+        }
+    }
+
+    /// Says in the sheets sent from now on that none follow.
+    pub(crate) fn set_closing(&self) {
+        self.closing
+            .store(true, std::sync::atomic::Ordering::SeqCst);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MergeDesk> {
+        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Seals the open counts and sends what is due to its merger.
+pub(crate) fn seal_and_send(core: &GatewayCore, desk: &CountDesk) {
+    let now = Instant::now();
+    let again = core.settings.merge_interval * AGAIN_INTERVALS;
+    let due = {
+        let control = core.control();
+        let mut book = core.book();
+        book.seal(epoch_minute());
+        book.due(now, again, |shard| control.duty_owner(now, &duty(shard)))
+    };
+    let last = desk.closing.load(std::sync::atomic::Ordering::SeqCst);
+    let mut control = core.control();
+    for (shard, owner, sealed) in due {
+        let Ok(rows) = postcard::to_stdvec(&sealed.sheet) else {
+            continue;
+        };
+        let note = CountsNote {
+            shard,
+            number: sealed.number,
+            minute: sealed.minute,
+            last,
+            rows,
+        };
+        control.send_to(now, &owner, NodeMessage::Counts(note));
+    }
+    drop(control);
+    core.wake.notify_one();
+}
+
+/// Seals at the interval of the settings until the process ends.
+pub(crate) async fn run_sealing(core: Arc<GatewayCore>, desk: Arc<CountDesk>) {
+    loop {
+        sleep(core.settings.seal_interval).await;
+        seal_and_send(&core, &desk);
+    }
+}
+
+/// Merges at the interval of the settings until the process ends.
+pub(crate) async fn run_merging(core: Arc<GatewayCore>, desk: Arc<CountDesk>) {
+    loop {
+        sleep(core.settings.merge_interval).await;
+        merge_round(&core, &desk).await;
+    }
+}
+
+/// Writes everything received to the store.
+pub(crate) async fn merge_round(core: &GatewayCore, desk: &CountDesk) {
+    let tasks = desk.lock().tasks();
+    core.counters.sheets_waiting.set(desk.lock().len() as i64);
+    for task in tasks {
+        if merge_task(core, &task).await {
+            let told = desk.lock().done(&task);
+            let now = Instant::now();
+            let mut control = core.control();
+            for (node, incarnation, numbers) in told {
+                control.send_to(
+                    now,
+                    &node,
+                    NodeMessage::CountsMerged(task.shard, incarnation, numbers),
+                );
+            }
+        }
+        sleep(WRITE_GAP).await;
+    }
+    core.counters.sheets_waiting.set(desk.lock().len() as i64);
+}
+
+/// Merges one task by compare-and-swap.
+///
+/// When the answer of the write is lost, the next try reads the value, finds the marks that were
+/// written with the counts, and writes nothing.
+async fn merge_task(core: &GatewayCore, task: &MergeTask) -> bool {
+    let store = core.changes.store();
+    let key = hour_key(&core.identity.data_centre, task.shard, task.hour);
+    for _ in 0..MOST_TRIES {
+        let read = store.get(&key).await;
+        note(core, "report read", &read);
+        let Ok(stored) = read else {
+            continue;
+        };
+        let (mut ledger, expect) = match &stored {
+            None => (HourLedger::default(), 0),
+            Some(value) => {
+                let Ok(ledger) = serde_json::from_str(&value.value) else {
+                    return false;
+                };
+                (ledger, value.revision)
+            }
+        };
+        if !task.apply(&mut ledger) {
+            return true;
+        }
+        let Ok(text) = serde_json::to_string(&ledger) else {
+            return false;
+        };
+        let written = store.put(&key, &text, Some(expect), None).await;
+        note(core, "report write", &written);
+        if matches!(written, Ok(PutOutcome::Done(_))) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Counts a call of the store by its outcome.
+pub(crate) fn note<T>(core: &GatewayCore, kind: &str, result: &Result<T, StoreError>) {
+    let outcome = match result {
+        Ok(_) => "answered",
+        Err(StoreError::Down(_)) => "down",
+        Err(StoreError::Lost(_)) => "lost",
+    };
+    core.counters
+        .store_calls
+        .with_label_values(&[kind, outcome])
+        .inc();
+    core.counters.store_reached.set(i64::from(result.is_ok()));
+}
+
+fn duty(shard: u16) -> String {
+    format!("merge/{shard}")
+}
+
+fn owns(core: &GatewayCore, shard: u16) -> bool {
+    core.control()
+        .duty_owner(Instant::now(), &duty(shard))
+        .is_some_and(|owner| owner == core.identity.node)
+}
+
+/// Deletes hourly counts that are older than the settings keep, once an hour, from one node.
+pub(crate) async fn run_retention(core: Arc<GatewayCore>) {
+    const ROUND: Duration = Duration::from_secs(3_600);
+    const MINUTES_PER_HOUR: u64 = 60;
+    loop {
+        sleep(ROUND).await;
+        if !owns(&core, 0) {
+            continue;
+        }
+        let oldest = (epoch_minute() / MINUTES_PER_HOUR).saturating_sub(core.settings.report_hours);
+        let prefix = format!("report/{}/", core.identity.data_centre);
+        let store = core.changes.store();
+        for key in store.list(&prefix).await.unwrap_or_default() {
+            let hour = key
+                .rsplit('/')
+                .next()
+                .and_then(|text| text.parse::<u64>().ok());
+            if hour.is_some_and(|hour| hour < oldest) {
+                let _ = store.delete(&key).await;
+                sleep(WRITE_GAP).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -0,0 +1,155 @@
+//! Starting the daemon.
+
+use crate::clock::epoch_millis;
+use crate::counts;
+use crate::counts::CountDesk;
+use crate::directory;
+use crate::logging;
+use crate::orders;
+use crate::polls;
+use crate::pump;
+use crate::stop;
+use crate::transport;
+use crate::transport::PeerTransport;
+use crate::watch;
+use rand::RngExt;
+use salvo::Listener;
+use salvo::Server;
+use salvo::conn::TcpListener;
+use std::sync::Arc;
+use thiserror::Error;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use zinniahatch_base::prelude::*;
+use zinniahatch_config::ConfigError;
+use zinniahatch_config::NodeSettings;
+use zinniahatch_control::ControlNode;
+use zinniahatch_control::NodeIdentity;
+use zinniahatch_control::RoutePolicy;
+use zinniahatch_control::VerdictPolicy;
+use zinniahatch_gateway::GatewayCore;
+use zinniahatch_gateway::GatewayParts;
+use zinniahatch_gateway::build_service;
+use zinniahatch_platform::HttpStore;
+use zinniahatch_protocol::FrameCodec;
+
+/// Worker threads; an entry VM is small.
+const WORKERS: usize = 2;
+/// Time for the headers of a request to arrive.
+const HEADER_TIME: Duration = Duration::from_secs(10);
+
+/// Why the daemon did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The settings are wrong.
+    #[error(transparent)]
+    Settings(#[from] ConfigError),
+    /// A file or an address cannot be used.
+    #[error("{0}")]
+    Resource(String),
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Says why it did not start.
+pub fn run_daemon(file: &str, check: bool) -> Result<(), StartError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| StartError::Resource(format!("{file}: {error}")))?;
+    let settings = NodeSettings::parse(file, &text)?;
+    if check {
+        println!("{file}: the settings are right");
+        return Ok(());
+    }
+    logging::start(&settings.log_level, &settings.log_file)
+        .map_err(|error| StartError::Resource(format!("{file}: {error}")))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build()
+        .map_err(|error| StartError::Resource(error.to_string()))?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: NodeSettings) -> Result<(), StartError> {
+    let now = Instant::now();
+    let core = build_core(settings, now);
+    let codec = FrameCodec::new(&core.settings.secret);
+    let listen = core.settings.listen.to_string();
+    let acceptor = TcpListener::new(listen.clone())
+        .try_bind()
+        .await
+        .map_err(|error| StartError::Resource(format!("[node] listen: {listen}: {error}")))?;
+    transport::listen(Arc::clone(&core), codec.clone())
+        .await
+        .map_err(StartError::Resource)?;
+    let desk = Arc::new(CountDesk::default());
+    tokio::spawn(pump::run(
+        Arc::clone(&core),
+        PeerTransport::new(codec),
+        Arc::clone(&desk),
+    ));
+    tokio::spawn(directory::run_directory(Arc::clone(&core)));
+    tokio::spawn(watch::start_serving(Arc::clone(&core)));
+    tokio::spawn(watch::run(Arc::clone(&core)));
+    tokio::spawn(directory::run_vm_list(Arc::clone(&core)));
+    tokio::spawn(polls::run(Arc::clone(&core)));
+    tokio::spawn(orders::run(Arc::clone(&core)));
+    tokio::spawn(counts::run_sealing(Arc::clone(&core), Arc::clone(&desk)));
+    tokio::spawn(counts::run_merging(Arc::clone(&core), Arc::clone(&desk)));
+    tokio::spawn(counts::run_retention(Arc::clone(&core)));
+    let mut server = Server::new(acceptor);
+    server
+        .http1_mut()
+        .header_read_timeout(HEADER_TIME)
+        .max_headers(100);
+    let handle = server.handle();
+    let serving = tokio::spawn(server.serve(build_service(&core)));
+    wait_for_signal().await?;
+    stop::leave(&core, &desk).await;
+    handle.stop_graceful(Some(Duration::from_secs(1)));
+    let _ = serving.await;
+    Ok(())
+}
+
+fn build_core(settings: NodeSettings, now: Instant) -> Arc<GatewayCore> {
+    let mut rng = rand::rng();
+    let identity = NodeIdentity {
+        node: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
+        incarnation: rng.random(),
+        peer: settings.peer_listen.clone(),
+        http: settings.listen.clone(),
+        epoch: epoch_millis(),
+    };
+    let control = ControlNode::new(
+        identity,
+        &settings.seeds,
+        now,
+        VerdictPolicy::OwnSuspicion,
+        RoutePolicy::Score,
+    );
+    let store = HttpStore::new(&settings.store);
+    GatewayCore::new(
+        GatewayParts {
+            settings,
+            control,
+            store,
+            key_secret: rng.random(),
+        },
+        now,
+    )
+}
+
+async fn wait_for_signal() -> Result<(), StartError> {
+    let resource = |error: std::io::Error| StartError::Resource(error.to_string());
+    let mut terminate = signal(SignalKind::terminate()).map_err(resource)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(resource)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/zinniahatch_daemon/src/transport.rs
@@ -0,0 +1,158 @@
+//! Frames between nodes over nng: one pull socket that listens, one push socket for each peer.
+//!
+//! Pipelines fit, since every message is one-way and may be lost: what it carries is told again.
+//! nng's request protocol, which sends again by itself, is not used.
+
+use anng::Message;
+use anng::protocols::pipeline0::Pull0;
+use anng::protocols::pipeline0::Push0;
+use std::ffi::CString;
+use std::io::Write;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use zinniahatch_base::prelude::*;
+use zinniahatch_control::FrameParcel;
+use zinniahatch_gateway::GatewayCore;
+use zinniahatch_protocol::FrameCodec;
+
+/// Frames that wait for one peer; more are dropped, since newer ones say the same.
+const PEER_QUEUE: usize = 64;
+/// Time for a connection, and for one frame.
+const SEND_TIME: Duration = Duration::from_secs(1);
+/// Pause after a failed connection.
+const RETRY_TIME: Duration = Duration::from_millis(500);
+/// Senders of peers to whom nothing was sent for this long are ended.
+const IDLE_TIME: Duration = Duration::from_secs(90);
+
+enum PeerCommand {
+    Send(Vec<u8>),
+    Redial,
+}
+
+/// The sockets to all peers.
+pub(crate) struct PeerTransport {
+    codec: FrameCodec,
+    peers: BTreeMap<Box<str>, mpsc::Sender<PeerCommand>>,
+}
+
+impl PeerTransport {
+    pub(crate) fn new(codec: FrameCodec) -> Self {
+        Self {
+            codec,
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Sends a frame, or drops it where the peer's queue is full.
+    pub(crate) fn send(&mut self, core: &GatewayCore, parcel: &FrameParcel) {
+        let bytes = match self.codec.encode(&parcel.frame) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                core.counters
+                    .frames_refused
+                    .with_label_values(&[error.to_string().as_str()])
+                    .inc();
+                return;
+            }
+        };
+        core.counters.frames.with_label_values(&["out"]).inc();
+        core.counters
+            .frame_bytes
+            .with_label_values(&["out"])
+            .inc_by(bytes.len() as u64);
+        self.command(core.reach(&parcel.to), PeerCommand::Send(bytes));
+    }
+
+    /// Opens a new connection to a peer that has been silent.
+    pub(crate) fn redial(&mut self, core: &GatewayCore, peer: &str) {
+        core.counters.redials.inc();
+        self.command(core.reach(peer), PeerCommand::Redial);
+    }
+
+    fn command(&mut self, peer: &str, command: PeerCommand) {
+        if self.peers.get(peer).is_none_or(mpsc::Sender::is_closed) {
+            let (sender, receiver) = mpsc::channel(PEER_QUEUE);
+            tokio::spawn(run_peer(peer.into(), receiver));
+            self.peers.insert(peer.into(), sender);
+        }
+        if let Some(sender) = self.peers.get(peer) {
+            let _ = sender.try_send(command);
+        }
+    }
+}
+
+/// Receives frames until the process ends.
+pub(crate) async fn listen(core: Arc<GatewayCore>, codec: FrameCodec) -> Result<(), String> {
+    let url = url_of(&core.settings.peer_listen);
+    let mut socket = Pull0::listen(url.as_c_str())
+        .await
+        .map_err(|error| format!("[node] peer_listen: {}: {error}", core.settings.peer_listen))?;
+    tokio::spawn(async move {
+        loop {
+            match socket.pull().await {
+                Ok(message) => take(&core, &codec, message.as_slice()),
+                Err(_) => sleep(RETRY_TIME).await,
+            }
+        }
+    });
+    Ok(())
+}
+
+fn take(core: &GatewayCore, codec: &FrameCodec, bytes: &[u8]) {
+    core.counters.frames.with_label_values(&["in"]).inc();
+    core.counters
+        .frame_bytes
+        .with_label_values(&["in"])
+        .inc_by(bytes.len() as u64);
+    match codec.decode(bytes) {
+        Ok(frame) => {
+            core.control().receive(Instant::now(), frame);
+            core.wake.notify_one();
+        }
+        Err(error) => core
+            .counters
+            .frames_refused
+            .with_label_values(&[error.to_string().as_str()])
+            .inc(),
+    }
+}
+
+/// Sends to one peer, over a new connection after each failure or redial.
+async fn run_peer(peer: Box<str>, mut receiver: mpsc::Receiver<PeerCommand>) {
+    let url = url_of(&peer);
+    loop {
+        let Ok(Ok(mut socket)) = timeout(SEND_TIME, Push0::dial(url.as_c_str())).await else {
+            // What waits meanwhile is old by the time the peer is back.
+            while receiver.try_recv().is_ok() {}
+            if receiver.is_closed() {
+                return;
+            }
+            sleep(RETRY_TIME).await;
+            match timeout(IDLE_TIME, receiver.recv()).await {
+                Ok(Some(_)) => continue,
+                Ok(None) | Err(_) => return,
+            }
+        };
+        loop {
+            match timeout(IDLE_TIME, receiver.recv()).await {
+                Ok(Some(PeerCommand::Send(bytes))) => {
+                    let mut message = Message::with_capacity(bytes.len());
+                    if message.write_all(&bytes).is_err() {
+                        continue;
+                    }
+                    if !matches!(timeout(SEND_TIME, socket.push(message)).await, Ok(Ok(()))) {
+                        break;
+                    }
+                }
+                Ok(Some(PeerCommand::Redial)) => break,
+                Ok(None) | Err(_) => return,
+            }
+        }
+    }
+}
+
+fn url_of(address: &str) -> CString {
+    CString::new(format!("tcp://{address}")).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/account_change.rs
@@ -0,0 +1,77 @@
+//! Changing one account: its shard is rewritten, the others stay.
+
+use serde::Deserialize;
+use serde::Serialize;
+use zinniahatch_base::prelude::*;
+
+/// The account as it shall be.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct AccountAsk {
+    pub(crate) change: Box<str>,
+    pub(crate) expect_revision: Revision,
+    pub(crate) account: AccountId,
+    pub(crate) home: RegionId,
+    pub(crate) class: Box<str>,
+    pub(crate) team: Box<str>,
+    #[serde(default)]
+    pub(crate) in_progress_limit: u32,
+    /// Digests of API keys by caller; callers that are not named keep theirs.
+    #[serde(default)]
+    pub(crate) callers: BTreeMap<CallerId, PartHash>,
+    /// Whether to remove the account and its callers.
+    #[serde(default)]
+    pub(crate) remove: bool,
+}
+
+/// Gives the text of a shard with the account as asked.
+pub(crate) fn rewrite_shard(text: &str, ask: &AccountAsk) -> String {
+    let mut kept = String::new();
+    for section in sections(text) {
+        let own_account = section.starts_with(&format!("[account {}]", ask.account));
+        let own_caller = is_caller_of(section, &ask.account);
+        let renamed = ask
+            .callers
+            .keys()
+            .any(|caller| section.starts_with(&format!("[caller {caller}]")));
+        if own_account || (own_caller && (ask.remove || renamed)) {
+            continue;
+        }
+        kept.push_str(section.trim_end());
+        kept.push('\n');
+    }
+    if ask.remove {
+        return kept;
+    }
+    kept.push_str(&format!(
+        "[account {}]\nhome = {}\nclass = {}\nteam = {}\nin_progress_limit = {}\n",
+        ask.account, ask.home, ask.class, ask.team, ask.in_progress_limit
+    ));
+    for (caller, digest) in &ask.callers {
+        kept.push_str(&format!(
+            "[caller {caller}]\naccount = {}\nkey_digest = {digest}\n",
+            ask.account
+        ));
+    }
+    kept
+}
+
+fn sections(text: &str) -> Vec<&str> {
+    let mut starts: Vec<usize> = text
+        .match_indices('[')
+        .filter(|(at, _)| *at == 0 || text.as_bytes()[at - 1] == b'\n')
+        .map(|(at, _)| at)
+        .collect();
+    starts.push(text.len());
+    starts
+        .windows(2)
+        .map(|pair| &text[pair[0]..pair[1]])
+        .collect()
+}
+
+fn is_caller_of(section: &str, account: &str) -> bool {
+    section.starts_with("[caller ")
+        && section.lines().any(|line| {
+            line.split_once('=')
+                .is_some_and(|(key, value)| key.trim() == "account" && value.trim() == account)
+        })
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/answer.rs
@@ -0,0 +1,31 @@
+//! A whole answer, as it is kept and as it is given.
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use zinniahatch_base::prelude::*;
+
+/// What an answer used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TokenUsage {
+    #[serde(default)]
+    pub(crate) prompt_tokens: u64,
+    #[serde(default)]
+    pub(crate) cached_tokens: u64,
+    #[serde(default)]
+    pub(crate) completion_tokens: u64,
+}
+
+/// An answer whose end was seen.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct KeptAnswer {
+    pub(crate) request: RequestId,
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(Box<str>, Box<str>)>,
+    pub(crate) body: Bytes,
+    pub(crate) code: ResultCode,
+    pub(crate) revision: Revision,
+    pub(crate) served: RegionId,
+    pub(crate) usage: TokenUsage,
+    pub(crate) first_byte: Duration,
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/body.rs
@@ -0,0 +1,90 @@
+//! The body: read within its limit and its time, and looked at for routing.
+
+use crate::admit::AdmittedCall;
+use crate::refusal::CallRefusal;
+use bytes::Bytes;
+use salvo::Request;
+use salvo::http::ParseError;
+use serde::Deserialize;
+use std::borrow::Cow;
+use tokio::time::timeout;
+use zinniahatch_base::prelude::*;
+use zinniahatch_config::ServiceKind;
+
+/// Bytes of the first message that make the prefix by which caches are sought.
+const PREFIX_BYTES: usize = 512;
+/// Bytes that one token takes on average, for the estimate of a prompt.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// What routing needs to know of a body.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct BodyView {
+    pub(crate) stream: bool,
+    pub(crate) prefix: Option<ShortTag>,
+    pub(crate) prompt: u64,
+}
+
+#[derive(Deserialize)]
+struct ChatBody<'a> {
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(borrow)]
+    messages: Vec<ChatMessage<'a>>,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage<'a> {
+    #[serde(borrow, default)]
+    content: Cow<'a, str>,
+}
+
+/// Reads the body.
+pub(crate) async fn read_body(
+    request: &mut Request,
+    limit: u64,
+    time: Duration,
+) -> Result<Bytes, Box<CallRefusal>> {
+    let size = usize::try_from(limit).unwrap_or(usize::MAX);
+    match timeout(time, request.payload_with_max_size(size)).await {
+        Ok(Ok(bytes)) => Ok(bytes.clone()),
+        Ok(Err(ParseError::PayloadTooLarge)) => {
+            Err(Box::new(CallRefusal::new(ResultCode::BodyTooLarge)))
+        }
+        Ok(Err(error)) => Err(Box::new(CallRefusal::detail(
+            ResultCode::BadRequest,
+            &format!("the body cannot be read: {error}"),
+        ))),
+        Err(_) => Err(Box::new(CallRefusal::new(ResultCode::BodyTooSlow))),
+    }
+}
+
+/// Looks at a body for routing; a model request that is not chat JSON is refused here.
+pub(crate) fn view_body(call: &AdmittedCall, body: &Bytes) -> Result<BodyView, Box<CallRefusal>> {
+    if call.service.kind == ServiceKind::Plain {
+        return Ok(BodyView::default());
+    }
+    let chat: ChatBody<'_> = serde_json::from_slice(body).map_err(|error| {
+        Box::new(CallRefusal::detail(
+            ResultCode::BadRequest,
+            &format!("the body is not a chat request: {error}"),
+        ))
+    })?;
+    let Some(first) = chat.messages.first() else {
+        return Err(Box::new(CallRefusal::detail(
+            ResultCode::BadRequest,
+            "`messages` is empty",
+        )));
+    };
+    let end = first.content.len().min(PREFIX_BYTES);
+    let prefix = &first.content.as_bytes()[..end];
+    let size: u64 = chat
+        .messages
+        .iter()
+        .map(|message| message.content.len() as u64)
+        .sum();
+    Ok(BodyView {
+        stream: chat.stream.unwrap_or(false),
+        prefix: Some(tag_of(&String::from_utf8_lossy(prefix))),
+        prompt: size / BYTES_PER_TOKEN + 1,
+    })
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/core.rs
@@ -0,0 +1,240 @@
+//! What all handlers of one node share.
+
+use crate::CounterSet;
+use crate::PeerProof;
+use crate::budget::SendBudget;
+use crate::keyed::KeyShelf;
+use crate::placing::WaiterTable;
+use crate::shelf::AnswerShelf;
+use reqwest::Client;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+use tokio::sync::Notify;
+use zinniahatch_base::prelude::*;
+use zinniahatch_change::ChangeDesk;
+use zinniahatch_config::NodeSettings;
+use zinniahatch_control::ControlNode;
+use zinniahatch_control::NodeIdentity;
+use zinniahatch_platform::HttpEngine;
+use zinniahatch_platform::HttpStore;
+use zinniahatch_report::CountBook;
+
+/// Time for a connection to a backend server or another node.
+const CONNECT_TIME: Duration = Duration::from_millis(800);
+/// Idle connections are closed before a middlebox would forget them.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+
+/// The parts from which a core is made.
+pub struct GatewayParts {
+    /// The node's settings.
+    pub settings: NodeSettings,
+    /// The tables.
+    pub control: ControlNode,
+    /// The store.
+    pub store: HttpStore,
+    /// Random bytes that only this process knows.
+    pub key_secret: [u8; 32],
+}
+
+/// The state of one node's request path.
+pub struct GatewayCore {
+    /// The node's settings.
+    pub settings: NodeSettings,
+    /// Who the node is.
+    pub identity: NodeIdentity,
+    /// Wakes the pump of the tables.
+    pub wake: Notify,
+    /// Counters.
+    pub counters: CounterSet,
+    /// Changes of configuration.
+    pub changes: ChangeDesk<HttpStore>,
+    /// Engines beside the request path.
+    pub engine: HttpEngine,
+    pub(crate) proof: PeerProof,
+    pub(crate) client: Client,
+    pub(crate) once_client: Client,
+    pub(crate) waiters: WaiterTable,
+    control: Mutex<ControlNode>,
+    book: Mutex<CountBook>,
+    keys: Mutex<KeyShelf>,
+    shelf: Mutex<AnswerShelf>,
+    retry_budget: Mutex<SendBudget>,
+    hedge_budget: Mutex<SendBudget>,
+    account_running: Mutex<BTreeMap<AccountId, u32>>,
+    next_number: AtomicU64,
+    active: AtomicU64,
+    refusing: AtomicBool,
+    adopted_ms: AtomicU64,
+}
+
+impl GatewayCore {
+    /// Makes the core of a node.
+    pub fn new(parts: GatewayParts, now: Instant) -> Arc<Self> {
+        let identity = parts.control.identity().clone();
+        let settings = parts.settings;
+        Arc::new(Self {
+            wake: Notify::new(),
+            counters: CounterSet::new(&identity.node, &identity.data_centre),
+            changes: ChangeDesk::new(parts.store),
+            engine: HttpEngine::new(),
+            proof: PeerProof::new(&settings.secret),
+            client: build_client(usize::MAX),
+            // A call that may not be repeated gets a connection of its own: one from a pool may
+            // have gone silent, and nothing could be sent again to find out.
+            once_client: build_client(0),
+            waiters: WaiterTable::default(),
+            control: Mutex::new(parts.control),
+            book: Mutex::new(CountBook::default()),
+            keys: Mutex::new(KeyShelf::new(&identity, parts.key_secret, now)),
+            shelf: Mutex::new(AnswerShelf::new(settings.answer_memory)),
+            retry_budget: Mutex::default(),
+            hedge_budget: Mutex::default(),
+            account_running: Mutex::default(),
+            next_number: AtomicU64::new(1),
+            active: AtomicU64::new(0),
+            refusing: AtomicBool::new(false),
+            adopted_ms: AtomicU64::new(0),
+            identity,
+            settings,
+        })
+    }
+
+    /// Locks the tables; never held across an await.
+    pub fn control(&self) -> MutexGuard<'_, ControlNode> {
+        lock(&self.control)
+    }
+
+    /// Locks the counts.
+    pub fn book(&self) -> MutexGuard<'_, CountBook> {
+        lock(&self.book)
+    }
+
+    /// Gives how many requests are in progress.
+    pub fn active(&self) -> u64 {
+        self.active.load(Ordering::SeqCst)
+    }
+
+    /// Gives the address at which another node is reached from here.
+    pub fn reach<'a>(&'a self, address: &'a str) -> &'a str {
+        self.settings
+            .translate
+            .get(address)
+            .map_or(address, |to| &**to)
+    }
+
+    /// Refuses new requests from now on; what runs goes on.
+    pub fn refuse_new(&self) {
+        self.refusing.store(true, Ordering::SeqCst);
+    }
+
+    /// Says whether new requests are refused.
+    pub fn refuses_new(&self) -> bool {
+        self.refusing.load(Ordering::SeqCst)
+    }
+
+    /// Notes when the revision in force came into force here, in milliseconds since the epoch.
+    pub fn note_adopted(&self, millis: u64) {
+        self.adopted_ms.store(millis, Ordering::Relaxed);
+    }
+
+    /// Gives when the revision in force came into force here.
+    pub fn adopted_ms(&self) -> u64 {
+        self.adopted_ms.load(Ordering::Relaxed)
+    }
+
+    /// Locks the keys.
+    pub fn keys(&self) -> MutexGuard<'_, KeyShelf> {
+        lock(&self.keys)
+    }
+
+    pub(crate) fn shelf(&self) -> MutexGuard<'_, AnswerShelf> {
+        lock(&self.shelf)
+    }
+
+    pub(crate) fn retry_budget(&self) -> MutexGuard<'_, SendBudget> {
+        lock(&self.retry_budget)
+    }
+
+    pub(crate) fn hedge_budget(&self) -> MutexGuard<'_, SendBudget> {
+        lock(&self.hedge_budget)
+    }
+
+    pub(crate) fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Makes the id of a new request.
+    pub(crate) fn request_id(&self) -> RequestId {
+        format!(
+            "{}-{:x}-{}",
+            self.identity.node,
+            self.identity.incarnation,
+            self.next_number()
+        )
+        .into()
+    }
+
+    /// Counts a request of an account as in progress, unless the account is at its limit.
+    pub(crate) fn enter(self: &Arc<Self>, account: &AccountId, limit: u32) -> Option<ActiveGuard> {
+        let mut running = lock(&self.account_running);
+        let count = running.entry(account.clone()).or_default();
+        if limit > 0 && *count >= limit {
+            return None;
+        }
+        *count += 1;
+        self.active.fetch_add(1, Ordering::SeqCst);
+        Some(ActiveGuard {
+            core: Arc::clone(self),
+            account: account.clone(),
+        })
+    }
+}
+
+/// Counts a request as in progress until it is dropped.
+pub(crate) struct ActiveGuard {
+    core: Arc<GatewayCore>,
+    account: AccountId,
+}
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        let mut running = lock(&self.core.account_running);
+        if let Some(count) = running.get_mut(&self.account) {
+            *count -= 1;
+            if *count == 0 {
+                running.remove(&self.account);
+            }
+        }
+        self.core.active.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Gives seconds since the epoch.
+pub(crate) fn epoch_seconds() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |age| age.as_secs())
+}
+
+/// Locks a mutex; a panic elsewhere leaves counters and tables usable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn build_client(idle: usize) -> Client {
+    Client::builder()
+        .connect_timeout(CONNECT_TIME)
+        .pool_idle_timeout(IDLE_TIME)
+        .pool_max_idle_per_host(idle)
+        .tcp_nodelay(true)
+        .no_proxy()
+        .build()
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/counters.rs
@@ -0,0 +1,264 @@
+//! Counters and gauges of one node.
+
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use zinniahatch_base::prelude::*;
+
+/// Every counter and gauge; `docs/OPERATING.md` says how to read them.
+pub struct CounterSet {
+    registry: Registry,
+    /// Requests by result code.
+    pub results: IntCounterVec,
+    /// Retries by reason.
+    pub retries: IntCounterVec,
+    /// Retries not made for want of budget, by reason.
+    pub retries_denied: IntCounterVec,
+    /// Hedges by outcome.
+    pub hedges: IntCounterVec,
+    /// Streams resumed, by reason.
+    pub resumes: IntCounterVec,
+    /// Requests sent away, by outcome.
+    pub away: IntCounterVec,
+    /// Cancels sent to engines, by reason.
+    pub cancels: IntCounterVec,
+    /// Orders to engines, by outcome.
+    pub orders: IntCounterVec,
+    /// Calls of the store, by kind and outcome.
+    pub store_calls: IntCounterVec,
+    /// Frames of other nodes that were refused, by reason.
+    pub frames_refused: IntCounterVec,
+    /// Frames and bytes between nodes, by direction.
+    pub frames: IntCounterVec,
+    /// Bytes between nodes, by direction.
+    pub frame_bytes: IntCounterVec,
+    /// Connections to nodes opened anew.
+    pub redials: IntCounter,
+    /// Configuration changes asked of this node, by verdict.
+    pub changes: IntCounterVec,
+    /// Guests refused or taken.
+    pub guests: IntCounterVec,
+    /// Requests of forwarded calls refused for a wrong proof.
+    pub proofs_refused: IntCounter,
+    /// Leases on slots that lapsed.
+    pub lapses: IntGauge,
+    /// Requests waiting, by service.
+    pub waiting: IntGaugeVec,
+    /// Requests running, by service.
+    pub running: IntGaugeVec,
+    /// Slots held, by service.
+    pub slots: IntGaugeVec,
+    /// The revision in force.
+    pub revision: IntGauge,
+    /// Live members of the data centre, this node included.
+    pub members: IntGauge,
+    /// Whether the store was reached at the last try.
+    pub store_reached: IntGauge,
+    /// Times that the store showed an older revision than the one in force.
+    pub store_behind: IntCounter,
+    /// Sheets of counts that wait for the store.
+    pub sheets_waiting: IntGauge,
+    /// Keys made.
+    pub keys_made: IntCounter,
+    /// Nanoseconds spent in control ticks.
+    pub control_nanos: IntCounter,
+}
+
+impl CounterSet {
+    /// Makes the set of a node.
+    ///
+    /// # Panics
+    ///
+    /// When two counters have one name, which the first start would show.
+    pub fn new(node: &str, data_centre: &str) -> Self {
+        let labels = [
+            ("node".to_owned(), node.to_owned()),
+            ("data_centre".to_owned(), data_centre.to_owned()),
+        ];
+        let registry = Registry::new_custom(Some("zinnia".to_owned()), Some(labels.into()))
+            .unwrap_or_default();
+        let set = Self {
+            results: vector(
+                &registry,
+                "results_total",
+                "Requests by result code.",
+                &["code", "name"],
+            ),
+            retries: vector(
+                &registry,
+                "retries_total",
+                "Retries by reason.",
+                &["reason"],
+            ),
+            retries_denied: vector(
+                &registry,
+                "retries_denied_total",
+                "Retries not made for want of budget, by reason.",
+                &["reason"],
+            ),
+            hedges: vector(
+                &registry,
+                "hedges_total",
+                "Hedges by outcome.",
+                &["outcome"],
+            ),
+            resumes: vector(
+                &registry,
+                "resumes_total",
+                "Streams resumed, by reason.",
+                &["reason"],
+            ),
+            away: vector(
+                &registry,
+                "away_total",
+                "Requests sent away, by outcome.",
+                &["outcome"],
+            ),
+            cancels: vector(
+                &registry,
+                "cancels_total",
+                "Cancels sent to engines, by reason.",
+                &["reason"],
+            ),
+            orders: vector(
+                &registry,
+                "orders_total",
+                "Orders to engines, by outcome.",
+                &["outcome"],
+            ),
+            store_calls: vector(
+                &registry,
+                "store_calls_total",
+                "Calls of the store.",
+                &["kind", "outcome"],
+            ),
+            frames_refused: vector(
+                &registry,
+                "frames_refused_total",
+                "Frames of other nodes refused, by reason.",
+                &["reason"],
+            ),
+            frames: vector(
+                &registry,
+                "frames_total",
+                "Frames between nodes.",
+                &["direction"],
+            ),
+            frame_bytes: vector(
+                &registry,
+                "frame_bytes_total",
+                "Bytes between nodes.",
+                &["direction"],
+            ),
+            redials: single(
+                &registry,
+                "redials_total",
+                "Connections to nodes opened anew.",
+            ),
+            changes: vector(
+                &registry,
+                "changes_total",
+                "Configuration changes by verdict.",
+                &["verdict"],
+            ),
+            guests: vector(
+                &registry,
+                "guests_total",
+                "Forwarded requests received, by outcome.",
+                &["outcome"],
+            ),
+            proofs_refused: single(
+                &registry,
+                "proofs_refused_total",
+                "Forwarded requests with a wrong proof.",
+            ),
+            lapses: gauge(
+                &registry,
+                "lease_lapses",
+                "Leases on slots that lapsed since the start.",
+            ),
+            waiting: gauges(&registry, "waiting", "Requests waiting, by service."),
+            running: gauges(&registry, "running", "Requests running, by service."),
+            slots: gauges(&registry, "slots", "Slots held, by service."),
+            revision: gauge(&registry, "revision", "The revision in force."),
+            members: gauge(&registry, "members", "Live members of the data centre."),
+            store_reached: gauge(
+                &registry,
+                "store_reached",
+                "Whether the store was reached at the last try.",
+            ),
+            store_behind: single(
+                &registry,
+                "store_behind_total",
+                "Times that the store showed an older revision.",
+            ),
+            sheets_waiting: gauge(
+                &registry,
+                "sheets_waiting",
+                "Sheets of counts that wait for the store.",
+            ),
+            keys_made: single(&registry, "keys_made_total", "Idempotency keys made."),
+            control_nanos: single(
+                &registry,
+                "control_nanos_total",
+                "Nanoseconds spent in control ticks.",
+            ),
+            registry,
+        };
+        for code in ResultCode::ALL {
+            set.results
+                .with_label_values(&[code.number().to_string().as_str(), code.name()]);
+        }
+        set
+    }
+
+    /// Counts a result.
+    pub fn count_result(&self, code: ResultCode) {
+        self.results
+            .with_label_values(&[code.number().to_string().as_str(), code.name()])
+            .inc();
+    }
+
+    /// Gives every value in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
+
+fn vector(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("the name is valid");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("the name is unique");
+    counter
+}
+
+fn single(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("the name is valid");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("the name is unique");
+    counter
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("the name is valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("the name is unique");
+    gauge
+}
+
+fn gauges(registry: &Registry, name: &str, help: &str) -> IntGaugeVec {
+    let gauge = IntGaugeVec::new(Opts::new(name, help), &["service"]).expect("the name is valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("the name is unique");
+    gauge
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/counting.rs
@@ -0,0 +1,125 @@
+//! Last stage: each request is counted once, whatever became of it.
+
+use crate::GatewayCore;
+use crate::admit::KnownCaller;
+use crate::answer::TokenUsage;
+use crate::core::epoch_seconds;
+use std::sync::Arc;
+use zinniahatch_base::prelude::*;
+use zinniahatch_config::ClusterConfig;
+use zinniahatch_report::CountKey;
+use zinniahatch_report::CountRow;
+
+const SECONDS_PER_HOUR: u64 = 3_600;
+/// Millionths in one unit of money.
+const MICROS: f64 = 1e6;
+
+/// Counts one request when it is settled, or as given up by its caller when it is dropped.
+pub(crate) struct CountGuard {
+    core: Arc<GatewayCore>,
+    config: Arc<ClusterConfig>,
+    key: Option<CountKey>,
+    arrived: Instant,
+    first_byte: Option<Duration>,
+    usage: TokenUsage,
+}
+
+impl CountGuard {
+    pub(crate) fn new(
+        core: &Arc<GatewayCore>,
+        config: &Arc<ClusterConfig>,
+        who: &KnownCaller,
+        service: &ServiceId,
+        arrived: Instant,
+    ) -> Self {
+        let key = CountKey {
+            hour: epoch_seconds() / SECONDS_PER_HOUR,
+            account: who.account.clone(),
+            caller: who.caller.clone(),
+            home: who.entry.home.clone(),
+            served: core.identity.region.clone(),
+            // A name that is not configured is text from outside and is not kept.
+            service: if config.services.contains_key(service) {
+                service.clone()
+            } else {
+                "unknown".into()
+            },
+            preset: config.preset_name.clone(),
+            code: 0,
+        };
+        Self {
+            core: Arc::clone(core),
+            config: Arc::clone(config),
+            key: Some(key),
+            arrived,
+            first_byte: None,
+            usage: TokenUsage::default(),
+        }
+    }
+
+    /// Notes the first byte.
+    pub(crate) fn mark_first(&mut self) {
+        self.first_byte.get_or_insert(self.arrived.elapsed());
+    }
+
+    /// Notes what the answer used.
+    pub(crate) fn note_usage(&mut self, usage: TokenUsage) {
+        self.usage = usage;
+    }
+
+    /// Notes the region that served.
+    pub(crate) fn note_served(&mut self, region: &RegionId) {
+        if let Some(key) = &mut self.key {
+            key.served.clone_from(region);
+        }
+    }
+
+    /// Leaves the counting to the node that owns the request's key.
+    pub(crate) fn leave_to_owner(&mut self) {
+        self.key = None;
+    }
+
+    /// Counts the request.
+    pub(crate) fn settle(&mut self, code: ResultCode) {
+        let Some(mut key) = self.key.take() else {
+            return;
+        };
+        self.core.counters.count_result(code);
+        key.code = code.number();
+        let away = key.served != key.home;
+        let mut row = CountRow {
+            requests: 1,
+            ..CountRow::default()
+        };
+        if code.execution() != Execution::NotRun {
+            let price = self
+                .config
+                .prices
+                .get(&key.service)
+                .cloned()
+                .unwrap_or_default();
+            let usage = self.usage;
+            row.tokens_in = usage.prompt_tokens;
+            row.tokens_cached = usage.cached_tokens;
+            row.tokens_out = usage.completion_tokens;
+            let cost = price.cost(
+                usage.prompt_tokens,
+                usage.cached_tokens,
+                usage.completion_tokens,
+                away,
+            );
+            row.cost_micros = (cost * MICROS) as u64;
+        }
+        if let Some(first) = self.first_byte {
+            row.first_byte.record(first);
+        }
+        row.whole.record(self.arrived.elapsed());
+        self.core.book().add(key, &row);
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.settle(ResultCode::CallerGone);
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/engine_stream.rs
@@ -0,0 +1,219 @@
+//! A model's stream: relayed in whole events, probed when it stalls, resumed when it breaks.
+
+use crate::GatewayCore;
+use crate::answer::TokenUsage;
+use crate::dispatch::RunCall;
+use crate::headers;
+use crate::refusal::CallRefusal;
+use crate::run::AnswerSource;
+use crate::run::AttemptState;
+use crate::run::OpenAnswer;
+use crate::run::avoid_source;
+use crate::run::cancel;
+use crate::run::open_answer;
+use crate::run::served_region;
+use crate::run::spend_retry;
+use crate::sse::EventCutter;
+use bytes::Bytes;
+use reqwest::Response;
+use std::sync::Arc;
+use tokio::time::timeout;
+use zinniahatch_base::prelude::*;
+
+/// Probes of one replica before another is asked to go on.
+const PROBES: u32 = 2;
+
+/// One model answer on its way.
+pub(crate) struct EngineStream {
+    core: Arc<GatewayCore>,
+    pub(crate) call: Arc<RunCall>,
+    state: AttemptState,
+    response: Response,
+    source: Option<AnswerSource>,
+    cutter: EventCutter,
+    probes: u32,
+    pub(crate) served: RegionId,
+}
+
+impl EngineStream {
+    /// Gets an answer to begin.
+    pub(crate) async fn open(
+        core: &Arc<GatewayCore>,
+        call: Arc<RunCall>,
+    ) -> Result<Self, Box<CallRefusal>> {
+        let mut state = AttemptState::default();
+        let open = open_answer(core, &call, &mut state, call.resume).await?;
+        if !open.response.status().is_success() {
+            let status = open.response.status();
+            let text: String = open
+                .response
+                .text()
+                .await
+                .unwrap_or_default()
+                .chars()
+                .take(500)
+                .collect();
+            return Err(Box::new(CallRefusal::detail(
+                ResultCode::BackendError,
+                &format!("{status}: {text}"),
+            )));
+        }
+        let served = served_region(core, &open.response);
+        Ok(Self {
+            core: Arc::clone(core),
+            call,
+            state,
+            response: open.response,
+            source: Some(open.source),
+            cutter: EventCutter::default(),
+            probes: 0,
+            served,
+        })
+    }
+
+    /// Says whether the end mark was seen; only then is the answer whole.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.cutter.done
+    }
+
+    pub(crate) fn usage(&self) -> TokenUsage {
+        self.cutter.usage()
+    }
+
+    /// Gives the next whole events, or `None` after the end mark.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Box<CallRefusal>> {
+        loop {
+            if self.cutter.done {
+                self.finish();
+                return Ok(None);
+            }
+            let left = self.call.deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(Box::new(CallRefusal::new(ResultCode::DeadlineRunning)));
+            }
+            let stall = self.stall_after();
+            let reason = match timeout(left.min(stall), self.response.chunk()).await {
+                Ok(Ok(Some(chunk))) => {
+                    self.probes = 0;
+                    let events = self.cutter.take(chunk);
+                    if events.is_empty() {
+                        continue;
+                    }
+                    return Ok(Some(events));
+                }
+                Ok(Ok(None)) => "ended early",
+                Ok(Err(_)) => "broken",
+                Err(_) if left <= stall => continue,
+                Err(_) => "stalled",
+            };
+            self.recover(reason).await?;
+        }
+    }
+
+    /// Goes on from the last event: on the same replica over a new connection, or on another one.
+    async fn recover(&mut self, reason: &str) -> Result<(), Box<CallRefusal>> {
+        self.core
+            .counters
+            .resumes
+            .with_label_values(&[reason])
+            .inc();
+        self.cutter.reset();
+        self.probes += 1;
+        if self.probes <= PROBES && self.resume_there().await {
+            return Ok(());
+        }
+        if self.call.once {
+            return Err(Box::new(CallRefusal::new(ResultCode::AnswerCutOff)));
+        }
+        self.cancel("resumed elsewhere");
+        if let Some(source) = self.source.take() {
+            avoid_source(&mut self.state, &source);
+        }
+        spend_retry(
+            &self.core,
+            &self.call,
+            &mut self.state,
+            "resume",
+            ResultCode::AnswerCutOff,
+        )?;
+        let resume = self.call.resume + self.cutter.events;
+        let OpenAnswer { response, source } =
+            open_answer(&self.core, &self.call, &mut self.state, resume).await?;
+        if !response.status().is_success() {
+            return Err(Box::new(CallRefusal::new(ResultCode::AnswerCutOff)));
+        }
+        self.served = served_region(&self.core, &response);
+        self.response = response;
+        self.source = Some(source);
+        self.probes = 0;
+        Ok(())
+    }
+
+    /// Asks the same replica for the rest over a new connection.
+    ///
+    /// A connection that a middlebox has forgotten delivers nothing and reports nothing, while
+    /// new ones work; the pool is therefore not used here.
+    async fn resume_there(&mut self) -> bool {
+        let Some(AnswerSource::Slot(_, address, id)) = &self.source else {
+            return false;
+        };
+        let from = self.call.resume + self.cutter.events;
+        let request = self
+            .core
+            .once_client
+            .get(format!("{address}/v1/requests/{id}/stream"))
+            .query(&[("from", from)]);
+        let Ok(Ok(response)) = timeout(self.stall_after(), request.send()).await else {
+            return false;
+        };
+        let same = headers::text(response.headers(), headers::BACKEND_REQUEST) == Some(id);
+        if !response.status().is_success() || !same {
+            return false;
+        }
+        self.response = response;
+        true
+    }
+
+    /// Gives the silence after which the stream is probed.
+    ///
+    /// The first token waits for the whole prompt to be read. An answer from another data centre
+    /// stalls later, so that the node there resumes first.
+    fn stall_after(&self) -> Duration {
+        const FIRST_TOKEN: u32 = 3;
+        const AWAY: u32 = 4;
+        let stall = self.call.config.preset().stall_after;
+        match &self.source {
+            Some(AnswerSource::Away(_)) => stall * AWAY,
+            Some(AnswerSource::Slot(..)) if self.cutter.events == 0 => stall * FIRST_TOKEN,
+            Some(AnswerSource::Slot(..)) | None => stall,
+        }
+    }
+
+    fn finish(&mut self) {
+        let Some(AnswerSource::Slot(guard, _, _)) = self.source.take() else {
+            return;
+        };
+        if let Some(prefix) = self.call.prefix {
+            let replica = tag_of(guard.replica());
+            let prompt = self.usage().prompt_tokens.max(self.call.prompt);
+            self.core
+                .control()
+                .belief_mut()
+                .learn(Instant::now(), prefix, replica, prompt);
+        }
+    }
+
+    fn cancel(&self, reason: &str) {
+        if let Some(AnswerSource::Slot(_, address, id)) = &self.source {
+            cancel(&self.core, address, id, reason);
+        }
+    }
+}
+
+impl Drop for EngineStream {
+    fn drop(&mut self) {
+        if !self.cutter.done {
+            self.cancel("given up");
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/report_read.rs
@@ -0,0 +1,65 @@
+//! Reading hourly counts back from the store.
+
+use crate::GatewayCore;
+use futures_util::StreamExt;
+use futures_util::stream;
+use zinniahatch_platform::StoreClient;
+use zinniahatch_report::CountSheet;
+use zinniahatch_report::GapNote;
+use zinniahatch_report::HourLedger;
+
+/// Reads in flight for one report, far below the store's rate.
+const READS_AT_ONCE: usize = 8;
+const PREFIX: &str = "report/";
+
+/// Gives the key of one data centre's counts of one shard and hour.
+pub fn hour_key(data_centre: &str, shard: u16, hour: u64) -> String {
+    format!("{PREFIX}{data_centre}/{shard:02}/{hour}")
+}
+
+/// Gives the hour that a key names.
+pub(crate) fn hour_of(key: &str) -> Option<u64> {
+    key.rsplit('/').next()?.parse().ok()
+}
+
+/// What a report is made from.
+#[derive(Default)]
+pub(crate) struct ReadCounts {
+    pub(crate) sheet: CountSheet,
+    pub(crate) gaps: Vec<GapNote>,
+    pub(crate) unread: Vec<Box<str>>,
+}
+
+/// Reads the counts of a span of hours, the last included.
+pub(crate) async fn read_counts(core: &GatewayCore, from: u64, until: u64) -> ReadCounts {
+    let store = core.changes.store();
+    let mut counts = ReadCounts::default();
+    let keys = match store.list(PREFIX).await {
+        Ok(keys) => keys,
+        Err(error) => {
+            counts.unread.push(format!("the store: {error}").into());
+            return counts;
+        }
+    };
+    // Counts of an hour may stand in the value of the next one, where their sheet was sealed.
+    let wanted = keys
+        .into_iter()
+        .filter(|key| hour_of(key).is_some_and(|hour| (from..=until + 1).contains(&hour)));
+    let mut values = stream::iter(wanted)
+        .map(|key| async move { (store.get(&key).await, key) })
+        .buffer_unordered(READS_AT_ONCE);
+    while let Some((result, key)) = values.next().await {
+        let ledger = match result {
+            Ok(Some(value)) => serde_json::from_str::<HourLedger>(&value.value).ok(),
+            Ok(None) | Err(_) => None,
+        };
+        match ledger {
+            Some(ledger) => {
+                counts.sheet.merge(&ledger.sheet);
+                counts.gaps.extend(ledger.gaps);
+            }
+            None => counts.unread.push(key),
+        }
+    }
+    counts
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/respond.rs
@@ -0,0 +1,233 @@
+//! Giving answers: whole, as a stream, or as a refusal.
+
+use crate::GatewayCore;
+use crate::answer::KeptAnswer;
+use crate::answer::TokenUsage;
+use crate::core::ActiveGuard;
+use crate::counting::CountGuard;
+use crate::dispatch::RunCall;
+use crate::engine_stream::EngineStream;
+use crate::headers;
+use crate::refusal::CallRefusal;
+use crate::sse::token_text;
+use bytes::Bytes;
+use futures_util::stream;
+use salvo::Response;
+use salvo::http::HeaderName;
+use salvo::http::HeaderValue;
+use salvo::http::ResBody;
+use salvo::http::StatusCode;
+use serde::Serialize;
+use std::io;
+use std::sync::Arc;
+use zinniahatch_base::prelude::*;
+
+#[derive(Serialize)]
+struct ChatAnswer<'a> {
+    id: &'a str,
+    object: &'static str,
+    choices: [ChatChoice; 1],
+    usage: TokenUsage,
+}
+
+#[derive(Serialize)]
+struct ChatChoice {
+    index: u32,
+    message: ChatMessage,
+    finish_reason: &'static str,
+}
+
+#[derive(Serialize)]
+struct ChatMessage {
+    role: &'static str,
+    content: String,
+}
+
+/// A stream on its way to the caller.
+struct StreamState {
+    stream: EngineStream,
+    first: Option<Bytes>,
+    count: Option<CountGuard>,
+    _active: ActiveGuard,
+    failed: bool,
+}
+
+/// Reads a model's whole answer, for callers that want it in one piece.
+pub(crate) async fn collect_stream(
+    core: &Arc<GatewayCore>,
+    call: Arc<RunCall>,
+) -> Result<KeptAnswer, Box<CallRefusal>> {
+    let started = Instant::now();
+    let mut stream = EngineStream::open(core, Arc::clone(&call)).await?;
+    let mut first_byte = None;
+    let mut content = String::new();
+    while let Some(events) = stream.next().await? {
+        first_byte.get_or_insert(started.elapsed());
+        content.push_str(&token_text(&events));
+    }
+    let answer = ChatAnswer {
+        id: &call.id,
+        object: "chat.completion",
+        choices: [ChatChoice {
+            index: 0,
+            message: ChatMessage {
+                role: "assistant",
+                content,
+            },
+            finish_reason: "stop",
+        }],
+        usage: stream.usage(),
+    };
+    let body = serde_json::to_vec(&answer).unwrap_or_default();
+    Ok(KeptAnswer {
+        request: call.id.clone(),
+        status: 200,
+        headers: vec![("content-type".into(), "application/json".into())],
+        body: body.into(),
+        code: ResultCode::Answered,
+        revision: call.config.revision,
+        served: stream.served.clone(),
+        usage: stream.usage(),
+        first_byte: first_byte.unwrap_or_default(),
+    })
+}
+
+/// Writes a whole answer.
+pub(crate) fn write_answer(response: &mut Response, answer: &KeptAnswer) {
+    response.status_code(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY));
+    for (name, value) in &answer.headers {
+        set(response, name, value);
+    }
+    write_marks(
+        response,
+        &answer.request,
+        answer.revision,
+        &answer.served,
+        answer.code,
+    );
+    let _ = response.write_body(answer.body.clone());
+}
+
+/// Writes a refusal.
+pub(crate) fn write_refusal(
+    response: &mut Response,
+    core: &GatewayCore,
+    request: &str,
+    refusal: &CallRefusal,
+) {
+    response.status_code(
+        StatusCode::from_u16(refusal.code.status()).unwrap_or(StatusCode::BAD_GATEWAY),
+    );
+    let revision = core.control().ledger().revision();
+    write_marks(
+        response,
+        request,
+        revision,
+        &core.identity.region,
+        refusal.code,
+    );
+    if let Some(after) = refusal.retry_after {
+        set(response, "retry-after", &after.as_secs().max(1).to_string());
+    }
+    write_json(response, &refusal.body());
+}
+
+/// Writes a body as JSON.
+pub(crate) fn write_json(response: &mut Response, body: &impl Serialize) {
+    set(response, "content-type", "application/json");
+    let _ = response.write_body(serde_json::to_vec(body).unwrap_or_default());
+}
+
+/// Writes the headers that every answer carries.
+pub(crate) fn write_marks(
+    response: &mut Response,
+    request: &str,
+    revision: Revision,
+    region: &str,
+    code: ResultCode,
+) {
+    set(response, headers::REQUEST, request);
+    set(response, headers::REVISION, &revision.to_string());
+    set(response, headers::REGION, region);
+    set(response, headers::CODE, &code.number().to_string());
+    set(response, headers::EXECUTION, code.execution().word());
+}
+
+/// Writes a model's stream; `first` is what has been read of it.
+pub(crate) fn write_stream(
+    response: &mut Response,
+    stream: EngineStream,
+    first: Bytes,
+    mut count: Option<CountGuard>,
+    active: ActiveGuard,
+) {
+    response.status_code(StatusCode::OK);
+    set(response, "content-type", "text/event-stream");
+    set(response, "cache-control", "no-cache");
+    write_marks(
+        response,
+        &stream.call.id,
+        stream.call.config.revision,
+        &stream.served,
+        ResultCode::Answered,
+    );
+    if let Some(count) = &mut count {
+        count.mark_first();
+    }
+    let state = StreamState {
+        stream,
+        first: Some(first),
+        count,
+        _active: active,
+        failed: false,
+    };
+    response.body(ResBody::stream(Box::pin(stream::unfold(state, step))));
+}
+
+async fn step(mut state: StreamState) -> Option<(Result<Bytes, io::Error>, StreamState)> {
+    if state.failed {
+        // The connection is broken off, so that no caller takes the cut answer for a whole one.
+        return Some((Err(io::Error::other("the answer was cut off")), state));
+    }
+    if let Some(first) = state.first.take() {
+        return Some((Ok(first), state));
+    }
+    match state.stream.next().await {
+        Ok(Some(events)) => {
+            if state.stream.is_whole() {
+                state.settle(ResultCode::Answered);
+            }
+            Some((Ok(events), state))
+        }
+        Ok(None) => {
+            state.settle(ResultCode::Answered);
+            None
+        }
+        Err(refusal) => {
+            state.settle(refusal.code);
+            state.failed = true;
+            let body = serde_json::to_string(&refusal.body()).unwrap_or_default();
+            Some((
+                Ok(Bytes::from(format!("event: error\ndata: {body}\n\n"))),
+                state,
+            ))
+        }
+    }
+}
+
+impl StreamState {
+    fn settle(&mut self, code: ResultCode) {
+        if let Some(mut count) = self.count.take() {
+            count.note_usage(self.stream.usage());
+            count.note_served(&self.stream.served);
+            count.settle(code);
+        }
+    }
+}
+
+pub(crate) fn set(response: &mut Response, name: &str, value: &str) {
+    let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_str(value)) else {
+        return;
+    };
+    response.headers_mut().insert(name, value);
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/shelf.rs
@@ -0,0 +1,72 @@
+//! Answers kept for collection, in bounded memory.
+
+use crate::answer::KeptAnswer;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use zinniahatch_base::prelude::*;
+
+/// Answers by request id; the oldest go first.
+#[derive(Debug)]
+pub(crate) struct AnswerShelf {
+    limit: usize,
+    size: usize,
+    answers: BTreeMap<RequestId, ShelfLine>,
+    order: VecDeque<RequestId>,
+}
+
+#[derive(Debug)]
+struct ShelfLine {
+    account: AccountId,
+    until: Instant,
+    answer: Arc<KeptAnswer>,
+}
+
+impl AnswerShelf {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            size: 0,
+            answers: BTreeMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn find(
+        &self,
+        now: Instant,
+        account: &str,
+        request: &str,
+    ) -> Option<Arc<KeptAnswer>> {
+        self.answers
+            .get(request)
+            .filter(|line| &*line.account == account && now < line.until)
+            .map(|line| Arc::clone(&line.answer))
+    }
+
+    pub(crate) fn put(
+        &mut self,
+        request: RequestId,
+        account: AccountId,
+        until: Instant,
+        answer: Arc<KeptAnswer>,
+    ) {
+        self.size += answer.body.len();
+        self.order.push_back(request.clone());
+        self.answers.insert(
+            request,
+            ShelfLine {
+                account,
+                until,
+                answer,
+            },
+        );
+        while self.size > self.limit {
+            let Some(oldest) = self.order.pop_front() else {
+                break;
+            };
+            if let Some(line) = self.answers.remove(&oldest) {
+                self.size -= line.answer.body.len();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_gateway/src/sse.rs
@@ -0,0 +1,112 @@
+//! Server-sent events: whole events out of chunks, and what the last ones say.
+
+use crate::answer::TokenUsage;
+use bytes::Bytes;
+use bytes::BytesMut;
+use serde::Deserialize;
+
+const EVENT_END: &[u8] = b"\n\n";
+const DONE_EVENT: &[u8] = b"data: [DONE]";
+const DATA_FIELD: &[u8] = b"data: ";
+
+/// Cuts a stream of chunks at the ends of events.
+#[derive(Debug, Default)]
+pub(crate) struct EventCutter {
+    pending: BytesMut,
+    /// Events passed, the end mark left out.
+    pub(crate) events: u64,
+    /// Whether the end mark was seen.
+    pub(crate) done: bool,
+    last: Bytes,
+}
+
+#[derive(Deserialize)]
+struct UsageEvent {
+    usage: Option<TokenUsage>,
+}
+
+#[derive(Deserialize)]
+struct TokenEvent {
+    choices: Vec<TokenChoice>,
+}
+
+#[derive(Deserialize)]
+struct TokenChoice {
+    #[serde(default)]
+    delta: TokenDelta,
+}
+
+#[derive(Default, Deserialize)]
+struct TokenDelta {
+    #[serde(default)]
+    content: String,
+}
+
+impl EventCutter {
+    /// Takes a chunk and gives the whole events that it completes.
+    pub(crate) fn take(&mut self, chunk: Bytes) -> Bytes {
+        let whole = if self.pending.is_empty() && chunk.ends_with(EVENT_END) {
+            chunk
+        } else {
+            self.pending.extend_from_slice(&chunk);
+            match find_last_end(&self.pending) {
+                Some(end) => self.pending.split_to(end).freeze(),
+                None => return Bytes::new(),
+            }
+        };
+        let mut from = 0;
+        while let Some(end) = find_end(&whole[from..]) {
+            let event = whole.slice(from..from + end);
+            from += end + EVENT_END.len();
+            if event.as_ref() == DONE_EVENT {
+                self.done = true;
+                continue;
+            }
+            self.events += 1;
+            self.last = event;
+        }
+        whole
+    }
+
+    /// Drops a half event, after a connection broke in its middle.
+    pub(crate) fn reset(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Gives the usage that the last event before the end mark carries.
+    pub(crate) fn usage(&self) -> TokenUsage {
+        let data = self.last.strip_prefix(DATA_FIELD).unwrap_or(&self.last);
+        let event: Option<UsageEvent> = serde_json::from_slice(data).ok();
+        event.and_then(|event| event.usage).unwrap_or_default()
+    }
+}
+
+/// Gives the text of the tokens in whole events.
+pub(crate) fn token_text(events: &[u8]) -> String {
+    let mut text = String::new();
+    for event in events.split(|byte| *byte == b'\n') {
+        let Some(data) = event.strip_prefix(DATA_FIELD) else {
+            continue;
+        };
+        let Ok(token) = serde_json::from_slice::<TokenEvent>(data) else {
+            continue;
+        };
+        for choice in token.choices {
+            text.push_str(&choice.delta.content);
+        }
+    }
+    text
+}
+
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    bytes
+        .windows(EVENT_END.len())
+        .position(|window| window == EVENT_END)
+}
+
+fn find_last_end(bytes: &[u8]) -> Option<usize> {
+    bytes
+        .windows(EVENT_END.len())
+        .rposition(|window| window == EVENT_END)
+        .map(|at| at + EVENT_END.len())
+}
--- /dev/null
+++ b/crates/zinniahatch_lab/src/cluster.rs
@@ -0,0 +1,549 @@
+//! A whole system on loopback addresses: stand-ins in this process, daemons as processes.
+
+use crate::history::HistoryLog;
+use crate::relay::LinkState;
+use crate::relay::TcpRelay;
+use crate::stand::backend::StandBackend;
+use crate::stand::directory::StandDirectory;
+use crate::stand::engine::EngineSpeed;
+use crate::stand::engine::StandEngine;
+use crate::stand::faults::FaultSwitch;
+use crate::stand::plain::start_plain;
+use crate::stand::serve::StandServer;
+use crate::stand::store::StandStore;
+use crate::users::UserPlan;
+use std::fs;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+use zinniahatch_change::ChangeAsk;
+use zinniahatch_change::ChangeDesk;
+use zinniahatch_change::ChangeVerdict;
+use zinniahatch_config::ClusterConfig;
+use zinniahatch_config::ConfigHead;
+use zinniahatch_config::FencingRule;
+use zinniahatch_config::ServiceKind;
+use zinniahatch_platform::HttpStore;
+use zinniahatch_platform::ListedVm;
+use zinniahatch_platform::VmKind;
+use zinniahatch_platform::VmState;
+
+/// Time for every node to serve.
+const READY_TIME: Duration = Duration::from_secs(30);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+const SECRET: &str = "lab-secret-of-the-nodes";
+
+static NEXT_FOLDER: AtomicU64 = AtomicU64::new(0);
+static NEXT_ADDRESS: AtomicU64 = AtomicU64::new(0);
+
+/// How a system is started.
+#[derive(Clone, Debug)]
+pub struct ClusterOptions {
+    /// How fast engines are.
+    pub speed: EngineSpeed,
+    /// How long a call of a plain service takes.
+    pub plain_time: Duration,
+    /// Interval at which counts are copied to their merger.
+    pub seal: Duration,
+    /// Interval at which counts are merged into the store.
+    pub merge: Duration,
+    /// Log level of the daemons.
+    pub log_level: &'static str,
+}
+
+impl Default for ClusterOptions {
+    fn default() -> Self {
+        Self {
+            speed: EngineSpeed::default(),
+            plain_time: Duration::from_millis(15),
+            seal: Duration::from_millis(500),
+            merge: Duration::from_secs(2),
+            log_level: "info",
+        }
+    }
+}
+
+/// One daemon.
+pub struct NodeHandle {
+    /// Its name.
+    pub name: NodeId,
+    /// Its region.
+    pub region: RegionId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its address for callers.
+    pub http: Box<str>,
+    /// Its address for control messages.
+    pub peer: Box<str>,
+    settings: PathBuf,
+    /// The file of its log.
+    pub log: PathBuf,
+    child: Option<Child>,
+}
+
+/// A running system; its processes end when it is dropped.
+pub struct LabCluster {
+    /// The user's plan, with the addresses of the stand-ins in its parts.
+    pub plan: UserPlan,
+    /// The history that backend servers and load write.
+    pub history: HistoryLog,
+    /// The store.
+    pub store: StandStore,
+    /// Each region's way to the store.
+    pub store_ways: BTreeMap<RegionId, FaultSwitch>,
+    /// The directory and the VM list.
+    pub directory: StandDirectory,
+    /// The engines by name.
+    pub engines: BTreeMap<ReplicaId, Arc<StandEngine>>,
+    /// Every backend server by name.
+    pub backends: BTreeMap<ReplicaId, Arc<StandBackend>>,
+    /// The daemons.
+    pub nodes: Vec<NodeHandle>,
+    /// The link between each pair of regions.
+    pub links: BTreeMap<(RegionId, RegionId), LinkState>,
+    /// The address of a front of the store without faults.
+    pub store_url: String,
+    backend_servers: BTreeMap<ReplicaId, StandServer>,
+    _servers: Vec<StandServer>,
+    _relays: Vec<TcpRelay>,
+    folder: PathBuf,
+}
+
+impl LabCluster {
+    /// Starts a system and waits until every node serves.
+    ///
+    /// # Panics
+    ///
+    /// Where a stand-in or a daemon cannot be started, or a node does not serve in time.
+    pub async fn start(plan: UserPlan, options: &ClusterOptions) -> Self {
+        let mut cluster = Self::prepare(plan, options).await;
+        for index in 0..cluster.nodes.len() {
+            cluster.spawn(index);
+        }
+        cluster.wait_ready().await;
+        cluster
+    }
+
+    /// Starts the stand-ins and writes the settings, but starts no daemon.
+    pub async fn prepare(mut plan: UserPlan, options: &ClusterOptions) -> Self {
+        let history = HistoryLog::default();
+        let store = StandStore::default();
+        let mut servers = Vec::new();
+        let mut store_ways = BTreeMap::new();
+        let mut store_urls = BTreeMap::new();
+        for region in &plan.regions {
+            let switch = FaultSwitch::default();
+            let server = store.front(switch.clone()).await;
+            store_urls.insert(region.region.clone(), server.url());
+            store_ways.insert(region.region.clone(), switch);
+            servers.push(server);
+        }
+        let own = store.front(FaultSwitch::default()).await;
+        let store_url = own.url();
+        servers.push(own);
+        let directory = StandDirectory::default();
+        let directory_server = directory.start().await;
+        let directory_url = directory_server.url();
+        servers.push(directory_server);
+        let (engines, backends, backend_servers) =
+            start_backends(&mut plan, options, &history, &directory).await;
+        bootstrap(&plan, &store_url).await;
+        let folder = std::env::temp_dir().join(format!(
+            "zinnia-lab-{}-{}",
+            std::process::id(),
+            NEXT_FOLDER.fetch_add(1, Ordering::Relaxed)
+        ));
+        fs::create_dir_all(&folder).expect("the folder for settings can be made");
+        let nodes = make_nodes(&plan, &folder);
+        let config = config_of(&plan);
+        let mut relays = Vec::new();
+        let mut links = BTreeMap::new();
+        for node in &nodes {
+            let translate =
+                make_relays(&config, &plan, &nodes, node, &mut links, &mut relays).await;
+            let text = settings_text(
+                node,
+                &nodes,
+                &store_urls[&node.region],
+                &directory_url,
+                &translate,
+                options,
+            );
+            fs::write(&node.settings, text).expect("the settings can be written");
+        }
+        Self {
+            plan,
+            history,
+            store,
+            store_ways,
+            directory,
+            engines,
+            backends,
+            nodes,
+            links,
+            store_url,
+            backend_servers,
+            _servers: servers,
+            _relays: relays,
+            folder,
+        }
+    }
+
+    /// Gives the index of a node.
+    ///
+    /// # Panics
+    ///
+    /// Where there is no such node.
+    pub fn index_of(&self, name: &str) -> usize {
+        self.nodes
+            .iter()
+            .position(|node| &*node.name == name)
+            .expect("the node is planned")
+    }
+
+    /// Starts a node's process.
+    ///
+    /// # Panics
+    ///
+    /// Where the daemon's program is not built.
+    pub fn spawn(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&node.log)
+            .expect("the log can be written");
+        let errors = log.try_clone().expect("a file handle can be copied");
+        let child = Command::new(daemon_path())
+            .arg("--config")
+            .arg(&node.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .expect("zinniahatchd is built; run cargo build --workspace first");
+        node.child = Some(child);
+    }
+
+    /// Waits until every started node serves.
+    ///
+    /// # Panics
+    ///
+    /// Where one does not in time.
+    pub async fn wait_ready(&self) {
+        let client = reqwest::Client::new();
+        for node in self.nodes.iter().filter(|node| node.child.is_some()) {
+            let started = Instant::now();
+            while !is_ready(&client, &node.http).await {
+                if started.elapsed() > READY_TIME {
+                    let log = fs::read_to_string(&node.log).unwrap_or_default();
+                    panic!("{} does not serve: {log}", node.name);
+                }
+                sleep(LOOK_EVERY).await;
+            }
+        }
+    }
+
+    /// Kills a node at once.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.nodes[index].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Tells a node to stop as planned.
+    pub fn terminate(&self, index: usize) {
+        self.signal(index, "-TERM");
+    }
+
+    /// Freezes a node, or lets it go on.
+    pub fn freeze(&self, index: usize, frozen: bool) {
+        self.signal(index, if frozen { "-STOP" } else { "-CONT" });
+    }
+
+    /// Gives a node's process id.
+    pub fn process(&self, index: usize) -> Option<u32> {
+        self.nodes[index].child.as_ref().map(Child::id)
+    }
+
+    /// Says whether a node's process has ended, and whether it ended well.
+    pub fn ended(&mut self, index: usize) -> Option<bool> {
+        let child = self.nodes[index].child.as_mut()?;
+        child
+            .try_wait()
+            .ok()
+            .flatten()
+            .map(|status| status.success())
+    }
+
+    /// Kills a backend server at once.
+    pub fn kill_backend(&self, name: &str) {
+        if let Some(server) = self.backend_servers.get(name) {
+            server.kill();
+        }
+    }
+
+    /// Marks a backend server as leaving, at itself and on the VM list.
+    pub fn leave_backend(&self, name: &str) {
+        if let Some(backend) = self.backends.get(name) {
+            backend.leave();
+        }
+        self.directory.set_state(name, VmState::Leaving);
+    }
+
+    /// Gives every link of a region.
+    pub fn links_of(&self, region: &str) -> Vec<LinkState> {
+        self.links
+            .iter()
+            .filter(|((one, other), _)| &**one == region || &**other == region)
+            .map(|(_, link)| link.clone())
+            .collect()
+    }
+
+    fn signal(&self, index: usize, signal: &str) {
+        if let Some(process) = self.process(index) {
+            let _ = Command::new("kill")
+                .arg(signal)
+                .arg(process.to_string())
+                .status();
+        }
+    }
+}
+
+impl Drop for LabCluster {
+    fn drop(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.kill(index);
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Gives the configuration of a plan.
+///
+/// # Panics
+///
+/// Where the plan is wrong.
+pub fn config_of(plan: &UserPlan) -> ClusterConfig {
+    let head = ConfigHead {
+        revision: 1,
+        preset: plan.preset.into(),
+        ..ConfigHead::default()
+    };
+    ClusterConfig::build(&head, &plan.parts).expect("the plan is right")
+}
+
+/// Says whether a node serves.
+pub async fn is_ready(client: &reqwest::Client, http: &str) -> bool {
+    let request = client
+        .get(format!("http://{http}/readyz"))
+        .timeout(Duration::from_secs(1));
+    matches!(request.send().await, Ok(response) if response.status().is_success())
+}
+
+type StartedBackends = (
+    BTreeMap<ReplicaId, Arc<StandEngine>>,
+    BTreeMap<ReplicaId, Arc<StandBackend>>,
+    BTreeMap<ReplicaId, StandServer>,
+);
+
+/// Starts a stand-in for each backend server and writes its address into the plan.
+async fn start_backends(
+    plan: &mut UserPlan,
+    options: &ClusterOptions,
+    history: &HistoryLog,
+    directory: &StandDirectory,
+) -> StartedBackends {
+    let config = config_of(plan);
+    let mut engines = BTreeMap::new();
+    let mut backends = BTreeMap::new();
+    let mut servers = BTreeMap::new();
+    let mut text = String::new();
+    for (name, entry) in &config.backends {
+        let region = config
+            .topology
+            .region_of(&entry.data_centre)
+            .expect("the plan is checked");
+        let backend = StandBackend::new(name, region, entry.slots, history.clone());
+        let server = match config.services[&entry.service].kind {
+            ServiceKind::Engine => {
+                let engine = StandEngine::new(
+                    Arc::clone(&backend),
+                    options.speed,
+                    entry.fencing == FencingRule::Checked,
+                );
+                engines.insert(name.clone(), Arc::clone(&engine));
+                engine.start().await
+            }
+            ServiceKind::Plain => start_plain(Arc::clone(&backend), options.plain_time).await,
+        };
+        text.push_str(&format!(
+            "[backend {name}]\nservice = {}\ndata_centre = {}\naddress = {}\nslots = {}\nfencing = {}\n",
+            entry.service, entry.data_centre, server.url(), entry.slots, entry.fencing.word()
+        ));
+        directory.list_vm(ListedVm {
+            name: name.clone(),
+            kind: VmKind::Backend,
+            data_centre: entry.data_centre.clone(),
+            state: VmState::Live,
+        });
+        backends.insert(name.clone(), backend);
+        servers.insert(name.clone(), server);
+    }
+    plan.parts.insert("backends".into(), text.into());
+    (engines, backends, servers)
+}
+
+async fn bootstrap(plan: &UserPlan, store: &str) {
+    let ask = ChangeAsk {
+        change: "bootstrap".into(),
+        expect_revision: 0,
+        preset: Some(plan.preset.into()),
+        parts: plan
+            .parts
+            .iter()
+            .map(|(name, text)| (name.clone(), Some(text.clone())))
+            .collect(),
+        check: false,
+    };
+    let verdict = ChangeDesk::new(HttpStore::new(store))
+        .apply(&ask, "lab", |_| None)
+        .await;
+    assert_eq!(
+        verdict,
+        Ok(ChangeVerdict::Accepted(1)),
+        "the first configuration is accepted"
+    );
+}
+
+fn make_nodes(plan: &UserPlan, folder: &std::path::Path) -> Vec<NodeHandle> {
+    let count: usize = plan.regions.iter().map(|region| region.entries).sum();
+    let mut ports = free_addresses(count * 2).into_iter();
+    let mut nodes = Vec::new();
+    for region in &plan.regions {
+        for number in 1..=region.entries {
+            let name: NodeId = format!("{}-{number}", region.data_centre).into();
+            nodes.push(NodeHandle {
+                settings: folder.join(format!("{name}.ini")),
+                log: folder.join(format!("{name}.log")),
+                name,
+                region: region.region.clone(),
+                data_centre: region.data_centre.clone(),
+                http: ports.next().expect("enough ports were taken"),
+                peer: ports.next().expect("enough ports were taken"),
+                child: None,
+            });
+        }
+    }
+    nodes
+}
+
+/// Gives addresses for processes that bind them themselves.
+///
+/// The operating system picks the ports, on a loopback address that nothing else of this machine
+/// binds or connects from: ports on `127.0.0.1` could be taken by any outgoing connection between
+/// the picking and the binding.
+pub fn free_addresses(count: usize) -> Vec<Box<str>> {
+    let process = std::process::id();
+    let turn = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed) % 100;
+    let host = format!(
+        "127.{}.{}.{}",
+        100 + turn,
+        (process >> 8) & 0xff,
+        (process & 0xff).max(1)
+    );
+    let held: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind((host.as_str(), 0)).expect("a port is free"))
+        .collect();
+    held.iter()
+        .map(|listener| {
+            listener
+                .local_addr()
+                .expect("a bound socket has an address")
+                .to_string()
+                .into()
+        })
+        .collect()
+}
+
+/// Starts the relays through which a node reaches those of other regions.
+async fn make_relays(
+    config: &ClusterConfig,
+    plan: &UserPlan,
+    nodes: &[NodeHandle],
+    node: &NodeHandle,
+    links: &mut BTreeMap<(RegionId, RegionId), LinkState>,
+    relays: &mut Vec<TcpRelay>,
+) -> Vec<(Box<str>, Box<str>)> {
+    let mut translate = Vec::new();
+    if plan.regions.len() < 2 {
+        return translate;
+    }
+    for other in nodes.iter().filter(|other| other.region != node.region) {
+        let mut pair = [node.region.clone(), other.region.clone()];
+        pair.sort();
+        let [one, two] = pair;
+        let link = links.entry((one, two)).or_default().clone();
+        let delay = config.topology.delay(&node.region, &other.region);
+        for address in [&other.http, &other.peer] {
+            let relay = TcpRelay::start(address, delay, link.clone()).await;
+            translate.push((address.clone(), relay.address.clone()));
+            relays.push(relay);
+        }
+    }
+    translate
+}
+
+fn settings_text(
+    node: &NodeHandle,
+    nodes: &[NodeHandle],
+    store: &str,
+    directory: &str,
+    translate: &[(Box<str>, Box<str>)],
+    options: &ClusterOptions,
+) -> String {
+    let seeds: Vec<&str> = nodes
+        .iter()
+        .filter(|other| other.data_centre == node.data_centre)
+        .map(|other| &*other.peer)
+        .collect();
+    let mut text = format!(
+        "[node]\nname = {}\ndata_centre = {}\nregion = {}\nlisten = {}\npeer_listen = {}\nsecret = {SECRET}\nseeds = {}\n\n[platform]\nstore = {store}\ndirectory = {directory}\nvm_list = {directory}\n\n[reports]\nseal_interval = {}\nmerge_interval = {}\n\n[log]\nlevel = {}\n",
+        node.name,
+        node.data_centre,
+        node.region,
+        node.http,
+        node.peer,
+        seeds.join(", "),
+        zinniahatch_config::format_duration(options.seal),
+        zinniahatch_config::format_duration(options.merge),
+        options.log_level,
+    );
+    if !translate.is_empty() {
+        text.push_str("\n[translate]\n");
+        for (index, (from, to)) in translate.iter().enumerate() {
+            text.push_str(&format!("{index} = {from} {to}\n"));
+        }
+    }
+    text
+}
+
+/// Finds the daemon's program beside this one.
+fn daemon_path() -> PathBuf {
+    let own = std::env::current_exe().expect("a running program has a path");
+    let folder = own.parent().expect("a program is in a folder");
+    let folder = if folder.ends_with("deps") {
+        folder.parent().unwrap_or(folder)
+    } else {
+        folder
+    };
+    folder.join("zinniahatchd")
+}
--- /dev/null
+++ b/crates/zinniahatch_lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! The lab: stand-ins for everything outside, load, experiments, and the history checker.
+
+pub mod checker;
+pub mod cluster;
+pub mod demo;
+pub mod experiments;
+pub mod history;
+pub mod load;
+pub mod relay;
+pub mod stand;
+pub mod users;
--- /dev/null
+++ b/crates/zinniahatch_lab/src/load/call.rs
@@ -0,0 +1,274 @@
+//! One send, and what its caller sees.
+
+use super::Client;
+use super::ClusterConfig;
+use super::Duration;
+use super::HistoryLog;
+use super::OperationJob;
+use super::OperationKind;
+use super::Response;
+use super::ResultCode;
+use super::SeenEnd;
+use super::SendRecord;
+use super::Value;
+use super::answer_text;
+use super::json;
+use super::mark_of;
+use super::plain_answer;
+use reqwest::RequestBuilder;
+use std::sync::Arc;
+use zinniahatch_base::prelude::Execution;
+
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+
+/// What a send needs.
+#[derive(Clone)]
+pub struct CallTools {
+    /// The HTTP client.
+    pub client: Client,
+    /// Where sends are written down.
+    pub history: HistoryLog,
+    config: Arc<ClusterConfig>,
+    engine: &'static str,
+    plain: &'static str,
+}
+
+/// What was read of an answer.
+#[derive(Default)]
+struct ReadAnswer {
+    end: Option<SeenEnd>,
+    first_byte: Option<Duration>,
+    input: u64,
+    cached: u64,
+    tokens: u64,
+}
+
+impl CallTools {
+    /// Makes the tools.
+    ///
+    /// # Panics
+    ///
+    /// Where the HTTP client cannot be made.
+    pub fn new(
+        history: &HistoryLog,
+        config: ClusterConfig,
+        engine: &'static str,
+        plain: &'static str,
+    ) -> Self {
+        let client = Client::builder()
+            .connect_timeout(CONNECT_TIME)
+            .no_proxy()
+            .build()
+            .expect("the client can be made");
+        Self {
+            client,
+            history: history.clone(),
+            config: Arc::new(config),
+            engine,
+            plain,
+        }
+    }
+
+    /// Sends an operation once; `None` where there was no connection.
+    pub async fn send(
+        &self,
+        job: &OperationJob,
+        entry: &str,
+        key: Option<&str>,
+    ) -> Option<SendRecord> {
+        let mark = mark_of(job.number);
+        let request = match job.kind {
+            OperationKind::Query | OperationKind::Summary => {
+                let content = format!("{}{mark}", job.prompt);
+                let stream = job.kind == OperationKind::Query;
+                let body = json!({"model": self.engine, "stream": stream, "max_tokens": job.tokens, "messages": [{"role": "user", "content": content}]});
+                let request = self
+                    .client
+                    .post(format!(
+                        "http://{entry}/s/{}/v1/chat/completions",
+                        self.engine
+                    ))
+                    .json(&body);
+                if stream {
+                    request
+                } else {
+                    request.header("x-zinnia-work", "long")
+                }
+            }
+            OperationKind::Lookup => self
+                .client
+                .get(format!("http://{entry}/s/{}/record?{mark}", self.plain)),
+            OperationKind::Entry => self
+                .client
+                .post(format!("http://{entry}/s/{}/entry?{mark}", self.plain))
+                .body(format!("entry {mark}")),
+        };
+        let request = match key {
+            Some(key) => request.header("idempotency-key", key),
+            None => request,
+        };
+        self.record(job, request).await
+    }
+
+    /// Asks for the kept answer of an operation's key.
+    pub async fn collect(&self, job: &OperationJob, entry: &str, key: &str) -> Option<SendRecord> {
+        let request = self
+            .client
+            .get(format!("http://{entry}/v1/answers/{key}"))
+            .timeout(Duration::from_secs(5));
+        self.record(job, request).await
+    }
+
+    async fn record(&self, job: &OperationJob, request: RequestBuilder) -> Option<SendRecord> {
+        let service = match job.kind {
+            OperationKind::Query | OperationKind::Summary => self.engine,
+            OperationKind::Lookup | OperationKind::Entry => self.plain,
+        };
+        let mut record = SendRecord {
+            operation: job.number,
+            account: job.caller.account.clone(),
+            home: job.caller.home.clone(),
+            service: service.into(),
+            bound: job.kind == OperationKind::Entry,
+            once: job.kind == OperationKind::Entry,
+            sent_to: job.caller.home.clone(),
+            meant: job.meant,
+            ended: Duration::ZERO,
+            first_byte: None,
+            request: "".into(),
+            code: 0,
+            served: "".into(),
+            end: SeenEnd::NoAnswer,
+            cost: 0.0,
+            tokens: 0,
+        };
+        match request.bearer_auth(&job.caller.key).send().await {
+            Ok(response) => self.read(job, response, &mut record).await,
+            Err(error) if error.is_connect() => return None,
+            Err(_) => {}
+        }
+        record.ended = self.history.now();
+        Some(record)
+    }
+
+    async fn read(&self, job: &OperationJob, response: Response, record: &mut SendRecord) {
+        let text = |name: &str| {
+            response
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_owned()
+        };
+        record.request = text("x-zinnia-request").into();
+        record.code = text("x-zinnia-code").parse().unwrap_or(0);
+        record.served = text("x-zinnia-region").into();
+        let execution = text("x-zinnia-execution");
+        if !response.status().is_success() {
+            record.end = match execution.as_str() {
+                "not-run" => SeenEnd::Told(Execution::NotRun),
+                "ran" => SeenEnd::Told(Execution::Ran),
+                _ => SeenEnd::Told(Execution::Unknown),
+            };
+            return;
+        }
+        let answer = match job.kind {
+            OperationKind::Query => self.read_stream(job, response).await,
+            OperationKind::Summary => self.read_chat(job, response).await,
+            OperationKind::Lookup | OperationKind::Entry => self.read_plain(job, response).await,
+        };
+        record.first_byte = answer.first_byte;
+        record.end = answer.end.unwrap_or(SeenEnd::CutOff);
+        record.tokens = answer.tokens;
+        let away = record.served != record.home;
+        let price = self
+            .config
+            .prices
+            .get(&record.service)
+            .cloned()
+            .unwrap_or_default();
+        record.cost = price.cost(answer.input, answer.cached, answer.tokens, away);
+        if record.code == 0 {
+            record.code = ResultCode::Answered.number();
+        }
+    }
+
+    async fn read_stream(&self, job: &OperationJob, mut response: Response) -> ReadAnswer {
+        let mut answer = ReadAnswer::default();
+        let mut bytes = Vec::new();
+        loop {
+            match response.chunk().await {
+                Ok(Some(chunk)) => {
+                    answer
+                        .first_byte
+                        .get_or_insert(self.history.now().saturating_sub(job.meant));
+                    bytes.extend_from_slice(&chunk);
+                }
+                Ok(None) => break,
+                Err(_) => return answer,
+            }
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        if text.contains("event: error") {
+            return answer;
+        }
+        if !text.ends_with("data: [DONE]\n\n") {
+            answer.end = Some(SeenEnd::FalseEnd);
+            return answer;
+        }
+        let mut content = String::new();
+        for line in text.lines().filter_map(|line| line.strip_prefix("data: ")) {
+            let event: Value = serde_json::from_str(line).unwrap_or(Value::Null);
+            content.push_str(
+                event["choices"][0]["delta"]["content"]
+                    .as_str()
+                    .unwrap_or_default(),
+            );
+            answer.read_usage(&event);
+        }
+        answer.end = Some(SeenEnd::Whole {
+            right: content == answer_text(job.number, job.tokens),
+        });
+        answer
+    }
+
+    async fn read_chat(&self, job: &OperationJob, response: Response) -> ReadAnswer {
+        let mut answer = ReadAnswer::default();
+        let Ok(bytes) = response.bytes().await else {
+            return answer;
+        };
+        answer.first_byte = Some(self.history.now().saturating_sub(job.meant));
+        let body: Value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+        answer.read_usage(&body);
+        let content = body["choices"][0]["message"]["content"]
+            .as_str()
+            .unwrap_or_default();
+        answer.end = Some(SeenEnd::Whole {
+            right: content == answer_text(job.number, job.tokens),
+        });
+        answer
+    }
+
+    async fn read_plain(&self, job: &OperationJob, response: Response) -> ReadAnswer {
+        let mut answer = ReadAnswer::default();
+        let Ok(text) = response.text().await else {
+            return answer;
+        };
+        answer.first_byte = Some(self.history.now().saturating_sub(job.meant));
+        answer.end = Some(SeenEnd::Whole {
+            right: text == plain_answer(job.number),
+        });
+        answer
+    }
+}
+
+impl ReadAnswer {
+    fn read_usage(&mut self, body: &Value) {
+        let Some(usage) = body.get("usage") else {
+            return;
+        };
+        self.input = usage["prompt_tokens"].as_u64().unwrap_or(0);
+        self.cached = usage["cached_tokens"].as_u64().unwrap_or(0);
+        self.tokens = usage["completion_tokens"].as_u64().unwrap_or(0);
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_lab/src/relay.rs
@@ -0,0 +1,151 @@
+//! A TCP relay: a slow wide-area link that can be cut, and connections that go silent.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use zinniahatch_base::prelude::*;
+
+const CHUNK: usize = 16 << 10;
+/// Chunks on their way over the link in one direction of one connection.
+const CHUNKS: usize = 256;
+const CUT: u64 = u64::MAX;
+
+/// The state of a link, shared by its relays.
+///
+/// Connections carry the link's epoch of their opening. Raising the epoch makes those open now
+/// silent for good; a cut makes every connection silent while it lasts.
+#[derive(Clone, Debug, Default)]
+pub struct LinkState {
+    silent_below: Arc<AtomicU64>,
+    opened: Arc<AtomicU64>,
+}
+
+impl LinkState {
+    /// Cuts the link: what is sent is swallowed, and nothing says so.
+    pub fn cut(&self) {
+        self.silent_below.store(CUT, Ordering::SeqCst);
+    }
+
+    /// Heals the link for connections opened from now on; those open before stay silent.
+    pub fn heal(&self) {
+        self.silence_open();
+    }
+
+    /// Makes the connections that are open now silent for good.
+    pub fn silence_open(&self) {
+        let next = self.opened.load(Ordering::SeqCst) + 1;
+        self.silent_below.store(next, Ordering::SeqCst);
+    }
+
+    fn is_silent(&self, number: u64) -> bool {
+        number < self.silent_below.load(Ordering::SeqCst)
+    }
+}
+
+/// One relay to one address.
+pub struct TcpRelay {
+    /// Where it listens.
+    pub address: Box<str>,
+    task: JoinHandle<()>,
+}
+
+impl TcpRelay {
+    /// Relays to an address with a one-way delay.
+    ///
+    /// # Panics
+    ///
+    /// Where no port is free.
+    pub async fn start(to: &str, delay: Duration, link: LinkState) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address")
+            .to_string();
+        let to: Box<str> = to.into();
+        let task = tokio::spawn(async move {
+            while let Ok((inbound, _)) = listener.accept().await {
+                tokio::spawn(relay(inbound, to.clone(), delay, link.clone()));
+            }
+        });
+        Self {
+            address: address.into(),
+            task,
+        }
+    }
+}
+
+impl Drop for TcpRelay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn relay(inbound: TcpStream, to: Box<str>, delay: Duration, link: LinkState) {
+    let number = link.opened.fetch_add(1, Ordering::SeqCst) + 1;
+    // The handshake crosses the link there and back.
+    sleep(delay * 2).await;
+    let Ok(outbound) = TcpStream::connect(&*to).await else {
+        return;
+    };
+    let _ = inbound.set_nodelay(true);
+    let _ = outbound.set_nodelay(true);
+    let (in_read, in_write) = inbound.into_split();
+    let (out_read, out_write) = outbound.into_split();
+    let there = tokio::spawn(carry(in_read, out_write, delay, link.clone(), number));
+    let back = tokio::spawn(carry(out_read, in_write, delay, link, number));
+    let _ = there.await;
+    let _ = back.await;
+}
+
+async fn carry(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    delay: Duration,
+    link: LinkState,
+    number: u64,
+) {
+    let (sender, mut receiver) = mpsc::channel::<(tokio::time::Instant, Vec<u8>)>(CHUNKS);
+    let writer_link = link.clone();
+    let writer = tokio::spawn(async move {
+        while let Some((due, bytes)) = receiver.recv().await {
+            sleep_until(due).await;
+            if writer_link.is_silent(number) {
+                continue;
+            }
+            if to.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+        // The end of a silent connection is not passed on either.
+        while writer_link.is_silent(number) {
+            sleep(Duration::from_secs(5)).await;
+            if writer_link.silent_below.load(Ordering::SeqCst) != CUT {
+                return;
+            }
+        }
+    });
+    let mut buffer = vec![0_u8; CHUNK];
+    while let Ok(size) = from.read(&mut buffer).await {
+        if size == 0 {
+            break;
+        }
+        let due = tokio::time::Instant::now() + delay;
+        if sender.send((due, buffer[..size].to_vec())).await.is_err() {
+            break;
+        }
+    }
+    drop(sender);
+    let _ = writer.await;
+}
--- /dev/null
+++ b/crates/zinniahatch_lab/src/stand.rs
@@ -0,0 +1,10 @@
+//! Stand-ins: the platform's services and the backend servers.
+
+pub mod backend;
+pub mod directory;
+pub mod engine;
+pub mod faults;
+pub mod plain;
+pub mod serve;
+pub mod store;
+pub mod text;
--- /dev/null
+++ b/crates/zinniahatch_lab/src/stand/directory.rs
@@ -0,0 +1,139 @@
+//! The directory for clients and the lagging list of VMs.
+
+use crate::stand::faults::CallFate;
+use crate::stand::faults::FaultSwitch;
+use crate::stand::serve::StandServer;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use zinniahatch_base::prelude::*;
+use zinniahatch_platform::DirectoryEntry;
+use zinniahatch_platform::ListedVm;
+use zinniahatch_platform::VmState;
+
+/// Time after which an entry that was not published again lapses.
+const ENTRY_TTL: Duration = Duration::from_secs(40);
+
+type StoredEntries = BTreeMap<NodeId, (Instant, DirectoryEntry)>;
+
+/// The directory and the list.
+#[derive(Clone, Default)]
+pub struct StandDirectory {
+    entries: Arc<Mutex<StoredEntries>>,
+    vms: Arc<Mutex<BTreeMap<Box<str>, ListedVm>>>,
+    /// Faults of both.
+    pub switch: FaultSwitch,
+}
+
+impl StandDirectory {
+    /// Starts serving.
+    pub async fn start(&self) -> StandServer {
+        let router = Router::new()
+            .push(Router::with_path("entries").get(ListHandler(self.clone())))
+            .push(
+                Router::with_path("entries/{node}")
+                    .put(PublishHandler(self.clone()))
+                    .delete(WithdrawHandler(self.clone())),
+            )
+            .push(Router::with_path("vms").get(VmsHandler(self.clone())));
+        StandServer::start(router).await
+    }
+
+    /// Puts a VM on the list.
+    pub fn list_vm(&self, vm: ListedVm) {
+        lock(&self.vms).insert(vm.name.clone(), vm);
+    }
+
+    /// Changes a VM's state on the list.
+    pub fn set_state(&self, name: &str, state: VmState) {
+        if let Some(vm) = lock(&self.vms).get_mut(name) {
+            vm.state = state;
+        }
+    }
+
+    /// Gives the entries that have not lapsed.
+    pub fn entries(&self) -> Vec<DirectoryEntry> {
+        lock(&self.entries)
+            .values()
+            .filter(|(at, _)| at.elapsed() < ENTRY_TTL)
+            .map(|(_, entry)| entry.clone())
+            .collect()
+    }
+
+    async fn refused(&self, response: &mut Response) -> bool {
+        let refused = self.switch.fate(false).await != CallFate::Answer;
+        if refused {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        refused
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct ListHandler(StandDirectory);
+
+#[handler]
+impl ListHandler {
+    async fn handle(&self, response: &mut Response) {
+        if !self.0.refused(response).await {
+            response.render(Json(self.0.entries()));
+        }
+    }
+}
+
+struct PublishHandler(StandDirectory);
+
+#[handler]
+impl PublishHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if self.0.refused(response).await {
+            return;
+        }
+        let Ok(entry) = request.parse_json::<DirectoryEntry>().await else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        lock(&self.0.entries).insert(entry.node.clone(), (Instant::now(), entry));
+    }
+}
+
+struct WithdrawHandler(StandDirectory);
+
+#[handler]
+impl WithdrawHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if self.0.refused(response).await {
+            return;
+        }
+        let node = request.param::<String>("node").unwrap_or_default();
+        lock(&self.0.entries).remove(node.as_str());
+    }
+}
+
+struct VmsHandler(StandDirectory);
+
+#[handler]
+impl VmsHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if self.0.refused(response).await {
+            return;
+        }
+        let data_centre = request.query::<String>("data_centre").unwrap_or_default();
+        let vms: Vec<ListedVm> = lock(&self.0.vms)
+            .values()
+            .filter(|vm| *vm.data_centre == *data_centre)
+            .cloned()
+            .collect();
+        response.render(Json(vms));
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_lab/src/stand/engine.rs
@@ -0,0 +1,437 @@
+//! A model engine: continuous batching, a prefix cache, streams that resume and cancel, orders.
+
+use crate::stand::backend::StandBackend;
+use crate::stand::backend::header;
+use crate::stand::backend::lock;
+use crate::stand::backend::set_header;
+use crate::stand::serve::StandServer;
+use crate::stand::text::find_operation;
+use crate::stand::text::token_at;
+use bytes::Bytes;
+use futures_util::stream;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::ResBody;
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use serde::Deserialize;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use zinniahatch_base::prelude::*;
+use zinniahatch_platform::CacheEvent;
+use zinniahatch_platform::CacheEvents;
+use zinniahatch_platform::EngineLoad;
+use zinniahatch_platform::ModelOrder;
+
+const BODY_LIMIT: usize = 8 << 20;
+const PREFIX_BYTES: usize = 512;
+const BYTES_PER_TOKEN: u64 = 4;
+/// Finished runs that can still be resumed.
+const KEPT_RUNS: usize = 512;
+/// Longer than any caller waits.
+const SILENT_TIME: Duration = Duration::from_secs(300);
+
+/// How fast an engine is.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSpeed {
+    /// Prompt tokens read in a second.
+    pub prefill: f64,
+    /// Time between tokens when alone.
+    pub token: Duration,
+    /// Part by which a full batch slows each token.
+    pub batch_cost: f64,
+    /// Prefixes that fit the cache.
+    pub cache: usize,
+}
+
+impl Default for EngineSpeed {
+    fn default() -> Self {
+        Self {
+            prefill: 8_000.0,
+            token: Duration::from_millis(20),
+            batch_cost: 0.5,
+            cache: 16,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct ChatAsk {
+    messages: Vec<ChatText>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct ChatText {
+    #[serde(default)]
+    content: String,
+}
+
+/// One run: how many events it has, of how many.
+struct EngineRun {
+    operation: u64,
+    from: u64,
+    total: u64,
+    usage: String,
+    produced: watch::Sender<u64>,
+    cancelled: watch::Sender<bool>,
+}
+
+/// One engine.
+pub struct StandEngine {
+    /// What it shares with other backend servers.
+    pub backend: Arc<StandBackend>,
+    speed: EngineSpeed,
+    checks_fencing: bool,
+    runs: Mutex<(BTreeMap<Box<str>, Arc<EngineRun>>, VecDeque<Box<str>>)>,
+    cache: Mutex<VecDeque<(ShortTag, u64)>>,
+    events: Mutex<(u64, VecDeque<CacheEvent>)>,
+    model: Mutex<ModelId>,
+    fence: Mutex<u64>,
+    orders: Mutex<Vec<(Duration, ModelOrder, bool)>>,
+}
+
+impl StandEngine {
+    /// Makes an engine.
+    pub fn new(backend: Arc<StandBackend>, speed: EngineSpeed, checks_fencing: bool) -> Arc<Self> {
+        Arc::new(Self {
+            backend,
+            speed,
+            checks_fencing,
+            runs: Mutex::default(),
+            cache: Mutex::default(),
+            events: Mutex::default(),
+            model: Mutex::default(),
+            fence: Mutex::default(),
+            orders: Mutex::default(),
+        })
+    }
+
+    /// Starts serving.
+    pub async fn start(self: &Arc<Self>) -> StandServer {
+        let share = || Arc::clone(self);
+        let router = Router::new()
+            .push(Router::with_path("load").get(LoadHandler(share())))
+            .push(Router::with_path("cache/events").get(EventsHandler(share())))
+            .push(Router::with_path("orders").post(OrderHandler(share())))
+            .push(Router::with_path("v1/chat/completions").post(ChatHandler(share())))
+            .push(Router::with_path("v1/requests/{id}/stream").get(ResumeHandler(share())))
+            .push(Router::with_path("v1/requests/{id}/cancel").post(CancelHandler(share())));
+        StandServer::start(router).await
+    }
+
+    /// Gives the orders received: when, which, and whether it was obeyed.
+    pub fn orders(&self) -> Vec<(Duration, ModelOrder, bool)> {
+        lock(&self.orders).clone()
+    }
+
+    /// Gives the model loaded.
+    pub fn model(&self) -> ModelId {
+        lock(&self.model).clone()
+    }
+
+    /// Finds a prefix in the cache and moves or puts it to the front.
+    fn touch_cache(&self, prefix: ShortTag, tokens: u64) -> u64 {
+        let mut cache = lock(&self.cache);
+        let known = cache
+            .iter()
+            .position(|(tag, _)| *tag == prefix)
+            .and_then(|at| cache.remove(at));
+        cache.push_front((prefix, tokens));
+        if known.is_none() {
+            self.note_event(prefix, tokens);
+        }
+        if cache.len() > self.speed.cache
+            && let Some((evicted, _)) = cache.pop_back()
+        {
+            self.note_event(evicted, 0);
+        }
+        known.map_or(0, |(_, cached)| cached.min(tokens))
+    }
+
+    fn note_event(&self, prefix: ShortTag, tokens: u64) {
+        const KEPT_EVENTS: usize = 256;
+        let mut events = lock(&self.events);
+        events.0 += 1;
+        let number = events.0;
+        events.1.push_back(CacheEvent {
+            number,
+            prefix: prefix.to_string().into(),
+            tokens,
+        });
+        if events.1.len() > KEPT_EVENTS {
+            events.1.pop_front();
+        }
+    }
+
+    fn start_run(self: &Arc<Self>, id: &str, ask: &ChatAsk, resume: u64) -> Arc<EngineRun> {
+        let text: String = ask
+            .messages
+            .iter()
+            .map(|message| message.content.as_str())
+            .collect();
+        let operation = find_operation(&text).unwrap_or(0);
+        self.backend.note_run(operation, id);
+        let prompt = text.len() as u64 / BYTES_PER_TOKEN + 1;
+        let first = ask
+            .messages
+            .first()
+            .map(|message| message.content.as_bytes())
+            .unwrap_or_default();
+        let prefix = tag_of(&String::from_utf8_lossy(
+            &first[..first.len().min(PREFIX_BYTES)],
+        ));
+        let shared = first.len() as u64 / BYTES_PER_TOKEN;
+        let cached = self.touch_cache(prefix, shared);
+        let total = ask.max_tokens.unwrap_or(16);
+        let usage = format!(
+            "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":{prompt},\"cached_tokens\":{cached},\"completion_tokens\":{total}}}}}\n\n"
+        );
+        let run = Arc::new(EngineRun {
+            operation,
+            from: resume,
+            total,
+            usage,
+            produced: watch::Sender::new(resume),
+            cancelled: watch::Sender::new(false),
+        });
+        let mut runs = lock(&self.runs);
+        runs.0.insert(id.into(), Arc::clone(&run));
+        runs.1.push_back(id.into());
+        if runs.1.len() > KEPT_RUNS
+            && let Some(oldest) = runs.1.pop_front()
+        {
+            runs.0.remove(&oldest);
+        }
+        drop(runs);
+        let prefill =
+            Duration::from_secs_f64((prompt - cached.min(prompt)) as f64 / self.speed.prefill);
+        tokio::spawn(generate(Arc::clone(self), Arc::clone(&run), prefill));
+        run
+    }
+}
+
+/// Makes the tokens of a run, one at a time, at the speed that the batch allows.
+async fn generate(engine: Arc<StandEngine>, run: Arc<EngineRun>, prefill: Duration) {
+    let Ok(_room) = Arc::clone(&engine.backend.room).acquire_owned().await else {
+        return;
+    };
+    let mut cancelled = run.cancelled.subscribe();
+    let slow = engine.backend.faults().slow.max(1.0);
+    let mut next = tokio::time::Instant::now() + prefill.mul_f64(slow);
+    // One event for each token and one for the usage.
+    for produced in run.from..=run.total {
+        tokio::select! {
+            () = sleep_until(next) => {}
+            _ = cancelled.changed() => return,
+        }
+        run.produced.send_replace(produced + 1);
+        let load = f64::from(engine.backend.running()) / f64::from(engine.backend.slots);
+        next += engine
+            .speed
+            .token
+            .mul_f64(slow * (1.0 + engine.speed.batch_cost * load));
+    }
+}
+
+/// A stream of a run's events.
+struct RunStream {
+    run: Arc<EngineRun>,
+    produced: watch::Receiver<u64>,
+    next: u64,
+    done: bool,
+    silent_after: Option<u64>,
+    break_after: Option<u64>,
+    sent: u64,
+}
+
+async fn next_events(mut state: RunStream) -> Option<(Result<Bytes, std::io::Error>, RunStream)> {
+    if state.done {
+        return None;
+    }
+    if state.silent_after.is_some_and(|limit| state.sent >= limit) {
+        sleep(SILENT_TIME).await;
+        return None;
+    }
+    if state.break_after.is_some_and(|limit| state.sent >= limit) {
+        return Some((Err(std::io::Error::other("broken")), state));
+    }
+    loop {
+        let produced = *state.produced.borrow_and_update();
+        if produced > state.next || state.next > state.run.total {
+            break;
+        }
+        if state.produced.changed().await.is_err() || *state.run.cancelled.borrow() {
+            return Some((Err(std::io::Error::other("cancelled")), state));
+        }
+    }
+    let produced = *state.produced.borrow();
+    let mut events = String::new();
+    while state.next < produced.min(state.run.total) {
+        let token = token_at(state.run.operation, state.next);
+        events.push_str(&format!(
+            "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{token}\"}}}}]}}\n\n"
+        ));
+        state.next += 1;
+        state.sent += 1;
+    }
+    if produced > state.run.total {
+        if state.next == state.run.total {
+            events.push_str(&state.run.usage);
+        }
+        events.push_str("data: [DONE]\n\n");
+        state.done = true;
+    }
+    Some((Ok(Bytes::from(events)), state))
+}
+
+fn respond_stream(response: &mut Response, id: &str, state: RunStream) {
+    set_header(response, "x-request-id", id);
+    set_header(response, "content-type", "text/event-stream");
+    response.body(ResBody::stream(Box::pin(stream::unfold(
+        state,
+        next_events,
+    ))));
+}
+
+struct ChatHandler(Arc<StandEngine>);
+
+#[handler]
+impl ChatHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let engine = &self.0;
+        let id = header(request, "x-request-id");
+        let resume: u64 = header(request, "x-resume-from").parse().unwrap_or(0);
+        let body = request
+            .payload_with_max_size(BODY_LIMIT)
+            .await
+            .cloned()
+            .unwrap_or_default();
+        let Ok(ask) = serde_json::from_slice::<ChatAsk>(&body) else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let faults = engine.backend.faults();
+        if faults.frozen {
+            sleep(SILENT_TIME).await;
+        }
+        let run = engine.start_run(&id, &ask, resume);
+        let produced = run.produced.subscribe();
+        let state = RunStream {
+            run,
+            produced,
+            next: resume,
+            done: false,
+            silent_after: faults.silent_after,
+            break_after: faults.break_after,
+            sent: 0,
+        };
+        respond_stream(response, &id, state);
+    }
+}
+
+struct ResumeHandler(Arc<StandEngine>);
+
+#[handler]
+impl ResumeHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let id = request.param::<String>("id").unwrap_or_default();
+        let from = request.query::<u64>("from").unwrap_or(0);
+        let found = lock(&self.0.runs).0.get(id.as_str()).cloned();
+        let Some(run) = found.filter(|run| from >= run.from && !*run.cancelled.borrow()) else {
+            response.status_code(StatusCode::NOT_FOUND);
+            return;
+        };
+        let produced = run.produced.subscribe();
+        // Faults hit the connections that were open; new ones work.
+        let state = RunStream {
+            run,
+            produced,
+            next: from,
+            done: false,
+            silent_after: None,
+            break_after: None,
+            sent: 0,
+        };
+        respond_stream(response, &id, state);
+    }
+}
+
+struct CancelHandler(Arc<StandEngine>);
+
+#[handler]
+impl CancelHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let id = request.param::<String>("id").unwrap_or_default();
+        let found = lock(&self.0.runs).0.get(id.as_str()).cloned();
+        match found {
+            Some(run) => {
+                run.cancelled.send_replace(true);
+            }
+            None => {
+                response.status_code(StatusCode::NOT_FOUND);
+            }
+        }
+    }
+}
+
+struct LoadHandler(Arc<StandEngine>);
+
+#[handler]
+impl LoadHandler {
+    async fn handle(&self, response: &mut Response) {
+        let backend = &self.0.backend;
+        let load = EngineLoad {
+            running: backend.running(),
+            slots: backend.slots,
+            leaving: backend.is_leaving(),
+            model: self.0.model(),
+        };
+        response.render(Json(load));
+    }
+}
+
+struct EventsHandler(Arc<StandEngine>);
+
+#[handler]
+impl EventsHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let after = request.query::<u64>("after").unwrap_or(0);
+        let events = lock(&self.0.events)
+            .1
+            .iter()
+            .filter(|event| event.number > after)
+            .cloned()
+            .collect();
+        response.render(Json(CacheEvents { events }));
+    }
+}
+
+struct OrderHandler(Arc<StandEngine>);
+
+#[handler]
+impl OrderHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let engine = &self.0;
+        let Ok(order) = request.parse_json::<ModelOrder>().await else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let mut fence = lock(&engine.fence);
+        let obeyed = !engine.checks_fencing || order.fence >= *fence;
+        lock(&engine.orders).push((engine.backend.history.now(), order.clone(), obeyed));
+        if !obeyed {
+            response.status_code(StatusCode::PRECONDITION_FAILED);
+            return;
+        }
+        *fence = (*fence).max(order.fence);
+        *lock(&engine.model) = order.model;
+    }
+}
