--- a/crates/zinniahatch_change/src/desk.rs
+++ b/crates/zinniahatch_change/src/desk.rs
@@ -191,17 +191,14 @@
         let mut head = base.next(&ask.change, operator, at, &what.join(","));
         let mut fresh = PartTexts::new();
         for (name, text) in &ask.parts {
-            match text {
-                Some(text) => {
-                    let hash = digest_text(text);
-                    fresh.insert(hash.clone(), text.clone());
-                    head.parts.insert(name.clone(), hash);
-                    texts.insert(name.clone(), text.clone());
-                }
-                None => {
-                    head.parts.remove(name);
-                    texts.remove(name);
-                }
+            if let Some(text) = text {
+                let hash = digest_text(text);
+                fresh.insert(hash.clone(), text.clone());
+                head.parts.insert(name.clone(), hash);
+                texts.insert(name.clone(), text.clone());
+            } else {
+                head.parts.remove(name);
+                texts.remove(name);
             }
         }
         if let Some(preset) = &ask.preset {
--- a/crates/zinniahatch_config/src/section.rs
+++ b/crates/zinniahatch_config/src/section.rs
@@ -104,7 +104,7 @@
     fn build(file: &str, title: &str, properties: &ini::Properties) -> Result<Self, ConfigError> {
         let (kind, name) = title.split_once(' ').unwrap_or((title, ""));
         let mut pairs = BTreeMap::new();
-        for (key, value) in properties.iter() {
+        for (key, value) in properties {
             if pairs
                 .insert(Box::from(key), Box::from(value.trim()))
                 .is_some()
--- a/crates/zinniahatch_control/src/keys.rs
+++ b/crates/zinniahatch_control/src/keys.rs
@@ -53,6 +53,9 @@
     Refused(KeyRefusal),
 }
 
+/// One used key as it passes to an heir: number, digest of its request, answer, whether buried.
+pub type KeyLine<A> = (u64, PartHash, Option<A>, bool);
+
 #[derive(Clone, Debug)]
 struct UsedKey<A> {
     digest: PartHash,
@@ -219,10 +222,7 @@
     /// Closes the book and gives what its heir needs; nothing starts here any more.
     ///
     /// A request still running is handed on as lost: its answer was not seen in time.
-    pub fn close(
-        &mut self,
-        now: Instant,
-    ) -> ([u8; 32], u64, Vec<(u64, PartHash, Option<A>, bool)>) {
+    pub fn close(&mut self, now: Instant) -> ([u8; 32], u64, Vec<KeyLine<A>>) {
         self.closed = true;
         let age = now.duration_since(self.started).as_secs();
         let lines = self
@@ -247,7 +247,7 @@
         age: u64,
         now: Instant,
         valid: Duration,
-        lines: Vec<(u64, PartHash, Option<A>, bool)>,
+        lines: Vec<KeyLine<A>>,
     ) -> Self {
         let started = now.checked_sub(Duration::from_secs(age)).unwrap_or(now);
         let mut book = Self::new(node, incarnation, secret, started, valid);
--- a/crates/zinniahatch_control/src/lib.rs
+++ b/crates/zinniahatch_control/src/lib.rs
@@ -27,6 +27,7 @@
 pub use keeper::PoolKeeper;
 pub use keys::KeyBook;
 pub use keys::KeyClaim;
+pub use keys::KeyLine;
 pub use keys::KeyRefusal;
 pub use keys::MintedKey;
 pub use ledger::ConfigLedger;
--- a/crates/zinniahatch_control/src/node.rs
+++ b/crates/zinniahatch_control/src/node.rs
@@ -527,10 +527,10 @@
             NodeMessage::Counts(note) => {
                 self.output
                     .counts
-                    .push((about.sender.clone(), about.incarnation, note))
+                    .push((about.sender.clone(), about.incarnation, note));
             }
             NodeMessage::CountsMerged(shard, incarnation, numbers) => {
-                self.output.merged.push((shard, incarnation, numbers))
+                self.output.merged.push((shard, incarnation, numbers));
             }
         }
     }
--- a/crates/zinniahatch_ctl/src/args.rs
+++ b/crates/zinniahatch_ctl/src/args.rs
@@ -5,10 +5,10 @@
 /// Drives zinniahatch: configuration, presets, accounts, members, reports.
 #[derive(FromArgs, Debug)]
 pub struct CtlArgs {
-    /// a node's address, IP:port (default: the variable ZINNIA_NODE)
+    /// a node's address, IP:port (default: the variable `ZINNIA_NODE`)
     #[argh(option)]
     pub(crate) node: Option<String>,
-    /// the operator's token (default: the variable ZINNIA_TOKEN)
+    /// the operator's token (default: the variable `ZINNIA_TOKEN`)
     #[argh(option)]
     pub(crate) token: Option<String>,
     /// table, json or csv (default: table); a report also takes html
--- a/crates/zinniahatch_ctl/src/commands.rs
+++ b/crates/zinniahatch_ctl/src/commands.rs
@@ -127,7 +127,7 @@
         parts,
         check: false,
     };
-    accepted(client.change("config", &ask.change, &ask).await?)
+    Ok(accepted(client.change("config", &ask.change, &ask).await?))
 }
 
 async fn run_bootstrap(args: &BootstrapArgs) -> Result<String, CtlError> {
@@ -145,8 +145,8 @@
     };
     let desk = ChangeDesk::new(HttpStore::new(&args.store));
     match desk.apply(&ask, "bootstrap", |_| None).await {
-        Ok(ChangeVerdict::Accepted(revision)) => accepted(Some(revision)),
-        Ok(ChangeVerdict::Checked) => accepted(None),
+        Ok(ChangeVerdict::Accepted(revision)) => Ok(accepted(Some(revision))),
+        Ok(ChangeVerdict::Checked) => Ok(accepted(None)),
         Ok(ChangeVerdict::Conflict(revision)) => Err(CtlError::Conflict(format!(
             "the store holds revision {revision} already; use config apply"
         ))),
@@ -195,7 +195,7 @@
                 parts: BTreeMap::new(),
                 check: false,
             };
-            accepted(client.change("config", &ask.change, &ask).await?)
+            Ok(accepted(client.change("config", &ask.change, &ask).await?))
         }
     }
 }
@@ -218,7 +218,7 @@
         AccountCommand::Set(set) => {
             let change = new_change();
             let body = account_body(&set, &change, current.revision)?;
-            accepted(client.change("accounts", &change, &body).await?)
+            Ok(accepted(client.change("accounts", &change, &body).await?))
         }
         AccountCommand::Remove(remove) => {
             let Some(known) = accounts.get(&remove.account) else {
@@ -232,7 +232,7 @@
                 "change": change, "expect_revision": remove.expect_revision.unwrap_or(current.revision),
                 "account": remove.account, "home": known["home"], "class": known["class"], "team": known["team"], "remove": true,
             });
-            accepted(client.change("accounts", &change, &body).await?)
+            Ok(accepted(client.change("accounts", &change, &body).await?))
         }
     }
 }
@@ -254,11 +254,11 @@
     }))
 }
 
-fn accepted(revision: Option<Revision>) -> Result<String, CtlError> {
-    Ok(match revision {
+fn accepted(revision: Option<Revision>) -> String {
+    match revision {
         Some(revision) => format!("accepted as revision {revision}\n"),
         None => "checked; nothing was changed\n".to_owned(),
-    })
+    }
 }
 
 fn new_change() -> Box<str> {
--- a/crates/zinniahatch_daemon/src/counts.rs
+++ b/crates/zinniahatch_daemon/src/counts.rs
@@ -16,6 +16,7 @@
 use zinniahatch_protocol::CountsNote;
 use zinniahatch_protocol::NodeMessage;
 use zinniahatch_report::CountSheet;
+use zinniahatch_report::DeskSheet;
 use zinniahatch_report::HourLedger;
 use zinniahatch_report::MergeDesk;
 use zinniahatch_report::MergeTask;
@@ -41,15 +42,15 @@
             let Ok(sheet) = postcard::from_bytes::<CountSheet>(&note.rows) else {
                 continue;
             };
-            self.lock().take(
-                note.shard,
-                &node,
+            let entry = DeskSheet {
+                node,
                 incarnation,
-                note.number,
-                note.minute,
-                note.last,
+                number: note.number,
+                minute: note.minute,
+                last: note.last,
                 sheet,
-            );
+            };
+            self.lock().take(note.shard, entry);
         }
         for (shard, incarnation, numbers) in output.merged {
             if incarnation == core.identity.incarnation {
--- a/crates/zinniahatch_daemon/src/polls.rs
+++ b/crates/zinniahatch_daemon/src/polls.rs
@@ -61,23 +61,20 @@
     let tag = tag_of(&replica);
     let mut control = core.control();
     let backends = control.backends_mut();
-    match result {
-        Ok(load) => {
-            misses.remove(&replica);
-            let mark = if load.leaving {
-                BackendMark::Leaving
-            } else {
-                BackendMark::Live
-            };
-            backends.mark(now, tag, mark);
-            backends.report_slots(tag, load.slots);
-        }
-        Err(_) => {
-            let count = misses.entry(replica).or_default();
-            *count += 1;
-            if *count >= MOST_MISSES {
-                backends.mark(now, tag, BackendMark::Unreached);
-            }
+    if let Ok(load) = result {
+        misses.remove(&replica);
+        let mark = if load.leaving {
+            BackendMark::Leaving
+        } else {
+            BackendMark::Live
+        };
+        backends.mark(now, tag, mark);
+        backends.report_slots(tag, load.slots);
+    } else {
+        let count = misses.entry(replica).or_default();
+        *count += 1;
+        if *count >= MOST_MISSES {
+            backends.mark(now, tag, BackendMark::Unreached);
         }
     }
 }
--- a/crates/zinniahatch_gateway/src/answer.rs
+++ b/crates/zinniahatch_gateway/src/answer.rs
@@ -5,7 +5,11 @@
 use serde::Serialize;
 use zinniahatch_base::prelude::*;
 
-/// What an answer used.
+/// What an answer used, in the names of the chat protocol.
+#[expect(
+    clippy::struct_field_names,
+    reason = "the names are those of the protocol"
+)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TokenUsage {
     #[serde(default)]
--- a/crates/zinniahatch_gateway/src/caller.rs
+++ b/crates/zinniahatch_gateway/src/caller.rs
@@ -214,7 +214,7 @@
     match reply {
         CallReply::Whole(answer) => write_answer(response, &answer),
         CallReply::Stream(stream, first, count, active) => {
-            write_stream(response, *stream, first, count, active)
+            write_stream(response, *stream, first, count, active);
         }
         CallReply::Passed(answer) => answer.write(response),
         CallReply::Refused(request, refusal) => write_refusal(response, core, &request, &refusal),
--- a/crates/zinniahatch_gateway/src/counters.rs
+++ b/crates/zinniahatch_gateway/src/counters.rs
@@ -74,6 +74,7 @@
     /// # Panics
     ///
     /// When two counters have one name, which the first start would show.
+    #[expect(clippy::too_many_lines, reason = "one line for each counter")]
     pub fn new(node: &str, data_centre: &str) -> Self {
         let labels = [
             ("node".to_owned(), node.to_owned()),
--- a/crates/zinniahatch_gateway/src/placing.rs
+++ b/crates/zinniahatch_gateway/src/placing.rs
@@ -27,10 +27,13 @@
     Away(DataCentreId, Vec<EntryAddress>),
 }
 
+/// What a request learns of its place.
+type PlaceResult = Result<CallPlace, Box<CallRefusal>>;
+
 /// Requests that wait for a decision of the tables.
 #[derive(Default)]
 pub(crate) struct WaiterTable {
-    waiters: Mutex<BTreeMap<u64, oneshot::Sender<Result<CallPlace, Box<CallRefusal>>>>>,
+    waiters: Mutex<BTreeMap<u64, oneshot::Sender<PlaceResult>>>,
 }
 
 impl SlotGuard {
@@ -83,10 +86,7 @@
 }
 
 /// Gets a place for a request.
-pub(crate) async fn find_place(
-    core: &Arc<GatewayCore>,
-    ask: PlaceAsk,
-) -> Result<CallPlace, Box<CallRefusal>> {
+pub(crate) async fn find_place(core: &Arc<GatewayCore>, ask: PlaceAsk) -> PlaceResult {
     let receiver = {
         let mut control = core.control();
         let placement = control.place(Instant::now(), &ask);
@@ -138,7 +138,7 @@
     }
 }
 
-fn convert(core: &Arc<GatewayCore>, placement: Placement) -> Result<CallPlace, Box<CallRefusal>> {
+fn convert(core: &Arc<GatewayCore>, placement: Placement) -> PlaceResult {
     match placement {
         Placement::Run(ticket) => Ok(CallPlace::Slot(SlotGuard::new(core, ticket))),
         Placement::Away(data_centre, entries) => Ok(CallPlace::Away(data_centre, entries)),
--- a/crates/zinniahatch_lab/src/checker.rs
+++ b/crates/zinniahatch_lab/src/checker.rs
@@ -106,7 +106,6 @@
             BrokenRule::Invented,
             &format!("{} of operation {}", send.request, send.operation),
         ),
-        SeenEnd::Whole { right: true } | SeenEnd::Told(Execution::Ran | Execution::Unknown) => {}
         SeenEnd::Told(Execution::NotRun) => {
             let own = ran
                 .iter()
@@ -135,7 +134,10 @@
             BrokenRule::Lost,
             &format!("operation {} at {:?}", send.operation, send.meant),
         ),
-        SeenEnd::CutOff | SeenEnd::NoAnswer => {}
+        SeenEnd::Whole { right: true }
+        | SeenEnd::Told(Execution::Ran | Execution::Unknown)
+        | SeenEnd::CutOff
+        | SeenEnd::NoAnswer => {}
     }
 }
 
--- a/crates/zinniahatch_lab/src/cluster.rs
+++ b/crates/zinniahatch_lab/src/cluster.rs
@@ -132,6 +132,10 @@
     }
 
     /// Starts the stand-ins and writes the settings, but starts no daemon.
+    ///
+    /// # Panics
+    ///
+    /// Where a stand-in cannot be started or a file cannot be written.
     pub async fn prepare(mut plan: UserPlan, options: &ClusterOptions) -> Self {
         let history = HistoryLog::default();
         let store = StandStore::default();
@@ -451,6 +455,10 @@
 /// The operating system picks the ports, on a loopback address that nothing else of this machine
 /// binds or connects from: ports on `127.0.0.1` could be taken by any outgoing connection between
 /// the picking and the binding.
+///
+/// # Panics
+///
+/// Where no port is free.
 pub fn free_addresses(count: usize) -> Vec<Box<str>> {
     let process = std::process::id();
     let turn = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed) % 100;
--- a/crates/zinniahatch_lab/src/experiments/figures.rs
+++ b/crates/zinniahatch_lab/src/experiments/figures.rs
@@ -72,7 +72,7 @@
             }
             SeenEnd::Told(Execution::NotRun) => figures.refused += 1,
             SeenEnd::Told(_) | SeenEnd::CutOff | SeenEnd::FalseEnd | SeenEnd::NoAnswer => {
-                figures.unknown += 1
+                figures.unknown += 1;
             }
         }
     }
--- a/crates/zinniahatch_lab/src/load.rs
+++ b/crates/zinniahatch_lab/src/load.rs
@@ -113,11 +113,13 @@
     }
 }
 
+type KeysByCaller = BTreeMap<Box<str>, Vec<Box<str>>>;
+
 /// Where callers send, kept up to date as callers would.
 #[derive(Clone, Debug, Default)]
 pub struct EntryBook {
     entries: Arc<Mutex<BTreeMap<RegionId, Vec<Box<str>>>>>,
-    keys: Arc<Mutex<BTreeMap<Box<str>, Vec<Box<str>>>>>,
+    keys: Arc<Mutex<KeysByCaller>>,
 }
 
 /// What one run of load needs.
--- a/crates/zinniahatch_lab/src/stand/engine.rs
+++ b/crates/zinniahatch_lab/src/stand/engine.rs
@@ -84,13 +84,16 @@
     cancelled: watch::Sender<bool>,
 }
 
+/// Runs by id, and their order.
+type KeptRuns = (BTreeMap<Box<str>, Arc<EngineRun>>, VecDeque<Box<str>>);
+
 /// One engine.
 pub struct StandEngine {
     /// What it shares with other backend servers.
     pub backend: Arc<StandBackend>,
     speed: EngineSpeed,
     checks_fencing: bool,
-    runs: Mutex<(BTreeMap<Box<str>, Arc<EngineRun>>, VecDeque<Box<str>>)>,
+    runs: Mutex<KeptRuns>,
     cache: Mutex<VecDeque<(ShortTag, u64)>>,
     events: Mutex<(u64, VecDeque<CacheEvent>)>,
     model: Mutex<ModelId>,
--- a/crates/zinniahatch_report/src/desk.rs
+++ b/crates/zinniahatch_report/src/desk.rs
@@ -8,14 +8,21 @@
 /// Hours in whose values the marks of a shard's last sheet may stand.
 const MINUTES_PER_HOUR: u64 = 60;
 
+/// One sheet as a merger receives it.
 #[derive(Clone, Debug)]
-struct DeskSheet {
-    node: NodeId,
-    incarnation: Incarnation,
-    number: u64,
-    minute: u64,
-    last: bool,
-    sheet: CountSheet,
+pub struct DeskSheet {
+    /// The node that counted.
+    pub node: NodeId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// The number of the sheet in its shard.
+    pub number: u64,
+    /// Minute of the sealing, from the epoch.
+    pub minute: u64,
+    /// Whether the node stops and no counts follow.
+    pub last: bool,
+    /// The counts.
+    pub sheet: CountSheet,
 }
 
 /// What one write to the store carries.
@@ -49,30 +56,14 @@
     }
 
     /// Takes a sheet; one that is here already is not taken twice.
-    pub fn take(
-        &mut self,
-        shard: u16,
-        node: &NodeId,
-        incarnation: Incarnation,
-        number: u64,
-        minute: u64,
-        last: bool,
-        sheet: CountSheet,
-    ) {
-        let heard = self.heard.entry((node.clone(), incarnation)).or_default();
-        *heard = (heard.0.max(minute), heard.1 || last);
-        let entry = DeskSheet {
-            node: node.clone(),
-            incarnation,
-            number,
-            minute,
-            last,
-            sheet,
-        };
-        self.shards
-            .entry(shard)
-            .or_default()
-            .insert((node.clone(), incarnation, number), entry);
+    pub fn take(&mut self, shard: u16, sheet: DeskSheet) {
+        let heard = self
+            .heard
+            .entry((sheet.node.clone(), sheet.incarnation))
+            .or_default();
+        *heard = (heard.0.max(sheet.minute), heard.1 || sheet.last);
+        let key = (sheet.node.clone(), sheet.incarnation, sheet.number);
+        self.shards.entry(shard).or_default().insert(key, sheet);
     }
 
     /// Notes that a node was judged dead, so that the minutes after its last counts are named.
--- a/crates/zinniahatch_report/src/lib.rs
+++ b/crates/zinniahatch_report/src/lib.rs
@@ -17,6 +17,7 @@
 pub use counts::CountRow;
 pub use counts::CountSheet;
 pub use delays::DelayHistogram;
+pub use desk::DeskSheet;
 pub use desk::MergeDesk;
 pub use desk::MergeTask;
 pub use html::render_html;
--- a/crates/zinniahatch_report/src/table.rs
+++ b/crates/zinniahatch_report/src/table.rs
@@ -76,7 +76,11 @@
 }
 
 fn cells(line: &ReportLine, fields: usize) -> Vec<String> {
-    let mut cells: Vec<String> = line.fields.iter().map(|field| field.to_string()).collect();
+    let mut cells: Vec<String> = line
+        .fields
+        .iter()
+        .map(std::string::ToString::to_string)
+        .collect();
     cells.resize(fields.max(1), String::new());
     for count in [
         line.requests,
