--- a/crates/zinniahatch_config/src/lib.rs
+++ b/crates/zinniahatch_config/src/lib.rs
@@ -38,6 +38,7 @@
 pub use services::ServiceKind;
 pub use services::WorkKind;
 pub use settings::NodeSettings;
+pub use settings::RouteRule;
 pub use topology::RegionEntry;
 pub use topology::TopologyTable;
 pub use units::format_duration;
--- a/crates/zinniahatch_config/src/settings.rs
+++ b/crates/zinniahatch_config/src/settings.rs
@@ -8,6 +8,11 @@
 /// Fewest characters of the shared secret; shorter ones can be guessed.
 const SECRET_LENGTH: usize = 16;
 
+word_enum! {
+    /// How a place for a request is chosen; all but the first are baselines to compare with.
+    pub enum RouteRule { Score = "score", Home = "home", LeastLoaded = "least-loaded", RandomTwo = "random-two" }
+}
+
 domain! {
     /// What a process learns from its settings file.
     pub struct NodeSettings {
@@ -34,6 +39,8 @@
         pub directory: Box<str>,
         /// Address of the list of VMs.
         pub vm_list: Box<str>,
+        /// How a place for a request is chosen.
+        pub route: RouteRule,
         /// Longest time for a caller to send its body.
         pub body_timeout: Duration,
         /// Bytes of kept answers that this node holds at most.
@@ -61,13 +68,22 @@
     /// Names file, section, key and what would be right.
     pub fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
         let parsed = SectionFile::parse(file, text)?;
-        parsed.of_kinds(&["node", "platform", "translate", "limits", "reports", "log"])?;
+        parsed.of_kinds(&[
+            "node",
+            "platform",
+            "translate",
+            "routing",
+            "limits",
+            "reports",
+            "log",
+        ])?;
         let node = parsed.single("node")?;
         let platform = parsed.single("platform")?;
         let limits = parsed.optional("limits");
         let reports = parsed.optional("reports");
         let log = parsed.optional("log");
         let translate = parsed.optional("translate");
+        let routing = parsed.optional("routing");
         let settings = Self {
             name: node.text("name")?,
             data_centre: node.text("data_centre")?,
@@ -80,6 +96,15 @@
             store: platform.text("store")?,
             directory: platform.text("directory")?,
             vm_list: platform.text("vm_list")?,
+            route: match routing {
+                Some(section) => section.word(
+                    "rule",
+                    RouteRule::WORDS,
+                    RouteRule::parse,
+                    Some(RouteRule::Score),
+                )?,
+                None => RouteRule::Score,
+            },
             body_timeout: limits.map_or(Ok(Duration::from_secs(10)), |section| {
                 section.duration("body_timeout", Some(Duration::from_secs(10)))
             })?,
@@ -120,7 +145,7 @@
                 return Err(node.error(key, &format!("`{value}` is no address"), "write IP:port"));
             }
         }
-        for section in [Some(node), Some(platform), limits, reports, log]
+        for section in [Some(node), Some(platform), routing, limits, reports, log]
             .into_iter()
             .flatten()
         {
--- a/crates/zinniahatch_control/src/holder.rs
+++ b/crates/zinniahatch_control/src/holder.rs
@@ -198,7 +198,6 @@
         }
         pool.running.retain(|_, count| *count > 0);
         pool.guests = pool.guests.saturating_sub(u32::from(ticket.guest));
-        pool.urgent |= pool.contended;
         if refused {
             pool.refused.insert(tag);
             pool.urgent = true;
@@ -224,6 +223,15 @@
         pool.urgent = true;
     }
 
+    /// Reports at once that a slot of a contended pool lies idle while requests wait here that
+    /// have no quota for it: another node may have.
+    pub(crate) fn note_idle(&mut self, service: &str) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            let idle = pool.slots.values().any(|slot| slot.limit > slot.running);
+            pool.urgent |= pool.contended && idle;
+        }
+    }
+
     /// Takes a waiting request out of its queue.
     pub(crate) fn withdraw(&mut self, service: &str, number: u64) -> Option<PlaceAsk> {
         let pool = self.pools.get_mut(service)?;
--- a/crates/zinniahatch_control/src/keeper.rs
+++ b/crates/zinniahatch_control/src/keeper.rs
@@ -319,6 +319,13 @@
             .sum()
     }
 
+    /// Gives the quota that the node has for a tenant, if it has one.
+    pub(crate) fn quota_of(&self, tenant: ShortTag) -> Option<u16> {
+        let grant = self.grant.as_ref().filter(|grant| grant.contended)?;
+        let line = grant.quotas.iter().find(|(known, _)| *known == tenant);
+        line.map(|(_, quota)| *quota)
+    }
+
     fn take(&mut self, now: Instant, report: SlotReport) {
         self.reported_at = now;
         if report.applied >= self.number {
--- a/crates/zinniahatch_control/src/limits.rs
+++ b/crates/zinniahatch_control/src/limits.rs
@@ -6,6 +6,9 @@
 pub const HEARTBEAT_EVERY: Duration = Duration::from_secs(1);
 /// Silence after which a member is suspected; three heartbeats, so that one lost frame is no verdict.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(3_200);
+/// Time beyond [`SUSPECT_AFTER`] in which others vouch for a member that they hear: a heartbeat
+/// there with the suspicion, and one back.
+pub(crate) const VOUCH_TIME: Duration = Duration::from_millis(2_200);
 /// Silence after which a member is forgotten.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Time for which slots may be used after the sending of the last heartbeat that the keeper echoed.
--- a/crates/zinniahatch_control/src/members.rs
+++ b/crates/zinniahatch_control/src/members.rs
@@ -3,6 +3,7 @@
 use crate::limits::FORGET_AFTER;
 use crate::limits::REDIAL_AFTER;
 use crate::limits::SUSPECT_AFTER;
+use crate::limits::VOUCH_TIME;
 use std::collections::VecDeque;
 use zinniahatch_base::prelude::*;
 use zinniahatch_base::rank_member;
@@ -17,7 +18,8 @@
 pub enum VerdictPolicy {
     /// A node's own suspicion is the verdict.
     OwnSuspicion,
-    /// The verdict also needs more than half of the other members to suspect the same member.
+    /// The verdict also needs half of the other members to suspect the same member, or, after the
+    /// time in which they could have vouched for it, half of them not to have done so.
     MajorityReports,
 }
 
@@ -38,6 +40,8 @@
     pub ready: bool,
     /// Whom it suspects.
     pub suspects: BTreeSet<NodeId>,
+    /// Whom it hears although others suspect them.
+    pub vouches: BTreeSet<NodeId>,
     /// Incarnations whose keys and answers it took over.
     pub heir_of: Vec<(NodeId, Incarnation)>,
     number: u64,
@@ -115,6 +119,24 @@
             .collect()
     }
 
+    /// Gives the members that others suspect and this node hears.
+    pub fn vouches(&self, now: Instant) -> Vec<NodeId> {
+        let suspected: BTreeSet<&NodeId> = self
+            .entries
+            .values()
+            .flat_map(|entry| &entry.suspects)
+            .collect();
+        suspected
+            .into_iter()
+            .filter(|name| {
+                self.entries
+                    .get(*name)
+                    .is_some_and(|entry| !is_silent(now, entry))
+            })
+            .cloned()
+            .collect()
+    }
+
     /// Gives who holds the keys of an incarnation: its node, or the one that took them over.
     pub fn key_holder(
         &self,
@@ -148,8 +170,14 @@
             .get(&frame.sender)
             .is_none_or(|entry| entry.incarnation != frame.incarnation);
         if fresh {
+            // The numbers of heartbeats to this name go on: a restarted member that was sent some
+            // before it was heard would take lower ones for overtaken frames.
+            let number = self
+                .entries
+                .get(&frame.sender)
+                .map_or(0, |entry| entry.number);
             self.entries
-                .insert(frame.sender.clone(), new_entry(now, frame));
+                .insert(frame.sender.clone(), new_entry(now, frame, number));
         }
         let Some(entry) = self.entries.get_mut(&frame.sender) else {
             return fresh;
@@ -165,6 +193,7 @@
         entry.leaving = note.leaving;
         entry.ready = note.ready;
         entry.suspects = note.suspects.iter().cloned().collect();
+        entry.vouches = note.vouches.iter().cloned().collect();
         entry.heir_of.clone_from(&note.heir_of);
         let (incarnation, number) = note.echo;
         if incarnation == my_incarnation {
@@ -214,6 +243,10 @@
         }
     }
 
+    /// Judges a silent member by the reports of those that can be heard.
+    ///
+    /// A reporter may not know the member at all, having started after its death; so silence of
+    /// the reporters counts too, once they had time to vouch.
     fn majority_suspects(&self, now: Instant, node: &str) -> bool {
         let reporters: Vec<&MemberEntry> = self
             .entries
@@ -221,11 +254,19 @@
             .filter(|(name, entry)| &***name != node && !is_silent(now, entry))
             .map(|(_, entry)| entry)
             .collect();
-        let agreeing = reporters
-            .iter()
-            .filter(|entry| entry.suspects.contains(node))
-            .count();
-        agreeing * 2 >= reporters.len()
+        let count = |picked: fn(&MemberEntry) -> &BTreeSet<NodeId>| {
+            reporters
+                .iter()
+                .filter(|entry| picked(entry).contains(node))
+                .count()
+        };
+        let suspecting = count(|entry| &entry.suspects);
+        let vouching = count(|entry| &entry.vouches);
+        let had_time = self
+            .entries
+            .get(node)
+            .is_some_and(|entry| now.duration_since(entry.last_heard) > SUSPECT_AFTER + VOUCH_TIME);
+        suspecting * 2 >= reporters.len() || (had_time && vouching * 2 <= reporters.len())
     }
 }
 
@@ -245,7 +286,7 @@
     now.duration_since(entry.last_heard) > SUSPECT_AFTER
 }
 
-fn new_entry(now: Instant, frame: &NodeFrame) -> MemberEntry {
+fn new_entry(now: Instant, frame: &NodeFrame, number: u64) -> MemberEntry {
     MemberEntry {
         peer: frame.peer.clone(),
         http: Box::default(),
@@ -254,8 +295,9 @@
         leaving: false,
         ready: false,
         suspects: BTreeSet::new(),
+        vouches: BTreeSet::new(),
         heir_of: Vec::new(),
-        number: 0,
+        number,
         sent: VecDeque::new(),
         heard_number: 0,
         acked_at: None,
--- a/crates/zinniahatch_control/src/node.rs
+++ b/crates/zinniahatch_control/src/node.rs
@@ -394,6 +394,8 @@
                 self.backends.forget_told(&service);
             }
         }
+        // Before the reports: a slot that is used again at once is not reported as free.
+        self.run_waiting(now);
         self.run_pools(now, &keepers);
         self.run_waiting(now);
         self.tell(now);
--- a/crates/zinniahatch_control/src/node/routing.rs
+++ b/crates/zinniahatch_control/src/node/routing.rs
@@ -91,6 +91,7 @@
         for service in self.holder.waiting_services() {
             self.start_waiting(now, &service);
             self.review_waiting(now, &service);
+            self.holder.note_idle(&service);
         }
     }
 
--- a/crates/zinniahatch_control/src/node/telling.rs
+++ b/crates/zinniahatch_control/src/node/telling.rs
@@ -85,6 +85,7 @@
             leaving: self.leaving,
             ready: self.ready,
             suspects,
+            vouches: self.members.vouches(now),
             leaving_backends,
             pools,
             heir_of: self.heir_of.clone(),
--- a/crates/zinniahatch_control/src/rounds.rs
+++ b/crates/zinniahatch_control/src/rounds.rs
@@ -112,7 +112,19 @@
     quotas
 }
 
-/// Splits a tenant's share between the nodes: first what runs, then evenly what waits.
+/// One node's part of a tenant's share.
+struct ShareLine<'a> {
+    name: &'a NodeId,
+    most: u32,
+    quota: u32,
+    ideal: f64,
+}
+
+/// Splits a tenant's share between the nodes, in proportion to what each runs and has waiting.
+///
+/// Quotas move from those of the round before, by one slot a round. A slot that moves lies idle
+/// for the two exchanges that this takes, so it is not moved at every end of a request; and a
+/// request that waits at one node is not overtaken for good by those of another.
 fn split_share(
     tenant: ShortTag,
     share: u32,
@@ -129,32 +141,68 @@
         else {
             continue;
         };
-        lines.push((name, line.running, line.waiting, 0_u16));
+        let most = u32::from(line.running) + u32::from(line.waiting);
+        let before = holder
+            .quota_of(tenant)
+            .map_or(u32::from(line.running), u32::from);
+        lines.push(ShareLine {
+            name,
+            most,
+            quota: before.min(most),
+            ideal: 0.0,
+        });
     }
-    let mut left = share;
+    let demand: u32 = lines.iter().map(|line| line.most).sum();
     for line in &mut lines {
-        let kept = u32::from(line.1).min(left);
-        line.3 = kept as u16;
-        left -= kept;
+        line.ideal = f64::from(share) * f64::from(line.most) / f64::from(demand.max(1));
     }
-    while left > 0 {
-        let mut given = false;
-        for line in &mut lines {
-            if left == 0 || line.3 >= line.1.saturating_add(line.2) {
-                continue;
-            }
-            line.3 += 1;
-            left -= 1;
-            given = true;
+    level_quotas(share, &mut lines);
+    for line in lines {
+        if let Some(list) = quotas.get_mut(line.name) {
+            list.push((tenant, line.quota.min(u32::from(u16::MAX)) as u16));
         }
-        if !given {
+    }
+}
+
+/// Brings the sum of the quotas to the share, and one slot from the most to the least served.
+fn level_quotas(share: u32, lines: &mut [ShareLine<'_>]) {
+    let mut sum: u32 = lines.iter().map(|line| line.quota).sum();
+    while sum > share {
+        let Some(index) = most_served(lines) else {
             break;
-        }
+        };
+        lines[index].quota -= 1;
+        sum -= 1;
     }
-    for (name, _, _, quota) in lines {
-        if let Some(list) = quotas.get_mut(name) {
-            list.push((tenant, quota));
-        }
+    while sum < share {
+        let Some(index) = least_served(lines) else {
+            break;
+        };
+        lines[index].quota += 1;
+        sum += 1;
+    }
+    let (Some(from), Some(to)) = (most_served(lines), least_served(lines)) else {
+        return;
+    };
+    if lines[from].surplus() >= 1.0 && lines[to].surplus() <= -1.0 {
+        lines[from].quota -= 1;
+        lines[to].quota += 1;
+    }
+}
+
+fn most_served(lines: &[ShareLine<'_>]) -> Option<usize> {
+    let served = (0..lines.len()).filter(|index| lines[*index].quota > 0);
+    served.max_by(|one, other| lines[*one].surplus().total_cmp(&lines[*other].surplus()))
+}
+
+fn least_served(lines: &[ShareLine<'_>]) -> Option<usize> {
+    let hungry = (0..lines.len()).filter(|index| lines[*index].quota < lines[*index].most);
+    hungry.min_by(|one, other| lines[*one].surplus().total_cmp(&lines[*other].surplus()))
+}
+
+impl ShareLine<'_> {
+    fn surplus(&self) -> f64 {
+        f64::from(self.quota) - self.ideal
     }
 }
 
--- a/crates/zinniahatch_control/tests/fake/mod.rs
+++ b/crates/zinniahatch_control/tests/fake/mod.rs
@@ -78,7 +78,7 @@
             identity,
             &seeds,
             self.now,
-            VerdictPolicy::OwnSuspicion,
+            VerdictPolicy::MajorityReports,
             RoutePolicy::Score,
         );
         let (head, texts) = self.config.clone();
@@ -227,7 +227,7 @@
         backends.push_str(&format!("[backend r{index}]\nservice = llm\ndata_centre = here\naddress = http://10.0.0.{index}:1\nslots = {slots}\n"));
     }
     let preset = "[preset]\ntitle = test\n[weights]\ncost = 1\ntail = 1\n[classes]\nstandard = 1\n[work]\ninteractive = 0.5\n[away]\nallowed = yes\n[waits]\nqueue_limit = 1000\nwait_limit = 60s\n[budgets]\nretry = 0.1\nhedge = 0\n";
-    let texts = PartTexts::from([
+    let texts: PartTexts = PartTexts::from([
         ("topology".into(), "[region home]\ndata_centres = here\n[region far]\ndata_centres = there\n".into()),
         ("services".into(), "[service llm]\nkind = engine\nbinding = free\nrepeat = repeatable\ndeadline = 60s\ntypical_hold = 1s\n".into()),
         ("backends".into(), backends.into()),
@@ -235,7 +235,7 @@
     ]);
     let parts = texts
         .iter()
-        .map(|(name, text): (&Box<str>, &Box<str>)| (name.clone(), digest_text(text)))
+        .map(|(name, text)| (name.clone(), digest_text(text)))
         .collect();
     let head = ConfigHead {
         revision: 1,
--- a/crates/zinniahatch_control/tests/pools.rs
+++ b/crates/zinniahatch_control/tests/pools.rs
@@ -233,3 +233,23 @@
     net.run(Duration::from_secs(12));
     assert!(net.requests[&early].ticket.is_some());
 }
+
+/// A replaced VM gets no slots for a minute although every link works. It restarted behind a
+/// one-way link; the keeper went on sending numbered heartbeats to its name, and on hearing the
+/// new process began again at 1. The new process took those for overtaken frames. Found by fuzzing.
+#[test]
+fn place_after_healed_one_way_cut_finds_slots() {
+    let mut net = settled(3, 3, 4);
+    net.run(Duration::from_secs(7));
+    net.kill(2);
+    net.run(Duration::from_millis(950));
+    for keeper in 0..2 {
+        net.cut.insert((2, keeper));
+    }
+    net.start(2, 3);
+    net.run(Duration::from_secs(6));
+    let number = net.ask(2, "a", LONG).expect("the node lives");
+    net.cut.clear();
+    net.run(Duration::from_secs(20));
+    assert!(net.requests[&number].ticket.is_some());
+}
--- a/crates/zinniahatch_daemon/src/run.rs
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -23,6 +23,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_config::ConfigError;
 use zinniahatch_config::NodeSettings;
+use zinniahatch_config::RouteRule;
 use zinniahatch_control::ControlNode;
 use zinniahatch_control::NodeIdentity;
 use zinniahatch_control::RoutePolicy;
@@ -126,12 +127,18 @@
         http: settings.listen.clone(),
         epoch: epoch_millis(),
     };
+    let policy = match settings.route {
+        RouteRule::Score => RoutePolicy::Score,
+        RouteRule::Home => RoutePolicy::AlwaysHome,
+        RouteRule::LeastLoaded => RoutePolicy::LeastLoaded,
+        RouteRule::RandomTwo => RoutePolicy::RandomTwo,
+    };
     let control = ControlNode::new(
         identity,
         &settings.seeds,
         now,
-        VerdictPolicy::OwnSuspicion,
-        RoutePolicy::Score,
+        VerdictPolicy::MajorityReports,
+        policy,
     );
     let store = HttpStore::new(&settings.store);
     GatewayCore::new(
--- a/crates/zinniahatch_lab/src/cluster.rs
+++ b/crates/zinniahatch_lab/src/cluster.rs
@@ -29,6 +29,7 @@
 use zinniahatch_config::ClusterConfig;
 use zinniahatch_config::ConfigHead;
 use zinniahatch_config::FencingRule;
+use zinniahatch_config::RouteRule;
 use zinniahatch_config::ServiceKind;
 use zinniahatch_platform::HttpStore;
 use zinniahatch_platform::ListedVm;
@@ -54,6 +55,10 @@
     pub seal: Duration,
     /// Interval at which counts are merged into the store.
     pub merge: Duration,
+    /// How the daemons choose a place for a request.
+    pub route: RouteRule,
+    /// Whether one stand-in serves all backend servers of a kind, for systems of design size.
+    pub shared_backends: bool,
     /// Log level of the daemons.
     pub log_level: &'static str,
 }
@@ -65,6 +70,8 @@
             plain_time: Duration::from_millis(15),
             seal: Duration::from_millis(500),
             merge: Duration::from_secs(2),
+            route: RouteRule::Score,
+            shared_backends: false,
             log_level: "info",
         }
     }
@@ -371,27 +378,37 @@
     let mut backends = BTreeMap::new();
     let mut servers = BTreeMap::new();
     let mut text = String::new();
+    let mut shared_url: Option<String> = None;
     for (name, entry) in &config.backends {
         let region = config
             .topology
             .region_of(&entry.data_centre)
             .expect("the plan is checked");
         let backend = StandBackend::new(name, region, entry.slots, history.clone());
-        let server = match config.services[&entry.service].kind {
-            ServiceKind::Engine => {
-                let engine = StandEngine::new(
-                    Arc::clone(&backend),
-                    options.speed,
-                    entry.fencing == FencingRule::Checked,
-                );
-                engines.insert(name.clone(), Arc::clone(&engine));
-                engine.start().await
-            }
-            ServiceKind::Plain => start_plain(Arc::clone(&backend), options.plain_time).await,
+        let shared = shared_url.as_ref().filter(|_| options.shared_backends);
+        let url = if let Some(url) = shared {
+            url.clone()
+        } else {
+            let server = match config.services[&entry.service].kind {
+                ServiceKind::Engine => {
+                    let engine = StandEngine::new(
+                        Arc::clone(&backend),
+                        options.speed,
+                        entry.fencing == FencingRule::Checked,
+                    );
+                    engines.insert(name.clone(), Arc::clone(&engine));
+                    engine.start().await
+                }
+                ServiceKind::Plain => start_plain(Arc::clone(&backend), options.plain_time).await,
+            };
+            let url = server.url();
+            servers.insert(name.clone(), server);
+            url
         };
+        shared_url = Some(url.clone());
         text.push_str(&format!(
             "[backend {name}]\nservice = {}\ndata_centre = {}\naddress = {}\nslots = {}\nfencing = {}\n",
-            entry.service, entry.data_centre, server.url(), entry.slots, entry.fencing.word()
+            entry.service, entry.data_centre, url, entry.slots, entry.fencing.word()
         ));
         directory.list_vm(ListedVm {
             name: name.clone(),
@@ -400,7 +417,6 @@
             state: VmState::Live,
         });
         backends.insert(name.clone(), backend);
-        servers.insert(name.clone(), server);
     }
     plan.parts.insert("backends".into(), text.into());
     (engines, backends, servers)
@@ -524,13 +540,14 @@
         .map(|other| &*other.peer)
         .collect();
     let mut text = format!(
-        "[node]\nname = {}\ndata_centre = {}\nregion = {}\nlisten = {}\npeer_listen = {}\nsecret = {SECRET}\nseeds = {}\n\n[platform]\nstore = {store}\ndirectory = {directory}\nvm_list = {directory}\n\n[reports]\nseal_interval = {}\nmerge_interval = {}\n\n[log]\nlevel = {}\n",
+        "[node]\nname = {}\ndata_centre = {}\nregion = {}\nlisten = {}\npeer_listen = {}\nsecret = {SECRET}\nseeds = {}\n\n[platform]\nstore = {store}\ndirectory = {directory}\nvm_list = {directory}\n\n[routing]\nrule = {}\n\n[reports]\nseal_interval = {}\nmerge_interval = {}\n\n[log]\nlevel = {}\n",
         node.name,
         node.data_centre,
         node.region,
         node.http,
         node.peer,
         seeds.join(", "),
+        options.route.word(),
         zinniahatch_config::format_duration(options.seal),
         zinniahatch_config::format_duration(options.merge),
         options.log_level,
--- a/crates/zinniahatch_lab/src/experiments/faults.rs
+++ b/crates/zinniahatch_lab/src/experiments/faults.rs
@@ -261,7 +261,7 @@
             .values()
             .for_each(|way| way.set(ServiceMode::Up)),
         FaultKind::StreamsBreak | FaultKind::StreamsSilent => {
-            set_streams(cluster, BackendFaults::default())
+            set_streams(cluster, BackendFaults::default());
         }
         FaultKind::PlannedStop
         | FaultKind::LinksSilent
--- a/crates/zinniahatch_lab/src/experiments/overhead.rs
+++ b/crates/zinniahatch_lab/src/experiments/overhead.rs
@@ -36,6 +36,10 @@
 }
 
 /// Measures; gives how many calls failed.
+///
+/// # Panics
+///
+/// Where the system cannot be started.
 pub async fn run(seconds: u64) -> usize {
     let mut plan = users::aqsu();
     plan.regions.truncate(1);
--- a/crates/zinniahatch_lab/src/experiments/shares.rs
+++ b/crates/zinniahatch_lab/src/experiments/shares.rs
@@ -1,1 +1,136 @@
-//! Not yet.
+//! One account floods: what the others get against their share.
+
+use crate::checker::CheckExcuse;
+use crate::checker::check;
+use crate::cluster::ClusterOptions;
+use crate::cluster::LabCluster;
+use crate::experiments::figures::figures;
+use crate::history::SeenEnd;
+use crate::load::CallTools;
+use crate::load::OperationJob;
+use crate::load::OperationKind;
+use crate::users;
+use crate::users::CallerPlan;
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+
+/// Requests that the flooding account keeps in progress; its region has 56 slots.
+const FLOOD: usize = 300;
+/// Requests that the other account keeps in progress, more than its share.
+const OTHER: usize = 80;
+const TOKENS: u64 = 60;
+/// Shares of the two classes in the ordinary preset: wholesale 0.35, drivers 0.3.
+const FAIR: f64 = 0.3 / 0.65;
+/// How far the other account's part may fall below its share.
+const SLACK: f64 = 0.1;
+
+/// Measures; gives how many rules broke.
+pub async fn run(seconds: u64) -> usize {
+    let mut plan = users::aqsu();
+    // Away is not allowed, so that one region's pool is what is shared.
+    let text = plan.parts["preset-ordinary"]
+        .replace("allowed = yes", "allowed = no")
+        .replace("wait_limit = 20s", "wait_limit = 60s");
+    plan.parts.insert("preset-ordinary".into(), text.into());
+    let cluster = LabCluster::start(plan, &ClusterOptions::default()).await;
+    let tools = CallTools::new(
+        &cluster.history,
+        crate::cluster::config_of(&cluster.plan),
+        cluster.plan.engine,
+        cluster.plan.plain,
+    );
+    let numbers = Arc::new(AtomicU64::new(1));
+    let begun = cluster.history.now();
+    let until = Instant::now() + Duration::from_secs(seconds);
+    let entries: Vec<Box<str>> = cluster
+        .nodes
+        .iter()
+        .filter(|node| &*node.region == "almaty")
+        .map(|node| node.http.clone())
+        .collect();
+    let mut tasks = JoinSet::new();
+    let flood = cluster.plan.callers[0].clone();
+    let other = cluster.plan.callers[3].clone();
+    for (caller, count, delay) in [(flood, FLOOD, 0), (other, OTHER, seconds / 4)] {
+        for worker in 0..count {
+            let (tools, caller, entries, numbers) = (
+                tools.clone(),
+                caller.clone(),
+                entries.clone(),
+                Arc::clone(&numbers),
+            );
+            tasks.spawn(async move {
+                sleep(Duration::from_secs(delay)).await;
+                work(
+                    &tools,
+                    &caller,
+                    &entries[worker % entries.len()],
+                    &numbers,
+                    until,
+                )
+                .await;
+            });
+        }
+    }
+    while tasks.join_next().await.is_some() {}
+    let breaks = cluster
+        .history
+        .with(|data| check(data, &CheckExcuse::default()));
+    // Judged over the second half, when both accounts have long had more waiting than slots.
+    let from = Duration::from_secs(seconds / 2);
+    let of = |account: &'static str| {
+        cluster.history.with(|data| {
+            figures(data, cluster.plan.engine, |send| {
+                &*send.account == account
+                    && send.ended > begun + from
+                    && send.ended < begun + Duration::from_secs(seconds)
+            })
+        })
+    };
+    let (flood, other) = (of("almaty-wholesale"), of("route-drivers"));
+    let part = other.answered as f64 / (other.answered + flood.answered).max(1) as f64;
+    println!(
+        "flooding account: {} answered, {} refused; other account: {} answered, {} refused",
+        flood.answered, flood.refused, other.answered, other.refused
+    );
+    println!("the other account got {part:.3} of the answers, its share is {FAIR:.3}");
+    let violations = breaks.len() + usize::from(part < FAIR - SLACK);
+    println!(
+        "{}",
+        json!({"experiment": "shares", "violations": violations, "part": part, "share": FAIR, "flood": flood, "other": other})
+    );
+    violations
+}
+
+async fn work(
+    tools: &CallTools,
+    caller: &CallerPlan,
+    entry: &str,
+    numbers: &AtomicU64,
+    until: Instant,
+) {
+    while Instant::now() < until {
+        let job = OperationJob {
+            number: numbers.fetch_add(1, Ordering::Relaxed),
+            caller: caller.clone(),
+            kind: OperationKind::Query,
+            meant: tools.history.now(),
+            tokens: TOKENS,
+            prompt: "stock check; ".repeat(20),
+            start: 0,
+        };
+        let Some(record) = tools.send(&job, entry, None).await else {
+            continue;
+        };
+        let refused = matches!(record.end, SeenEnd::Told(Execution::NotRun));
+        tools.history.add_send(record);
+        if refused {
+            sleep(Duration::from_millis(500)).await;
+        }
+    }
+}
--- a/crates/zinniahatch_lab/src/experiments/spread.rs
+++ b/crates/zinniahatch_lab/src/experiments/spread.rs
@@ -1,1 +1,157 @@
-//! Not yet.
+//! How soon a change of configuration is in force on every node, and that none goes back.
+
+use crate::cluster::ClusterOptions;
+use crate::cluster::LabCluster;
+use crate::experiments::figures::new_histogram;
+use crate::stand::faults::ServiceMode;
+use crate::users;
+use futures_util::future::join_all;
+use reqwest::Client;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+
+const CHANGES: usize = 6;
+const BOUND: Duration = Duration::from_secs(8);
+
+#[derive(Debug, Serialize)]
+struct SpreadFigures {
+    case: &'static str,
+    changes: usize,
+    p50_ms: f64,
+    max_ms: f64,
+    beyond_bound: usize,
+    went_back: usize,
+}
+
+/// Measures; gives how many changes were late, lost, or reverted.
+pub async fn run() -> usize {
+    let cluster = LabCluster::start(users::aqsu(), &ClusterOptions::default()).await;
+    let region = cluster.plan.regions[1].region.clone();
+    let mut lines = Vec::new();
+    for case in [
+        "store up",
+        "store slow",
+        "store losing answers",
+        "one region cut from the store",
+    ] {
+        for way in cluster.store_ways.values() {
+            way.set(if case == "store slow" {
+                ServiceMode::Slow(Duration::from_millis(300))
+            } else {
+                ServiceMode::Up
+            });
+        }
+        if case == "one region cut from the store" {
+            cluster.store_ways[&region].set(ServiceMode::Silent);
+        }
+        let figures = run_case(&cluster, case).await;
+        println!(
+            "{case:<32} p50 {:.0} ms, longest {:.0} ms, {} late, {} went back",
+            figures.p50_ms, figures.max_ms, figures.beyond_bound, figures.went_back
+        );
+        lines.push(figures);
+    }
+    let violations: usize = lines
+        .iter()
+        .map(|line| line.beyond_bound + line.went_back)
+        .sum();
+    println!(
+        "{}",
+        json!({"experiment": "spread", "violations": violations, "nodes": cluster.nodes.len(), "cases": lines})
+    );
+    violations
+}
+
+async fn run_case(cluster: &LabCluster, case: &'static str) -> SpreadFigures {
+    let client = Client::new();
+    let mut delays = new_histogram();
+    let mut figures = SpreadFigures {
+        case,
+        changes: 0,
+        p50_ms: 0.0,
+        max_ms: 0.0,
+        beyond_bound: 0,
+        went_back: 0,
+    };
+    let mut newest: BTreeMap<NodeId, u64> = BTreeMap::new();
+    for number in 0..CHANGES {
+        if case == "store losing answers" {
+            cluster
+                .store_ways
+                .values()
+                .for_each(|way| way.lose_answers(1));
+        }
+        let preset = if number % 2 == 0 { "peak" } else { "ordinary" };
+        let Some(revision) = switch(&client, cluster, preset, &format!("{case}-{number}")).await
+        else {
+            figures.beyond_bound += 1;
+            continue;
+        };
+        figures.changes += 1;
+        let accepted = Instant::now();
+        loop {
+            let seen = revisions(&client, cluster).await;
+            for (node, revision) in &seen {
+                let last = newest.entry(node.clone()).or_default();
+                figures.went_back += usize::from(revision < last);
+                *last = (*last).max(*revision);
+            }
+            if seen.len() == cluster.nodes.len() && seen.values().all(|seen| *seen >= revision) {
+                delays.saturating_record(accepted.elapsed().as_micros() as u64);
+                break;
+            }
+            if accepted.elapsed() > BOUND {
+                figures.beyond_bound += 1;
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+    figures.p50_ms = delays.value_at_quantile(0.5) as f64 / 1_000.0;
+    figures.max_ms = delays.max() as f64 / 1_000.0;
+    figures
+}
+
+/// Switches the preset through a node of the first region; gives the revision it made.
+async fn switch(client: &Client, cluster: &LabCluster, preset: &str, change: &str) -> Option<u64> {
+    let base = format!("http://{}/admin/config", cluster.nodes[0].http);
+    let current: Value = client
+        .get(&base)
+        .bearer_auth(&cluster.plan.shift)
+        .send()
+        .await
+        .ok()?
+        .json()
+        .await
+        .ok()?;
+    let ask = json!({"change": change, "expect_revision": current["revision"], "preset": preset});
+    let verdict: Value = client
+        .post(&base)
+        .bearer_auth(&cluster.plan.shift)
+        .json(&ask)
+        .send()
+        .await
+        .ok()?
+        .json()
+        .await
+        .ok()?;
+    verdict["revision"]
+        .as_u64()
+        .filter(|_| verdict["verdict"] == "accepted")
+}
+
+async fn revisions(client: &Client, cluster: &LabCluster) -> BTreeMap<NodeId, u64> {
+    let asked = cluster.nodes.iter().map(|node| async {
+        let response = client
+            .get(format!("http://{}/internal/brief", node.http))
+            .send()
+            .await
+            .ok()?;
+        let brief: Value = response.json().await.ok()?;
+        Some((node.name.clone(), brief["revision"].as_u64()?))
+    });
+    join_all(asked).await.into_iter().flatten().collect()
+}
--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -26,7 +26,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "experiment")]
 struct ExperimentArgs {
-    /// overhead or faults
+    /// overhead, faults, policies, shares, spread, verdicts or control-cost
     #[argh(positional)]
     name: String,
     /// seed of every draw (default: 1)
@@ -40,6 +40,8 @@
     only: Option<String>,
 }
 
+const EXPERIMENTS: &str = "overhead, faults, policies, shares, spread, verdicts, control-cost";
+
 async fn run_experiment(args: ExperimentArgs) -> usize {
     println!("experiment {} with seed {}", args.name, args.seed);
     match args.name.as_str() {
@@ -68,8 +70,18 @@
             )
             .await
         }
+        "spread" => experiments::spread::run().await,
+        "shares" => experiments::shares::run(args.seconds.unwrap_or(24)).await,
+        "policies" => {
+            experiments::policies::run(args.seed, args.seconds.unwrap_or(30), args.only.as_deref())
+                .await
+        }
+        "verdicts" => experiments::verdicts::run(args.seed),
+        "control-cost" => {
+            experiments::control_cost::run(args.seconds.unwrap_or(20), args.only.as_deref()).await
+        }
         other => {
-            eprintln!("no experiment `{other}`; the experiments are: overhead, faults");
+            eprintln!("no experiment `{other}`; the experiments are: {EXPERIMENTS}");
             1
         }
     }
--- a/crates/zinniahatch_protocol/src/heartbeat.rs
+++ b/crates/zinniahatch_protocol/src/heartbeat.rs
@@ -17,6 +17,8 @@
         pub ready: bool,
         /// Members that the sender has not heard from in time.
         pub suspects: Vec<NodeId>,
+        /// Members that others suspect and the sender hears.
+        pub vouches: Vec<NodeId>,
         /// Backend servers that the sender knows to be leaving.
         pub leaving_backends: Vec<ShortTag>,
         /// States of the pools that the sender keeps, where they changed.
