--- a/crates/zinniahatch_lab/src/cluster.rs
+++ b/crates/zinniahatch_lab/src/cluster.rs
@@ -57,6 +57,8 @@
     pub merge: Duration,
     /// How the daemons choose a place for a request.
     pub route: RouteRule,
+    /// Longest time for a caller to send its body.
+    pub body_timeout: Duration,
     /// Whether one stand-in serves all backend servers of a kind, for systems of design size.
     pub shared_backends: bool,
     /// Log level of the daemons.
@@ -71,6 +73,7 @@
             seal: Duration::from_millis(500),
             merge: Duration::from_secs(2),
             route: RouteRule::Score,
+            body_timeout: Duration::from_secs(10),
             shared_backends: false,
             log_level: "info",
         }
@@ -540,13 +543,14 @@
         .map(|other| &*other.peer)
         .collect();
     let mut text = format!(
-        "[node]\nname = {}\ndata_centre = {}\nregion = {}\nlisten = {}\npeer_listen = {}\nsecret = {SECRET}\nseeds = {}\n\n[platform]\nstore = {store}\ndirectory = {directory}\nvm_list = {directory}\n\n[routing]\nrule = {}\n\n[reports]\nseal_interval = {}\nmerge_interval = {}\n\n[log]\nlevel = {}\n",
+        "[node]\nname = {}\ndata_centre = {}\nregion = {}\nlisten = {}\npeer_listen = {}\nsecret = {SECRET}\nseeds = {}\n\n[platform]\nstore = {store}\ndirectory = {directory}\nvm_list = {directory}\n\n[limits]\nbody_timeout = {}\n\n[routing]\nrule = {}\n\n[reports]\nseal_interval = {}\nmerge_interval = {}\n\n[log]\nlevel = {}\n",
         node.name,
         node.data_centre,
         node.region,
         node.http,
         node.peer,
         seeds.join(", "),
+        zinniahatch_config::format_duration(options.body_timeout),
         options.route.word(),
         zinniahatch_config::format_duration(options.seal),
         zinniahatch_config::format_duration(options.merge),
--- /dev/null
+++ b/crates/zinniahatch_lab/tests/one_node.rs
@@ -0,0 +1,359 @@
+//! One entry VM as a real process: keys, roles, and input that is wrong or hostile.
+
+use reqwest::Client;
+use reqwest::Response;
+use reqwest::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+use zinniahatch_base::ResultCode;
+use zinniahatch_lab::cluster::ClusterOptions;
+use zinniahatch_lab::cluster::LabCluster;
+use zinniahatch_lab::users;
+
+const KEY: &str = "buyer-almaty-example-key";
+
+async fn start() -> LabCluster {
+    let mut plan = users::aqsu();
+    plan.regions.truncate(1);
+    plan.regions[0].entries = 1;
+    let options = ClusterOptions {
+        body_timeout: Duration::from_millis(300),
+        ..ClusterOptions::default()
+    };
+    LabCluster::start(plan, &options).await
+}
+
+fn base(cluster: &LabCluster) -> String {
+    format!("http://{}", cluster.nodes[0].http)
+}
+
+fn code(response: &Response) -> u16 {
+    let header = response
+        .headers()
+        .get("x-zinnia-code")
+        .and_then(|value| value.to_str().ok());
+    header.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+async fn entry(cluster: &LabCluster, key: Option<&str>, body: &'static str) -> Response {
+    let request = Client::new()
+        .post(format!("{}/s/coldbook/entry", base(cluster)))
+        .bearer_auth(KEY)
+        .body(body);
+    let request = match key {
+        Some(key) => request.header("idempotency-key", key),
+        None => request,
+    };
+    request.send().await.expect("the node answers")
+}
+
+async fn metric(cluster: &LabCluster, start: &str) -> f64 {
+    let response = Client::new()
+        .get(format!("{}/metrics", base(cluster)))
+        .send()
+        .await
+        .expect("the node answers");
+    let text = response.text().await.expect("the answer is whole");
+    let lines = text.lines().filter(|line| line.starts_with(start));
+    lines
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+#[tokio::test]
+async fn keyed_call_runs_once_and_is_collected() {
+    let cluster = start().await;
+    let first = entry(&cluster, None, "operation=1;").await;
+    assert_eq!(
+        (first.status(), code(&first)),
+        (
+            StatusCode::PRECONDITION_REQUIRED,
+            ResultCode::KeyMissing.number()
+        )
+    );
+    let body: Value = first.json().await.expect("the refusal is JSON");
+    let key = body["key"]
+        .as_str()
+        .expect("the refusal hands a key out")
+        .to_owned();
+    let second = entry(&cluster, Some(&key), "operation=1;").await;
+    assert_eq!(code(&second), ResultCode::Answered.number());
+    let answer = second.text().await.expect("the answer is whole");
+    let third = entry(&cluster, Some(&key), "operation=1;").await;
+    assert_eq!(code(&third), ResultCode::AnsweredEarlier.number());
+    assert_eq!(third.text().await.expect("the answer is whole"), answer);
+    assert_eq!(
+        code(&entry(&cluster, Some(&key), "operation=2;").await),
+        ResultCode::KeyReused.number()
+    );
+    let collected = Client::new()
+        .get(format!("{}/v1/answers/{key}", base(&cluster)))
+        .bearer_auth(KEY)
+        .send()
+        .await
+        .expect("the node answers");
+    assert_eq!(collected.text().await.expect("the answer is whole"), answer);
+    let other = Client::new()
+        .get(format!("{}/v1/answers/{key}", base(&cluster)))
+        .bearer_auth("driver-1-example-key")
+        .send()
+        .await
+        .expect("the node answers");
+    assert_eq!(
+        code(&other),
+        ResultCode::KeyForeign.number(),
+        "another account's answer stays hidden"
+    );
+    assert_eq!(cluster.history.with(|data| data.executions.len()), 1);
+}
+
+/// Strangers probe the system. Wrong tokens, forged and foreign keys, forwarded calls without a
+/// proof, oversize and broken bodies, headers without end: each has a clear refusal with its own
+/// code, is counted, and reaches no backend server.
+#[tokio::test]
+async fn wrong_input_is_refused_and_counted() {
+    let cluster = start().await;
+    let client = Client::new();
+    let url = base(&cluster);
+    let chat = |body: &'static str| {
+        client
+            .post(format!("{url}/s/zinnia-desk/v1/chat/completions"))
+            .bearer_auth(KEY)
+            .body(body)
+    };
+    let cases = [
+        (
+            client.get(format!("{url}/s/coldbook/x")),
+            ResultCode::BadCredential,
+        ),
+        (
+            client
+                .get(format!("{url}/s/coldbook/x"))
+                .bearer_auth("wrong"),
+            ResultCode::BadCredential,
+        ),
+        (
+            client.get(format!("{url}/s/nothing/x")).bearer_auth(KEY),
+            ResultCode::UnknownService,
+        ),
+        (chat("{"), ResultCode::BadRequest),
+        (chat("{\"messages\": []}"), ResultCode::BadRequest),
+        (
+            chat("{\"messages\": [{\"content\": 7}]}"),
+            ResultCode::BadRequest,
+        ),
+        (
+            client
+                .post(format!("{url}/s/coldbook/x"))
+                .bearer_auth(KEY)
+                .header("idempotency-key", "zk1.x.1.1.0.aa")
+                .body("b"),
+            ResultCode::KeyOwnerGone,
+        ),
+        (
+            client
+                .post(format!("{url}/s/coldbook/x"))
+                .bearer_auth(KEY)
+                .header("idempotency-key", "nonsense")
+                .body("b"),
+            ResultCode::KeyForeign,
+        ),
+        (
+            client
+                .get(format!("{url}/s/coldbook/x"))
+                .bearer_auth(KEY)
+                .body(vec![7; 600_000]),
+            ResultCode::BodyTooLarge,
+        ),
+        (
+            client
+                .post(format!("{url}/internal/away/coldbook/x"))
+                .body("b"),
+            ResultCode::BadCredential,
+        ),
+        (
+            client
+                .post(format!("{url}/internal/owned/coldbook/x"))
+                .header("x-zinnia-request", "r")
+                .header("x-zinnia-account", "almaty-wholesale")
+                .header("x-zinnia-caller", "buyer-almaty")
+                .header("x-zinnia-deadline-ms", "1000")
+                .header("x-zinnia-proof", "00")
+                .body("b"),
+            ResultCode::BadCredential,
+        ),
+    ];
+    for (request, expected) in cases {
+        let response = request.send().await.expect("the node answers");
+        assert_eq!(code(&response), expected.number(), "{expected:?}");
+        assert_eq!(response.status().as_u16(), expected.status());
+    }
+    let handover = client
+        .post(format!("{url}/internal/handover"))
+        .body("{\"books\":[]}")
+        .send()
+        .await
+        .expect("the node answers");
+    assert_eq!(handover.status(), StatusCode::FORBIDDEN);
+    assert_eq!(
+        cluster.history.with(|data| data.executions.len()),
+        0,
+        "nothing reached a backend server"
+    );
+    assert!(metric(&cluster, "zinnia_proofs_refused_total").await >= 3.0);
+    assert!(metric(&cluster, "zinnia_results_total{code=\"202\"").await >= 2.0);
+}
+
+/// A caller on a bad line holds a connection for ever. Its body arrives a byte at a time; the
+/// whole body has one time limit, after which the caller is told so.
+#[tokio::test]
+async fn slow_body_is_refused() {
+    let cluster = start().await;
+    let address = cluster.nodes[0].http.to_string();
+    let status = tokio::task::spawn_blocking(move || {
+        let mut stream = TcpStream::connect(address).expect("the node listens");
+        let head = format!(
+            "GET /s/coldbook/x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\ncontent-length: 10\r\n\r\nab"
+        );
+        stream.write_all(head.as_bytes()).expect("the head is sent");
+        let mut answer = [0_u8; 12];
+        stream.read_exact(&mut answer).expect("the node answers");
+        String::from_utf8_lossy(&answer).into_owned()
+    });
+    assert_eq!(status.await.expect("the caller ends"), "HTTP/1.1 408");
+}
+
+/// A stranger sends garbage to the port for nodes. Each frame fails its code before anything is
+/// decoded, and the node goes on serving.
+#[tokio::test]
+async fn garbage_frames_are_refused() {
+    let cluster = start().await;
+    let address = cluster.nodes[0].peer.to_string();
+    tokio::task::spawn_blocking(move || {
+        let mut stream = TcpStream::connect(address).expect("the node listens");
+        // The transport's greeting as a sender, then a frame of garbage.
+        stream
+            .write_all(&[0, b'S', b'P', 0, 0, 0x50, 0, 0])
+            .expect("the greeting is sent");
+        stream
+            .write_all(&[0, 0, 0, 0, 0, 0, 0, 64])
+            .expect("the length is sent");
+        stream.write_all(&[9; 64]).expect("the garbage is sent");
+        let mut greeting = [0_u8; 8];
+        stream.read_exact(&mut greeting).expect("the node greets");
+    })
+    .await
+    .expect("the stranger ends");
+    while metric(&cluster, "zinnia_frames_refused_total").await < 1.0 {
+        tokio::task::yield_now().await;
+    }
+    let ready = Client::new()
+        .get(format!("{}/readyz", base(&cluster)))
+        .send()
+        .await
+        .expect("the node answers");
+    assert_eq!(ready.status(), StatusCode::OK);
+}
+
+#[tokio::test]
+async fn operators_do_what_their_role_allows() {
+    let cluster = start().await;
+    let client = Client::new();
+    let admin = format!("{}/admin", base(&cluster));
+    let config: Value = client
+        .get(format!("{admin}/config"))
+        .bearer_auth(&cluster.plan.reader)
+        .send()
+        .await
+        .expect("the node answers")
+        .json()
+        .await
+        .expect("JSON");
+    let revision = config["revision"].as_u64().expect("a revision is in force");
+    let post = |path: &str, token: &str, body: Value| {
+        client
+            .post(format!("{admin}/{path}"))
+            .bearer_auth(token)
+            .json(&body)
+            .send()
+    };
+    let switch = |change: &str, revision: u64| json!({"change": change, "expect_revision": revision, "preset": "peak"});
+    let account = |change: &str, revision: u64, team: &str| json!({"change": change, "expect_revision": revision, "account": "new", "home": "almaty", "class": "shops", "team": team});
+    let status =
+        |response: Result<Response, reqwest::Error>| response.expect("the node answers").status();
+    assert_eq!(
+        status(
+            client
+                .get(format!("{admin}/config"))
+                .bearer_auth("wrong")
+                .send()
+                .await
+        ),
+        StatusCode::UNAUTHORIZED
+    );
+    assert_eq!(
+        status(post("config", &cluster.plan.reader, switch("a", revision)).await),
+        StatusCode::FORBIDDEN
+    );
+    assert_eq!(
+        status(post("config", &cluster.plan.shift, switch("b", revision)).await),
+        StatusCode::OK
+    );
+    assert_eq!(
+        status(post("config", &cluster.plan.shift, switch("b", revision)).await),
+        StatusCode::OK,
+        "the same change again is the same change"
+    );
+    assert_eq!(
+        status(post("config", &cluster.plan.shift, switch("c", revision)).await),
+        StatusCode::CONFLICT
+    );
+    let wrong = json!({"change": "d", "expect_revision": revision + 1, "parts": {"prices": "[price zinnia-desk]\nper_call = cheap\n"}});
+    assert_eq!(
+        status(post("config", &cluster.plan.shift, wrong.clone()).await),
+        StatusCode::FORBIDDEN
+    );
+    let refused = post("config", &cluster.plan.chief, wrong)
+        .await
+        .expect("the node answers");
+    assert_eq!(refused.status(), StatusCode::UNPROCESSABLE_ENTITY);
+    let text = refused.text().await.expect("the answer is whole");
+    assert!(
+        text.contains("prices: [price zinnia-desk] per_call: `cheap` is not a number"),
+        "{text}"
+    );
+    let lead = "aqsu-team-example-token";
+    assert_eq!(
+        status(
+            post(
+                "accounts",
+                lead,
+                account("e", revision + 1, "shymkent-team")
+            )
+            .await
+        ),
+        StatusCode::FORBIDDEN
+    );
+    assert_eq!(
+        status(post("accounts", lead, account("f", revision + 1, "almaty-team")).await),
+        StatusCode::OK
+    );
+    let report: Value = client
+        .get(format!("{admin}/report?by=nonsense"))
+        .bearer_auth(&cluster.plan.reader)
+        .send()
+        .await
+        .expect("the node answers")
+        .json()
+        .await
+        .expect("JSON");
+    assert!(
+        report["error"]
+            .as_str()
+            .is_some_and(|text| text.contains("the fields are: account"))
+    );
+}
