Take slots back from unread streams; bound the memory of kept answers

Cause: a stream that its caller does not read is not polled, so it never looked at its deadline and held its slot for ever; answers kept under keys were bounded in time only. After: the slot is back one second after the deadline and the engine is told to stop; answers beyond the limit are forgotten oldest first while their keys stay used. Ruled out: the alarm inside the stream, which nothing polls. Also: ended peers and dead incarnations are forgotten.

--- a/crates/zinniahatch_control/src/keys.rs
+++ b/crates/zinniahatch_control/src/keys.rs
@@ -201,6 +201,27 @@
         self.set(number, UsedState::Answered(answer));
     }
 
+    /// Forgets the oldest kept answers until their sizes fit the limit; the keys stay used.
+    pub fn fit_answers(&mut self, limit: usize, size: impl Fn(&A) -> usize) {
+        let mut total = 0;
+        let mut order: Vec<(Instant, u64, usize)> = Vec::new();
+        for (number, used) in &self.used {
+            if let UsedState::Answered(answer) = &used.state {
+                let bytes = size(answer);
+                total += bytes;
+                order.push((used.used, *number, bytes));
+            }
+        }
+        order.sort_unstable();
+        for (_, number, bytes) in order {
+            if total <= limit {
+                return;
+            }
+            total -= bytes;
+            self.lose(number);
+        }
+    }
+
     /// Notes that a claimed key's request may have run, with its answer lost.
     pub fn lose(&mut self, number: u64) {
         self.set(number, UsedState::Lost);
--- a/crates/zinniahatch_control/tests/keys.rs
+++ b/crates/zinniahatch_control/tests/keys.rs
@@ -98,6 +98,36 @@
     );
 }
 
+/// A node's memory grows with every kept answer. The oldest answers are forgotten beyond a limit,
+/// but their keys stay used: forgetting an answer must not let its request run again.
+#[test]
+fn fit_answers_keeps_keys_used() {
+    let mut now = Instant::now();
+    let mut book = book(now);
+    let mut keys = Vec::new();
+    for _ in 0..4 {
+        let key = parse(&book.mint(now, "a"));
+        assert_eq!(book.claim(now, &key, "a", "d"), KeyClaim::Fresh);
+        book.answer(key.number, 10);
+        keys.push(key);
+        now += Duration::from_secs(1);
+    }
+    book.fit_answers(20, |size| *size as usize);
+    let claims: Vec<_> = keys
+        .iter()
+        .map(|key| book.claim(now, key, "a", "d"))
+        .collect();
+    assert_eq!(
+        claims,
+        [
+            KeyClaim::Lost,
+            KeyClaim::Lost,
+            KeyClaim::Answered(10),
+            KeyClaim::Answered(10)
+        ]
+    );
+}
+
 #[derive(Clone, Debug)]
 enum KeyStep {
     Mint,
--- a/crates/zinniahatch_daemon/src/transport.rs
+++ b/crates/zinniahatch_daemon/src/transport.rs
@@ -73,6 +73,8 @@
 
     fn command(&mut self, peer: &str, command: PeerCommand) {
         if self.peers.get(peer).is_none_or(mpsc::Sender::is_closed) {
+            // Hundreds of VMs are replaced a day; those that are gone are not remembered.
+            self.peers.retain(|_, sender| !sender.is_closed());
             let (sender, receiver) = mpsc::channel(PEER_QUEUE);
             tokio::spawn(run_peer(peer.into(), receiver));
             self.peers.insert(peer.into(), sender);
--- a/crates/zinniahatch_gateway/src/core.rs
+++ b/crates/zinniahatch_gateway/src/core.rs
@@ -92,7 +92,12 @@
             waiters: WaiterTable::default(),
             control: Mutex::new(parts.control),
             book: Mutex::new(CountBook::default()),
-            keys: Mutex::new(KeyShelf::new(&identity, parts.key_secret, now)),
+            keys: Mutex::new(KeyShelf::new(
+                &identity,
+                parts.key_secret,
+                now,
+                settings.answer_memory,
+            )),
             shelf: Mutex::new(AnswerShelf::new(settings.answer_memory)),
             retry_budget: Mutex::default(),
             hedge_budget: Mutex::default(),
--- a/crates/zinniahatch_gateway/src/engine_stream.rs
+++ b/crates/zinniahatch_gateway/src/engine_stream.rs
@@ -2,6 +2,7 @@
 
 use crate::GatewayCore;
 use crate::answer::TokenUsage;
+use crate::core::lock;
 use crate::dispatch::RunCall;
 use crate::headers;
 use crate::refusal::CallRefusal;
@@ -18,21 +19,31 @@
 use reqwest::Response;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use tokio::task::JoinHandle;
 use tokio::time::Sleep;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
 
 /// Probes of one replica before another is asked to go on.
 const PROBES: u32 = 2;
 
+/// The source of an answer, which the watchdog may take away.
+type SharedSource = Arc<Mutex<Option<AnswerSource>>>;
+
+/// Time after the deadline at which a slot is taken back.
+const WATCH_SLACK: Duration = Duration::from_secs(1);
+
 /// One model answer on its way.
 pub(crate) struct EngineStream {
     core: Arc<GatewayCore>,
     pub(crate) call: Arc<RunCall>,
     state: AttemptState,
     response: Response,
-    source: Option<AnswerSource>,
+    source: SharedSource,
+    watchdog: JoinHandle<()>,
     cutter: EventCutter,
     probes: u32,
     pub(crate) served: RegionId,
@@ -66,12 +77,15 @@
             )));
         }
         let served = served_region(core, &open.response);
+        let source: SharedSource = Arc::new(Mutex::new(Some(open.source)));
+        let watchdog = tokio::spawn(watch(Arc::clone(core), Arc::clone(&source), call.deadline));
         Ok(Self {
             core: Arc::clone(core),
             call,
             state,
             response: open.response,
-            source: Some(open.source),
+            source,
+            watchdog,
             cutter: EventCutter::default(),
             probes: 0,
             served,
@@ -147,7 +161,8 @@
             return Err(Box::new(CallRefusal::new(ResultCode::AnswerCutOff)));
         }
         self.cancel("resumed elsewhere");
-        if let Some(source) = self.source.take() {
+        let source = lock(&self.source).take();
+        if let Some(source) = source {
             avoid_source(&mut self.state, &source);
         }
         spend_retry(
@@ -165,7 +180,7 @@
         }
         self.served = served_region(&self.core, &response);
         self.response = response;
-        self.source = Some(source);
+        *lock(&self.source) = Some(source);
         self.probes = 0;
         Ok(())
     }
@@ -175,7 +190,7 @@
     /// A connection that a middlebox has forgotten delivers nothing and reports nothing, while
     /// new ones work; the pool is therefore not used here.
     async fn resume_there(&mut self) -> bool {
-        let Some(AnswerSource::Slot(_, address, id)) = &self.source else {
+        let Some((address, id)) = self.slot_names() else {
             return false;
         };
         let from = self.call.resume + self.cutter.events;
@@ -187,7 +202,7 @@
         let Ok(Ok(response)) = timeout(self.stall_after(), request.send()).await else {
             return false;
         };
-        let same = headers::text(response.headers(), headers::BACKEND_REQUEST) == Some(id);
+        let same = headers::text(response.headers(), headers::BACKEND_REQUEST) == Some(&*id);
         if !response.status().is_success() || !same {
             return false;
         }
@@ -203,38 +218,62 @@
         const FIRST_TOKEN: u32 = 3;
         const AWAY: u32 = 4;
         let stall = self.call.config.preset().stall_after;
-        match &self.source {
+        match &*lock(&self.source) {
             Some(AnswerSource::Away(_)) => stall * AWAY,
             Some(AnswerSource::Slot(..)) if self.cutter.events == 0 => stall * FIRST_TOKEN,
             Some(AnswerSource::Slot(..)) | None => stall,
         }
     }
 
+    /// Gives the address of the replica and the id that it knows, if one of this data centre
+    /// answers.
+    fn slot_names(&self) -> Option<(Box<str>, Box<str>)> {
+        match &*lock(&self.source) {
+            Some(AnswerSource::Slot(_, address, id)) => Some((address.clone(), id.clone())),
+            Some(AnswerSource::Away(_)) | None => None,
+        }
+    }
+
     fn finish(&mut self) {
-        let Some(AnswerSource::Slot(guard, _, _)) = self.source.take() else {
+        let source = lock(&self.source).take();
+        let Some(AnswerSource::Slot(guard, _, _)) = source else {
             return;
         };
         if let Some(prefix) = self.call.prefix {
             let replica = tag_of(guard.replica());
             let prompt = self.usage().prompt_tokens.max(self.call.prompt);
-            self.core
-                .control()
+            let mut control = self.core.control();
+            control
                 .belief_mut()
                 .learn(Instant::now(), prefix, replica, prompt);
         }
     }
 
     fn cancel(&self, reason: &str) {
-        if let Some(AnswerSource::Slot(_, address, id)) = &self.source {
-            cancel(&self.core, address, id, reason);
+        if let Some((address, id)) = self.slot_names() {
+            cancel(&self.core, &address, &id, reason);
         }
     }
 }
 
 impl Drop for EngineStream {
     fn drop(&mut self) {
+        self.watchdog.abort();
         if !self.cutter.done {
             self.cancel("given up");
         }
     }
 }
+
+/// Takes the slot back when the deadline has passed.
+///
+/// A caller that does not read its answer keeps the stream from being polled, so the stream's own
+/// look at its deadline never comes; without this its slot would be held for ever.
+async fn watch(core: Arc<GatewayCore>, source: SharedSource, deadline: Instant) {
+    sleep_until((deadline + WATCH_SLACK).into()).await;
+    let taken = lock(&source).take();
+    if let Some(AnswerSource::Slot(guard, address, id)) = taken {
+        drop(guard);
+        cancel(&core, &address, &id, "not read");
+    }
+}
--- a/crates/zinniahatch_gateway/src/keyed.rs
+++ b/crates/zinniahatch_gateway/src/keyed.rs
@@ -28,6 +28,8 @@
 
 /// The books of this incarnation and of those it took over.
 pub struct KeyShelf {
+    limit: usize,
+    kept: usize,
     books: BTreeMap<(NodeId, Incarnation), AnswerBook>,
     own: (NodeId, Incarnation),
 }
@@ -43,10 +45,17 @@
 }
 
 impl KeyShelf {
-    pub(crate) fn new(identity: &NodeIdentity, secret: [u8; 32], now: Instant) -> Self {
+    pub(crate) fn new(
+        identity: &NodeIdentity,
+        secret: [u8; 32],
+        now: Instant,
+        limit: usize,
+    ) -> Self {
         let own = (identity.node.clone(), identity.incarnation);
         let book = KeyBook::new(&identity.node, identity.incarnation, secret, now, KEY_VALID);
         Self {
+            limit,
+            kept: 0,
             books: BTreeMap::from([(own.clone(), book)]),
             own,
         }
@@ -138,6 +147,23 @@
         heirs
     }
 
+    /// Keeps an answer under its key; where memory is short, the oldest answers are forgotten.
+    fn keep(&mut self, key: &MintedKey, answer: &Arc<KeptAnswer>) {
+        self.kept += answer.body.len();
+        if let Some(book) = self.book(key) {
+            book.answer(key.number, Arc::clone(answer));
+        }
+        if self.kept <= self.limit {
+            return;
+        }
+        // Down to half, so that the search for the oldest is not made for every answer.
+        let share = self.limit / 2 / self.books.len().max(1);
+        for book in self.books.values_mut() {
+            book.fit_answers(share, |answer| answer.body.len());
+        }
+        self.kept = self.limit / 2;
+    }
+
     fn book(&mut self, key: &MintedKey) -> Option<&mut AnswerBook> {
         self.books.get_mut(&(key.node.clone(), key.incarnation))
     }
@@ -233,21 +259,22 @@
     result: Result<KeptAnswer, Box<CallRefusal>>,
 ) -> Result<Arc<KeptAnswer>, Box<CallRefusal>> {
     let mut keys = core.keys();
-    let Some(book) = keys.book(key) else {
-        return Err(Box::new(CallRefusal::new(ResultCode::OutcomeUnknown)));
-    };
     match result {
         Ok(answer) => {
             let answer = Arc::new(answer);
-            book.answer(key.number, Arc::clone(&answer));
+            keys.keep(key, &answer);
             Ok(answer)
         }
         Err(refusal) if refusal.code.execution() == Execution::NotRun && !call.was_sent() => {
-            book.bury(key.number);
+            if let Some(book) = keys.book(key) {
+                book.bury(key.number);
+            }
             Err(refusal)
         }
         Err(mut refusal) => {
-            book.lose(key.number);
+            if let Some(book) = keys.book(key) {
+                book.lose(key.number);
+            }
             if refusal.code.execution() == Execution::NotRun {
                 refusal.code = ResultCode::OutcomeUnknown;
             }
--- a/crates/zinniahatch_lab/src/experiments/faults.rs
+++ b/crates/zinniahatch_lab/src/experiments/faults.rs
@@ -315,7 +315,11 @@
     let mut same = 0;
     for _ in 0..TURNS {
         if let Some(report) = crate::demo::fetch_report(cluster, "account").await {
-            same = if report.total.requests == last.0 { same + 1 } else { 0 };
+            same = if report.total.requests == last.0 {
+                same + 1
+            } else {
+                0
+            };
             last = (report.total.requests, report.gaps.len());
         }
         if same >= 3 {
--- a/crates/zinniahatch_lab/src/stand/engine.rs
+++ b/crates/zinniahatch_lab/src/stand/engine.rs
@@ -32,6 +32,8 @@
 const BODY_LIMIT: usize = 8 << 20;
 const PREFIX_BYTES: usize = 512;
 const BYTES_PER_TOKEN: u64 = 4;
+/// Events of one chunk.
+const EVENTS_AT_ONCE: u64 = 256;
 /// Finished runs that can still be resumed.
 const KEPT_RUNS: usize = 512;
 /// Longer than any caller waits.
@@ -275,7 +277,7 @@
             return Some((Err(std::io::Error::other("cancelled")), state));
         }
     }
-    let produced = *state.produced.borrow();
+    let produced = (*state.produced.borrow()).min(state.next + EVENTS_AT_ONCE);
     let mut events = String::new();
     while state.next < produced.min(state.run.total) {
         let token = token_at(state.run.operation, state.next);
--- a/crates/zinniahatch_lab/tests/one_node.rs
+++ b/crates/zinniahatch_lab/tests/one_node.rs
@@ -12,15 +12,21 @@
 use zinniahatch_base::ResultCode;
 use zinniahatch_lab::cluster::ClusterOptions;
 use zinniahatch_lab::cluster::LabCluster;
+use zinniahatch_lab::stand::engine::EngineSpeed;
 use zinniahatch_lab::users;
 
 const KEY: &str = "buyer-almaty-example-key";
 
 async fn start() -> LabCluster {
+    start_with(EngineSpeed::default()).await
+}
+
+async fn start_with(speed: EngineSpeed) -> LabCluster {
     let mut plan = users::aqsu();
     plan.regions.truncate(1);
     plan.regions[0].entries = 1;
     let options = ClusterOptions {
+        speed,
         body_timeout: Duration::from_millis(300),
         ..ClusterOptions::default()
     };
@@ -227,6 +233,41 @@
     assert_eq!(status.await.expect("the caller ends"), "HTTP/1.1 408");
 }
 
+/// Slots stay taken although nothing runs any more. A caller asks for a long stream and does not
+/// read it; the stream is not polled, so it never sees that its deadline has passed. A watchdog
+/// takes the slot back.
+#[tokio::test]
+async fn unread_stream_gives_its_slot_back() {
+    // Faster than any buffer on the way can take it.
+    let cluster = start_with(EngineSpeed {
+        token: Duration::ZERO,
+        ..EngineSpeed::default()
+    })
+    .await;
+    let address = cluster.nodes[0].http.to_string();
+    let prompt =
+        "{\"stream\":true,\"max_tokens\":2000000,\"messages\":[{\"content\":\"operation=1;\"}]}";
+    let head = format!(
+        "POST /s/zinnia-desk/v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\nx-zinnia-deadline-ms: 500\r\ncontent-length: {}\r\n\r\n{prompt}",
+        prompt.len()
+    );
+    let mut stream = TcpStream::connect(address).expect("the node listens");
+    stream
+        .write_all(head.as_bytes())
+        .expect("the request is sent");
+    while metric(&cluster, "zinnia_running{service=\"zinnia-desk\"").await < 1.0 {
+        tokio::task::yield_now().await;
+    }
+    while metric(&cluster, "zinnia_running{service=\"zinnia-desk\"").await > 0.0 {
+        tokio::task::yield_now().await;
+    }
+    assert!(
+        metric(&cluster, "zinnia_cancels_total").await >= 1.0,
+        "the engine is told to stop"
+    );
+    drop(stream);
+}
+
 /// A stranger sends garbage to the port for nodes. Each frame fails its code before anything is
 /// decoded, and the node goes on serving.
 #[tokio::test]
--- a/crates/zinniahatch_lab/tests/promises.rs
+++ b/crates/zinniahatch_lab/tests/promises.rs
@@ -56,6 +56,11 @@
         .filter(|one| one.rule != BrokenRule::LateWork)
         .collect();
     assert!(broken.is_empty(), "{broken:?}");
-    assert!(result.counts_hold(), "counts are off by {} with {} gaps named", result.count_difference, result.gaps);
+    assert!(
+        result.counts_hold(),
+        "counts are off by {} with {} gaps named",
+        result.count_difference,
+        result.gaps
+    );
     assert!(result.operations > 0, "the load ran");
 }
--- a/crates/zinniahatch_report/src/desk.rs
+++ b/crates/zinniahatch_report/src/desk.rs
@@ -72,6 +72,7 @@
     pub fn note_death(&mut self, node: &NodeId, incarnation: Incarnation, minute: u64) {
         let heard = self.heard.get(&(node.clone(), incarnation)).copied();
         let (from, closed) = heard.unwrap_or((minute, false));
+        self.heard.remove(&(node.clone(), incarnation));
         if closed {
             return;
         }
