Tell each summary once, spread pulls, rank keepers only when members change

Cause: a summary of another data centre that a member had told was told on by every member to every other, 14 times over; all links chose the same receiver in the same second; all nodes pulled a new head from the first that had it; every frame woke a tick, and each tick ranked all keepers anew.

--- a/crates/zinniahatch_control/src/ledger.rs
+++ b/crates/zinniahatch_control/src/ledger.rs
@@ -34,6 +34,8 @@
     config: Arc<ClusterConfig>,
     coming: Option<ConfigHead>,
     asked: Option<(NodeId, Instant)>,
+    heard: Option<(Revision, Instant)>,
+    patience: Duration,
 }
 
 impl ConfigLedger {
@@ -67,7 +69,7 @@
     /// One peer is asked at a time; another is asked when it does not answer, so a peer that
     /// cannot answer delays the revision and does not stop it.
     pub fn wants_pull(&mut self, now: Instant, peer: &NodeId, revision: Revision) -> bool {
-        if revision <= self.head.revision {
+        if revision <= self.head.revision || !self.has_waited(now, revision) {
             return false;
         }
         let busy = self
@@ -81,6 +83,32 @@
         true
     }
 
+    /// Says whether a newer revision is being fetched.
+    pub fn is_behind(&self) -> bool {
+        self.asked.is_some()
+    }
+
+    /// Sets how long this node waits after it heard of a new revision before it pulls it.
+    ///
+    /// The nodes of a data centre wait unequally long, so that not all of them pull from the one
+    /// that has it first: at design size that one would send 100 KB for each change.
+    pub fn set_patience(&mut self, patience: Duration) {
+        self.patience = patience;
+    }
+
+    fn has_waited(&mut self, now: Instant, revision: Revision) -> bool {
+        if self.head.revision == 0 {
+            return true;
+        }
+        match self.heard {
+            Some((known, at)) if known == revision => now.duration_since(at) >= self.patience,
+            Some(_) | None => {
+                self.heard = Some((revision, now));
+                self.patience.is_zero()
+            }
+        }
+    }
+
     /// Answers a peer's pull of the head.
     pub fn offer_head(
         &self,
--- a/crates/zinniahatch_control/src/limits.rs
+++ b/crates/zinniahatch_control/src/limits.rs
@@ -27,8 +27,11 @@
 pub(crate) const CONTACT_WINDOW: Duration = Duration::from_secs(3);
 /// Interval between contacts to an address that has not answered.
 pub(crate) const CONTACT_EVERY: Duration = Duration::from_secs(2);
-/// Interval of summaries between data centres.
+/// Shortest interval of summaries between data centres.
 pub(crate) const SUMMARY_EVERY: Duration = Duration::from_secs(1);
+/// Part of that interval for each other data centre, so that with many of them the bytes of
+/// retelling do not grow with their number.
+pub(crate) const SUMMARY_LINK: Duration = Duration::from_millis(85);
 /// Age after which a summary is no longer used for choices.
 pub(crate) const SUMMARY_FRESH: Duration = Duration::from_secs(6);
 /// Summaries and pool states are told again after this time even where nothing changed.
--- a/crates/zinniahatch_control/src/node.rs
+++ b/crates/zinniahatch_control/src/node.rs
@@ -19,6 +19,7 @@
 use crate::limits::PAUSE_GAP;
 use crate::limits::RETELL_EVERY;
 use crate::limits::SUMMARY_EVERY;
+use crate::limits::SUMMARY_LINK;
 use crate::members::owner_of;
 use std::sync::Arc;
 use zinniahatch_base::prelude::*;
@@ -36,6 +37,8 @@
 mod routing;
 mod telling;
 
+/// Longest time that a node waits before it pulls a revision that it has heard of.
+const LONGEST_PATIENCE: Duration = Duration::from_millis(800);
 /// Nodes of a data centre that watch the store's head.
 const WATCHERS: usize = 2;
 
@@ -84,6 +87,14 @@
     pub merged: Vec<(u16, Incarnation, Vec<u64>)>,
 }
 
+/// The keepers of all pools, and what they were computed from.
+#[derive(Debug, Default)]
+struct RankedKeepers {
+    owners: Vec<NodeId>,
+    revision: Revision,
+    keepers: BTreeMap<ServiceId, NodeId>,
+}
+
 /// All tables of one node.
 pub struct ControlNode {
     identity: NodeIdentity,
@@ -113,6 +124,7 @@
     lapses: u64,
     last_live: BTreeSet<NodeId>,
     last_tick: Option<Instant>,
+    ranked: RankedKeepers,
 }
 
 impl ControlNode {
@@ -129,11 +141,15 @@
             .filter(|seed| ***seed != *identity.peer)
             .map(|seed| (seed.clone(), None))
             .collect();
+        let mut ledger = ConfigLedger::default();
+        ledger.set_patience(
+            LONGEST_PATIENCE.mul_f64((identity.incarnation % 1_024) as f64 / 1_024.0),
+        );
         Self {
             members: MemberTable::new(&identity.node, verdict),
             random: identity.incarnation | 1,
             identity,
-            ledger: ConfigLedger::default(),
+            ledger,
             holder: SlotHolder::default(),
             keeper: PoolKeeper::default(),
             remotes: RemoteTable::default(),
@@ -157,6 +173,7 @@
             lapses: 0,
             last_live: BTreeSet::new(),
             last_tick: None,
+            ranked: RankedKeepers::default(),
         }
     }
 
@@ -336,11 +353,19 @@
         self.outbox.entry(to.into()).or_default().push(message);
     }
 
-    /// Takes a frame that came in.
-    pub fn receive(&mut self, now: Instant, frame: NodeFrame) {
+    /// Takes a frame that came in; gives whether a tick is wanted at once.
+    ///
+    /// Heartbeats and summaries wait for the next tick: at design size thirty come in a second.
+    pub fn receive(&mut self, now: Instant, frame: NodeFrame) -> bool {
         if frame.sender == self.identity.node {
-            return;
+            return false;
         }
+        let urgent = frame.messages.iter().any(|message| {
+            !matches!(
+                message,
+                NodeMessage::Heartbeat(_) | NodeMessage::Summary(_) | NodeMessage::CountsMerged(..)
+            )
+        });
         self.contacts.remove(&frame.peer);
         let home = frame.data_centre == self.identity.data_centre;
         if !home {
@@ -369,6 +394,7 @@
         for message in messages {
             self.take_message(now, &about, home, message);
         }
+        urgent || self.ledger.is_behind() || self.next_beat <= now
     }
 
     /// Runs the systems over the tables.
@@ -446,14 +472,24 @@
         }
     }
 
-    fn keepers(&self, now: Instant) -> BTreeMap<ServiceId, NodeId> {
+    /// Gives the keeper of each pool; computed anew only when members or services changed.
+    fn keepers(&mut self, now: Instant) -> BTreeMap<ServiceId, NodeId> {
         let owners = self.members.owners(now, self.leaving || !self.ready);
+        let revision = self.ledger.revision();
+        if self.ranked.owners == owners && self.ranked.revision == revision {
+            return self.ranked.keepers.clone();
+        }
         let mut keepers = BTreeMap::new();
         for service in self.ledger.config().services.keys() {
             if let Some(owner) = owner_of(service, &owners) {
                 keepers.insert(service.clone(), owner.clone());
             }
         }
+        self.ranked = RankedKeepers {
+            owners,
+            revision,
+            keepers: keepers.clone(),
+        };
         keepers
     }
 
@@ -562,7 +598,7 @@
                 let until = self.lease_until(now, &about.sender);
                 self.holder.take_grant(&about.sender, &grant, until);
             }
-            NodeMessage::Summary(summary) => self.take_summary(now, &summary),
+            NodeMessage::Summary(summary) => self.take_summary(now, &summary, !home),
             NodeMessage::Members(list) => self.take_members(&list),
             NodeMessage::Counts(note) => {
                 self.output
@@ -626,9 +662,9 @@
         self.send(&about.peer, NodeMessage::Members(list));
     }
 
-    fn take_summary(&mut self, now: Instant, summary: &CentreSummary) {
+    fn take_summary(&mut self, now: Instant, summary: &CentreSummary, direct: bool) {
         if summary.data_centre != self.identity.data_centre {
-            self.remotes.take(now, summary);
+            self.remotes.take(now, summary, direct);
         }
     }
 
--- a/crates/zinniahatch_control/src/node/telling.rs
+++ b/crates/zinniahatch_control/src/node/telling.rs
@@ -3,6 +3,7 @@
 use super::CONTACT_EVERY;
 use super::CentreSummary;
 use super::ControlNode;
+use super::EntryAddress;
 use super::FrameParcel;
 use super::HEARTBEAT_EVERY;
 use super::HeartbeatNote;
@@ -11,6 +12,7 @@
 use super::PoolStatus;
 use super::RETELL_EVERY;
 use super::SUMMARY_EVERY;
+use super::SUMMARY_LINK;
 use super::TickOutput;
 use super::owner_of;
 use zinniahatch_base::prelude::*;
@@ -18,6 +20,8 @@
 
 /// Contacts to which a heartbeat goes in one tick; a long seed list is spread over ticks.
 const CONTACTS_AT_ONCE: usize = 8;
+/// Entry VMs that a summary names; more would cost a third of a node's bytes at design size.
+const TOLD_ENTRIES: usize = 4;
 
 impl ControlNode {
     pub(super) fn tell(&mut self, now: Instant) {
@@ -27,7 +31,8 @@
         }
         self.contact(now);
         if now >= self.next_summary {
-            self.next_summary = now + SUMMARY_EVERY;
+            let links = self.remotes.centres().len() as u32;
+            self.next_summary = now + SUMMARY_EVERY.max(SUMMARY_LINK * links);
             self.summarise(now);
         }
     }
@@ -96,7 +101,7 @@
     fn untold_pools(&mut self, now: Instant) -> Vec<PoolStatus> {
         let mut untold = Vec::new();
         for (service, status) in &self.pools {
-            if !self.keeps(now, service) {
+            if self.ranked.keepers.get(service) != Some(&self.identity.node) {
                 continue;
             }
             let fresh = self.told.get(service).is_none_or(|(told, at)| {
@@ -128,6 +133,15 @@
         }
     }
 
+    /// Gives the entry VMs that other data centres are told of, others each time.
+    fn told_entries(&self, now: Instant, stamp: u64) -> Vec<EntryAddress> {
+        let turn = (stamp / 1_000).to_string();
+        let mut entries = self.entries(now);
+        entries.sort_by_key(|entry| rank_member(&turn, &entry.node));
+        entries.truncate(TOLD_ENTRIES);
+        entries
+    }
+
     /// Sends this data centre's summary over the links for which this node is the delegate.
     ///
     /// Each link has its own delegate, so that the 23 links of a data centre at design size are
@@ -146,7 +160,8 @@
                 continue;
             }
             // Another receiver each time, so that one dead entry cannot silence the link.
-            let turn = (stamp / 1_000).to_string();
+            // Nor all data centres the same one at the same time.
+            let turn = format!("{}/{}", self.identity.data_centre, stamp / 1_000);
             if let Some(entry) = centre
                 .entries
                 .iter()
@@ -157,7 +172,7 @@
         }
         for peer in targets {
             let pools = self.pools.values().map(without_list).collect();
-            let entries = with_entries.then(|| self.entries(now));
+            let entries = with_entries.then(|| self.told_entries(now, stamp));
             let summary = CentreSummary {
                 data_centre: self.identity.data_centre.clone(),
                 stamp,
--- a/crates/zinniahatch_control/src/remotes.rs
+++ b/crates/zinniahatch_control/src/remotes.rs
@@ -28,7 +28,8 @@
     sent: BTreeMap<ServiceId, u32>,
     back_since: Instant,
     refused_until: BTreeMap<ServiceId, Instant>,
-    tell: bool,
+    listed: Vec<EntryAddress>,
+    untold: Option<CentreSummary>,
 }
 
 /// All other data centres.
@@ -71,21 +72,33 @@
             .map_or(&[], |centre| &centre.entries)
     }
 
-    /// Takes a summary; gives whether it was news, to be told on.
-    pub fn take(&mut self, now: Instant, summary: &CentreSummary) -> bool {
+    /// Finds the address of a node of another data centre, in summaries or in the directory.
+    pub fn find_entry(&self, node: &str) -> Option<&EntryAddress> {
+        self.centres
+            .values()
+            .flat_map(|centre| centre.entries.iter().chain(&centre.listed))
+            .find(|entry| &*entry.node == node)
+    }
+
+    /// Takes a summary; one that came straight from its data centre is to be told to the members
+    /// of this one.
+    ///
+    /// One that a member told is not told again: every member would tell every other what all of
+    /// them have.
+    pub fn take(&mut self, now: Instant, summary: &CentreSummary, direct: bool) {
         let centre = self
             .centres
             .entry(summary.data_centre.clone())
             .or_insert_with(|| new_centre(now));
         if summary.stamp <= centre.stamp {
-            return false;
+            return;
         }
         if now.duration_since(centre.heard) > RAMP_ABSENCE {
             centre.back_since = now;
         }
         centre.stamp = summary.stamp;
         centre.heard = now;
-        centre.tell = true;
+        centre.untold = direct.then(|| summary.clone());
         centre.sent.clear();
         for pool in &summary.pools {
             centre.pools.insert(pool.service.clone(), pool.clone());
@@ -93,7 +106,6 @@
         if let Some(entries) = &summary.entries {
             centre.entries.clone_from(entries);
         }
-        true
     }
 
     /// Takes addresses from the directory, used until the first summary brings fresher ones.
@@ -103,8 +115,9 @@
             .entry(data_centre.into())
             .or_insert_with(|| new_centre(now));
         if now.duration_since(centre.heard) > SUMMARY_FRESH || centre.entries.is_empty() {
-            centre.entries = entries;
+            centre.entries.clone_from(&entries);
         }
+        centre.listed = entries;
     }
 
     /// Notes a request sent to a data centre.
@@ -124,19 +137,10 @@
 
     /// Gives the summaries that the members of this data centre have not been told.
     pub fn take_untold(&mut self) -> Vec<CentreSummary> {
-        let mut summaries = Vec::new();
-        for (name, centre) in &mut self.centres {
-            if !std::mem::take(&mut centre.tell) {
-                continue;
-            }
-            summaries.push(CentreSummary {
-                data_centre: name.clone(),
-                stamp: centre.stamp,
-                pools: centre.pools.values().cloned().collect(),
-                entries: Some(centre.entries.clone()),
-            });
-        }
-        summaries
+        self.centres
+            .values_mut()
+            .filter_map(|centre| centre.untold.take())
+            .collect()
     }
 }
 
@@ -149,6 +153,7 @@
         sent: BTreeMap::new(),
         back_since: now,
         refused_until: BTreeMap::new(),
-        tell: false,
+        listed: Vec::new(),
+        untold: None,
     }
 }
--- a/crates/zinniahatch_daemon/src/transport.rs
+++ b/crates/zinniahatch_daemon/src/transport.rs
@@ -110,8 +110,9 @@
         .inc_by(bytes.len() as u64);
     match codec.decode(bytes) {
         Ok(frame) => {
-            core.control().receive(Instant::now(), frame);
-            core.wake.notify_one();
+            if core.control().receive(Instant::now(), frame) {
+                core.wake.notify_one();
+            }
         }
         Err(error) => core
             .counters
--- a/crates/zinniahatch_gateway/src/owner.rs
+++ b/crates/zinniahatch_gateway/src/owner.rs
@@ -65,10 +65,7 @@
     }
     control
         .remotes()
-        .centres()
-        .values()
-        .flat_map(|centre| &centre.entries)
-        .find(|entry| entry.node == key.node)
+        .find_entry(&key.node)
         .map(|entry| entry.http.clone())
 }
 
--- a/crates/zinniahatch_lab/src/experiments/control_cost.rs
+++ b/crates/zinniahatch_lab/src/experiments/control_cost.rs
@@ -224,27 +224,39 @@
     }
     let client = Client::new();
     let mut number = 0;
-    while Instant::now() < until {
+    // The first change comes after half the interval, so that the time holds its due number.
+    let mut next = Instant::now() + Duration::from_secs(point.change_every) / 2;
+    while next < until {
+        sleep(next.saturating_duration_since(Instant::now())).await;
+        next += Duration::from_secs(point.change_every);
         number += 1;
-        let base = format!("http://{}/admin", cluster.nodes[0].http);
-        if let Ok(response) = client
-            .get(format!("{base}/config"))
-            .bearer_auth(&cluster.plan.chief)
-            .send()
-            .await
-        {
-            let current: serde_json::Value = response.json().await.unwrap_or_default();
-            let ask = json!({"change": format!("cost-{number}"), "expect_revision": current["revision"], "account": format!("account-{number}"), "home": "region-0", "class": "standard", "team": "t", "in_progress_limit": number});
-            let _ = client
-                .post(format!("{base}/accounts"))
-                .bearer_auth(&cluster.plan.chief)
-                .json(&ask)
-                .send()
-                .await;
-        }
-        let pause = Duration::from_secs(point.change_every);
-        sleep(pause.min(until.saturating_duration_since(Instant::now()))).await;
+        change(&client, cluster, number).await;
     }
+    sleep(until.saturating_duration_since(Instant::now())).await;
+}
+
+/// Adds one account.
+async fn change(client: &Client, cluster: &LabCluster, number: u32) {
+    let base = format!("http://{}/admin", cluster.nodes[0].http);
+    let revision: u64 = match client
+        .get(format!("{base}/status"))
+        .bearer_auth(&cluster.plan.chief)
+        .send()
+        .await
+    {
+        Ok(response) => {
+            let status: serde_json::Value = response.json().await.unwrap_or_default();
+            status["brief"]["revision"].as_u64().unwrap_or(0)
+        }
+        Err(_) => 0,
+    };
+    let ask = json!({"change": format!("cost-{number}"), "expect_revision": revision, "account": format!("account-{number}"), "home": "region-0", "class": "standard", "team": "t", "in_progress_limit": number});
+    let _ = client
+        .post(format!("{base}/accounts"))
+        .bearer_auth(&cluster.plan.chief)
+        .json(&ask)
+        .send()
+        .await;
 }
 
 /// Makes a system of this size: the first data centre has the members and replicas, each other
