Split the large files: tables of a node, administration, the lab's system

Moved, not changed: what came in, pools, changes, counters and health, and preparing a system are files of their own. The requests axis of the control-cost experiment comes with it, not yet measured.

--- a/crates/zinniahatch_control/src/node.rs
+++ b/crates/zinniahatch_control/src/node.rs
@@ -3,8 +3,6 @@
 use crate::BackendTable;
 use crate::CacheBelief;
 use crate::ConfigLedger;
-use crate::KeeperView;
-use crate::LedgerStep;
 use crate::MemberTable;
 use crate::Placement;
 use crate::PoolKeeper;
@@ -15,8 +13,6 @@
 use crate::limits::CONTACT_EVERY;
 use crate::limits::CONTACT_WINDOW;
 use crate::limits::HEARTBEAT_EVERY;
-use crate::limits::LEASE_TIME;
-use crate::limits::PAUSE_GAP;
 use crate::limits::RETELL_EVERY;
 use crate::limits::SUMMARY_EVERY;
 use crate::limits::SUMMARY_LINK;
@@ -34,6 +30,8 @@
 use zinniahatch_protocol::NodeMessage;
 use zinniahatch_protocol::PoolStatus;
 
+mod pooling;
+mod receiving;
 mod routing;
 mod telling;
 
@@ -353,50 +351,6 @@
         self.outbox.entry(to.into()).or_default().push(message);
     }
 
-    /// Takes a frame that came in; gives whether a tick is wanted at once.
-    ///
-    /// Heartbeats and summaries wait for the next tick: at design size thirty come in a second.
-    pub fn receive(&mut self, now: Instant, frame: NodeFrame) -> bool {
-        if frame.sender == self.identity.node {
-            return false;
-        }
-        let urgent = frame.messages.iter().any(|message| {
-            !matches!(
-                message,
-                NodeMessage::Heartbeat(_) | NodeMessage::Summary(_) | NodeMessage::CountsMerged(..)
-            )
-        });
-        self.contacts.remove(&frame.peer);
-        let home = frame.data_centre == self.identity.data_centre;
-        if !home {
-            self.foreign
-                .insert(frame.data_centre.clone(), frame.revision);
-        }
-        if self.ledger.wants_pull(now, &frame.sender, frame.revision) {
-            self.send(&frame.peer, NodeMessage::HeadPull);
-        }
-        let NodeFrame {
-            sender,
-            incarnation,
-            data_centre,
-            peer,
-            revision,
-            messages,
-        } = frame;
-        let about = NodeFrame {
-            sender,
-            incarnation,
-            data_centre,
-            peer,
-            revision,
-            messages: Vec::new(),
-        };
-        for message in messages {
-            self.take_message(now, &about, home, message);
-        }
-        urgent || self.ledger.is_behind() || self.next_beat <= now
-    }
-
     /// Runs the systems over the tables.
     pub fn tick(&mut self, now: Instant) -> TickOutput {
         self.note_pause(now);
@@ -433,37 +387,6 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Gives until when slots of a keeper may be used: a lease's time after the sending of the
-    /// newest heartbeat that the keeper echoed. This node's own word holds while it ticks.
-    fn lease_until(&self, now: Instant, keeper: &str) -> Option<Instant> {
-        if keeper == &*self.identity.node {
-            return Some(now + PAUSE_GAP);
-        }
-        self.members.acked_at(keeper).map(|at| at + LEASE_TIME)
-    }
-
-    /// Notices that the process was paused.
-    ///
-    /// A paused node that wakes has heard nobody for long, and would judge all others failed,
-    /// take every pool over and use slots that were given to others. It therefore drops what it
-    /// held and kept, and gives the others the time of a suspicion to be heard again.
-    fn note_pause(&mut self, now: Instant) {
-        let paused = self
-            .last_tick
-            .is_some_and(|at| now.duration_since(at) > PAUSE_GAP);
-        self.last_tick = Some(now);
-        if !paused {
-            return;
-        }
-        self.output
-            .changes
-            .push("this process was paused; its leases are dropped".to_owned());
-        self.members.excuse_silence(now);
-        self.holder.drop_all();
-        self.keeper = PoolKeeper::default();
-        self.next_beat = now;
-    }
-
     fn own_address(&self) -> EntryAddress {
         EntryAddress {
             node: self.identity.node.clone(),
@@ -472,231 +395,6 @@
         }
     }
 
-    /// Gives the keeper of each pool; computed anew only when members or services changed.
-    fn keepers(&mut self, now: Instant) -> BTreeMap<ServiceId, NodeId> {
-        let owners = self.members.owners(now, self.leaving || !self.ready);
-        let revision = self.ledger.revision();
-        if self.ranked.owners == owners && self.ranked.revision == revision {
-            return self.ranked.keepers.clone();
-        }
-        let mut keepers = BTreeMap::new();
-        for service in self.ledger.config().services.keys() {
-            if let Some(owner) = owner_of(service, &owners) {
-                keepers.insert(service.clone(), owner.clone());
-            }
-        }
-        self.ranked = RankedKeepers {
-            owners,
-            revision,
-            keepers: keepers.clone(),
-        };
-        keepers
-    }
-
-    /// Reports to keepers, this node's own pools included, and sends the grants of kept pools.
-    fn run_pools(&mut self, now: Instant, keepers: &BTreeMap<ServiceId, NodeId>) {
-        if !self.contacts_done(now) || self.ledger.revision() == 0 {
-            return;
-        }
-        let kept: BTreeSet<ServiceId> = keepers
-            .iter()
-            .filter(|(_, keeper)| **keeper == self.identity.node)
-            .map(|(service, _)| service.clone())
-            .collect();
-        let mut known = BTreeMap::from([(self.identity.node.clone(), now)]);
-        for (name, entry) in self.members.entries() {
-            known.insert(name.clone(), entry.last_heard);
-        }
-        // Two passes: the first opens a new pool, reports reach it, the second grants.
-        for _ in 0..2 {
-            let config = self.config();
-            let view = KeeperView {
-                now,
-                data_centre: &self.identity.data_centre,
-                config: &config,
-                backends: &self.backends,
-                known: &known,
-                kept: &kept,
-            };
-            let grants = self.keeper.step(&view);
-            for (name, grant) in grants {
-                self.deliver(now, &name, NodeMessage::Grant(grant));
-            }
-            for (keeper, report) in self.holder.reports(now) {
-                self.deliver(now, &keeper, NodeMessage::Report(report));
-            }
-        }
-        let config = self.config();
-        let view = KeeperView {
-            now,
-            data_centre: &self.identity.data_centre,
-            config: &config,
-            backends: &self.backends,
-            known: &known,
-            kept: &kept,
-        };
-        for status in self.keeper.statuses(&view) {
-            self.pools.insert(status.service.clone(), status);
-        }
-    }
-
-    /// Sends to a member of the data centre, or hands over directly where it is this node.
-    fn deliver(&mut self, now: Instant, node: &NodeId, message: NodeMessage) {
-        if *node != self.identity.node {
-            if let Some(entry) = self.members.entries().get(node) {
-                let peer = entry.peer.clone();
-                self.send(&peer, message);
-            }
-            return;
-        }
-        let about = NodeFrame {
-            sender: self.identity.node.clone(),
-            incarnation: self.identity.incarnation,
-            data_centre: self.identity.data_centre.clone(),
-            peer: self.identity.peer.clone(),
-            revision: self.ledger.revision(),
-            messages: Vec::new(),
-        };
-        self.take_message(now, &about, true, message);
-    }
-
-    fn take_message(&mut self, now: Instant, about: &NodeFrame, home: bool, message: NodeMessage) {
-        match message {
-            NodeMessage::Heartbeat(note) => self.take_heartbeat(now, about, home, &note),
-            NodeMessage::HeadPull => {
-                if let Some(offer) = self.ledger.offer_head(encode_head) {
-                    self.send(&about.peer, offer);
-                }
-            }
-            NodeMessage::HeadOffer(text) => {
-                let Ok(head) = serde_json::from_str::<ConfigHead>(&text) else {
-                    return;
-                };
-                let step = self.ledger.take_head(head);
-                self.take_step(&about.peer, step);
-            }
-            NodeMessage::PartPull(hashes) => {
-                let offer = self.ledger.offer_parts(&hashes);
-                self.send(&about.peer, offer);
-            }
-            NodeMessage::PartOffer(texts) => {
-                if texts.is_empty() {
-                    return;
-                }
-                let step = self.ledger.take_parts(texts);
-                self.take_step(&about.peer, step);
-            }
-            NodeMessage::Report(report) => {
-                for replica in &report.refused {
-                    self.backends
-                        .mark(now, *replica, crate::BackendMark::Unreached);
-                }
-                self.keeper
-                    .take_report(now, &about.sender, about.incarnation, report);
-            }
-            NodeMessage::Grant(grant) => {
-                let until = self.lease_until(now, &about.sender);
-                self.holder.take_grant(&about.sender, &grant, until);
-            }
-            NodeMessage::Summary(summary) => self.take_summary(now, &summary, !home),
-            NodeMessage::Members(list) => self.take_members(&list),
-            NodeMessage::Counts(note) => {
-                self.output
-                    .counts
-                    .push((about.sender.clone(), about.incarnation, note));
-            }
-            NodeMessage::CountsMerged(shard, incarnation, numbers) => {
-                self.output.merged.push((shard, incarnation, numbers));
-            }
-        }
-    }
-
-    fn take_heartbeat(
-        &mut self,
-        now: Instant,
-        about: &NodeFrame,
-        home: bool,
-        note: &HeartbeatNote,
-    ) {
-        if !home {
-            // A seed of another data centre: its address is kept until a summary comes.
-            let entry = EntryAddress {
-                node: about.sender.clone(),
-                http: note.http.clone(),
-                peer: about.peer.clone(),
-            };
-            self.remotes
-                .take_directory(now, &about.data_centre, vec![entry]);
-            return;
-        }
-        let fresh = self
-            .members
-            .hear(now, about, note, self.identity.incarnation);
-        self.backends
-            .take_leaving(now, &about.sender, &note.leaving_backends);
-        for status in &note.pools {
-            if self.holder.keeper(&status.service) != Some(&about.sender) {
-                continue;
-            }
-            self.backends.take_told(&status.service, &status.unusable);
-            self.pools.insert(status.service.clone(), status.clone());
-        }
-        if !fresh {
-            return;
-        }
-        // Answer a new member at once, and tell it whom it may not know.
-        self.next_beat = now;
-        self.told.clear();
-        let list = self
-            .members
-            .entries()
-            .iter()
-            .map(|(name, entry)| {
-                (
-                    name.clone(),
-                    self.identity.data_centre.clone(),
-                    entry.peer.clone(),
-                )
-            })
-            .collect();
-        self.send(&about.peer, NodeMessage::Members(list));
-    }
-
-    fn take_summary(&mut self, now: Instant, summary: &CentreSummary, direct: bool) {
-        if summary.data_centre != self.identity.data_centre {
-            self.remotes.take(now, summary, direct);
-        }
-    }
-
-    fn take_members(&mut self, list: &[(NodeId, DataCentreId, Box<str>)]) {
-        for (_, data_centre, peer) in list {
-            if *data_centre == self.identity.data_centre {
-                self.add_contact(peer);
-            }
-        }
-    }
-
-    fn take_step(&mut self, peer: &str, step: LedgerStep) {
-        self.note_step(&step);
-        if let LedgerStep::Reply(message) = step {
-            self.send(peer, message);
-        }
-    }
-
-    fn note_step(&mut self, step: &LedgerStep) {
-        match step {
-            LedgerStep::Adopted(revision) => self
-                .output
-                .changes
-                .push(format!("revision {revision} is in force here")),
-            LedgerStep::Refused(error) => self
-                .output
-                .changes
-                .push(format!("a newer revision was refused: {error}")),
-            LedgerStep::Nothing | LedgerStep::Reply(_) => {}
-        }
-    }
-
     fn note_live(&mut self, now: Instant) {
         let live: BTreeSet<NodeId> = self
             .members
@@ -724,7 +422,3 @@
         self.last_live = live;
     }
 }
-
-fn encode_head(head: &ConfigHead) -> Option<Box<str>> {
-    serde_json::to_string(head).ok().map(Box::from)
-}
--- a/crates/zinniahatch_gateway/src/lib.rs
+++ b/crates/zinniahatch_gateway/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod account_change;
 mod admin;
+mod admin_change;
 mod admit;
 mod answer;
 mod body;
@@ -14,6 +15,7 @@
 mod engine_stream;
 mod headers;
 mod keyed;
+mod observe;
 mod owner;
 mod peer;
 mod placing;
--- a/crates/zinniahatch_gateway/src/server.rs
+++ b/crates/zinniahatch_gateway/src/server.rs
@@ -2,12 +2,12 @@
 
 use crate::GatewayCore;
 use crate::admin::AdminHandler;
-use crate::admin::HealthHandler;
-use crate::admin::MetricsHandler;
 use crate::caller::AnswersHandler;
 use crate::caller::CallHandler;
 use crate::caller::EntriesHandler;
 use crate::caller::KeysHandler;
+use crate::observe::HealthHandler;
+use crate::observe::MetricsHandler;
 use crate::peer::AwayHandler;
 use crate::peer::BriefHandler;
 use crate::peer::HandoverHandler;
--- a/crates/zinniahatch_lab/src/cluster.rs
+++ b/crates/zinniahatch_lab/src/cluster.rs
@@ -8,12 +8,10 @@
 use crate::stand::engine::EngineSpeed;
 use crate::stand::engine::StandEngine;
 use crate::stand::faults::FaultSwitch;
-use crate::stand::plain::start_plain;
 use crate::stand::serve::StandServer;
 use crate::stand::store::StandStore;
 use crate::users::UserPlan;
 use std::fs;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -23,19 +21,21 @@
 use std::sync::atomic::Ordering;
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
-use zinniahatch_change::ChangeAsk;
-use zinniahatch_change::ChangeDesk;
-use zinniahatch_change::ChangeVerdict;
 use zinniahatch_config::ClusterConfig;
 use zinniahatch_config::ConfigHead;
-use zinniahatch_config::FencingRule;
 use zinniahatch_config::RouteRule;
-use zinniahatch_config::ServiceKind;
-use zinniahatch_platform::HttpStore;
-use zinniahatch_platform::ListedVm;
-use zinniahatch_platform::VmKind;
 use zinniahatch_platform::VmState;
 
+mod prepare;
+
+pub use prepare::free_addresses;
+
+use prepare::bootstrap;
+use prepare::make_nodes;
+use prepare::make_relays;
+use prepare::settings_text;
+use prepare::start_backends;
+
 /// Time for every node to serve.
 const READY_TIME: Duration = Duration::from_secs(30);
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -363,208 +363,6 @@
     matches!(request.send().await, Ok(response) if response.status().is_success())
 }
 
-type StartedBackends = (
-    BTreeMap<ReplicaId, Arc<StandEngine>>,
-    BTreeMap<ReplicaId, Arc<StandBackend>>,
-    BTreeMap<ReplicaId, StandServer>,
-);
-
-/// Starts a stand-in for each backend server and writes its address into the plan.
-async fn start_backends(
-    plan: &mut UserPlan,
-    options: &ClusterOptions,
-    history: &HistoryLog,
-    directory: &StandDirectory,
-) -> StartedBackends {
-    let config = config_of(plan);
-    let mut engines = BTreeMap::new();
-    let mut backends = BTreeMap::new();
-    let mut servers = BTreeMap::new();
-    let mut text = String::new();
-    let mut shared_url: Option<String> = None;
-    for (name, entry) in &config.backends {
-        let region = config
-            .topology
-            .region_of(&entry.data_centre)
-            .expect("the plan is checked");
-        let backend = StandBackend::new(name, region, entry.slots, history.clone());
-        let shared = shared_url.as_ref().filter(|_| options.shared_backends);
-        let url = if let Some(url) = shared {
-            url.clone()
-        } else {
-            let server = match config.services[&entry.service].kind {
-                ServiceKind::Engine => {
-                    let engine = StandEngine::new(
-                        Arc::clone(&backend),
-                        options.speed,
-                        entry.fencing == FencingRule::Checked,
-                    );
-                    engines.insert(name.clone(), Arc::clone(&engine));
-                    engine.start().await
-                }
-                ServiceKind::Plain => start_plain(Arc::clone(&backend), options.plain_time).await,
-            };
-            let url = server.url();
-            servers.insert(name.clone(), server);
-            url
-        };
-        shared_url = Some(url.clone());
-        text.push_str(&format!(
-            "[backend {name}]\nservice = {}\ndata_centre = {}\naddress = {}\nslots = {}\nfencing = {}\n",
-            entry.service, entry.data_centre, url, entry.slots, entry.fencing.word()
-        ));
-        directory.list_vm(ListedVm {
-            name: name.clone(),
-            kind: VmKind::Backend,
-            data_centre: entry.data_centre.clone(),
-            state: VmState::Live,
-        });
-        backends.insert(name.clone(), backend);
-    }
-    plan.parts.insert("backends".into(), text.into());
-    (engines, backends, servers)
-}
-
-async fn bootstrap(plan: &UserPlan, store: &str) {
-    let ask = ChangeAsk {
-        change: "bootstrap".into(),
-        expect_revision: 0,
-        preset: Some(plan.preset.into()),
-        parts: plan
-            .parts
-            .iter()
-            .map(|(name, text)| (name.clone(), Some(text.clone())))
-            .collect(),
-        check: false,
-    };
-    let verdict = ChangeDesk::new(HttpStore::new(store))
-        .apply(&ask, "lab", |_| None)
-        .await;
-    assert_eq!(
-        verdict,
-        Ok(ChangeVerdict::Accepted(1)),
-        "the first configuration is accepted"
-    );
-}
-
-fn make_nodes(plan: &UserPlan, folder: &std::path::Path) -> Vec<NodeHandle> {
-    let count: usize = plan.regions.iter().map(|region| region.entries).sum();
-    let mut ports = free_addresses(count * 2).into_iter();
-    let mut nodes = Vec::new();
-    for region in &plan.regions {
-        for number in 1..=region.entries {
-            let name: NodeId = format!("{}-{number}", region.data_centre).into();
-            nodes.push(NodeHandle {
-                settings: folder.join(format!("{name}.ini")),
-                log: folder.join(format!("{name}.log")),
-                name,
-                region: region.region.clone(),
-                data_centre: region.data_centre.clone(),
-                http: ports.next().expect("enough ports were taken"),
-                peer: ports.next().expect("enough ports were taken"),
-                child: None,
-            });
-        }
-    }
-    nodes
-}
-
-/// Gives addresses for processes that bind them themselves.
-///
-/// The operating system picks the ports, on a loopback address that nothing else of this machine
-/// binds or connects from: ports on `127.0.0.1` could be taken by any outgoing connection between
-/// the picking and the binding.
-///
-/// # Panics
-///
-/// Where no port is free.
-pub fn free_addresses(count: usize) -> Vec<Box<str>> {
-    let process = std::process::id();
-    let turn = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed) % 100;
-    let host = format!(
-        "127.{}.{}.{}",
-        100 + turn,
-        (process >> 8) & 0xff,
-        (process & 0xff).max(1)
-    );
-    let held: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((host.as_str(), 0)).expect("a port is free"))
-        .collect();
-    held.iter()
-        .map(|listener| {
-            listener
-                .local_addr()
-                .expect("a bound socket has an address")
-                .to_string()
-                .into()
-        })
-        .collect()
-}
-
-/// Starts the relays through which a node reaches those of other regions.
-async fn make_relays(
-    config: &ClusterConfig,
-    plan: &UserPlan,
-    nodes: &[NodeHandle],
-    node: &NodeHandle,
-    links: &mut BTreeMap<(RegionId, RegionId), LinkState>,
-    relays: &mut Vec<TcpRelay>,
-) -> Vec<(Box<str>, Box<str>)> {
-    let mut translate = Vec::new();
-    if plan.regions.len() < 2 {
-        return translate;
-    }
-    for other in nodes.iter().filter(|other| other.region != node.region) {
-        let mut pair = [node.region.clone(), other.region.clone()];
-        pair.sort();
-        let [one, two] = pair;
-        let link = links.entry((one, two)).or_default().clone();
-        let delay = config.topology.delay(&node.region, &other.region);
-        for address in [&other.http, &other.peer] {
-            let relay = TcpRelay::start(address, delay, link.clone()).await;
-            translate.push((address.clone(), relay.address.clone()));
-            relays.push(relay);
-        }
-    }
-    translate
-}
-
-fn settings_text(
-    node: &NodeHandle,
-    nodes: &[NodeHandle],
-    store: &str,
-    directory: &str,
-    translate: &[(Box<str>, Box<str>)],
-    options: &ClusterOptions,
-) -> String {
-    let seeds: Vec<&str> = nodes
-        .iter()
-        .filter(|other| other.data_centre == node.data_centre)
-        .map(|other| &*other.peer)
-        .collect();
-    let mut text = format!(
-        "[node]\nname = {}\ndata_centre = {}\nregion = {}\nlisten = {}\npeer_listen = {}\nsecret = {SECRET}\nseeds = {}\n\n[platform]\nstore = {store}\ndirectory = {directory}\nvm_list = {directory}\n\n[limits]\nbody_timeout = {}\n\n[routing]\nrule = {}\n\n[reports]\nseal_interval = {}\nmerge_interval = {}\n\n[log]\nlevel = {}\n",
-        node.name,
-        node.data_centre,
-        node.region,
-        node.http,
-        node.peer,
-        seeds.join(", "),
-        zinniahatch_config::format_duration(options.body_timeout),
-        options.route.word(),
-        zinniahatch_config::format_duration(options.seal),
-        zinniahatch_config::format_duration(options.merge),
-        options.log_level,
-    );
-    if !translate.is_empty() {
-        text.push_str("\n[translate]\n");
-        for (index, (from, to)) in translate.iter().enumerate() {
-            text.push_str(&format!("{index} = {from} {to}\n"));
-        }
-    }
-    text
-}
-
 /// Finds the daemon's program beside this one.
 fn daemon_path() -> PathBuf {
     let own = std::env::current_exe().expect("a running program has a path");
--- a/crates/zinniahatch_lab/src/experiments/control_cost.rs
+++ b/crates/zinniahatch_lab/src/experiments/control_cost.rs
@@ -7,10 +7,16 @@
 use crate::users;
 use crate::users::RegionPlan;
 use crate::users::UserPlan;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use reqwest::Client;
 use serde::Serialize;
 use serde_json::json;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
+use zinniahatch_base::digest_text;
 use zinniahatch_base::prelude::*;
 use zinniahatch_config::split_accounts;
 
@@ -30,6 +36,7 @@
     accounts: usize,
     centres: usize,
     change_every: u64,
+    requests: u64,
 }
 
 /// What one node costs, the mean over the members of the first data centre, and the worst.
@@ -55,6 +62,7 @@
     accounts: 100,
     centres: 1,
     change_every: 0,
+    requests: 0,
 };
 /// Letter 1's size: 330 nodes and 3,800 replicas in 24 data centres make 14 and 158 in each.
 const DESIGN: SizePoint = SizePoint {
@@ -65,6 +73,7 @@
     accounts: 4_000,
     centres: 24,
     change_every: 35,
+    requests: 0,
 };
 
 /// Measures the points; gives how many targets of the design size are missed.
@@ -100,6 +109,12 @@
         change_every,
         ..BASE
     }));
+    points.extend([16, 64].map(|requests| SizePoint {
+        axis: "requests",
+        accounts: 4_000,
+        requests,
+        ..BASE
+    }));
     points.push(DESIGN);
     let mut lines = Vec::new();
     for point in points
@@ -108,7 +123,7 @@
     {
         let line = measure(point, Duration::from_secs(seconds)).await;
         println!(
-            "{:<9} members {:>2} replicas {:>3} services {:>2} accounts {:>4} centres {:>2} change every {:>2} s: cpu {:.2}% (worst {:.2}%, ticks {:.2}%), {:.1} MB (worst {:.1}), {:.0} B/s (worst {:.0}), {:.1} frames/s, store {:.2} calls/s of all",
+            "{:<9} members {:>2} replicas {:>3} services {:>2} accounts {:>4} centres {:>2} change every {:>2} s requests {:>2}/s: cpu {:.2}% (worst {:.2}%, ticks {:.2}%), {:.1} MB (worst {:.1}), {:.0} B/s (worst {:.0}), {:.1} frames/s, store {:.2} calls/s of all",
             point.axis,
             point.members,
             point.replicas,
@@ -116,6 +131,7 @@
             point.accounts,
             point.centres,
             point.change_every,
+            point.requests,
             line.cpu_percent,
             line.cpu_worst,
             line.tick_percent,
@@ -149,8 +165,10 @@
     let before = read_all(&client, &cluster, point.members).await;
     let calls = cluster.store.calls().0;
     let started = Instant::now();
-    let changer = change_for(&cluster, point, time);
-    changer.await;
+    tokio::join!(
+        change_for(&cluster, point, time),
+        call_for(&cluster, point, time)
+    );
     let elapsed = started.elapsed().as_secs_f64();
     let calls = (cluster.store.calls().0 - calls) as f64 / elapsed;
     let after = read_all(&client, &cluster, point.members).await;
@@ -235,6 +253,42 @@
     sleep(until.saturating_duration_since(Instant::now())).await;
 }
 
+/// Sends short model requests to each member of the first data centre, each from an account drawn
+/// evenly, which makes the most rows of counts.
+async fn call_for(cluster: &LabCluster, point: SizePoint, time: Duration) {
+    if point.requests == 0 {
+        return;
+    }
+    let client = Client::new();
+    let mut random = StdRng::seed_from_u64(1);
+    let mut tasks = JoinSet::new();
+    let rate = point.requests as f64 * point.members as f64;
+    let started = tokio::time::Instant::now();
+    for number in 0..(rate * time.as_secs_f64()) as u64 {
+        sleep_until(started + Duration::from_secs_f64(number as f64 / rate)).await;
+        let node = &cluster.nodes[number as usize % point.members];
+        let url = format!(
+            "http://{}/s/model-{}/v1/chat/completions",
+            node.http,
+            random.random_range(0..point.services)
+        );
+        let key = key_of(random.random_range(0..point.accounts));
+        let body =
+            json!({"stream": true, "max_tokens": 1, "messages": [{"content": "operation=1;"}]});
+        let request = client.post(url).bearer_auth(key).json(&body);
+        tasks.spawn(async move {
+            if let Ok(response) = request.send().await {
+                let _ = response.bytes().await;
+            }
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+fn key_of(account: usize) -> String {
+    format!("cost-key-{account}")
+}
+
 /// Adds one account.
 async fn change(client: &Client, cluster: &LabCluster, number: u32) {
     let base = format!("http://{}/admin", cluster.nodes[0].http);
@@ -291,7 +345,7 @@
     }
     let mut accounts = String::new();
     for account in 0..point.accounts {
-        accounts.push_str(&format!("[account account-{account}]\nhome = region-0\nclass = standard\nteam = t\n[caller caller-{account}]\naccount = account-{account}\nkey_digest = {:032x}\n", account + 1));
+        accounts.push_str(&format!("[account account-{account}]\nhome = region-0\nclass = standard\nteam = t\n[caller caller-{account}]\naccount = account-{account}\nkey_digest = {}\n", digest_text(&key_of(account))));
     }
     plan.regions = regions;
     plan.parts.retain(|name, _| &**name == "operators");
