Take a refuted gap back; one operator's client for the lab

The member that named it now takes it back when the same process is heard again. Five places of the lab called the administration API each in its own way; they share one client.

--- a/crates/zinniahatch_control/src/node.rs
+++ b/crates/zinniahatch_control/src/node.rs
@@ -81,6 +81,8 @@
     pub counts: Vec<(NodeId, Incarnation, CountsNote)>,
     /// Members judged failed that had not said that they leave.
     pub deaths: Vec<(NodeId, Incarnation)>,
+    /// Members that are heard again after they were judged failed, or for the first time.
+    pub returns: Vec<(NodeId, Incarnation)>,
     /// This node's counts that are in the store: shard, incarnation, numbers.
     pub merged: Vec<(u16, Incarnation, Vec<u64>)>,
 }
@@ -405,6 +407,9 @@
             .collect();
         for name in live.difference(&self.last_live) {
             self.output.changes.push(format!("member {name} lives"));
+            if let Some(entry) = self.members.entries().get(name) {
+                self.output.returns.push((name.clone(), entry.incarnation));
+            }
         }
         for name in self.last_live.difference(&live) {
             self.output
--- a/crates/zinniahatch_daemon/src/counts.rs
+++ b/crates/zinniahatch_daemon/src/counts.rs
@@ -56,6 +56,9 @@
                 core.book().merged(shard, &numbers);
             }
         }
+        for (node, incarnation) in output.returns {
+            self.lock().note_alive(&node, incarnation);
+        }
         for (node, incarnation) in output.deaths {
             if owns(core, 0) {
                 self.lock().note_death(&node, incarnation, epoch_minute());
--- a/crates/zinniahatch_lab/src/demo.rs
+++ b/crates/zinniahatch_lab/src/demo.rs
@@ -9,8 +9,8 @@
 use crate::experiments::figures::figures;
 use crate::load::LoadPlan;
 use crate::load::LoadRunner;
+use crate::operator::OperatorCalls;
 use crate::users;
-use serde_json::Value;
 use serde_json::json;
 use std::sync::atomic::Ordering;
 use tokio::time::sleep;
@@ -153,46 +153,24 @@
 }
 
 /// Switches a preset through the second node and waits until every node obeys it.
+///
+/// # Errors
+///
+/// Says that the switch was not accepted, or not in force everywhere in time.
 pub async fn switch_preset(cluster: &LabCluster, preset: &str) -> Result<Duration, String> {
     const BOUND: Duration = Duration::from_secs(8);
-    let client = reqwest::Client::new();
-    let node = &cluster.nodes[1];
-    let base = format!("http://{}/admin", node.http);
-    let text = |error: reqwest::Error| error.to_string();
-    let current: Value = client
-        .get(format!("{base}/config"))
-        .bearer_auth(&cluster.plan.shift)
-        .send()
-        .await
-        .map_err(text)?
-        .json()
-        .await
-        .map_err(text)?;
-    let ask = json!({"change": format!("switch-to-{preset}"), "expect_revision": current["revision"], "preset": preset});
+    let operator = OperatorCalls::new(cluster, 1, &cluster.plan.shift);
     let started = Instant::now();
-    let verdict: Value = client
-        .post(format!("{base}/config"))
-        .bearer_auth(&cluster.plan.shift)
-        .json(&ask)
-        .send()
-        .await
-        .map_err(text)?
-        .json()
-        .await
-        .map_err(text)?;
-    if verdict["verdict"] != "accepted" {
-        return Err(format!("the switch was not accepted: {verdict}"));
-    }
+    operator
+        .switch(preset, &format!("switch-to-{preset}"))
+        .await?;
     loop {
-        let nodes: Vec<Value> = client
-            .get(format!("{base}/cluster"))
-            .bearer_auth(&cluster.plan.reader)
-            .send()
-            .await
-            .map_err(text)?
-            .json()
+        let nodes = operator
+            .get("cluster")
             .await
-            .map_err(text)?;
+            .as_array()
+            .cloned()
+            .unwrap_or_default();
         let behind = nodes.iter().filter(|node| node["preset"] != preset).count();
         if behind == 0 && nodes.len() == cluster.nodes.len() {
             println!(
@@ -218,7 +196,7 @@
     let mut last = 0;
     let mut same = 0;
     loop {
-        let report = fetch_report(cluster, "service,result").await;
+        let report = fetch_report(cluster, "account,service").await;
         if let Some(report) = report {
             same = if report.total.requests == last {
                 same + 1
@@ -236,10 +214,7 @@
 
 /// Fetches a report from the second node.
 pub async fn fetch_report(cluster: &LabCluster, by: &str) -> Option<ReportResult> {
-    let client = reqwest::Client::new();
-    let request = client
-        .get(format!("http://{}/admin/report", cluster.nodes[1].http))
-        .query(&[("by", by)])
-        .bearer_auth(&cluster.plan.reader);
-    request.send().await.ok()?.json().await.ok()
+    OperatorCalls::new(cluster, 1, &cluster.plan.reader)
+        .report(by)
+        .await
 }
--- a/crates/zinniahatch_lab/src/experiments/control_cost.rs
+++ b/crates/zinniahatch_lab/src/experiments/control_cost.rs
@@ -4,6 +4,7 @@
 use crate::cluster::LabCluster;
 use crate::experiments::overhead::cpu_seconds;
 use crate::experiments::overhead::resident_bytes;
+use crate::operator::OperatorCalls;
 use crate::users;
 use crate::users::RegionPlan;
 use crate::users::UserPlan;
@@ -240,7 +241,7 @@
         sleep(time).await;
         return;
     }
-    let client = Client::new();
+    let operator = OperatorCalls::new(cluster, 0, &cluster.plan.chief);
     let mut number = 0;
     // The first change comes after half the interval, so that the time holds its due number.
     let mut next = Instant::now() + Duration::from_secs(point.change_every) / 2;
@@ -248,7 +249,7 @@
         sleep(next.saturating_duration_since(Instant::now())).await;
         next += Duration::from_secs(point.change_every);
         number += 1;
-        change(&client, cluster, number).await;
+        change(&operator, number).await;
     }
     sleep(until.saturating_duration_since(Instant::now())).await;
 }
@@ -290,27 +291,9 @@
 }
 
 /// Adds one account.
-async fn change(client: &Client, cluster: &LabCluster, number: u32) {
-    let base = format!("http://{}/admin", cluster.nodes[0].http);
-    let revision: u64 = match client
-        .get(format!("{base}/status"))
-        .bearer_auth(&cluster.plan.chief)
-        .send()
-        .await
-    {
-        Ok(response) => {
-            let status: serde_json::Value = response.json().await.unwrap_or_default();
-            status["brief"]["revision"].as_u64().unwrap_or(0)
-        }
-        Err(_) => 0,
-    };
-    let ask = json!({"change": format!("cost-{number}"), "expect_revision": revision, "account": format!("account-{number}"), "home": "region-0", "class": "standard", "team": "t", "in_progress_limit": number});
-    let _ = client
-        .post(format!("{base}/accounts"))
-        .bearer_auth(&cluster.plan.chief)
-        .json(&ask)
-        .send()
-        .await;
+async fn change(operator: &OperatorCalls, number: u32) {
+    let ask = json!({"change": format!("cost-{number}"), "expect_revision": operator.revision().await, "account": format!("account-{number}"), "home": "region-0", "class": "standard", "team": "t", "in_progress_limit": number});
+    operator.post("accounts", &ask).await;
 }
 
 /// Makes a system of this size: the first data centre has the members and replicas, each other
--- a/crates/zinniahatch_lab/src/experiments/faults.rs
+++ b/crates/zinniahatch_lab/src/experiments/faults.rs
@@ -13,11 +13,11 @@
 use crate::history::SeenEnd;
 use crate::load::LoadPlan;
 use crate::load::LoadRunner;
+use crate::operator::OperatorCalls;
 use crate::stand::backend::BackendFaults;
 use crate::stand::faults::ServiceMode;
 use crate::users;
 use serde::Serialize;
-use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
@@ -293,13 +293,9 @@
 
 /// Finds the node of the first region that keeps the engines' pool.
 async fn find_keeper(cluster: &LabCluster) -> usize {
-    let request = reqwest::Client::new()
-        .get(format!("http://{}/admin/status", cluster.nodes[0].http))
-        .bearer_auth(&cluster.plan.reader);
-    let status: Value = match request.send().await {
-        Ok(response) => response.json().await.unwrap_or(Value::Null),
-        Err(_) => Value::Null,
-    };
+    let status = OperatorCalls::new(cluster, 0, &cluster.plan.reader)
+        .get("status")
+        .await;
     let pools = status["pools"].as_array().cloned().unwrap_or_default();
     let keeper = pools
         .iter()
--- a/crates/zinniahatch_lab/src/experiments/spread.rs
+++ b/crates/zinniahatch_lab/src/experiments/spread.rs
@@ -3,6 +3,7 @@
 use crate::cluster::ClusterOptions;
 use crate::cluster::LabCluster;
 use crate::experiments::figures::new_histogram;
+use crate::operator::OperatorCalls;
 use crate::stand::faults::ServiceMode;
 use crate::users;
 use futures_util::future::join_all;
@@ -67,6 +68,7 @@
 
 async fn run_case(cluster: &LabCluster, case: &'static str) -> SpreadFigures {
     let client = Client::new();
+    let operator = OperatorCalls::new(cluster, 0, &cluster.plan.shift);
     let mut delays = new_histogram();
     let mut figures = SpreadFigures {
         case,
@@ -85,8 +87,7 @@
                 .for_each(|way| way.lose_answers(1));
         }
         let preset = if number % 2 == 0 { "peak" } else { "ordinary" };
-        let Some(revision) = switch(&client, cluster, preset, &format!("{case}-{number}")).await
-        else {
+        let Ok(revision) = operator.switch(preset, &format!("{case}-{number}")).await else {
             figures.beyond_bound += 1;
             continue;
         };
@@ -115,34 +116,6 @@
     figures
 }
 
-/// Switches the preset through a node of the first region; gives the revision it made.
-async fn switch(client: &Client, cluster: &LabCluster, preset: &str, change: &str) -> Option<u64> {
-    let base = format!("http://{}/admin/config", cluster.nodes[0].http);
-    let current: Value = client
-        .get(&base)
-        .bearer_auth(&cluster.plan.shift)
-        .send()
-        .await
-        .ok()?
-        .json()
-        .await
-        .ok()?;
-    let ask = json!({"change": change, "expect_revision": current["revision"], "preset": preset});
-    let verdict: Value = client
-        .post(&base)
-        .bearer_auth(&cluster.plan.shift)
-        .json(&ask)
-        .send()
-        .await
-        .ok()?
-        .json()
-        .await
-        .ok()?;
-    verdict["revision"]
-        .as_u64()
-        .filter(|_| verdict["verdict"] == "accepted")
-}
-
 async fn revisions(client: &Client, cluster: &LabCluster) -> BTreeMap<NodeId, u64> {
     let asked = cluster.nodes.iter().map(|node| async {
         let response = client
--- a/crates/zinniahatch_lab/src/lib.rs
+++ b/crates/zinniahatch_lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod experiments;
 pub mod history;
 pub mod load;
+pub mod operator;
 pub mod relay;
 pub mod stand;
 pub mod users;
--- /dev/null
+++ b/crates/zinniahatch_lab/src/operator.rs
@@ -0,0 +1,82 @@
+//! An operator's calls of the administration API of one node.
+
+use crate::cluster::LabCluster;
+use reqwest::Client;
+use reqwest::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use zinniahatch_base::prelude::*;
+use zinniahatch_report::ReportResult;
+
+/// One operator at one node.
+#[derive(Clone, Debug)]
+pub struct OperatorCalls {
+    client: Client,
+    base: String,
+    token: String,
+}
+
+impl OperatorCalls {
+    /// Makes the calls of an operator with this token at a node of a system.
+    pub fn new(cluster: &LabCluster, node: usize, token: &str) -> Self {
+        let base = format!("http://{}/admin", cluster.nodes[node].http);
+        Self {
+            client: Client::new(),
+            base,
+            token: token.to_owned(),
+        }
+    }
+
+    /// Reads a path; `Null` where the node gave no JSON.
+    pub async fn get(&self, path: &str) -> Value {
+        let request = self
+            .client
+            .get(format!("{}/{path}", self.base))
+            .bearer_auth(&self.token);
+        match request.send().await {
+            Ok(response) => response.json().await.unwrap_or(Value::Null),
+            Err(_) => Value::Null,
+        }
+    }
+
+    /// Posts to a path; gives the status and the text, both empty where the node gave no answer.
+    pub async fn post(&self, path: &str, body: &Value) -> (StatusCode, String) {
+        let request = self
+            .client
+            .post(format!("{}/{path}", self.base))
+            .bearer_auth(&self.token)
+            .json(body);
+        match request.send().await {
+            Ok(response) => (response.status(), response.text().await.unwrap_or_default()),
+            Err(error) => (StatusCode::BAD_GATEWAY, error.to_string()),
+        }
+    }
+
+    /// Gives the revision in force at the node.
+    pub async fn revision(&self) -> Revision {
+        self.get("status").await["brief"]["revision"]
+            .as_u64()
+            .unwrap_or(0)
+    }
+
+    /// Switches the preset; gives the revision that this made.
+    ///
+    /// # Errors
+    ///
+    /// Gives the node's verdict where the switch was not accepted.
+    pub async fn switch(&self, preset: &str, change: &str) -> Result<Revision, String> {
+        let ask =
+            json!({"change": change, "expect_revision": self.revision().await, "preset": preset});
+        let (_, text) = self.post("config", &ask).await;
+        let verdict: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+        let revision = verdict["revision"]
+            .as_u64()
+            .filter(|_| verdict["verdict"] == "accepted");
+        revision.ok_or_else(|| format!("the switch was not accepted: {text}"))
+    }
+
+    /// Reads a report.
+    pub async fn report(&self, by: &str) -> Option<ReportResult> {
+        serde_json::from_value(self.get(&format!("report?by={by}")).await).ok()
+    }
+}
--- a/crates/zinniahatch_lab/tests/one_node.rs
+++ b/crates/zinniahatch_lab/tests/one_node.rs
@@ -12,6 +12,7 @@
 use zinniahatch_base::ResultCode;
 use zinniahatch_lab::cluster::ClusterOptions;
 use zinniahatch_lab::cluster::LabCluster;
+use zinniahatch_lab::operator::OperatorCalls;
 use zinniahatch_lab::stand::engine::EngineSpeed;
 use zinniahatch_lab::users;
 
@@ -300,49 +301,6 @@
     assert_eq!(ready.status(), StatusCode::OK);
 }
 
-/// One operator's calls of the administration API.
-struct AdminCalls {
-    client: Client,
-    base: String,
-    token: String,
-}
-
-impl AdminCalls {
-    fn new(cluster: &LabCluster, token: &str) -> Self {
-        Self {
-            client: Client::new(),
-            base: format!("{}/admin", base(cluster)),
-            token: token.to_owned(),
-        }
-    }
-
-    async fn get(&self, path: &str) -> Value {
-        let request = self
-            .client
-            .get(format!("{}/{path}", self.base))
-            .bearer_auth(&self.token);
-        let response = request.send().await.expect("the node answers");
-        response.json().await.expect("the answer is JSON")
-    }
-
-    async fn post(&self, path: &str, body: Value) -> (StatusCode, String) {
-        let request = self
-            .client
-            .post(format!("{}/{path}", self.base))
-            .bearer_auth(&self.token)
-            .json(&body);
-        let response = request.send().await.expect("the node answers");
-        (
-            response.status(),
-            response.text().await.expect("the answer is whole"),
-        )
-    }
-
-    async fn status(&self, path: &str, body: Value) -> StatusCode {
-        self.post(path, body).await.0
-    }
-}
-
 fn switch(change: &str, revision: u64) -> Value {
     json!({"change": change, "expect_revision": revision, "preset": "peak"})
 }
@@ -350,31 +308,31 @@
 #[tokio::test]
 async fn operators_switch_as_their_role_allows() {
     let cluster = start().await;
-    let reader = AdminCalls::new(&cluster, &cluster.plan.reader);
-    let shift = AdminCalls::new(&cluster, &cluster.plan.shift);
-    let stranger = AdminCalls::new(&cluster, "wrong");
+    let reader = OperatorCalls::new(&cluster, 0, &cluster.plan.reader);
+    let shift = OperatorCalls::new(&cluster, 0, &cluster.plan.shift);
+    let stranger = OperatorCalls::new(&cluster, 0, "wrong");
     let revision = reader.get("config").await["revision"]
         .as_u64()
         .expect("a revision is in force");
     assert_eq!(
-        stranger.status("config", switch("a", revision)).await,
+        stranger.post("config", &switch("a", revision)).await.0,
         StatusCode::UNAUTHORIZED
     );
     assert_eq!(
-        reader.status("config", switch("a", revision)).await,
+        reader.post("config", &switch("a", revision)).await.0,
         StatusCode::FORBIDDEN
     );
     assert_eq!(
-        shift.status("config", switch("b", revision)).await,
+        shift.post("config", &switch("b", revision)).await.0,
         StatusCode::OK
     );
     assert_eq!(
-        shift.status("config", switch("b", revision)).await,
+        shift.post("config", &switch("b", revision)).await.0,
         StatusCode::OK,
         "the same change again is the same change"
     );
     assert_eq!(
-        shift.status("config", switch("c", revision)).await,
+        shift.post("config", &switch("c", revision)).await.0,
         StatusCode::CONFLICT
     );
     let report = reader.get("report?by=nonsense").await;
@@ -388,14 +346,11 @@
 #[tokio::test]
 async fn wrong_part_is_refused_with_its_remedy() {
     let cluster = start().await;
-    let chief = AdminCalls::new(&cluster, &cluster.plan.chief);
-    let shift = AdminCalls::new(&cluster, &cluster.plan.shift);
+    let chief = OperatorCalls::new(&cluster, 0, &cluster.plan.chief);
+    let shift = OperatorCalls::new(&cluster, 0, &cluster.plan.shift);
     let wrong = json!({"change": "d", "expect_revision": 1, "parts": {"prices": "[price zinnia-desk]\nper_call = cheap\n"}});
-    assert_eq!(
-        shift.status("config", wrong.clone()).await,
-        StatusCode::FORBIDDEN
-    );
-    let (status, text) = chief.post("config", wrong).await;
+    assert_eq!(shift.post("config", &wrong).await.0, StatusCode::FORBIDDEN);
+    let (status, text) = chief.post("config", &wrong).await;
     assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
     assert!(
         text.contains("prices: [price zinnia-desk] per_call: `cheap` is not a number"),
@@ -411,14 +366,16 @@
 #[tokio::test]
 async fn lead_changes_the_own_team_alone() {
     let cluster = start().await;
-    let lead = AdminCalls::new(&cluster, "aqsu-team-example-token");
+    let lead = OperatorCalls::new(&cluster, 0, "aqsu-team-example-token");
     let account = |change: &str, team: &str| json!({"change": change, "expect_revision": 1, "account": "new", "home": "almaty", "class": "shops", "team": team});
     assert_eq!(
-        lead.status("accounts", account("e", "shymkent-team")).await,
+        lead.post("accounts", &account("e", "shymkent-team"))
+            .await
+            .0,
         StatusCode::FORBIDDEN
     );
     assert_eq!(
-        lead.status("accounts", account("f", "almaty-team")).await,
+        lead.post("accounts", &account("f", "almaty-team")).await.0,
         StatusCode::OK
     );
     let accounts = lead.get("accounts").await;
--- a/crates/zinniahatch_report/src/desk.rs
+++ b/crates/zinniahatch_report/src/desk.rs
@@ -5,6 +5,8 @@
 use crate::HourLedger;
 use zinniahatch_base::prelude::*;
 
+/// Named gaps that can still be taken back.
+const KEPT_GAPS: usize = 64;
 /// Hours in whose values the marks of a shard's last sheet may stand.
 const MINUTES_PER_HOUR: u64 = 60;
 
@@ -34,6 +36,7 @@
     pub hour: u64,
     sheets: Vec<DeskSheet>,
     gaps: Vec<GapNote>,
+    refuted: Vec<GapNote>,
 }
 
 /// Sheets by shard.
@@ -42,6 +45,8 @@
     shards: BTreeMap<u16, BTreeMap<(NodeId, Incarnation, u64), DeskSheet>>,
     heard: BTreeMap<(NodeId, Incarnation), (u64, bool)>,
     gaps: Vec<GapNote>,
+    named: Vec<GapNote>,
+    refuted: Vec<GapNote>,
 }
 
 impl MergeDesk {
@@ -52,7 +57,9 @@
 
     /// Says whether no sheet waits.
     pub fn is_empty(&self) -> bool {
-        self.shards.values().all(BTreeMap::is_empty) && self.gaps.is_empty()
+        self.shards.values().all(BTreeMap::is_empty)
+            && self.gaps.is_empty()
+            && self.refuted.is_empty()
     }
 
     /// Takes a sheet; one that is here already is not taken twice.
@@ -84,6 +91,19 @@
         });
     }
 
+    /// Notes that a node that was judged dead lives: its gap is taken back, for its counts come.
+    pub fn note_alive(&mut self, node: &NodeId, incarnation: Incarnation) {
+        let same = |gap: &GapNote| gap.node == *node && gap.incarnation == incarnation;
+        self.gaps.retain(|gap| !same(gap));
+        for gap in std::mem::take(&mut self.named) {
+            if same(&gap) {
+                self.refuted.push(gap);
+            } else {
+                self.named.push(gap);
+            }
+        }
+    }
+
     /// Gives the writes that are due: for each shard, one for each hour that its sheets touch.
     ///
     /// A sheet's counts and its mark go into one value, the value of the hour of its sealing, in
@@ -100,6 +120,10 @@
             let hour = gap.until / MINUTES_PER_HOUR;
             task(&mut tasks, 0, hour).gaps.push(gap.clone());
         }
+        for gap in &self.refuted {
+            let hour = gap.until / MINUTES_PER_HOUR;
+            task(&mut tasks, 0, hour).refuted.push(gap.clone());
+        }
         tasks.into_values().collect()
     }
 
@@ -115,6 +139,10 @@
             }
         }
         self.gaps.retain(|gap| !task.gaps.contains(gap));
+        self.refuted.retain(|gap| !task.refuted.contains(gap));
+        self.named.extend(task.gaps.iter().cloned());
+        let excess = self.named.len().saturating_sub(KEPT_GAPS);
+        self.named.drain(..excess);
         told.into_iter()
             .map(|((node, incarnation), numbers)| (node, incarnation, numbers))
             .collect()
@@ -141,6 +169,9 @@
             ledger.note_gap(gap.clone());
             changed = true;
         }
+        for gap in &self.refuted {
+            changed |= ledger.take_back(gap);
+        }
         changed
     }
 }
@@ -151,5 +182,6 @@
         hour,
         sheets: Vec::new(),
         gaps: Vec::new(),
+        refuted: Vec::new(),
     })
 }
--- a/crates/zinniahatch_report/src/ledger.rs
+++ b/crates/zinniahatch_report/src/ledger.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Takes a gap back; gives whether it was there.
+    pub fn take_back(&mut self, gap: &GapNote) -> bool {
+        let before = self.gaps.len();
+        self.gaps.retain(|known| known != gap);
+        before != self.gaps.len()
+    }
+
     fn mark(&mut self, node: &str, incarnation: Incarnation) -> &mut MergedMark {
         let known = self
             .marks
--- a/crates/zinniahatch_report/tests/counts.rs
+++ b/crates/zinniahatch_report/tests/counts.rs
@@ -124,6 +124,34 @@
     assert!(ledger.gaps.is_empty());
 }
 
+/// A report names a gap for minutes that it knows all about. A node was frozen, judged failed, and
+/// went on; its counts came, but the note of its death stood in another shard's value.
+#[test]
+fn desk_return_takes_the_gap_back() {
+    let mut desk = MergeDesk::default();
+    let mut ledger = HourLedger::default();
+    let write = |desk: &mut MergeDesk, ledger: &mut HourLedger| {
+        for task in desk.tasks() {
+            task.apply(ledger);
+            desk.done(&task);
+        }
+    };
+    desk.note_death(&"n".into(), 1, 63);
+    write(&mut desk, &mut ledger);
+    assert_eq!(ledger.gaps.len(), 1);
+    desk.note_alive(&"n".into(), 2);
+    write(&mut desk, &mut ledger);
+    assert_eq!(
+        ledger.gaps.len(),
+        1,
+        "another incarnation is another process"
+    );
+    desk.note_alive(&"n".into(), 1);
+    write(&mut desk, &mut ledger);
+    assert!(ledger.gaps.is_empty());
+    assert!(desk.is_empty());
+}
+
 #[test]
 fn desk_death_after_last_counts_names_no_gap() {
     let mut desk = MergeDesk::default();
