--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -38,6 +38,9 @@
     /// one case alone
     #[argh(option)]
     only: Option<String>,
+    /// factor on the load of the fault runs (default: 1)
+    #[argh(option, default = "1.0")]
+    scale: f64,
 }
 
 const EXPERIMENTS: &str = "overhead, faults, policies, shares, spread, verdicts, control-cost";
@@ -64,7 +67,7 @@
                 &FaultRun {
                     seed: args.seed,
                     phase,
-                    scale: 1.0,
+                    scale: args.scale,
                 },
                 only,
             )
