Name the gap of a process that was replaced before its death was judged

A killed node was replaced under its name within the time of a verdict, so the old process was never judged failed and its last counts were gone unnoted. Ruled out: the merger, which had all that was sent. Now a new incarnation in the place of one that had not left is a death; and the note is written by a member other than the one it is about.

--- a/crates/zinniahatch_control/src/node.rs
+++ b/crates/zinniahatch_control/src/node.rs
@@ -278,6 +278,13 @@
         owner_of(duty, &owners).cloned()
     }
 
+    /// Gives the node that does a duty about a member, which is never that member itself.
+    pub fn duty_owner_about(&self, now: Instant, duty: &str, member: &str) -> Option<NodeId> {
+        let mut owners = self.members.owners(now, self.leaving || !self.ready);
+        owners.retain(|name| &**name != member);
+        owner_of(duty, &owners).cloned()
+    }
+
     /// Queues a message for a member, or hands it over directly where it is this node.
     pub fn send_to(&mut self, now: Instant, node: &NodeId, message: NodeMessage) {
         self.deliver(now, node, message);
--- a/crates/zinniahatch_control/src/node/receiving.rs
+++ b/crates/zinniahatch_control/src/node/receiving.rs
@@ -132,6 +132,18 @@
                 .take_directory(now, &about.data_centre, vec![entry]);
             return;
         }
+        // A process that was replaced before its silence was judged died all the same.
+        let before = self
+            .members
+            .entries()
+            .get(&about.sender)
+            .map(|entry| (entry.incarnation, entry.leaving));
+        if let Some((incarnation, false)) = before
+            && incarnation != about.incarnation
+            && self.last_live.contains(&about.sender)
+        {
+            self.output.deaths.push((about.sender.clone(), incarnation));
+        }
         let fresh = self
             .members
             .hear(now, about, note, self.identity.incarnation);
--- a/crates/zinniahatch_control/tests/fake/mod.rs
+++ b/crates/zinniahatch_control/tests/fake/mod.rs
@@ -36,6 +36,7 @@
     pub(crate) cut: BTreeSet<(usize, usize)>,
     pub(crate) requests: BTreeMap<u64, FakeRequest>,
     pub(crate) config: (ConfigHead, PartTexts),
+    pub(crate) deaths: Vec<(Box<str>, u64)>,
     frames: Vec<(usize, FrameParcel)>,
     born: Instant,
     incarnation: u64,
@@ -51,6 +52,7 @@
             cut: BTreeSet::new(),
             requests: BTreeMap::new(),
             config: config(replicas, slots),
+            deaths: Vec::new(),
             frames: Vec::new(),
             born: Instant::now(),
             incarnation: 0,
@@ -130,6 +132,7 @@
                 continue;
             };
             let output = node.tick(self.now);
+            self.deaths.extend(output.deaths);
             self.frames
                 .extend(output.parcels.into_iter().map(|parcel| (index, parcel)));
             for (number, placement) in node.take_decisions() {
--- a/crates/zinniahatch_control/tests/pools.rs
+++ b/crates/zinniahatch_control/tests/pools.rs
@@ -282,3 +282,30 @@
     net.run(Duration::from_secs(20));
     assert!(net.requests[&number].ticket.is_some());
 }
+
+/// A report looks complete although the last counts of a process are gone. It died and was replaced
+/// under the same name before its silence was judged, so nobody noted a death.
+#[test]
+fn tick_names_the_death_of_a_replaced_process() {
+    let mut net = settled(3, 1, 4);
+    let before = net.nodes[2]
+        .as_ref()
+        .expect("the node lives")
+        .identity()
+        .incarnation;
+    net.kill(2);
+    net.run(Duration::from_millis(500));
+    net.start(2, 3);
+    net.run(Duration::from_secs(3));
+    let deaths: Vec<_> = net
+        .deaths
+        .iter()
+        .filter(|(node, incarnation)| **node == *name(2) && *incarnation == before)
+        .collect();
+    assert_eq!(
+        deaths.len(),
+        2,
+        "both others know that the process before is dead: {:?}",
+        net.deaths
+    );
+}
--- a/crates/zinniahatch_daemon/src/counts.rs
+++ b/crates/zinniahatch_daemon/src/counts.rs
@@ -60,7 +60,10 @@
             self.lock().note_alive(&node, incarnation);
         }
         for (node, incarnation) in output.deaths {
-            if owns(core, 0) {
+            let noter = core
+                .control()
+                .duty_owner_about(Instant::now(), &duty(0), &node);
+            if noter.as_ref() == Some(&core.identity.node) {
                 self.lock().note_death(&node, incarnation, epoch_minute());
             }
         }
