Build the keeper's view in one place; remove a function nobody calls

Cause, found on reading the whole change: run_pools wrote the same view out twice and fetched the configuration for each pass, and CountBook::unmerged had no caller. Behaviour is unchanged.

--- a/crates/zinniahatch_control/src/node/pooling.rs
+++ b/crates/zinniahatch_control/src/node/pooling.rs
@@ -2,8 +2,10 @@
 
 use super::ControlNode;
 use super::NodeFrame;
+use super::NodeIdentity;
 use super::NodeMessage;
 use super::RankedKeepers;
+use crate::BackendTable;
 use crate::KeeperView;
 use crate::PoolKeeper;
 use crate::limits::KEEPER_MARGIN;
@@ -11,6 +13,34 @@
 use crate::limits::PAUSE_GAP;
 use crate::members::owner_of;
 use zinniahatch_base::prelude::*;
+use zinniahatch_config::ClusterConfig;
+
+/// What the keeper sees in one tick, however often the pools are run.
+struct PoolRound {
+    now: Instant,
+    stamp: u64,
+    known: BTreeMap<NodeId, Instant>,
+    kept: BTreeSet<ServiceId>,
+}
+
+impl PoolRound {
+    fn view<'a>(
+        &'a self,
+        identity: &'a NodeIdentity,
+        config: &'a ClusterConfig,
+        backends: &'a BackendTable,
+    ) -> KeeperView<'a> {
+        KeeperView {
+            now: self.now,
+            stamp: self.stamp,
+            data_centre: &identity.data_centre,
+            config,
+            backends,
+            known: &self.known,
+            kept: &self.kept,
+        }
+    }
+}
 
 impl ControlNode {
     /// Gives the keeper of each pool; computed anew only when members or services changed.
@@ -55,18 +85,16 @@
             known.entry(name.clone()).or_insert(*at);
         }
         let stamp = self.identity.epoch + now.duration_since(self.started).as_millis() as u64;
+        let round = PoolRound {
+            now,
+            stamp,
+            known,
+            kept,
+        };
+        let config = self.config();
         // Two passes: the first opens a new pool, reports reach it, the second grants.
         for _ in 0..2 {
-            let config = self.config();
-            let view = KeeperView {
-                now,
-                stamp,
-                data_centre: &self.identity.data_centre,
-                config: &config,
-                backends: &self.backends,
-                known: &known,
-                kept: &kept,
-            };
+            let view = round.view(&self.identity, &config, &self.backends);
             let grants = self.keeper.step(&view);
             for (name, grant) in grants {
                 self.deliver(now, &name, NodeMessage::Grant(grant));
@@ -75,16 +103,7 @@
                 self.deliver(now, &keeper, NodeMessage::Report(report));
             }
         }
-        let config = self.config();
-        let view = KeeperView {
-            now,
-            stamp,
-            data_centre: &self.identity.data_centre,
-            config: &config,
-            backends: &self.backends,
-            known: &known,
-            kept: &kept,
-        };
+        let view = round.view(&self.identity, &config, &self.backends);
         for status in self.keeper.statuses(&view) {
             self.pools.insert(status.service.clone(), status);
         }
--- a/crates/zinniahatch_report/src/book.rs
+++ b/crates/zinniahatch_report/src/book.rs
@@ -129,16 +129,4 @@
             book.sealed.retain(|sealed, _| !numbers.contains(sealed));
         }
     }
-
-    /// Gives everything that is not in the store, for a report that wants the newest.
-    pub fn unmerged(&self) -> CountSheet {
-        let mut sheet = CountSheet::default();
-        for shard in &self.shards {
-            sheet.merge(&shard.open);
-            for sealed in shard.sealed.values() {
-                sheet.merge(&sealed.sheet);
-            }
-        }
-        sheet
-    }
 }
