--- a/crates/zinniahatch_base/src/result_code.rs
+++ b/crates/zinniahatch_base/src/result_code.rs
@@ -68,6 +68,7 @@
     KeyForeign = 209, 403, NotRun, "The idempotency key was not made by this system or belongs to another account.";
     KeyReused = 210, 422, NotRun, "The idempotency key was used with another request; this one did not run.";
     KeyBuried = 211, 409, NotRun, "The request under this key was answered as not run and stays so; take a new key.";
+    NoRoute = 212, 404, NotRun, "No route of the desired state matches the host and path.";
     QueueFull = 220, 503, NotRun, "The queue for this service is full.";
     WaitTooLong = 221, 503, NotRun, "The expected wait passes the deadline.";
     DeadlinePassed = 222, 504, NotRun, "The deadline passed before a backend server was free.";
--- a/crates/zinniahatch_config/src/lib.rs
+++ b/crates/zinniahatch_config/src/lib.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod checks;
 mod cluster;
+mod entry;
 mod error;
 mod head;
 mod operators;
@@ -22,6 +23,9 @@
 pub use accounts::split_accounts;
 pub use cluster::ClusterConfig;
 pub use cluster::PartTexts;
+pub use entry::BoundSettings;
+pub use entry::EntrySettings;
+pub use entry::ListenSettings;
 pub use error::ConfigError;
 pub use head::ChangeNote;
 pub use head::ConfigHead;
--- a/crates/zinniahatch_daemon/src/main.rs
+++ b/crates/zinniahatch_daemon/src/main.rs
@@ -6,9 +6,9 @@
 /// Serves callers, operators and other nodes on one entry VM.
 #[derive(FromArgs)]
 struct DaemonArgs {
-    /// the settings file
+    /// the settings file; where it is left out, the platform names it in the environment
     #[argh(option)]
-    config: String,
+    config: Option<String>,
     /// only check the settings file
     #[argh(switch)]
     check: bool,
@@ -16,7 +16,7 @@
 
 fn main() -> ExitCode {
     let args: DaemonArgs = argh::from_env();
-    match zinniahatch_daemon::run_daemon(&args.config, args.check) {
+    match zinniahatch_daemon::run_daemon(args.config, args.check) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("zinniahatchd: {error}");
--- a/crates/zinniahatch_daemon/src/run.rs
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -22,16 +22,19 @@
 use tokio::signal::unix::signal;
 use zinniahatch_base::prelude::*;
 use zinniahatch_config::ConfigError;
+use zinniahatch_config::EntrySettings;
 use zinniahatch_config::NodeSettings;
 use zinniahatch_config::RouteRule;
 use zinniahatch_control::ControlNode;
 use zinniahatch_control::NodeIdentity;
 use zinniahatch_control::RoutePolicy;
 use zinniahatch_control::VerdictPolicy;
+use zinniahatch_entry::run_entry;
 use zinniahatch_gateway::GatewayCore;
 use zinniahatch_gateway::GatewayParts;
 use zinniahatch_gateway::build_service;
 use zinniahatch_platform::HttpStore;
+use zinniahatch_platform::SETTINGS_VARIABLE;
 use zinniahatch_protocol::FrameCodec;
 
 /// Worker threads; an entry VM is small.
@@ -55,9 +58,22 @@
 /// # Errors
 ///
 /// Says why it did not start.
-pub fn run_daemon(file: &str, check: bool) -> Result<(), StartError> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| StartError::Resource(format!("{file}: {error}")))?;
+pub fn run_daemon(file: Option<String>, check: bool) -> Result<(), StartError> {
+    let file = settings_file(file)?;
+    let file = file.as_str();
+    let text = read_file(file)?;
+    if EntrySettings::is_meant(&text) {
+        let settings = EntrySettings::parse(file, &text)?;
+        if check {
+            println!("{file}: the settings are right");
+            return Ok(());
+        }
+        return run_entry(settings, || {
+            let text = read_file(file).map_err(|error| error.to_string())?;
+            EntrySettings::parse(file, &text).map_err(|error| error.to_string())
+        })
+        .map_err(|error| StartError::Resource(format!("{file}: {error}")));
+    }
     let settings = NodeSettings::parse(file, &text)?;
     if check {
         println!("{file}: the settings are right");
@@ -73,6 +89,19 @@
     runtime.block_on(serve(settings))
 }
 
+fn settings_file(file: Option<String>) -> Result<String, StartError> {
+    file.or_else(|| std::env::var(SETTINGS_VARIABLE).ok())
+        .ok_or_else(|| {
+            StartError::Resource(format!(
+                "no settings file; give --config FILE or set {SETTINGS_VARIABLE}"
+            ))
+        })
+}
+
+fn read_file(file: &str) -> Result<String, StartError> {
+    std::fs::read_to_string(file).map_err(|error| StartError::Resource(format!("{file}: {error}")))
+}
+
 async fn serve(settings: NodeSettings) -> Result<(), StartError> {
     let now = Instant::now();
     let core = build_core(settings, now);
--- /dev/null
+++ b/crates/zinniahatch_entry/src/call.rs
@@ -0,0 +1,436 @@
+//! Sending one request to one replica or one other node.
+
+use crate::channel::AnswerHead;
+use crate::channel::BackendChannel;
+use crate::channel::ChannelError;
+use crate::core::EntryCore;
+use crate::pool::PoolError;
+use crate::received::ReceivedCall;
+use crate::refusal::is_own;
+use crate::refusal::retry_hint;
+use crate::refusal::says_not_run;
+use crate::serve::CallPlan;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::StatusCode;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use zinniahatch_base::prelude::*;
+use zinniahatch_platform::CallHeaders;
+use zinniahatch_platform::write_call;
+use zinniahatch_platform::write_forward;
+use zinniahatch_route::AwayChoice;
+use zinniahatch_route::LocalChoice;
+use zinniahatch_route::ModelSample;
+use zinniahatch_route::OpenWork;
+
+/// Header by which a node tells another the version of the desired state it chose by.
+pub(crate) const HOP_VERSION: &str = "zinnia-version";
+/// Header by which a node tells another the service that it chose.
+pub(crate) const HOP_SERVICE: &str = "zinnia-service";
+/// Header by which a node tells another the milliseconds spent on a request.
+pub(crate) const HOP_SPENT: &str = "zinnia-spent-ms";
+/// Channels to one other node at most.
+const PEER_CHANNELS: usize = 500;
+
+/// Why a request got no answer.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum SendFailure {
+    /// Nothing was sent.
+    NotSent(Box<str>),
+    /// The other side promised that it did not run the request.
+    NotRun(Option<Duration>),
+    /// Another replica answers at the address; it did not run the request.
+    WrongReplica,
+    /// It may have run.
+    Unknown(Box<str>),
+}
+
+/// What is noted of a replica while it works on a request.
+#[derive(Debug)]
+struct ReplicaNote {
+    replica: ReplicaId,
+    ticket: u64,
+    work: OpenWork,
+    ahead: u32,
+    cold: bool,
+    first_seen: bool,
+}
+
+/// A request on its way; however it ends, the books are put right when this is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenCall {
+    core: Rc<EntryCore>,
+    address: SocketAddrV4,
+    note: Option<ReplicaNote>,
+    service: ServiceId,
+    sent_at: Instant,
+    channel: Option<BackendChannel>,
+}
+
+impl OpenCall {
+    fn new(core: &Rc<EntryCore>, address: SocketAddrV4, service: &ServiceId) -> Self {
+        Self {
+            core: Rc::clone(core),
+            address,
+            note: None,
+            service: service.clone(),
+            sent_at: Instant::now(),
+            channel: None,
+        }
+    }
+
+    /// Reads some of the answer's body; none at its end.
+    pub(crate) async fn read_body(&mut self) -> Result<Option<Bytes>, ChannelError> {
+        let Some(channel) = self.channel.as_mut() else {
+            return Ok(None);
+        };
+        let piece = channel.read_body().await;
+        if matches!(piece, Ok(Some(_))) {
+            self.note_event();
+        }
+        piece
+    }
+
+    /// Reads the whole body.
+    pub(crate) async fn read_whole(&mut self) -> Result<Bytes, ChannelError> {
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.read_body().await? {
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Notes bytes of the answer; the first teach the model.
+    fn note_event(&mut self) {
+        let Some(note) = self.note.as_mut() else {
+            return;
+        };
+        let now = Instant::now();
+        let mut replicas = self.core.replicas.borrow_mut();
+        if let Some(belief) = replicas.get_mut(&note.replica) {
+            belief.health.note_heard(now);
+        }
+        if note.first_seen {
+            return;
+        }
+        note.first_seen = true;
+        replicas.note_first_event(&note.replica, note.work);
+        if note.cold {
+            return;
+        }
+        let took = now.saturating_duration_since(self.sent_at);
+        let tokens = note.ahead.saturating_add(note.work.tokens);
+        let model = replicas.model(&self.service);
+        let expected = model.expect(tokens);
+        model.learn(ModelSample { tokens, took });
+        if let Some(belief) = replicas.get_mut(&note.replica) {
+            belief.note_pace(expected, took);
+        }
+    }
+
+    /// Notes that the answer is whole and gives the channel back.
+    pub(crate) fn finish(mut self, good: bool) {
+        self.note_health(good);
+        if let Some(channel) = self.channel.take() {
+            self.core.pool.give(self.address, channel, Instant::now());
+        }
+    }
+
+    /// Notes a failure of the replica.
+    pub(crate) fn fail(&self) {
+        self.note_health(false);
+    }
+
+    fn note_health(&self, good: bool) {
+        let Some(note) = &self.note else {
+            return;
+        };
+        let now = Instant::now();
+        let mut replicas = self.core.replicas.borrow_mut();
+        let Some(belief) = replicas.get_mut(&note.replica) else {
+            return;
+        };
+        if good {
+            belief.health.note_good(now);
+        } else {
+            belief.health.note_bad(now);
+        }
+    }
+
+    /// Tells whether the replica has gone silent on everything that this node has there.
+    pub(crate) fn is_suspect(&self) -> bool {
+        let Some(note) = &self.note else {
+            return false;
+        };
+        let replicas = self.core.replicas.borrow();
+        replicas
+            .get(&note.replica)
+            .is_some_and(|belief| belief.health.is_suspect(Instant::now()))
+    }
+
+    /// Gives the replica, where the request went to one.
+    pub(crate) fn replica(&self) -> Option<&ReplicaId> {
+        self.note.as_ref().map(|note| &note.replica)
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        if self.channel.take().is_some() {
+            self.core.pool.lose(self.address);
+        }
+        let Some(note) = &self.note else {
+            return;
+        };
+        self.core.replicas.borrow_mut().note_ended(
+            &note.replica,
+            note.ticket,
+            note.work,
+            note.first_seen,
+        );
+    }
+}
+
+/// Sends a request to a replica of the own region and reads the head of its answer.
+pub(crate) async fn send_local(
+    core: &Rc<EntryCore>,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    choice: &LocalChoice,
+    last_event: Option<&str>,
+) -> Result<(AnswerHead, OpenCall), SendFailure> {
+    let now = Instant::now();
+    let address = {
+        let replicas = core.replicas.borrow();
+        let belief = replicas
+            .get(&choice.replica)
+            .ok_or_else(|| SendFailure::NotSent("the replica is gone".into()))?;
+        belief.entry.address
+    };
+    let mut open = OpenCall::new(core, address, &plan.service);
+    open.note = Some(begin(core, call, plan, choice, now));
+    let share = core.channel_share(&plan.service);
+    let mut channel = match core.pool.take(address, share, now).await {
+        Ok(channel) => channel,
+        Err(error) => return Err(unreached(core, &choice.replica, &error)),
+    };
+    let head = write_call(
+        &call.method,
+        &call.path,
+        &call.headers,
+        &CallHeaders {
+            time_left: plan.deadline.saturating_duration_since(Instant::now()),
+            replica: &choice.replica,
+            rank: plan.rank,
+            last_event,
+        },
+        call.body.len(),
+    );
+    open.sent_at = Instant::now();
+    let used = channel.was_used();
+    let sent = channel.send(&head, &call.body).await;
+    open.channel = Some(channel);
+    let answer = match sent {
+        Ok(()) => read_head(&mut open, call).await,
+        Err(error) => Err(error),
+    };
+    match answer {
+        Ok(head) => sort_answer(core, choice, head, open),
+        Err(error) => {
+            // A kept channel that breaks says little of the replica; it may have closed it.
+            if !used {
+                open.fail();
+            }
+            core.pool.purge(address);
+            Err(SendFailure::Unknown(error.to_string().into()))
+        }
+    }
+}
+
+fn begin(
+    core: &Rc<EntryCore>,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    choice: &LocalChoice,
+    now: Instant,
+) -> ReplicaNote {
+    let ticket = core.ticket();
+    let mut replicas = core.replicas.borrow_mut();
+    let ahead = replicas
+        .get(&choice.replica)
+        .map_or(0, |belief| belief.all_work(now).ahead(plan.urgent));
+    let work = OpenWork {
+        requests: 1,
+        tokens: choice.tokens,
+        urgent_tokens: if plan.urgent { choice.tokens } else { 0 },
+    };
+    replicas.note_sent(
+        &choice.replica,
+        ticket,
+        &call.size,
+        work,
+        plan.spec.kv_tokens,
+        now,
+    );
+    if choice.cold {
+        core.gate.borrow_mut().note(&choice.replica, now);
+    }
+    ReplicaNote {
+        replica: choice.replica.clone(),
+        ticket,
+        work,
+        ahead,
+        cold: choice.cold,
+        first_seen: false,
+    }
+}
+
+fn unreached(core: &Rc<EntryCore>, replica: &ReplicaId, error: &PoolError) -> SendFailure {
+    match error {
+        PoolError::Full => SendFailure::NotSent("this node's channels are in use".into()),
+        PoolError::Unreached(error) => {
+            let now = Instant::now();
+            if let Some(belief) = core.replicas.borrow_mut().get_mut(replica) {
+                belief.health.note_unreachable(now);
+            }
+            core.log.write(
+                "replica-unreached",
+                serde_json::json!({"replica": replica, "error": error.to_string()}),
+            );
+            SendFailure::NotSent(error.to_string().into())
+        }
+    }
+}
+
+async fn read_head(open: &mut OpenCall, call: &ReceivedCall) -> Result<AnswerHead, ChannelError> {
+    match open.channel.as_mut() {
+        Some(channel) => channel.read_head(&call.method, &call.attempt).await,
+        None => Err(ChannelError::Broken("no channel".into())),
+    }
+}
+
+/// Sorts an answer's head: what promises that the request did not run, and the rest.
+fn sort_answer(
+    core: &Rc<EntryCore>,
+    choice: &LocalChoice,
+    head: AnswerHead,
+    mut open: OpenCall,
+) -> Result<(AnswerHead, OpenCall), SendFailure> {
+    let now = Instant::now();
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        let mut replicas = core.replicas.borrow_mut();
+        if let Some(belief) = replicas.get_mut(&choice.replica) {
+            belief.leaving = Some(zinniahatch_route::LeaveReason::Replaced);
+        }
+        drop(replicas);
+        core.log.write(
+            "replica-replaced",
+            serde_json::json!({"replica": choice.replica, "answered_by": head.marks.replica}),
+        );
+        return Err(SendFailure::WrongReplica);
+    }
+    {
+        let mut replicas = core.replicas.borrow_mut();
+        if let Some(belief) = replicas.get_mut(&choice.replica) {
+            belief.health.note_heard(now);
+            if let Some((running, waiting, _)) = head.marks.load {
+                belief.reported = Some((running, waiting, now));
+            }
+        }
+    }
+    if head.marks.not_run {
+        let hint = retry_hint(&head.headers);
+        if head.status == StatusCode::BAD_REQUEST {
+            return Ok((head, open));
+        }
+        open.note_refused();
+        return Err(SendFailure::NotRun(hint));
+    }
+    Ok((head, open))
+}
+
+impl OpenCall {
+    /// Notes that the replica refused: it lives, and its queue is fuller than was believed.
+    fn note_refused(&mut self) {
+        let Some(note) = &self.note else {
+            return;
+        };
+        let now = Instant::now();
+        let mut replicas = self.core.replicas.borrow_mut();
+        let Some(belief) = replicas.get_mut(&note.replica) else {
+            return;
+        };
+        belief.health.note_heard(now);
+        belief.refused_at = Some(now);
+    }
+}
+
+/// Forwards a request to a node of another region and reads the head of its answer.
+pub(crate) async fn send_away(
+    core: &Rc<EntryCore>,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    choice: &AwayChoice,
+    last_event: Option<&str>,
+) -> Result<(AnswerHead, OpenCall), SendFailure> {
+    let now = Instant::now();
+    let address = core
+        .members
+        .borrow()
+        .known()
+        .find(|card| card.node == choice.node)
+        .map(|card| card.peer)
+        .ok_or_else(|| SendFailure::NotSent("the node is gone".into()))?;
+    let mut open = OpenCall::new(core, address, &plan.service);
+    let mut channel = match core.pool.take(address, PEER_CHANNELS, now).await {
+        Ok(channel) => channel,
+        Err(error) => {
+            core.members
+                .borrow_mut()
+                .note_unreachable(&choice.node, now);
+            return Err(SendFailure::NotSent(format!("{error:?}").into()));
+        }
+    };
+    let spent = now.saturating_duration_since(call.arrived);
+    let own = [
+        (HOP_VERSION, plan.version.to_string().into()),
+        (HOP_SERVICE, plan.service.clone()),
+        (HOP_SPENT, spent.as_millis().to_string().into()),
+    ];
+    let head = write_forward(
+        &call.method,
+        &call.path,
+        &call.headers,
+        plan.deadline.saturating_duration_since(Instant::now()),
+        last_event,
+        &own,
+        call.body.len(),
+    );
+    let sent = channel.send(&head, &call.body).await;
+    open.channel = Some(channel);
+    let answer = match sent {
+        Ok(()) => read_head(&mut open, call).await,
+        Err(error) => Err(error),
+    };
+    let head = match answer {
+        Ok(head) => head,
+        Err(error) => {
+            core.pool.purge(address);
+            return Err(SendFailure::Unknown(error.to_string().into()));
+        }
+    };
+    if !is_own(&head.headers) {
+        return Ok((head, open));
+    }
+    let hint = retry_hint(&head.headers);
+    let not_run = says_not_run(&head.headers);
+    // The short body is read, so that the channel can be kept.
+    if open.read_whole().await.is_ok() {
+        open.finish(true);
+    }
+    if not_run {
+        return Err(SendFailure::NotRun(hint));
+    }
+    Err(SendFailure::Unknown("the other node does not know".into()))
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/chunks.rs
@@ -0,0 +1,98 @@
+//! The chunked body coding, read incrementally.
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Longest line of a chunk size or trailer; anything longer is no chunked body.
+const LONGEST_LINE: usize = 8 << 10;
+
+/// Where a chunked body stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ChunkState {
+    /// Before a size line.
+    Size,
+    /// Inside a chunk, with so many bytes to come.
+    Data(u64),
+    /// Before the line end after a chunk.
+    DataEnd,
+    /// In the trailer.
+    Trailer,
+    /// After the end.
+    Done,
+}
+
+/// What could be taken from the buffer.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum ChunkStep {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// More bytes are needed.
+    More,
+    /// The body is complete.
+    End,
+    /// This is no chunked body.
+    Malformed,
+}
+
+impl ChunkState {
+    /// Takes what it can from the buffer.
+    pub(crate) fn step(&mut self, buffer: &mut BytesMut) -> ChunkStep {
+        loop {
+            match *self {
+                Self::Size => match httparse::parse_chunk_size(buffer) {
+                    Ok(httparse::Status::Complete((used, size))) => {
+                        buffer.advance(used);
+                        *self = if size == 0 {
+                            Self::Trailer
+                        } else {
+                            Self::Data(size)
+                        };
+                    }
+                    Ok(httparse::Status::Partial) if buffer.len() < LONGEST_LINE => {
+                        return ChunkStep::More;
+                    }
+                    _ => return ChunkStep::Malformed,
+                },
+                Self::Data(left) => {
+                    if buffer.is_empty() {
+                        return ChunkStep::More;
+                    }
+                    let take = buffer
+                        .len()
+                        .min(usize::try_from(left).unwrap_or(usize::MAX));
+                    let rest = left - take as u64;
+                    *self = if rest == 0 {
+                        Self::DataEnd
+                    } else {
+                        Self::Data(rest)
+                    };
+                    return ChunkStep::Data(buffer.split_to(take).freeze());
+                }
+                Self::DataEnd => {
+                    if buffer.len() < 2 {
+                        return ChunkStep::More;
+                    }
+                    if &buffer[..2] != b"\r\n" {
+                        return ChunkStep::Malformed;
+                    }
+                    buffer.advance(2);
+                    *self = Self::Size;
+                }
+                Self::Trailer => {
+                    let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
+                        if buffer.len() > LONGEST_LINE {
+                            return ChunkStep::Malformed;
+                        }
+                        return ChunkStep::More;
+                    };
+                    buffer.advance(end + 2);
+                    if end == 0 {
+                        *self = Self::Done;
+                    }
+                }
+                Self::Done => return ChunkStep::End,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -0,0 +1,203 @@
+//! What the tasks of one process share.
+
+use crate::decision_log::DecisionLog;
+use crate::metrics::EntryMetrics;
+use crate::pool::ChannelPool;
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use tokio::sync::watch;
+use zinniahatch_base::prelude::*;
+use zinniahatch_config::EntrySettings;
+use zinniahatch_platform::KvClient;
+use zinniahatch_route::ColdGate;
+use zinniahatch_route::DesiredService;
+use zinniahatch_route::DesiredState;
+use zinniahatch_route::MemberCard;
+use zinniahatch_route::MemberTable;
+use zinniahatch_route::RepeatBudget;
+use zinniahatch_route::ReplicaTable;
+use zinniahatch_route::RouteTable;
+use zinniahatch_route::ServiceDigest;
+
+/// How far a process is with stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum StopPhase {
+    /// It serves.
+    Serving,
+    /// It says that it is not ready, and serves whoever comes all the same.
+    Leaving,
+    /// It takes no new requests and closes idle channels.
+    Closing,
+}
+
+/// The shared state; one thread uses it, so cells and not locks guard it.
+#[derive(Debug)]
+pub(crate) struct EntryCore {
+    pub(crate) settings: EntrySettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
+    pub(crate) routes: RefCell<Rc<RouteTable>>,
+    pub(crate) replicas: RefCell<ReplicaTable>,
+    pub(crate) members: RefCell<MemberTable>,
+    pub(crate) gate: RefCell<ColdGate>,
+    pub(crate) budgets: RefCell<BTreeMap<ServiceId, RepeatBudget>>,
+    /// Where other nodes may listen, from the store and from other nodes.
+    pub(crate) contacts: RefCell<BTreeSet<SocketAddrV4>>,
+    pub(crate) pool: ChannelPool,
+    pub(crate) store: KvClient,
+    pub(crate) log: DecisionLog,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) phase: watch::Sender<StopPhase>,
+    /// Whether the replicas have been listed, from the store or a peer.
+    pub(crate) listed: Cell<bool>,
+    /// Requests in progress.
+    pub(crate) open_calls: Cell<usize>,
+    tickets: Cell<u64>,
+}
+
+impl EntryCore {
+    /// Makes the state of a fresh process.
+    pub(crate) fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        metrics: EntryMetrics,
+    ) -> Self {
+        let log = DecisionLog::new(settings.name.clone(), settings.log_budget);
+        let store = KvClient::new(&settings.store.to_string());
+        Self {
+            incarnation,
+            desired: RefCell::default(),
+            routes: RefCell::default(),
+            replicas: RefCell::default(),
+            members: RefCell::default(),
+            gate: RefCell::default(),
+            budgets: RefCell::default(),
+            contacts: RefCell::default(),
+            pool: ChannelPool::default(),
+            store,
+            log,
+            metrics,
+            phase: watch::Sender::new(StopPhase::Serving),
+            listed: Cell::new(false),
+            open_calls: Cell::new(0),
+            tickets: Cell::new(0),
+            settings,
+        }
+    }
+
+    /// Gives a number that no other request of this process has.
+    pub(crate) fn ticket(&self) -> u64 {
+        let ticket = self.tickets.get() + 1;
+        self.tickets.set(ticket);
+        ticket
+    }
+
+    /// Gives the phase of stopping.
+    pub(crate) fn phase(&self) -> StopPhase {
+        *self.phase.borrow()
+    }
+
+    /// Tells whether callers should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == StopPhase::Serving && self.listed.get() && self.desired.borrow().is_some()
+    }
+
+    /// Gives the version of the desired state; 0 while none is known.
+    pub(crate) fn version(&self) -> u64 {
+        self.routes.borrow().version()
+    }
+
+    /// Puts a desired state in force unless it is older than the one in force.
+    ///
+    /// Stale reads, late answers and peers that are behind may show an older one; going back
+    /// would serve callers by rules that were already replaced.
+    pub(crate) fn adopt(&self, state: DesiredState, source: &'static str) -> bool {
+        if self.desired.borrow().is_some() && state.version <= self.version() {
+            return false;
+        }
+        self.log.write(
+            "version",
+            serde_json::json!({"from": self.version(), "to": state.version, "source": source,
+                "routes": state.routes.len()}),
+        );
+        *self.routes.borrow_mut() = Rc::new(RouteTable::new(&state));
+        *self.desired.borrow_mut() = Some(Rc::new(state));
+        true
+    }
+
+    /// Gives what the desired state says of a service.
+    pub(crate) fn service(&self, name: &str) -> Option<DesiredService> {
+        let desired = self.desired.borrow();
+        desired.as_ref()?.services.get(name).cloned()
+    }
+
+    /// Runs a function on the repeat budget of a service.
+    pub(crate) fn with_budget<T>(
+        &self,
+        service: &ServiceId,
+        run: impl FnOnce(&mut RepeatBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let bounds = &self.settings.bounds;
+            let nodes = self.members.borrow().known().count() + 1;
+            RepeatBudget::new(
+                bounds.repeat_window,
+                bounds.repeat_ratio,
+                bounds.repeat_slack,
+                nodes.max(LEAST_NODES),
+            )
+        });
+        run(budget)
+    }
+
+    /// Gives this node's part of the channels that one replica accepts.
+    pub(crate) fn channel_share(&self, service: &str) -> usize {
+        let most = self.service(service).map_or(0, |entry| entry.max_channels);
+        if most == 0 {
+            return UNBOUNDED_CHANNELS;
+        }
+        let peers = self.members.borrow().names_in(&self.settings.region);
+        let nodes = peers.len().max(1) + 1;
+        ((f64::from(most) * CHANNEL_PART / nodes as f64) as usize).max(1)
+    }
+
+    /// Gives what this node tells the others of itself.
+    pub(crate) fn card(&self, now: Instant) -> MemberCard {
+        let replicas = self.replicas.borrow();
+        let names: BTreeSet<&ServiceId> = replicas
+            .rows()
+            .map(|belief| &belief.entry.service)
+            .collect();
+        let region = &self.settings.region;
+        let services = names
+            .into_iter()
+            .map(|name| {
+                let digest =
+                    ServiceDigest::of(&replicas, &self.settings.regions, name, region, now);
+                (tag_of(name), digest)
+            })
+            .collect();
+        MemberCard {
+            node: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            region: region.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            front: self.settings.listen.front,
+            peer: self.settings.listen.peer,
+            ready: self.is_ready(),
+            version: self.version(),
+            services,
+        }
+    }
+}
+
+/// Nodes that share a budget at least, before the others are known: a process that has just
+/// started must not take the whole slack for itself.
+const LEAST_NODES: usize = 10;
+/// Part of a replica's channels that nodes use; a restarted node's old ones linger for a while.
+const CHANNEL_PART: f64 = 0.85;
+/// Channels to one replica where the service names no bound.
+const UNBOUNDED_CHANNELS: usize = 1_000;
--- /dev/null
+++ b/crates/zinniahatch_entry/src/decision_log.rs
@@ -0,0 +1,108 @@
+//! The decision log: JSON lines on standard output, bounded and never blocking.
+//!
+//! Each kind of line has a budget a second; what is left out is counted and told with the next
+//! line of that kind. Lines go through a bounded queue to a writer thread, and a full queue drops
+//! lines and counts them, so that a stuck reader of the output cannot stop a request.
+
+use serde::Serialize;
+use std::cell::RefCell;
+use std::io::Write;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+use tracing_appender::non_blocking::NonBlocking;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+use tracing_appender::non_blocking::WorkerGuard;
+use zinniahatch_base::prelude::*;
+
+/// Lines that wait for the writer at most.
+const QUEUED_LINES: usize = 2_000;
+
+/// The budget of one kind of line.
+#[derive(Debug, Default)]
+struct KindBudget {
+    second: u64,
+    written: u32,
+    left_out: u64,
+}
+
+/// The log of one process.
+#[derive(Debug)]
+pub(crate) struct DecisionLog {
+    writer: RefCell<NonBlocking>,
+    budgets: RefCell<BTreeMap<&'static str, KindBudget>>,
+    budget: u32,
+    node: NodeId,
+    _guard: WorkerGuard,
+}
+
+#[derive(Serialize)]
+struct LogLine<'a, T: Serialize> {
+    time_ms: u64,
+    node: &'a str,
+    kind: &'static str,
+    #[serde(skip_serializing_if = "is_zero")]
+    left_out: u64,
+    #[serde(flatten)]
+    fields: T,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
+impl DecisionLog {
+    /// Starts the log.
+    pub(crate) fn new(node: NodeId, budget: u32) -> Self {
+        let (writer, guard) = NonBlockingBuilder::default()
+            .buffered_lines_limit(QUEUED_LINES)
+            .lossy(true)
+            .thread_name("log")
+            .finish(std::io::stdout());
+        Self {
+            writer: RefCell::new(writer),
+            budgets: RefCell::default(),
+            budget,
+            node,
+            _guard: guard,
+        }
+    }
+
+    /// Writes a line if the budget of its kind allows it.
+    pub(crate) fn write(&self, kind: &'static str, fields: impl Serialize) {
+        let millis = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |age| age.as_millis() as u64);
+        let Some(left_out) = self.admit(kind, millis / 1_000) else {
+            return;
+        };
+        let line = LogLine {
+            time_ms: millis,
+            node: &self.node,
+            kind,
+            left_out,
+            fields,
+        };
+        let Ok(mut text) = serde_json::to_vec(&line) else {
+            return;
+        };
+        text.push(b'\n');
+        // The writer is lossy by intent; it reports no error for a dropped line.
+        let _ = self.writer.borrow_mut().write_all(&text);
+    }
+
+    fn admit(&self, kind: &'static str, second: u64) -> Option<u64> {
+        let mut budgets = self.budgets.borrow_mut();
+        let row = budgets.entry(kind).or_default();
+        if row.second != second {
+            row.second = second;
+            row.written = 0;
+        }
+        if row.written >= self.budget {
+            row.left_out += 1;
+            return None;
+        }
+        row.written += 1;
+        Some(std::mem::take(&mut row.left_out))
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/ingress.rs
@@ -0,0 +1,153 @@
+//! Requests of callers and of other nodes, read whole and handed to `serve`.
+
+use crate::answer::AnswerBody;
+use crate::call::HOP_SERVICE;
+use crate::call::HOP_SPENT;
+use crate::call::HOP_VERSION;
+use crate::core::EntryCore;
+use crate::core::StopPhase;
+use crate::received::ForwardNote;
+use crate::received::ReceivedCall;
+use crate::received::RequestHop;
+use crate::refusal::own_answer;
+use crate::serve::serve;
+use crate::snapshot::SNAPSHOT_PATH;
+use crate::snapshot::encode_snapshot;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use std::rc::Rc;
+use tokio::time::timeout;
+use zinniahatch_base::prelude::*;
+use zinniahatch_platform::forwarded;
+use zinniahatch_platform::idle_limit_header;
+use zinniahatch_platform::read_caller;
+use zinniahatch_route::CallerLimits;
+
+/// Time for a body to arrive; callers who take longer hold memory for nothing.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Who speaks on a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallerSide {
+    /// Callers.
+    Front,
+    /// Other nodes.
+    Peer,
+}
+
+/// Gives the limits in force.
+pub(crate) fn limits(core: &EntryCore) -> CallerLimits {
+    let desired = core.desired.borrow();
+    desired
+        .as_ref()
+        .map_or_else(CallerLimits::default, |state| state.limits.clone())
+}
+
+/// Answers one request.
+pub(crate) async fn answer(
+    core: Rc<EntryCore>,
+    side: CallerSide,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if side == CallerSide::Peer && request.uri().path() == SNAPSHOT_PATH {
+        return Response::new(AnswerBody::whole(encode_snapshot(&core)));
+    }
+    let arrived = Instant::now();
+    let limits = limits(&core);
+    let mut response = match receive(side, request, &limits, arrived).await {
+        Ok(call) => serve(&core, call).await,
+        Err(code) => {
+            core.metrics.note_answer("", code.name());
+            core.log
+                .write("unread", serde_json::json!({"result": code.number()}));
+            own_answer(code, None, None)
+        }
+    };
+    let headers = response.headers_mut();
+    if core.phase() >= StopPhase::Leaving {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    } else {
+        let (name, value) = idle_limit_header(limits.idle_timeout);
+        headers.insert(name, value);
+    }
+    response
+}
+
+async fn receive(
+    side: CallerSide,
+    request: Request<Incoming>,
+    limits: &CallerLimits,
+    arrived: Instant,
+) -> Result<ReceivedCall, ResultCode> {
+    let (parts, body) = request.into_parts();
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .ok_or(ResultCode::BadRequest)?
+        .into();
+    let caller = read_caller(&parts.headers).map_err(|_| ResultCode::BadRequest)?;
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .into();
+    let body = read_body(&parts.headers, body, limits.max_body_bytes).await?;
+    let hop = match side {
+        CallerSide::Front => RequestHop::Direct,
+        CallerSide::Peer => RequestHop::Forwarded(read_note(&parts.headers)),
+    };
+    let mut headers = forwarded(&parts.headers);
+    for own in [HOP_VERSION, HOP_SERVICE, HOP_SPENT] {
+        headers.remove(own);
+    }
+    Ok(ReceivedCall {
+        attempt: caller.attempt,
+        hop,
+        method: parts.method,
+        host,
+        path,
+        headers,
+        body,
+        arrived,
+        time_left: caller.time_left,
+        size: caller.size,
+        last_event: caller.last_event,
+    })
+}
+
+fn read_note(headers: &HeaderMap) -> ForwardNote {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let number = |name| text(name).and_then(|value| value.parse().ok()).unwrap_or(0);
+    ForwardNote {
+        version: number(HOP_VERSION),
+        service: text(HOP_SERVICE).unwrap_or_default().into(),
+        spent: Duration::from_millis(number(HOP_SPENT)),
+    }
+}
+
+async fn read_body(headers: &HeaderMap, body: Incoming, most: usize) -> Result<Bytes, ResultCode> {
+    let told = headers
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse::<usize>().ok());
+    if told.is_some_and(|length| length > most) {
+        return Err(ResultCode::BodyTooLarge);
+    }
+    let collected = timeout(BODY_TIME, Limited::new(body, most).collect())
+        .await
+        .map_err(|_| ResultCode::BodyTooSlow)?;
+    match collected {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
+        Err(_) => Err(ResultCode::BadRequest),
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/membership.rs
@@ -0,0 +1,81 @@
+//! This node's key in the store, by which nodes find each other when the seeds are gone.
+
+use crate::core::EntryCore;
+use crate::core::StopPhase;
+use crate::watch::NODE_PREFIX;
+use std::rc::Rc;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+use zinniahatch_platform::CommitOutcome;
+use zinniahatch_platform::KvError;
+use zinniahatch_platform::StoreCommit;
+
+/// Time for which the key outlives its node. Liveness is told by datagrams; the key only has to
+/// be gone before callers are told of a node that ended nine seconds ago.
+const KEY_TIME: Duration = Duration::from_secs(6);
+/// Time between renewals: two may be lost.
+const RENEW_TIME: Duration = Duration::from_secs(2);
+/// Pause after a failure.
+const RETRY_TIME: Duration = Duration::from_millis(900);
+
+/// Keeps the key until the node leaves, then removes it.
+pub(crate) async fn run_membership(core: Rc<EntryCore>) {
+    let mut phases = core.phase.subscribe();
+    let leaving = phases.wait_for(|phase| *phase != StopPhase::Serving);
+    tokio::pin!(leaving);
+    let mut lease = None;
+    loop {
+        let pause = match renew(&core, lease).await {
+            Ok(held) => {
+                lease = held;
+                if held.is_some() {
+                    RENEW_TIME
+                } else {
+                    RETRY_TIME
+                }
+            }
+            Err(error) => {
+                core.metrics.note_store("lease", "failed");
+                core.log.write(
+                    "lease-failed",
+                    serde_json::json!({"lease": lease, "error": error.to_string()}),
+                );
+                RETRY_TIME
+            }
+        };
+        tokio::select! {
+            _ = &mut leaving => break,
+            () = sleep(pause) => {}
+        }
+    }
+    if let Some(lease) = lease
+        && let Err(error) = core.store.end(lease).await
+    {
+        core.log.write(
+            "lease-failed",
+            serde_json::json!({"lease": lease, "error": error.to_string()}),
+        );
+    }
+}
+
+/// Renews the lease, or takes one and binds the key to it; none where it has to be tried again.
+async fn renew(core: &Rc<EntryCore>, lease: Option<u64>) -> Result<Option<u64>, KvError> {
+    if let Some(lease) = lease {
+        core.metrics.note_store("renew", "done");
+        if core.store.keep(lease).await? {
+            return Ok(Some(lease));
+        }
+        core.log
+            .write("lease-lapsed", serde_json::json!({"lease": lease}));
+    }
+    let time = KEY_TIME.max(core.settings.lease_least);
+    let granted = core.store.grant(time).await?;
+    let key = format!("{NODE_PREFIX}{}", core.settings.name);
+    let value = core.settings.listen.peer.to_string();
+    let commit = StoreCommit::new().set(&key, value.as_bytes(), Some(granted.id));
+    core.metrics.note_store("register", "done");
+    match core.store.commit(&commit).await? {
+        CommitOutcome::Done(_) => Ok(Some(granted.id)),
+        CommitOutcome::Conflict | CommitOutcome::NoLease => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -0,0 +1,119 @@
+//! Counters and histograms of an entry VM.
+
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use zinniahatch_base::prelude::*;
+
+/// Upper bounds of the latency buckets, in seconds: from a lookup to the longest stream.
+const BUCKETS: [f64; 11] = [0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 2.0, 5.0, 15.0];
+
+/// All metrics.
+#[derive(Debug)]
+pub(crate) struct EntryMetrics {
+    registry: Registry,
+    answers: IntCounterVec,
+    repeats: IntCounterVec,
+    away: IntCounterVec,
+    platform: IntCounterVec,
+    first_event: HistogramVec,
+    channels: IntGauge,
+}
+
+impl EntryMetrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// A name is taken or wrong.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let vec = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vec.clone()))?;
+            Ok::<_, prometheus::Error>(vec)
+        };
+        let answers = counter(
+            "zinniahatch_answers_total",
+            "Answers to callers and other nodes, by service and result.",
+            &["service", "result"],
+        )?;
+        let repeats = counter(
+            "zinniahatch_repeats_total",
+            "Requests sent once more, by service and reason.",
+            &["service", "reason"],
+        )?;
+        let away = counter(
+            "zinniahatch_away_total",
+            "Requests sent to a node of another region, by service and region.",
+            &["service", "region"],
+        )?;
+        let platform = counter(
+            "zinniahatch_store_calls_total",
+            "Calls to the platform's store, by call and outcome.",
+            &["call", "outcome"],
+        )?;
+        let first_event = HistogramVec::new(
+            HistogramOpts::new(
+                "zinniahatch_first_event_seconds",
+                "Time from the arrival of a request to the first event of its answer.",
+            )
+            .buckets(BUCKETS.to_vec()),
+            &["service"],
+        )?;
+        registry.register(Box::new(first_event.clone()))?;
+        let channels = IntGauge::new(
+            "zinniahatch_backend_channels",
+            "Open channels to backend servers and other nodes.",
+        )?;
+        registry.register(Box::new(channels.clone()))?;
+        Ok(Self {
+            registry,
+            answers,
+            repeats,
+            away,
+            platform,
+            first_event,
+            channels,
+        })
+    }
+
+    /// Counts an answer.
+    pub(crate) fn note_answer(&self, service: &str, result: &str) {
+        self.answers.with_label_values(&[service, result]).inc();
+    }
+
+    /// Counts a request that is sent once more.
+    pub(crate) fn note_repeat(&self, service: &str, reason: &str) {
+        self.repeats.with_label_values(&[service, reason]).inc();
+    }
+
+    /// Counts a request that goes away.
+    pub(crate) fn note_away(&self, service: &str, region: &str) {
+        self.away.with_label_values(&[service, region]).inc();
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn note_store(&self, call: &str, outcome: &str) {
+        self.platform.with_label_values(&[call, outcome]).inc();
+    }
+
+    /// Notes the time to a first event.
+    pub(crate) fn note_first_event(&self, service: &str, took: Duration) {
+        self.first_event
+            .with_label_values(&[service])
+            .observe(took.as_secs_f64());
+    }
+
+    /// Gives all metrics as text.
+    pub(crate) fn text(&self, channels: usize) -> String {
+        self.channels.set(channels as i64);
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/probe.rs
@@ -0,0 +1,75 @@
+//! Probing the replicas that are suspected, and only those: each probe has its price.
+
+use crate::channel::BackendChannel;
+use crate::core::EntryCore;
+use http::Method;
+use http::StatusCode;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use zinniahatch_base::prelude::*;
+
+/// Pause between probes of one replica.
+const PROBE_PAUSE: Duration = Duration::from_millis(600);
+/// Time for a probe; a health check takes a millisecond.
+const PROBE_TIME: Duration = Duration::from_millis(500);
+
+/// Probes suspects until the process ends.
+pub(crate) async fn run_probes(core: Rc<EntryCore>) {
+    loop {
+        sleep(PROBE_PAUSE).await;
+        for (replica, address, path) in suspects(&core) {
+            tokio::task::spawn_local(probe(Rc::clone(&core), replica, address, path));
+        }
+    }
+}
+
+fn suspects(core: &EntryCore) -> Vec<(ReplicaId, SocketAddrV4, Box<str>)> {
+    let now = Instant::now();
+    let replicas = core.replicas.borrow();
+    replicas
+        .rows()
+        .filter(|belief| belief.leaving.is_none() && belief.health.is_suspect(now))
+        .filter(|belief| {
+            core.settings.regions.get(&belief.entry.data_centre) == Some(&core.settings.region)
+        })
+        .map(|belief| {
+            let path = core
+                .service(&belief.entry.service)
+                .map(|service| service.health_path)
+                .unwrap_or_default();
+            (belief.entry.id.clone(), belief.entry.address, path)
+        })
+        .collect()
+}
+
+async fn probe(core: Rc<EntryCore>, replica: ReplicaId, address: SocketAddrV4, path: Box<str>) {
+    let sound = timeout(PROBE_TIME, ask_health(address, &path))
+        .await
+        .unwrap_or(false);
+    let now = Instant::now();
+    if let Some(belief) = core.replicas.borrow_mut().get_mut(&replica) {
+        if sound {
+            belief.health.note_probed(now);
+        } else {
+            belief.health.note_unreachable(now);
+        }
+    }
+    core.log.write(
+        "probe",
+        serde_json::json!({"replica": replica, "sound": sound}),
+    );
+}
+
+async fn ask_health(address: SocketAddrV4, path: &str) -> bool {
+    let Ok(mut channel) = BackendChannel::connect(address, PROBE_TIME).await else {
+        return false;
+    };
+    let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    if channel.send(head.as_bytes(), &[]).await.is_err() {
+        return false;
+    }
+    let answer = channel.read_head(&Method::GET, "").await;
+    answer.is_ok_and(|head| head.status == StatusCode::OK)
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/received.rs
@@ -0,0 +1,70 @@
+//! One typed request, whichever interface it came by.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::PromptSize;
+
+/// How a request reached this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum RequestHop {
+    /// From its caller.
+    Direct,
+    /// From another node, which chose this region. It is placed here or refused: nothing that was
+    /// forwarded is forwarded again, so that no request goes round in a loop.
+    Forwarded(ForwardNote),
+}
+
+/// What the first node says of a request that it forwards.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ForwardNote {
+    /// The version of the desired state by which it chose.
+    pub(crate) version: u64,
+    /// The service that it chose.
+    pub(crate) service: ServiceId,
+    /// Time spent there, which counts towards the goal.
+    pub(crate) spent: Duration,
+}
+
+/// A request that was read whole.
+#[derive(Clone, Debug)]
+pub(crate) struct ReceivedCall {
+    /// Id of this attempt of the caller.
+    pub(crate) attempt: RequestId,
+    /// How it came.
+    pub(crate) hop: RequestHop,
+    /// Its method.
+    pub(crate) method: Method,
+    /// The host that it names.
+    pub(crate) host: Box<str>,
+    /// Path and query, as they were sent.
+    pub(crate) path: Box<str>,
+    /// The headers that go on to a replica.
+    pub(crate) headers: HeaderMap,
+    /// The body.
+    pub(crate) body: Bytes,
+    /// When it arrived.
+    pub(crate) arrived: Instant,
+    /// How long the caller will wait from then.
+    pub(crate) time_left: Option<Duration>,
+    /// Tokens and prompt parts.
+    pub(crate) size: PromptSize,
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<Box<str>>,
+}
+
+impl ReceivedCall {
+    /// Gives the time spent on the request at the node before this one.
+    pub(crate) fn spent_before(&self) -> Duration {
+        match &self.hop {
+            RequestHop::Direct => Duration::ZERO,
+            RequestHop::Forwarded(note) => note.spent,
+        }
+    }
+
+    /// Tells whether it may be forwarded.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.hop == RequestHop::Direct
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/relay.rs
@@ -0,0 +1,149 @@
+//! Passing a stream on as it arrives, and resuming it at another replica where that is allowed.
+
+use crate::answer::CutOff;
+use crate::call::OpenCall;
+use crate::core::EntryCore;
+use crate::events::EventSplitter;
+use crate::received::ReceivedCall;
+use crate::serve::CallCount;
+use crate::serve::CallCourse;
+use crate::serve::CallPlan;
+use crate::serve::resume;
+use bytes::Bytes;
+use std::rc::Rc;
+use tokio::sync::mpsc::Sender;
+use tokio::time::sleep_until;
+use tokio::time::timeout_at;
+use zinniahatch_base::prelude::*;
+
+/// How often a stream looks whether its replica has gone silent.
+const LOOK_TIME: Duration = Duration::from_millis(250);
+
+/// A stream on its way to its caller.
+pub(crate) struct StreamRelay {
+    pub(crate) core: Rc<EntryCore>,
+    pub(crate) call: Rc<ReceivedCall>,
+    pub(crate) plan: Rc<CallPlan>,
+    pub(crate) course: CallCourse,
+    pub(crate) sender: Sender<Result<Bytes, CutOff>>,
+    pub(crate) count: CallCount,
+}
+
+/// Why a stream stopped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum RelayEnd {
+    /// It is whole.
+    Whole,
+    /// The caller left.
+    CallerGone,
+    /// Its time is over.
+    Deadline,
+    /// The replica broke off, or went silent.
+    Broken(Box<str>),
+}
+
+impl StreamRelay {
+    /// Passes on a stream to its end.
+    pub(crate) async fn run(mut self, mut open: OpenCall) {
+        let mut splitter = EventSplitter::after(self.call.last_event.clone());
+        let end = loop {
+            let end = self.pass(&mut open, &mut splitter).await;
+            let RelayEnd::Broken(reason) = &end else {
+                break end;
+            };
+            open.fail();
+            if !self.plan.route.resumable {
+                break end;
+            }
+            splitter.drop_torn();
+            let reason = reason.clone();
+            // The old run must stop before another goes on: its channel is closed first.
+            drop(open);
+            let resumed = resume(
+                &self.core,
+                &self.call,
+                &self.plan,
+                &mut self.course,
+                splitter.last_id(),
+                &reason,
+            )
+            .await;
+            match resumed {
+                Some(next) => open = next,
+                None => {
+                    self.finish(&end).await;
+                    return;
+                }
+            }
+        };
+        if end == RelayEnd::Whole {
+            open.finish(true);
+        } else {
+            drop(open);
+        }
+        self.finish(&end).await;
+    }
+
+    async fn finish(&self, end: &RelayEnd) {
+        let result = match end {
+            RelayEnd::Whole => ResultCode::Answered,
+            RelayEnd::CallerGone => ResultCode::CallerGone,
+            RelayEnd::Deadline => ResultCode::DeadlineRunning,
+            RelayEnd::Broken(_) => ResultCode::AnswerCutOff,
+        };
+        self.core
+            .metrics
+            .note_answer(&self.plan.service, result.name());
+        if *end != RelayEnd::Whole {
+            self.core.log.write(
+                "stream-end",
+                serde_json::json!({"request": self.call.attempt, "result": result.number(),
+                    "end": format!("{end:?}"), "sends": self.course.sends}),
+            );
+            // The caller has left or reads no more where this fails; the channel ends anyway.
+            let _ = timeout_at(self.plan.deadline_tokio(), self.sender.send(Err(CutOff))).await;
+        }
+        let _ = &self.count;
+    }
+
+    async fn pass(&self, open: &mut OpenCall, splitter: &mut EventSplitter) -> RelayEnd {
+        let resumable = self.plan.route.resumable;
+        let mut look = Instant::now() + LOOK_TIME;
+        loop {
+            let piece = tokio::select! {
+                biased;
+                () = self.sender.closed() => return RelayEnd::CallerGone,
+                piece = open.read_body() => piece,
+                () = sleep_until(self.plan.deadline_tokio()) => return RelayEnd::Deadline,
+                () = sleep_until(look.into()), if resumable => {
+                    look = Instant::now() + LOOK_TIME;
+                    if open.is_suspect() {
+                        return RelayEnd::Broken("the replica is silent".into());
+                    }
+                    continue;
+                }
+            };
+            let bytes = match piece {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) if resumable && splitter.is_torn() => {
+                    return RelayEnd::Broken("ended inside an event".into());
+                }
+                Ok(None) => return RelayEnd::Whole,
+                Err(error) => return RelayEnd::Broken(error.to_string().into()),
+            };
+            let ready = if resumable {
+                splitter.push(&bytes)
+            } else {
+                Some(bytes)
+            };
+            let Some(ready) = ready else {
+                continue;
+            };
+            match timeout_at(self.plan.deadline_tokio(), self.sender.send(Ok(ready))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return RelayEnd::CallerGone,
+                Err(_) => return RelayEnd::Deadline,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -0,0 +1,206 @@
+//! Starting and stopping an entry VM.
+
+use crate::core::EntryCore;
+use crate::core::StopPhase;
+use crate::gossip::run_gossip;
+use crate::gossip::tell_all;
+use crate::ingress::CallerSide;
+use crate::membership::run_membership;
+use crate::metrics::EntryMetrics;
+use crate::probe::run_probes;
+use crate::services::ListenerDuty;
+use crate::services::bind;
+use crate::services::run_listener;
+use crate::snapshot::fetch_snapshot;
+use crate::watch::run_watch;
+use rand::RngExt;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::LocalSet;
+use tokio::time::interval;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use zinniahatch_base::prelude::*;
+use zinniahatch_config::EntrySettings;
+
+/// Pause between rounds of the tables.
+const TICK_TIME: Duration = Duration::from_millis(200);
+/// Time between saying that this node leaves and taking no more requests: callers keep what the
+/// directory told them for two seconds.
+const LEAVE_TIME: Duration = Duration::from_millis(2_600);
+/// Part of the grace time that is left for the way out.
+const EXIT_TIME: Duration = Duration::from_millis(400);
+/// Pause between looks whether all requests have ended.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Time for the last datagrams.
+const FAREWELL_TIME: Duration = Duration::from_millis(100);
+
+/// Why an entry VM did not start or stopped.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// An address cannot be used.
+    #[error("[listen] {key} = {address}: {error}; choose a free address of this machine")]
+    Listen {
+        /// The key of the settings.
+        key: &'static str,
+        /// The address.
+        address: SocketAddrV4,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// The process cannot be set up.
+    #[error("{0}")]
+    Setup(Box<str>),
+}
+
+fn setup(error: impl ToString) -> EntryError {
+    EntryError::Setup(error.to_string().into())
+}
+
+/// Runs an entry VM until it is told to stop.
+///
+/// `reread` gives the settings file's text at a signal that it changed.
+///
+/// # Errors
+///
+/// Says why it did not start.
+pub fn run_entry(
+    settings: EntrySettings,
+    reread: impl Fn() -> Result<EntrySettings, String>,
+) -> Result<(), EntryError> {
+    // One thread: a machine has a part of one core, and a second thread would cost memory.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(setup)?;
+    LocalSet::new().block_on(&runtime, serve(settings, reread))
+}
+
+async fn serve(
+    settings: EntrySettings,
+    reread: impl Fn() -> Result<EntrySettings, String>,
+) -> Result<(), EntryError> {
+    let metrics = EntryMetrics::new().map_err(setup)?;
+    let core = Rc::new(EntryCore::new(settings, rand::rng().random(), metrics));
+    let listen = core.settings.listen.clone();
+    let duties = [
+        (
+            "front",
+            listen.front,
+            ListenerDuty::Calls(CallerSide::Front),
+        ),
+        ("peer", listen.peer, ListenerDuty::Calls(CallerSide::Peer)),
+        ("directory", listen.directory, ListenerDuty::Directory),
+        ("readiness", listen.readiness, ListenerDuty::Readiness),
+        ("control", listen.control, ListenerDuty::Control),
+    ];
+    for (key, address, duty) in duties {
+        let listener = bind(address).map_err(|error| EntryError::Listen {
+            key,
+            address,
+            error,
+        })?;
+        tokio::task::spawn_local(run_listener(Rc::clone(&core), listener, duty));
+    }
+    let socket = UdpSocket::bind(std::net::SocketAddr::from(listen.peer))
+        .await
+        .map_err(|error| EntryError::Listen {
+            key: "peer",
+            address: listen.peer,
+            error,
+        })?;
+    core.log.write(
+        "start",
+        serde_json::json!({"region": core.settings.region, "front": listen.front.to_string(),
+            "incarnation": core.incarnation}),
+    );
+    tokio::task::spawn_local(run_gossip(Rc::clone(&core), socket));
+    tokio::task::spawn_local(run_watch(Rc::clone(&core)));
+    tokio::task::spawn_local(run_membership(Rc::clone(&core)));
+    tokio::task::spawn_local(run_probes(Rc::clone(&core)));
+    tokio::task::spawn_local(run_ticks(Rc::clone(&core)));
+    wait_for_stop(&core, reread).await?;
+    leave(&core).await;
+    Ok(())
+}
+
+/// Runs the tables' rounds, and takes over from a peer what the store does not give in time.
+async fn run_ticks(core: Rc<EntryCore>) {
+    let mut ticks = interval(TICK_TIME);
+    loop {
+        ticks.tick().await;
+        let now = Instant::now();
+        let dropped = core.replicas.borrow_mut().tick(now);
+        for replica in dropped {
+            core.gate.borrow_mut().forget(&replica);
+            core.log
+                .write("replica-dropped", serde_json::json!({"replica": replica}));
+        }
+        core.members.borrow_mut().tick(now);
+        core.pool.tick(now);
+        let newer = {
+            let members = core.members.borrow();
+            members
+                .newest(now)
+                .filter(|(version, _)| *version > core.version())
+                .map(|(_, card)| card.peer)
+        };
+        if let Some(peer) = newer {
+            fetch_snapshot(&core, peer).await;
+        }
+    }
+}
+
+async fn wait_for_stop(
+    core: &Rc<EntryCore>,
+    reread: impl Fn() -> Result<EntrySettings, String>,
+) -> Result<(), EntryError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(setup)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(setup)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(setup)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => {
+                let outcome = match reread() {
+                    Ok(settings) if settings == core.settings => "unchanged".to_owned(),
+                    Ok(_) => "changed; it counts from the next start".to_owned(),
+                    Err(error) => format!("rejected: {error}"),
+                };
+                core.log.write("reload", serde_json::json!({"outcome": outcome}));
+            }
+        }
+    }
+}
+
+/// Leaves: says so, serves whoever still comes, then ends what is in progress.
+async fn leave(core: &Rc<EntryCore>) {
+    let began = Instant::now();
+    let last = began + core.settings.bounds.grace.saturating_sub(EXIT_TIME);
+    core.log.write(
+        "stop",
+        serde_json::json!({"open_calls": core.open_calls.get()}),
+    );
+    core.phase.send_replace(StopPhase::Leaving);
+    if let Ok(socket) = UdpSocket::bind("0.0.0.0:0").await {
+        // The nodes would also notice by themselves, a moment later.
+        let _ = timeout(FAREWELL_TIME, tell_all(core, &socket)).await;
+    }
+    sleep(LEAVE_TIME.min(core.settings.bounds.grace / 3)).await;
+    core.phase.send_replace(StopPhase::Closing);
+    sleep(DRAIN_LOOK * 2).await;
+    while core.open_calls.get() > 0 && Instant::now() < last {
+        sleep(DRAIN_LOOK).await;
+    }
+    core.log.write(
+        "stopped",
+        serde_json::json!({"open_calls": core.open_calls.get(),
+            "took_ms": began.elapsed().as_millis() as u64}),
+    );
+    sleep(DRAIN_LOOK).await;
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/snapshot.rs
@@ -0,0 +1,103 @@
+//! What a node hands to another that the store does not serve.
+
+use crate::core::EntryCore;
+use http::Method;
+use serde::Deserialize;
+use serde::Serialize;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use tokio::time::timeout;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::DesiredState;
+use zinniahatch_route::ReplicaEntry;
+
+/// Path of the snapshot on the listener for other nodes.
+pub(crate) const SNAPSHOT_PATH: &str = "/zinnia/snapshot";
+/// Time for a snapshot to arrive.
+const FETCH_TIME: Duration = Duration::from_secs(2);
+/// The id that a snapshot call goes by; it is no request of a caller.
+const FETCH_ID: &str = "snapshot";
+
+/// The beliefs that a node can take over.
+#[derive(Debug, Serialize, Deserialize)]
+struct NodeSnapshot {
+    desired: Option<DesiredState>,
+    replicas: Vec<ReplicaEntry>,
+    evacuated: BTreeSet<DataCentreId>,
+}
+
+/// Encodes this node's beliefs.
+pub(crate) fn encode_snapshot(core: &EntryCore) -> Vec<u8> {
+    let desired = core.desired.borrow().as_deref().cloned();
+    let replicas = core.replicas.borrow();
+    let entries = replicas.rows().map(|belief| {
+        let mut entry = belief.entry.clone();
+        entry.leaving |= belief.leaving.is_some();
+        entry
+    });
+    let snapshot = NodeSnapshot {
+        desired,
+        replicas: entries.collect(),
+        evacuated: replicas.evacuated().clone(),
+    };
+    // An empty answer is taken as no snapshot by the reader.
+    postcard::to_allocvec(&snapshot).unwrap_or_default()
+}
+
+/// Fetches and takes over the beliefs of another node; tells whether that worked.
+///
+/// Replicas that the other does not know stay: it may be the one that is behind.
+pub(crate) async fn fetch_snapshot(core: &Rc<EntryCore>, peer: SocketAddrV4) -> bool {
+    let fetched = timeout(FETCH_TIME, read_snapshot(core, peer)).await;
+    let Ok(Some(snapshot)) = fetched else {
+        core.log.write(
+            "snapshot-failed",
+            serde_json::json!({"peer": peer.to_string()}),
+        );
+        return false;
+    };
+    let now = Instant::now();
+    if let Some(desired) = snapshot.desired {
+        core.adopt(desired, "peer");
+    }
+    let mut replicas = core.replicas.borrow_mut();
+    for entry in snapshot.replicas {
+        let leaving = entry.leaving;
+        let known = replicas.get(&entry.id).is_some();
+        if known && !leaving {
+            continue;
+        }
+        replicas.upsert(entry, now);
+    }
+    if !core.listed.get() {
+        replicas.set_evacuated(snapshot.evacuated);
+    }
+    let any = replicas.rows().next().is_some();
+    drop(replicas);
+    if any {
+        core.listed.set(true);
+    }
+    true
+}
+
+async fn read_snapshot(core: &Rc<EntryCore>, peer: SocketAddrV4) -> Option<NodeSnapshot> {
+    let mut channel = core
+        .pool
+        .take(peer, usize::MAX, Instant::now())
+        .await
+        .ok()?;
+    let head = format!("GET {SNAPSHOT_PATH} HTTP/1.1\r\nhost: {peer}\r\n\r\n");
+    let mut body = Vec::new();
+    let read = async {
+        channel.send(head.as_bytes(), &[]).await.ok()?;
+        channel.read_head(&Method::GET, FETCH_ID).await.ok()?;
+        while let Some(piece) = channel.read_body().await.ok()? {
+            body.extend_from_slice(&piece);
+        }
+        Some(())
+    };
+    let whole = read.await;
+    core.pool.give(peer, channel, Instant::now());
+    whole?;
+    postcard::from_bytes(&body).ok()
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -0,0 +1,217 @@
+//! Following the store: desired state, evacuations, replicas, other nodes.
+
+use crate::core::EntryCore;
+use crate::snapshot::fetch_snapshot;
+use rand::RngExt;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+use zinniahatch_platform::KeySubject;
+use zinniahatch_platform::KvError;
+use zinniahatch_platform::StoreEvent;
+use zinniahatch_platform::StoreItem;
+use zinniahatch_platform::StoreListing;
+use zinniahatch_platform::decode_backend;
+use zinniahatch_platform::decode_desired;
+use zinniahatch_platform::subject_of;
+
+/// Start of the keys that are watched: all of them. One waiting call sees the operators' keys,
+/// the replicas' and our own, where three would cost three.
+const WATCHED: &str = "";
+/// Start of the keys under which nodes register.
+pub(crate) const NODE_PREFIX: &str = "zinniahatch/nodes/";
+/// Longest wait of one watch. A channel that went silent shows only when this is over, and the
+/// desired state has to be in force within four seconds.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a watch that brought news, so that changes which come together cost one call.
+const GATHER_TIME: Duration = Duration::from_millis(250);
+/// Shortest and longest pause after a failed call; jitter keeps the nodes apart.
+const RETRY_MILLIS: std::ops::Range<u64> = 250..700;
+
+/// Follows the store until the process ends.
+pub(crate) async fn run_watch(core: Rc<EntryCore>) {
+    let mut revision = None;
+    let mut fine = true;
+    loop {
+        let result = match revision {
+            None => list(&core).await,
+            Some(after) => follow(&core, after).await,
+        };
+        match result {
+            Ok(next) => {
+                if !fine {
+                    core.log
+                        .write("store-back", serde_json::json!({"revision": next}));
+                }
+                fine = true;
+                revision = Some(next);
+            }
+            Err(KvError::Compacted) => {
+                core.log
+                    .write("store-compacted", serde_json::json!({"revision": revision}));
+                core.replicas
+                    .borrow_mut()
+                    .note_store_trouble(Instant::now());
+                revision = None;
+            }
+            Err(error) => {
+                core.replicas
+                    .borrow_mut()
+                    .note_store_trouble(Instant::now());
+                core.metrics.note_store("follow", "failed");
+                core.log.write(
+                    "store-lost",
+                    serde_json::json!({"error": error.to_string()}),
+                );
+                fine = false;
+                ask_peer(&core).await;
+                let millis = rand::rng().random_range(RETRY_MILLIS);
+                sleep(Duration::from_millis(millis)).await;
+            }
+        }
+    }
+}
+
+/// Takes over what a peer knows while the store is away; one cut off from the store alone would
+/// otherwise go on by old rules and send to replicas that have left.
+async fn ask_peer(core: &Rc<EntryCore>) {
+    let peer = {
+        let members = core.members.borrow();
+        let newest = members.newest(Instant::now());
+        newest.map(|(_, card)| card.peer)
+    };
+    if let Some(peer) = peer {
+        fetch_snapshot(core, peer).await;
+    }
+}
+
+async fn list(core: &Rc<EntryCore>) -> Result<u64, KvError> {
+    let StoreListing { items, revision } = core.store.list(WATCHED).await?;
+    core.metrics.note_store("list", "done");
+    let now = Instant::now();
+    let mut entries = Vec::new();
+    let mut evacuated = BTreeSet::new();
+    for item in &items {
+        match subject_of(&item.key) {
+            KeySubject::Desired => adopt(core, item),
+            KeySubject::Evacuation(place) => {
+                evacuated.insert(place.into());
+            }
+            KeySubject::Backend(id) => match decode_backend(id, &item.value) {
+                Ok(entry) => entries.push(entry),
+                Err(error) => reject(core, &error.to_string()),
+            },
+            KeySubject::Other => note_node(core, item),
+        }
+    }
+    let mut replicas = core.replicas.borrow_mut();
+    replicas.relist(entries, now);
+    replicas.set_evacuated(evacuated);
+    drop(replicas);
+    core.listed.set(true);
+    core.log.write(
+        "listed",
+        serde_json::json!({"revision": revision, "items": items.len(), "version": core.version()}),
+    );
+    Ok(revision)
+}
+
+async fn follow(core: &Rc<EntryCore>, after: u64) -> Result<u64, KvError> {
+    let changes = core.store.watch(WATCHED, after, WATCH_WAIT).await?;
+    core.metrics.note_store("watch", "done");
+    let now = Instant::now();
+    let quiet = changes.events.is_empty();
+    for event in changes.events {
+        match event {
+            StoreEvent::Written(item) => written(core, &item, now),
+            StoreEvent::Removed(key) => removed(core, &key, now),
+        }
+    }
+    if !quiet {
+        sleep(GATHER_TIME).await;
+    }
+    Ok(changes.revision.max(after))
+}
+
+fn written(core: &Rc<EntryCore>, item: &StoreItem, now: Instant) {
+    match subject_of(&item.key) {
+        KeySubject::Desired => adopt(core, item),
+        KeySubject::Evacuation(place) => set_evacuation(core, place, true),
+        KeySubject::Backend(id) => match decode_backend(id, &item.value) {
+            Ok(entry) => {
+                let state = (entry.leaving, entry.cold_for.as_millis() as u64);
+                let gone_in = entry.gone_in.map(|left| left.as_millis() as u64);
+                if core.replicas.borrow_mut().upsert(entry, now) {
+                    core.log.write(
+                        "replica",
+                        serde_json::json!({"replica": id, "leaving": state.0,
+                            "cold_ms": state.1, "gone_in_ms": gone_in, "revision": item.revision}),
+                    );
+                }
+            }
+            Err(error) => reject(core, &error.to_string()),
+        },
+        KeySubject::Other => note_node(core, item),
+    }
+}
+
+fn removed(core: &Rc<EntryCore>, key: &str, now: Instant) {
+    match subject_of(key) {
+        KeySubject::Evacuation(place) => set_evacuation(core, place, false),
+        KeySubject::Backend(id) => {
+            core.replicas.borrow_mut().vanish(id, now);
+            core.log
+                .write("replica-entry-gone", serde_json::json!({"replica": id}));
+        }
+        KeySubject::Desired => reject(core, "the desired state was removed"),
+        KeySubject::Other => {}
+    }
+}
+
+fn set_evacuation(core: &EntryCore, place: &str, on: bool) {
+    let mut replicas = core.replicas.borrow_mut();
+    let mut evacuated = replicas.evacuated().clone();
+    if on {
+        evacuated.insert(place.into());
+    } else {
+        evacuated.remove(place);
+    }
+    replicas.set_evacuated(evacuated);
+    core.log.write(
+        "evacuation",
+        serde_json::json!({"data_centre": place, "on": on}),
+    );
+}
+
+fn adopt(core: &EntryCore, item: &StoreItem) {
+    match decode_desired(&item.value) {
+        Ok(state) => {
+            core.adopt(state, "store");
+        }
+        Err(error) => reject(core, &error.to_string()),
+    }
+}
+
+/// Notes a value that cannot be used; the last good one stays in force.
+fn reject(core: &EntryCore, problem: &str) {
+    core.metrics.note_store("value", "rejected");
+    core.log
+        .write("value-rejected", serde_json::json!({"problem": problem}));
+}
+
+/// Notes where another node listens, from its key.
+fn note_node(core: &EntryCore, item: &StoreItem) {
+    if !item.key.starts_with(NODE_PREFIX) {
+        return;
+    }
+    let address = std::str::from_utf8(&item.value)
+        .ok()
+        .and_then(|text| text.parse::<SocketAddrV4>().ok());
+    match address {
+        Some(address) => {
+            core.contacts.borrow_mut().insert(address);
+        }
+        None => reject(core, "the address of a node cannot be read"),
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_route/src/members.rs
@@ -0,0 +1,189 @@
+//! The other entry VMs: who lives, where, and what their region can take.
+
+use std::net::SocketAddrV4;
+use zinniahatch_base::prelude::*;
+
+/// Silence after which a node counts as not living. Cards come every 200 to 500 ms; three lost
+/// ones in a row are rare even on a link that loses one packet in thirty.
+const SILENCE: Duration = Duration::from_millis(1800);
+/// Silence after which a node that still has a key in the store may be named to callers, where
+/// nobody else is left.
+const KEY_SILENCE: Duration = Duration::from_secs(4);
+/// Round trip assumed until one was measured.
+const PRIOR_TRIP: Duration = Duration::from_millis(120);
+/// Weight of a new measurement of a round trip.
+const TRIP_GAIN: f64 = 0.2;
+/// Silence after which a node is forgotten.
+const FORGET: Duration = Duration::from_secs(30);
+
+domain! {
+    /// What a region can take of one service.
+    #[derive(Copy, Eq, Default)]
+    pub struct ServiceDigest {
+        /// Sound replicas.
+        pub sound: u16,
+        /// Expected wait at the best of them, in ms.
+        pub wait_ms: u32,
+    }
+
+    /// What a node tells the others of itself.
+    pub struct MemberCard {
+        /// Its name.
+        pub node: NodeId,
+        /// Number of this start.
+        pub incarnation: Incarnation,
+        /// Its region.
+        pub region: RegionId,
+        /// Its data centre.
+        pub data_centre: DataCentreId,
+        /// Where callers reach it.
+        pub front: SocketAddrV4,
+        /// Where other nodes reach it.
+        pub peer: SocketAddrV4,
+        /// Whether it takes callers.
+        pub ready: bool,
+        /// The version of the desired state that it follows.
+        pub version: u64,
+        /// What its region can take, by the tag of the service.
+        pub services: BTreeMap<ShortTag, ServiceDigest>,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct MemberRow {
+    card: MemberCard,
+    heard: Instant,
+    trip: Option<Duration>,
+}
+
+/// The other nodes.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    rows: BTreeMap<NodeId, MemberRow>,
+}
+
+impl MemberTable {
+    /// Takes a card that came straight from its node; tells whether it is a new start.
+    pub fn hear(&mut self, card: MemberCard, now: Instant) -> bool {
+        let old = self.rows.get(&card.node);
+        let fresh = old.is_none_or(|row| row.card.incarnation != card.incarnation);
+        let trip = old.and_then(|row| row.trip);
+        self.rows.insert(
+            card.node.clone(),
+            MemberRow {
+                card,
+                heard: now,
+                trip,
+            },
+        );
+        fresh
+    }
+
+    /// Notes a measured round trip.
+    pub fn note_trip(&mut self, node: &str, trip: Duration) {
+        let Some(row) = self.rows.get_mut(node) else {
+            return;
+        };
+        row.trip = Some(match row.trip {
+            Some(old) => old.mul_f64(1.0 - TRIP_GAIN) + trip.mul_f64(TRIP_GAIN),
+            None => trip,
+        });
+    }
+
+    /// Gives the round trip to a node.
+    pub fn round_trip(&self, node: &str) -> Duration {
+        self.rows
+            .get(node)
+            .and_then(|row| row.trip)
+            .unwrap_or(PRIOR_TRIP)
+    }
+
+    /// Notes that a node could not be reached; it is tried again when it is heard of.
+    pub fn note_unreachable(&mut self, node: &str, now: Instant) {
+        if let Some(row) = self.rows.get_mut(node) {
+            row.heard = row.heard.min(now.checked_sub(SILENCE).unwrap_or(now));
+        }
+    }
+
+    /// Gives the living nodes of a region that take callers.
+    pub fn live_in(&self, region: &str, now: Instant) -> Vec<&MemberCard> {
+        self.rows
+            .values()
+            .filter(|row| *row.card.region == *region && row.card.ready)
+            .filter(|row| now.saturating_duration_since(row.heard) <= SILENCE)
+            .map(|row| &row.card)
+            .collect()
+    }
+
+    /// Gives the living nodes of all other regions that take callers, by region.
+    pub fn live_elsewhere(&self, own: &str, now: Instant) -> BTreeMap<RegionId, Vec<&MemberCard>> {
+        let mut regions: BTreeMap<RegionId, Vec<&MemberCard>> = BTreeMap::new();
+        for row in self.rows.values() {
+            if *row.card.region == *own || !row.card.ready {
+                continue;
+            }
+            if now.saturating_duration_since(row.heard) > SILENCE {
+                continue;
+            }
+            regions
+                .entry(row.card.region.clone())
+                .or_default()
+                .push(&row.card);
+        }
+        regions
+    }
+
+    /// Gives all nodes that were heard of lately, living or not, to be told of this node.
+    pub fn known(&self) -> impl Iterator<Item = &MemberCard> {
+        self.rows.values().map(|row| &row.card)
+    }
+
+    /// Gives the names of the nodes of a region that may still run, for splits of a bound: one
+    /// that is merely silent here may go on spending its share.
+    pub fn names_in(&self, region: &str) -> BTreeSet<NodeId> {
+        self.rows
+            .values()
+            .filter(|row| *row.card.region == *region)
+            .map(|row| row.card.node.clone())
+            .collect()
+    }
+
+    /// Gives the nodes of a region that were heard of within the longer bound.
+    pub fn perhaps_live_in(&self, region: &str, now: Instant) -> Vec<&MemberCard> {
+        self.rows
+            .values()
+            .filter(|row| *row.card.region == *region && row.card.ready)
+            .filter(|row| now.saturating_duration_since(row.heard) <= KEY_SILENCE)
+            .map(|row| &row.card)
+            .collect()
+    }
+
+    /// Forgets nodes that were silent for long.
+    pub fn tick(&mut self, now: Instant) {
+        self.rows
+            .retain(|_, row| now.saturating_duration_since(row.heard) <= FORGET);
+    }
+
+    /// Gives the highest version of the desired state that another node follows, and that node.
+    pub fn newest(&self, now: Instant) -> Option<(u64, &MemberCard)> {
+        self.rows
+            .values()
+            .filter(|row| now.saturating_duration_since(row.heard) <= SILENCE)
+            .map(|row| (row.card.version, &row.card))
+            .max_by_key(|(version, _)| *version)
+    }
+}
+
+impl ServiceDigest {
+    /// Sums up what a region can take of a service.
+    pub fn of(
+        table: &crate::ReplicaTable,
+        regions: &BTreeMap<DataCentreId, RegionId>,
+        service: &ServiceId,
+        region: &str,
+        now: Instant,
+    ) -> Self {
+        let (sound, wait_ms) = crate::placement::digest_of(table, regions, service, region, now);
+        Self { sound, wait_ms }
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -0,0 +1,259 @@
+//! Choosing the replica for a request, and the region to go away to.
+//!
+//! All candidates are compared by one figure, the expected time to the first event, with small
+//! penalties in the same unit. Sessions stay on their rendezvous replica because the tokens that
+//! it keeps need not be read again, and the penalty of the others covers the memory they would
+//! spend on a second copy.
+
+use crate::ColdGate;
+use crate::MemberTable;
+use crate::PromptSize;
+use crate::ReplicaBelief;
+use crate::ReplicaTable;
+use crate::prompt::session_rank;
+use zinniahatch_base::prelude::*;
+
+/// Penalty for a replica that is not the session's first choice, as a part of the time that
+/// reading the shared tokens takes: a copy there pushes out other sessions' parts.
+const COPY_PENALTY: f64 = 0.5;
+/// Penalty of a replica that fails all its requests, in ms; a request lost there costs its caller
+/// a whole retry, which takes about as long.
+const FAILURE_PENALTY_MS: f64 = 4_000.0;
+/// Failure share below which no penalty applies; services have errors of their own.
+const FAILURE_TOLERATED: f64 = 0.25;
+/// Penalty of a cold replica in ms: it is slow and may crash.
+const COLD_PENALTY_MS: f64 = 150.0;
+/// Share of the slots that are kept for what other nodes send before they hear of it.
+const SLOT_MARGIN: f64 = 0.95;
+/// What is asked of a placement.
+#[derive(Clone, Debug)]
+pub struct PlaceAsk<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The region in which to look.
+    pub region: &'a str,
+    /// The size of the request.
+    pub size: &'a PromptSize,
+    /// Whether engines read it before common requests.
+    pub urgent: bool,
+    /// Replicas that were tried already.
+    pub tried: &'a BTreeSet<ReplicaId>,
+    /// The longest time that the answer may take in all.
+    pub deadline: Duration,
+    /// Bound of a cold replica over all nodes, requests a second.
+    pub cold_bound: f64,
+    /// Own name, for the split of the cold bound.
+    pub node: &'a str,
+    /// The nodes of the region, for the same.
+    pub peers: &'a BTreeSet<NodeId>,
+}
+
+/// A replica of the own region.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LocalChoice {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Expected time to the first event.
+    pub expected: Duration,
+    /// The part of it that is spent waiting for others.
+    pub wait: Duration,
+    /// Tokens that the replica must read for this request.
+    pub tokens: u32,
+    /// Whether the replica is cold.
+    pub cold: bool,
+}
+
+/// A node of another region.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AwayChoice {
+    /// The node.
+    pub node: NodeId,
+    /// Its region.
+    pub region: RegionId,
+    /// Expected time to the first event, the way there and back included.
+    pub expected: Duration,
+    /// The part of it that is spent waiting for others there.
+    pub wait: Duration,
+}
+
+/// Chooses the replica with the least expected time among those that may get new work.
+pub fn choose_local(
+    table: &ReplicaTable,
+    gate: &ColdGate,
+    regions: &BTreeMap<DataCentreId, RegionId>,
+    ask: &PlaceAsk<'_>,
+    now: Instant,
+) -> Option<LocalChoice> {
+    let model = table.model_of(ask.service);
+    let first = first_choice(table, regions, ask, now);
+    let mut best: Option<(f64, LocalChoice)> = None;
+    for belief in candidates(table, regions, ask, now) {
+        let cold = belief.is_cold(now);
+        if cold {
+            let share = ColdGate::share(ask.cold_bound, &belief.entry.id, ask.node, ask.peers);
+            if !gate.allows(&belief.entry.id, share, now) {
+                continue;
+            }
+        }
+        let work = belief.all_work(now);
+        let kept = belief.kept.leading(&ask.size.parts);
+        let tokens = ask.size.tokens_after(kept);
+        let slots = f64::from(belief.entry.slots.max(1));
+        let queue = slot_wait(f64::from(work.requests), slots, &model.expect(0));
+        let wait = model.reading(work.ahead(ask.urgent)) + queue;
+        let expected = (model.expect(tokens) + wait).mul_f64(belief.slowness.max(0.8));
+        let choice = LocalChoice {
+            replica: belief.entry.id.clone(),
+            expected,
+            wait: wait.mul_f64(belief.slowness.max(0.8)),
+            tokens,
+            cold,
+        };
+        let mut score = expected.as_secs_f64() * 1e3 + failure_penalty(belief, now);
+        if cold {
+            score += COLD_PENALTY_MS;
+        }
+        if first.as_ref().is_some_and(|id| **id != *belief.entry.id) {
+            let shared = ask.size.tokens_in.saturating_sub(
+                ask.size
+                    .tokens_after(ask.size.parts.len().saturating_sub(1)),
+            );
+            score += model.reading(shared).as_secs_f64() * 1e3 * COPY_PENALTY;
+        }
+        if best.as_ref().is_none_or(|(least, _)| score < *least) {
+            best = Some((score, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+fn failure_penalty(belief: &ReplicaBelief, now: Instant) -> f64 {
+    let share = belief.health.failure_share(now);
+    (share - FAILURE_TOLERATED).max(0.0) * FAILURE_PENALTY_MS
+}
+
+/// Gives the expected wait for a slot: nothing while one is free, then one hold time a round.
+fn slot_wait(requests: f64, slots: f64, hold: &Duration) -> Duration {
+    let over = requests + 1.0 - slots * SLOT_MARGIN;
+    if over <= 0.0 {
+        return Duration::ZERO;
+    }
+    hold.mul_f64((over / slots).max(0.5 / slots))
+}
+
+fn candidates<'a>(
+    table: &'a ReplicaTable,
+    regions: &'a BTreeMap<DataCentreId, RegionId>,
+    ask: &'a PlaceAsk<'_>,
+    now: Instant,
+) -> impl Iterator<Item = &'a ReplicaBelief> {
+    table.rows().filter(move |belief| {
+        let entry = &belief.entry;
+        entry.service == *ask.service
+            && regions
+                .get(&entry.data_centre)
+                .is_some_and(|region| **region == *ask.region)
+            && belief.leaving.is_none()
+            && !table.evacuated().contains(&entry.data_centre)
+            && !ask.tried.contains(&entry.id)
+            && !belief.health.is_suspect(now)
+            && belief.gone_at.is_none_or(|gone| now + ask.deadline < gone)
+    })
+}
+
+/// Gives the replica with the highest rank for the session.
+fn first_choice(
+    table: &ReplicaTable,
+    regions: &BTreeMap<DataCentreId, RegionId>,
+    ask: &PlaceAsk<'_>,
+    now: Instant,
+) -> Option<ReplicaId> {
+    let session = ask.size.session()?;
+    candidates(table, regions, ask, now)
+        .filter(|belief| !belief.is_cold(now))
+        .max_by_key(|belief| session_rank(session, &belief.entry.id))
+        .map(|belief| belief.entry.id.clone())
+}
+
+/// Chooses the region in which an answer would begin first, and a node there.
+///
+/// `pick` is a random number; nodes of one region share the load evenly.
+pub fn choose_away(
+    members: &MemberTable,
+    table: &ReplicaTable,
+    ask: &PlaceAsk<'_>,
+    allowed: &BTreeSet<RegionId>,
+    tried: &BTreeSet<RegionId>,
+    pick: u64,
+    now: Instant,
+) -> Option<AwayChoice> {
+    let model = table.model_of(ask.service);
+    let mut best: Option<AwayChoice> = None;
+    for (region, nodes) in members.live_elsewhere(ask.region, now) {
+        if tried.contains(&region) || (!allowed.is_empty() && !allowed.contains(&region)) {
+            continue;
+        }
+        let able: Vec<_> = nodes
+            .iter()
+            .filter_map(|card| {
+                let digest = card.services.get(&tag_of(ask.service))?;
+                (digest.sound > 0).then_some((card, digest))
+            })
+            .collect();
+        if able.is_empty() {
+            continue;
+        }
+        let (card, digest) = able[(pick % able.len() as u64) as usize];
+        let wait = Duration::from_millis(u64::from(digest.wait_ms));
+        let expected = members.round_trip(&card.node) + wait + model.expect(ask.size.tokens_in);
+        if best
+            .as_ref()
+            .is_some_and(|least| least.expected <= expected)
+        {
+            continue;
+        }
+        best = Some(AwayChoice {
+            node: card.node.clone(),
+            region,
+            expected,
+            wait,
+        });
+    }
+    best
+}
+
+/// Gives the least wait among the replicas of a service in a region and how many are sound.
+pub(crate) fn digest_of(
+    table: &ReplicaTable,
+    regions: &BTreeMap<DataCentreId, RegionId>,
+    service: &ServiceId,
+    region: &str,
+    now: Instant,
+) -> (u16, u32) {
+    let model = table.model_of(service);
+    let mut sound = 0_u16;
+    let mut least = u32::MAX;
+    for belief in table.rows() {
+        let entry = &belief.entry;
+        let here = regions
+            .get(&entry.data_centre)
+            .is_some_and(|found| **found == *region);
+        if entry.service != *service
+            || !here
+            || belief.leaving.is_some()
+            || belief.is_cold(now)
+            || belief.health.is_suspect(now)
+            || table.evacuated().contains(&entry.data_centre)
+        {
+            continue;
+        }
+        sound += 1;
+        let work = belief.all_work(now);
+        let slots = f64::from(entry.slots.max(1));
+        let wait = model.reading(work.tokens)
+            + slot_wait(f64::from(work.requests), slots, &model.expect(0));
+        let penalty = failure_penalty(belief, now) as u32;
+        least = least.min(wait.as_millis() as u32 + penalty);
+    }
+    (sound, if sound == 0 { 0 } else { least })
+}
--- /dev/null
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -0,0 +1,374 @@
+//! What a node believes about the backend servers.
+
+use crate::FirstEventModel;
+use crate::HealthRecord;
+use crate::KeptParts;
+use crate::PromptSize;
+use std::net::SocketAddrV4;
+use zinniahatch_base::prelude::*;
+
+/// How long an entry that vanished while the store was in trouble still counts. Entries that
+/// lapsed during an outage are back within two seconds of its end.
+const LAPSE_GRACE: Duration = Duration::from_millis(2500);
+/// For how long after trouble with the store a vanished entry may be a mere lapse.
+const STORE_TROUBLE: Duration = Duration::from_secs(4);
+/// How long what another node said of its open work counts.
+const PEER_WORK_TIME: Duration = Duration::from_millis(1200);
+/// How long a load that the replica reported counts.
+const REPORT_TIME: Duration = Duration::from_millis(400);
+/// Prior time to the answer of a service, in ms, until answers show it.
+const PRIOR_BASE_MS: f64 = 40.0;
+/// Bounds of the learned slowness of one replica against its service.
+const SLOWNESS: (f64, f64) = (0.5, 8.0);
+/// Weight of a new observation in the slowness of a replica; about the last ten count.
+const SLOWNESS_GAIN: f64 = 0.1;
+
+domain! {
+    /// What a replica says of itself in the store.
+    pub struct ReplicaEntry {
+        /// The id of this start of the replica.
+        pub id: ReplicaId,
+        /// Its service.
+        pub service: ServiceId,
+        /// Where it listens.
+        pub address: SocketAddrV4,
+        /// Its data centre.
+        pub data_centre: DataCentreId,
+        /// Requests that it works on at once.
+        pub slots: u32,
+        /// Whether it is leaving.
+        pub leaving: bool,
+        /// Time until it is gone, where it leaves at short notice.
+        pub gone_in: Option<Duration>,
+        /// How much longer it is cold.
+        pub cold_for: Duration,
+    }
+}
+
+/// Why a replica gets no new work for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaveReason {
+    /// It said that it is leaving.
+    Draining,
+    /// Its entry vanished.
+    EntryGone,
+    /// Another replica answers at its address.
+    Replaced,
+}
+
+/// The open work that one node has at a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OpenWork {
+    /// Requests sent and not ended.
+    pub requests: u32,
+    /// Tokens to read before the first event of those that have none yet.
+    pub tokens: u32,
+    /// The part of these tokens that urgent requests brought.
+    pub urgent_tokens: u32,
+}
+
+impl OpenWork {
+    /// Gives the tokens that are read before those of a new request; engines read urgent ones
+    /// first.
+    pub fn ahead(&self, urgent: bool) -> u32 {
+        if urgent {
+            self.urgent_tokens
+        } else {
+            self.tokens
+        }
+    }
+
+    fn add_tokens(&mut self, other: Self) {
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.urgent_tokens = self.urgent_tokens.saturating_add(other.urgent_tokens);
+    }
+
+    fn take_tokens(&mut self, other: Self) {
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.urgent_tokens = self.urgent_tokens.saturating_sub(other.urgent_tokens);
+    }
+}
+
+/// One replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaBelief {
+    /// What it says of itself.
+    pub entry: ReplicaEntry,
+    /// When it stops being cold.
+    pub cold_until: Option<Instant>,
+    /// Why it gets no new work.
+    pub leaving: Option<LeaveReason>,
+    /// When it is gone, where it leaves at short notice.
+    pub gone_at: Option<Instant>,
+    /// When its entry vanished, while that may be a mere lapse.
+    pub lapsed: Option<Instant>,
+    /// Work of this node.
+    pub own: OpenWork,
+    /// Work of other nodes, with the time at which they said so.
+    pub peers: BTreeMap<NodeId, (OpenWork, Instant)>,
+    /// Running and waiting requests as the replica reported them.
+    pub reported: Option<(u32, u32, Instant)>,
+    /// Which prompt parts it probably keeps.
+    pub kept: KeptParts,
+    /// What answers say of its health.
+    pub health: HealthRecord,
+    /// Its time against what its service's model expects; 1 is as expected.
+    pub slowness: f64,
+    /// When it last refused a request as full.
+    pub refused_at: Option<Instant>,
+    /// Start of each own request that waits for its first byte, by a number of the node's.
+    pub open: BTreeMap<u64, Instant>,
+}
+
+impl ReplicaBelief {
+    /// Starts a belief.
+    pub fn new(entry: ReplicaEntry, now: Instant) -> Self {
+        let mut belief = Self {
+            cold_until: None,
+            leaving: None,
+            gone_at: None,
+            lapsed: None,
+            own: OpenWork::default(),
+            peers: BTreeMap::new(),
+            reported: None,
+            kept: KeptParts::default(),
+            health: HealthRecord::new(now),
+            slowness: 1.0,
+            refused_at: None,
+            open: BTreeMap::new(),
+            entry: entry.clone(),
+        };
+        belief.update(entry, now);
+        belief
+    }
+
+    /// Takes a newer entry of the same start of the replica.
+    pub fn update(&mut self, entry: ReplicaEntry, now: Instant) {
+        self.lapsed = None;
+        if entry.leaving {
+            self.leaving = Some(LeaveReason::Draining);
+            self.gone_at = entry.gone_in.map(|left| now + left);
+        } else if self.leaving == Some(LeaveReason::EntryGone) {
+            self.leaving = None;
+        }
+        if !entry.cold_for.is_zero() {
+            self.cold_until = Some(now + entry.cold_for);
+        }
+        self.entry = entry;
+    }
+
+    /// Tells whether the replica is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Gives the work of all nodes at the replica.
+    pub fn all_work(&self, now: Instant) -> OpenWork {
+        let mut sum = self.own;
+        for (work, at) in self.peers.values() {
+            if now.saturating_duration_since(*at) > PEER_WORK_TIME {
+                continue;
+            }
+            sum.requests += work.requests;
+            sum.add_tokens(*work);
+        }
+        if let Some((running, waiting, at)) = self.reported
+            && now.saturating_duration_since(at) <= REPORT_TIME
+        {
+            sum.requests = sum.requests.max(running + waiting);
+        }
+        sum
+    }
+
+    /// Compares an answer with what the model expected of it.
+    pub fn note_pace(&mut self, expected: Duration, took: Duration) {
+        let expected = expected.as_secs_f64().max(1e-3);
+        let ratio = (took.as_secs_f64() / expected).clamp(SLOWNESS.0, SLOWNESS.1);
+        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
+    }
+}
+
+/// All replicas that the node knows.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaTable {
+    rows: BTreeMap<ReplicaId, ReplicaBelief>,
+    models: BTreeMap<ServiceId, FirstEventModel>,
+    evacuated: BTreeSet<DataCentreId>,
+    store_trouble: Option<Instant>,
+}
+
+impl ReplicaTable {
+    /// Takes an entry from the store; tells whether the belief changed.
+    pub fn upsert(&mut self, entry: ReplicaEntry, now: Instant) -> bool {
+        match self.rows.get_mut(&entry.id) {
+            Some(belief) => {
+                let changed = belief.entry.leaving != entry.leaving || belief.lapsed.is_some();
+                belief.update(entry, now);
+                changed
+            }
+            None => {
+                self.rows
+                    .insert(entry.id.clone(), ReplicaBelief::new(entry, now));
+                true
+            }
+        }
+    }
+
+    /// Takes the news that an entry vanished.
+    ///
+    /// While the store was in trouble a moment ago, leases may have lapsed of replicas that live;
+    /// dropping them all would leave no place for requests. They are kept a little, and dropped
+    /// for good when they do not come back.
+    pub fn vanish(&mut self, id: &str, now: Instant) {
+        let trouble = self
+            .store_trouble
+            .is_some_and(|at| now.saturating_duration_since(at) <= STORE_TROUBLE);
+        let Some(belief) = self.rows.get_mut(id) else {
+            return;
+        };
+        if trouble && belief.leaving.is_none() {
+            belief.lapsed.get_or_insert(now);
+            return;
+        }
+        belief.leaving.get_or_insert(LeaveReason::EntryGone);
+    }
+
+    /// Replaces all entries by a whole listing.
+    pub fn relist(&mut self, entries: Vec<ReplicaEntry>, now: Instant) {
+        let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let missing: Vec<ReplicaId> = self
+            .rows
+            .keys()
+            .filter(|id| !listed.contains(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.vanish(&id, now);
+        }
+        for entry in entries {
+            self.upsert(entry, now);
+        }
+    }
+
+    /// Notes that a call to the store failed.
+    pub fn note_store_trouble(&mut self, now: Instant) {
+        self.store_trouble = Some(now);
+    }
+
+    /// Replaces the set of evacuated data centres.
+    pub fn set_evacuated(&mut self, evacuated: BTreeSet<DataCentreId>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Gives the set of evacuated data centres.
+    pub fn evacuated(&self) -> &BTreeSet<DataCentreId> {
+        &self.evacuated
+    }
+
+    /// Runs once a tick: drops what lapsed for good and what left and has no open work.
+    ///
+    /// Gives the ids that were dropped.
+    pub fn tick(&mut self, now: Instant) -> Vec<ReplicaId> {
+        let mut dropped = Vec::new();
+        let models = &self.models;
+        for (id, belief) in &mut self.rows {
+            if belief
+                .lapsed
+                .is_some_and(|at| now.saturating_duration_since(at) > LAPSE_GRACE)
+            {
+                belief.leaving.get_or_insert(LeaveReason::EntryGone);
+            }
+            let model = models.get(&belief.entry.service);
+            let reading = model.map_or(Duration::ZERO, |model| {
+                model
+                    .reading(belief.own.tokens)
+                    .mul_f64(belief.slowness.max(1.0))
+            });
+            let oldest = belief.open.values().min().copied();
+            belief.health.note_open(oldest, reading);
+            let ended = matches!(
+                belief.leaving,
+                Some(LeaveReason::EntryGone | LeaveReason::Replaced)
+            );
+            if ended && belief.own.requests == 0 {
+                dropped.push(id.clone());
+            }
+        }
+        for id in &dropped {
+            self.rows.remove(id);
+        }
+        dropped
+    }
+
+    /// Gives a replica.
+    pub fn get(&self, id: &str) -> Option<&ReplicaBelief> {
+        self.rows.get(id)
+    }
+
+    /// Gives a replica to change.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut ReplicaBelief> {
+        self.rows.get_mut(id)
+    }
+
+    /// Gives all replicas.
+    pub fn rows(&self) -> impl Iterator<Item = &ReplicaBelief> {
+        self.rows.values()
+    }
+
+    /// Gives all replicas to change.
+    pub fn rows_mut(&mut self) -> impl Iterator<Item = &mut ReplicaBelief> {
+        self.rows.values_mut()
+    }
+
+    /// Gives the model of a service, made from the prior where nothing is known.
+    pub fn model(&mut self, service: &ServiceId) -> &mut FirstEventModel {
+        self.models
+            .entry(service.clone())
+            .or_insert_with(|| FirstEventModel::new(PRIOR_BASE_MS))
+    }
+
+    /// Gives the model of a service as it is.
+    pub fn model_of(&self, service: &str) -> FirstEventModel {
+        self.models
+            .get(service)
+            .cloned()
+            .unwrap_or_else(|| FirstEventModel::new(PRIOR_BASE_MS))
+    }
+
+    /// Notes that a request goes out; `ticket` is a number of the node's own.
+    pub fn note_sent(
+        &mut self,
+        id: &str,
+        ticket: u64,
+        size: &PromptSize,
+        work: OpenWork,
+        capacity: u64,
+        now: Instant,
+    ) {
+        let Some(belief) = self.rows.get_mut(id) else {
+            return;
+        };
+        belief.own.requests += 1;
+        belief.own.add_tokens(work);
+        belief.open.insert(ticket, now);
+        belief.kept.note(&size.parts, capacity);
+    }
+
+    /// Notes the first event of an answer: its prompt is read.
+    pub fn note_first_event(&mut self, id: &str, work: OpenWork) {
+        if let Some(belief) = self.rows.get_mut(id) {
+            belief.own.take_tokens(work);
+        }
+    }
+
+    /// Notes the end of a request, however it ended.
+    pub fn note_ended(&mut self, id: &str, ticket: u64, work: OpenWork, first_seen: bool) {
+        if !first_seen {
+            self.note_first_event(id, work);
+        }
+        if let Some(belief) = self.rows.get_mut(id) {
+            belief.open.remove(&ticket);
+            belief.own.requests = belief.own.requests.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_route/src/table.rs
@@ -0,0 +1,53 @@
+//! Finding the route of a request.
+
+use crate::DesiredRoute;
+use crate::DesiredState;
+use std::rc::Rc;
+use zinniahatch_base::prelude::*;
+
+/// The routes of one version of the desired state, by host and prefix.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    hosts: BTreeMap<Box<str>, BTreeMap<Box<str>, Rc<DesiredRoute>>>,
+}
+
+impl RouteTable {
+    /// Builds the table.
+    pub fn new(state: &DesiredState) -> Self {
+        let mut hosts: BTreeMap<Box<str>, BTreeMap<Box<str>, Rc<DesiredRoute>>> = BTreeMap::new();
+        for route in &state.routes {
+            hosts
+                .entry(route.host.to_ascii_lowercase().into())
+                .or_default()
+                .insert(route.path_prefix.clone(), Rc::new(route.clone()));
+        }
+        Self {
+            version: state.version,
+            hosts,
+        }
+    }
+
+    /// Gives the version of the desired state; 0 while none is known.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Finds the route with the longest prefix that begins the path.
+    ///
+    /// It looks up the path cut at each slash, the longest first, so that the cost depends on the
+    /// depth of the path and not on the number of routes.
+    pub fn find(&self, host: &str, path: &str) -> Option<Rc<DesiredRoute>> {
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let prefixes = self.hosts.get(host.as_str())?;
+        let path = path.split(['?', '#']).next().unwrap_or(path);
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(route) = prefixes.get(&path[..=slash]) {
+                return Some(Rc::clone(route));
+            }
+            end = slash;
+        }
+        None
+    }
+}
