Bind hand-offs to one send, prefer home regions in the directory, spend the repeat budget

Ruled out: a late hand-off (the trace shows the second send from the peer 40 ms after the first failed).

--- a/crates/zinniahatch_entry/src/serve.rs
+++ b/crates/zinniahatch_entry/src/serve.rs
@@ -44,6 +44,9 @@
 const COMMON_RANK: u8 = 5;
 /// Time that a caller is told to wait where no replica can be used.
 const NO_BACKEND_RETRY: Duration = Duration::from_millis(700);
+/// Time that a caller is told to wait where this node does not know the desired state. A start
+/// beside a running store takes under half a second; where it takes longer, the store is away.
+const STARTING_RETRY: Duration = Duration::from_secs(2);
 /// Time for a repeatable request before it is sent elsewhere, as a multiple of its goal.
 const TRY_PART: f64 = 0.8;
 
@@ -62,6 +65,9 @@
     pub(crate) urgent: bool,
     /// Bound of a cold replica over all nodes, requests a second.
     pub(crate) cold_bound: f64,
+    /// Replicas that this node may send the request to. One for a forwarded request: the first
+    /// node counts its tries, and two nodes that both went to the route's limit would pass it.
+    pub(crate) most_sends: u32,
 }
 
 impl CallPlan {
@@ -122,7 +128,7 @@
                 serde_json::json!({"request": call.attempt, "result": code.number(),
                     "version": core.version()}),
             );
-            let retry = (code.status() == 503).then_some(NO_BACKEND_RETRY);
+            let retry = (code.status() == 503).then(|| start_retry(&call));
             return own_answer(code, Some(&call.attempt), retry);
         }
     };
@@ -138,6 +144,13 @@
     response.unwrap_or_else(|(code, retry)| refuse(core, &call, &plan, &course, code, retry))
 }
 
+/// Gives the wait before a node that has no desired state yet is asked again: about the time that
+/// an outage of the store takes to pass, as far as callers heed it.
+fn start_retry(call: &ReceivedCall) -> Duration {
+    let left = call.time_left.unwrap_or(STARTING_RETRY * 3);
+    STARTING_RETRY.min(left / 3)
+}
+
 fn refuse(
     core: &EntryCore,
     call: &ReceivedCall,
@@ -187,7 +200,13 @@
     let left = call.time_left.map_or(timeout, |left| left.min(timeout));
     let engine = spec.kv_tokens > 0;
     let urgent = engine && route.priority == 0;
+    let most_sends = if call.is_direct() {
+        route.max_attempts
+    } else {
+        1
+    };
     Ok(CallPlan {
+        most_sends,
         version: routes.version(),
         deadline: call.arrived + left,
         rank: engine.then_some(if urgent { URGENT_RANK } else { COMMON_RANK }),
@@ -221,13 +240,13 @@
                 return Err((*code, Some(cap_retry(plan, hint))));
             }
             NextPlace::Local(choice) => {
-                let limit = try_limit(call, plan, course, choice.expected);
+                let limit = try_limit(plan, course, choice.expected);
                 let sending = send_local(core, call, plan, choice, last);
                 (limit, timeout_at(limit.into(), sending).await)
             }
             NextPlace::Away(choice) => {
                 core.metrics.note_away(&plan.service, &choice.region);
-                let limit = try_limit(call, plan, course, choice.expected);
+                let limit = try_limit(plan, course, choice.expected);
                 let sending = send_away(core, call, plan, choice, last);
                 (limit, timeout_at(limit.into(), sending).await)
             }
@@ -244,9 +263,6 @@
                         return Ok(answer);
                     }
                     Ok((answer, _)) => {
-                        // The replica answered with a failure; the same one may do better now.
-                        course.tried.clear();
-                        course.tried_regions.clear();
                         course.maybe_ran = true;
                         spare = Some(answer);
                         continue;
@@ -314,15 +330,9 @@
 ///
 /// A request that may be repeated leaves a replica that hangs while there is time for another;
 /// all others wait until the end, since a second run is not allowed.
-fn try_limit(
-    call: &ReceivedCall,
-    plan: &CallPlan,
-    course: &CallCourse,
-    expected: Duration,
-) -> Instant {
-    let once_more = plan.route.repeat == RepeatKind::Idempotent
-        && call.is_direct()
-        && course.sends + 1 < plan.route.max_attempts;
+fn try_limit(plan: &CallPlan, course: &CallCourse, expected: Duration) -> Instant {
+    let once_more =
+        plan.route.repeat == RepeatKind::Idempotent && course.sends + 1 < plan.most_sends;
     if !once_more {
         return plan.deadline;
     }
@@ -386,7 +396,7 @@
 
 /// Tells whether a request may be sent once more, and takes it from the budget.
 fn may_go_on(core: &EntryCore, plan: &CallPlan, course: &CallCourse, reason: &'static str) -> bool {
-    if course.sends >= plan.route.max_attempts {
+    if course.sends >= plan.most_sends {
         return false;
     }
     let granted = core.with_budget(&plan.service, |budget| budget.take(Instant::now()));
@@ -448,19 +458,25 @@
     {
         return NextPlace::Local(choice.clone());
     }
+    let mut slow_away = None;
     if call.is_direct()
         && let Some(away) = find_away(core, plan, course, &ask, now)
     {
         let better = local
             .as_ref()
             .is_none_or(|choice| !admitted || away.expected < choice.expected.mul_f64(AWAY_GAIN));
-        if better && rule.judge(away.expected, away.wait) == Verdict::Admit {
-            return NextPlace::Away(away);
+        match rule.judge(away.expected, away.wait) {
+            Verdict::Admit if better => return NextPlace::Away(away),
+            Verdict::Admit => {}
+            Verdict::Refuse(after) => slow_away = Some(after),
         }
     }
     match (local, verdict) {
         (Some(choice), _) if admitted => NextPlace::Local(choice),
         (_, Some(Verdict::Refuse(after))) => NextPlace::Refuse(ResultCode::WaitTooLong, after),
+        _ if slow_away.is_some() => {
+            NextPlace::Refuse(ResultCode::WaitTooLong, slow_away.unwrap_or_default())
+        }
         _ => NextPlace::Refuse(ResultCode::NoBackend, NO_BACKEND_RETRY),
     }
 }
--- a/crates/zinniahatch_entry/src/services.rs
+++ b/crates/zinniahatch_entry/src/services.rs
@@ -27,6 +27,7 @@
 use zinniahatch_platform::RESOLVE_PATH;
 use zinniahatch_platform::decode_resolve;
 use zinniahatch_platform::encode_resolved;
+use zinniahatch_route::MemberTable;
 
 /// Addresses that one answer of the directory names at most.
 const MOST_ADDRESSES: usize = 64;
@@ -162,7 +163,11 @@
         return plain(StatusCode::NOT_FOUND, "text/plain", "");
     }
     let query = decode_resolve(request.uri().query().unwrap_or_default());
-    let addresses = addresses_for(core, query.region.as_deref(), Instant::now());
+    let homes = core
+        .routes
+        .borrow()
+        .homes_of(query.host.as_deref().unwrap_or_default());
+    let addresses = addresses_for(core, query.region.as_deref(), &homes, Instant::now());
     if addresses.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "");
     }
@@ -174,7 +179,12 @@
     )
 }
 
-fn addresses_for(core: &EntryCore, region: Option<&str>, now: Instant) -> Vec<SocketAddrV4> {
+fn addresses_for(
+    core: &EntryCore,
+    region: Option<&str>,
+    homes: &BTreeSet<RegionId>,
+    now: Instant,
+) -> Vec<SocketAddrV4> {
     let own = &core.settings.region;
     let region = region.unwrap_or(own);
     let members = core.members.borrow();
@@ -194,15 +204,7 @@
             .collect();
     }
     if found.is_empty() {
-        found = members
-            .live_elsewhere(region, now)
-            .into_values()
-            .flatten()
-            .map(|card| card.front)
-            .collect();
-        if core.is_ready() {
-            found.push(core.settings.listen.front);
-        }
+        found = elsewhere(core, &members, region, homes, now);
     }
     found.sort_unstable();
     found.dedup();
@@ -210,3 +212,27 @@
     found.truncate(MOST_ADDRESSES);
     found
 }
+
+/// Gives the nodes outside a region: those in a home of the host's routes, where there are any,
+/// since the others would see the bodies of requests that are bound to the homes.
+fn elsewhere(
+    core: &EntryCore,
+    members: &MemberTable,
+    region: &str,
+    homes: &BTreeSet<RegionId>,
+    now: Instant,
+) -> Vec<SocketAddrV4> {
+    let mut regions: BTreeMap<RegionId, Vec<SocketAddrV4>> = BTreeMap::new();
+    for (other, cards) in members.live_elsewhere(region, now) {
+        let fronts = cards.into_iter().map(|card| card.front).collect();
+        regions.insert(other, fronts);
+    }
+    if core.is_ready() {
+        let own = regions.entry(core.settings.region.clone()).or_default();
+        own.push(core.settings.listen.front);
+    }
+    if regions.keys().any(|other| homes.contains(other)) {
+        regions.retain(|other, _| homes.contains(other));
+    }
+    regions.into_values().flatten().collect()
+}
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -26,16 +26,26 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after a watch that brought news, so that changes which come together cost one call.
 const GATHER_TIME: Duration = Duration::from_millis(250);
+/// Limits of a page of a listing, in turn. While the store is silent each try hangs for the limit,
+/// and a node without a desired state serves nobody, so the short one finds its return soon; a
+/// store that is merely slow answers within the long one.
+const LIST_SHORT: Duration = Duration::from_millis(400);
+const LIST_LONG: Duration = Duration::from_millis(1_500);
 /// Shortest and longest pause after a failed call; jitter keeps the nodes apart.
-const RETRY_MILLIS: std::ops::Range<u64> = 250..700;
+const RETRY_MILLIS: std::ops::Range<u64> = 150..450;
 
 /// Follows the store until the process ends.
 pub(crate) async fn run_watch(core: Rc<EntryCore>) {
     let mut revision = None;
     let mut fine = true;
+    let mut patient = true;
     loop {
         let result = match revision {
-            None => list(&core).await,
+            None => {
+                patient = !patient;
+                let limit = if patient { LIST_LONG } else { LIST_SHORT };
+                list(&core, limit).await
+            }
             Some(after) => follow(&core, after).await,
         };
         match result {
@@ -86,8 +96,8 @@
     }
 }
 
-async fn list(core: &Rc<EntryCore>) -> Result<u64, KvError> {
-    let StoreListing { items, revision } = core.store.list(WATCHED).await?;
+async fn list(core: &Rc<EntryCore>, limit: Duration) -> Result<u64, KvError> {
+    let StoreListing { items, revision } = core.store.list(WATCHED, limit).await?;
     core.metrics.note_store("list", "done");
     let now = Instant::now();
     let mut entries = Vec::new();
--- a/crates/zinniahatch_route/src/budget.rs
+++ b/crates/zinniahatch_route/src/budget.rs
@@ -6,12 +6,13 @@
 use std::collections::VecDeque;
 use zinniahatch_base::prelude::*;
 
-/// Part of the allowed ratio that a node uses: its own count of requests can differ from what
-/// the backend servers saw by what was cut off on the way.
-const RATIO_SAFETY: f64 = 0.6;
-/// Part of the shared slack that nodes use together; a process that was restarted forgets what
-/// its predecessor spent, and machines may be added.
-const SLACK_SAFETY: f64 = 0.4;
+/// Part of the allowed ratio that a node uses; the rest covers requests that were cut off before
+/// a backend server's side counted them.
+const RATIO_SAFETY: f64 = 0.85;
+/// Part of the shared slack that nodes use together. A process that is restarted forgets what its
+/// predecessor spent; all of ten nodes may start anew within the window, and their slacks still
+/// fit. The ratio needs no such care: a fresh process starts with no requests to take it from.
+const SLACK_SAFETY: f64 = 0.5;
 
 /// Sending a request once more, for one service on one node.
 #[derive(Clone, Debug)]
--- a/crates/zinniahatch_route/src/table.rs
+++ b/crates/zinniahatch_route/src/table.rs
@@ -33,6 +33,24 @@
         self.version
     }
 
+    /// Gives the regions that may serve every route of a host; empty where none is bound.
+    pub fn homes_of(&self, host: &str) -> BTreeSet<RegionId> {
+        let mut homes: Option<BTreeSet<RegionId>> = None;
+        let Some(prefixes) = self.hosts.get(host.to_ascii_lowercase().as_str()) else {
+            return BTreeSet::new();
+        };
+        for route in prefixes.values() {
+            if route.homes.is_empty() {
+                continue;
+            }
+            homes = Some(match homes {
+                Some(common) => common.intersection(&route.homes).cloned().collect(),
+                None => route.homes.clone(),
+            });
+        }
+        homes.unwrap_or_default()
+    }
+
     /// Finds the route with the longest prefix that begins the path.
     ///
     /// It looks up the path cut at each slash, the longest first, so that the cost depends on the
