--- a/crates/zinniahatch_entry/src/services.rs
+++ b/crates/zinniahatch_entry/src/services.rs
@@ -205,6 +205,11 @@
     }
     if found.is_empty() {
         found = elsewhere(core, &members, region, homes, now);
+        core.log.write(
+            "directory-elsewhere",
+            serde_json::json!({"region": region, "homes": homes, "addresses": &found,
+                "members": members.known().count()}),
+        );
     }
     found.sort_unstable();
     found.dedup();
--- a/crates/zinniahatch_route/src/table.rs
+++ b/crates/zinniahatch_route/src/table.rs
@@ -33,22 +33,22 @@
         self.version
     }
 
-    /// Gives the regions that may serve every route of a host; empty where none is bound.
+    /// Gives the regions that are homes of the most bound routes of a host; empty where none is
+    /// bound. Routes of one host may have different homes, and a caller asks for the host alone.
     pub fn homes_of(&self, host: &str) -> BTreeSet<RegionId> {
-        let mut homes: Option<BTreeSet<RegionId>> = None;
-        let Some(prefixes) = self.hosts.get(host.to_ascii_lowercase().as_str()) else {
-            return BTreeSet::new();
-        };
-        for route in prefixes.values() {
-            if route.homes.is_empty() {
-                continue;
+        let mut counts: BTreeMap<RegionId, usize> = BTreeMap::new();
+        let prefixes = self.hosts.get(host.to_ascii_lowercase().as_str());
+        for route in prefixes.into_iter().flat_map(BTreeMap::values) {
+            for home in &route.homes {
+                *counts.entry(home.clone()).or_default() += 1;
             }
-            homes = Some(match homes {
-                Some(common) => common.intersection(&route.homes).cloned().collect(),
-                None => route.homes.clone(),
-            });
         }
-        homes.unwrap_or_default()
+        let most = counts.values().max().copied();
+        counts
+            .into_iter()
+            .filter(|(_, count)| Some(*count) == most)
+            .map(|(home, _)| home)
+            .collect()
     }
 
     /// Finds the route with the longest prefix that begins the path.
