--- a/crates/zinniahatch_ctl/src/commands.rs
+++ b/crates/zinniahatch_ctl/src/commands.rs
@@ -25,7 +25,7 @@
 use zinniahatch_change::ChangeDesk;
 use zinniahatch_change::ChangeError;
 use zinniahatch_change::ChangeVerdict;
-use zinniahatch_platform::HttpStore;
+use zinniahatch_platform::KvClient;
 
 /// Runs a command and gives what to print.
 ///
@@ -143,7 +143,7 @@
             .collect(),
         check: false,
     };
-    let desk = ChangeDesk::new(HttpStore::new(&args.store));
+    let desk = ChangeDesk::new(KvClient::new(&args.store));
     match desk.apply(&ask, "bootstrap", |_| None).await {
         Ok(ChangeVerdict::Accepted(revision)) => Ok(accepted(Some(revision))),
         Ok(ChangeVerdict::Checked) => Ok(accepted(None)),
--- a/crates/zinniahatch_daemon/src/run.rs
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -33,7 +33,7 @@
 use zinniahatch_gateway::GatewayCore;
 use zinniahatch_gateway::GatewayParts;
 use zinniahatch_gateway::build_service;
-use zinniahatch_platform::HttpStore;
+use zinniahatch_platform::KvClient;
 use zinniahatch_platform::SETTINGS_VARIABLE;
 use zinniahatch_protocol::FrameCodec;
 
@@ -169,7 +169,7 @@
         VerdictPolicy::MajorityReports,
         policy,
     );
-    let store = HttpStore::new(&settings.store);
+    let store = KvClient::new(&settings.store);
     GatewayCore::new(
         GatewayParts {
             settings,
--- a/crates/zinniahatch_entry/src/membership.rs
+++ b/crates/zinniahatch_entry/src/membership.rs
@@ -72,10 +72,10 @@
     let granted = core.store.grant(time).await?;
     let key = format!("{NODE_PREFIX}{}", core.settings.name);
     let value = core.settings.listen.peer.to_string();
-    let commit = StoreCommit::new().set(&key, value.as_bytes(), Some(granted.id));
+    let commit = StoreCommit::new().set(&key, value.as_bytes(), Some(granted));
     core.metrics.note_store("register", "done");
     match core.store.commit(&commit).await? {
-        CommitOutcome::Done(_) => Ok(Some(granted.id)),
+        CommitOutcome::Done(_) => Ok(Some(granted)),
         CommitOutcome::Conflict | CommitOutcome::NoLease => Ok(None),
     }
 }
--- a/crates/zinniahatch_entry/src/relay.rs
+++ b/crates/zinniahatch_entry/src/relay.rs
@@ -74,13 +74,11 @@
                 &reason,
             )
             .await;
-            match resumed {
-                Some(next) => open = next,
-                None => {
-                    self.finish(&end).await;
-                    return;
-                }
-            }
+            let Some(next) = resumed else {
+                self.finish(&end).await;
+                return;
+            };
+            open = next;
         };
         if end == RelayEnd::Whole {
             open.finish(true);
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -23,7 +23,7 @@
 pub(crate) const NODE_PREFIX: &str = "zinniahatch/nodes/";
 /// Longest wait of one watch. A channel that went silent shows only when this is over, and the
 /// desired state has to be in force within four seconds.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a watch that brought news, so that changes which come together cost one call.
 const GATHER_TIME: Duration = Duration::from_millis(250);
 /// Limits of a page of a listing, in turn. While the store is silent each try hangs for the limit,
@@ -97,7 +97,7 @@
 }
 
 async fn list(core: &Rc<EntryCore>, limit: Duration) -> Result<u64, KvError> {
-    let StoreListing { items, revision } = core.store.list(WATCHED, limit).await?;
+    let StoreListing { items, revision } = core.store.items(WATCHED, limit).await?;
     core.metrics.note_store("list", "done");
     let now = Instant::now();
     let mut entries = Vec::new();
@@ -128,7 +128,7 @@
 }
 
 async fn follow(core: &Rc<EntryCore>, after: u64) -> Result<u64, KvError> {
-    let changes = core.store.watch(WATCHED, after, WATCH_WAIT).await?;
+    let changes = core.store.changes(WATCHED, after, WATCH_WAIT).await?;
     core.metrics.note_store("watch", "done");
     let now = Instant::now();
     let quiet = changes.events.is_empty();
--- a/crates/zinniahatch_gateway/src/core.rs
+++ b/crates/zinniahatch_gateway/src/core.rs
@@ -23,7 +23,7 @@
 use zinniahatch_control::ControlNode;
 use zinniahatch_control::NodeIdentity;
 use zinniahatch_platform::HttpEngine;
-use zinniahatch_platform::HttpStore;
+use zinniahatch_platform::KvClient;
 use zinniahatch_report::CountBook;
 
 /// Time for a connection to a backend server or another node.
@@ -38,7 +38,7 @@
     /// The tables.
     pub control: ControlNode,
     /// The store.
-    pub store: HttpStore,
+    pub store: KvClient,
     /// Random bytes that only this process knows.
     pub key_secret: [u8; 32],
 }
@@ -54,7 +54,7 @@
     /// Counters.
     pub counters: CounterSet,
     /// Changes of configuration.
-    pub changes: ChangeDesk<HttpStore>,
+    pub changes: ChangeDesk<KvClient>,
     /// Engines beside the request path.
     pub engine: HttpEngine,
     pub(crate) proof: PeerProof,
--- a/crates/zinniahatch_lab/src/cluster/prepare.rs
+++ b/crates/zinniahatch_lab/src/cluster/prepare.rs
@@ -24,7 +24,7 @@
 use zinniahatch_config::ClusterConfig;
 use zinniahatch_config::FencingRule;
 use zinniahatch_config::ServiceKind;
-use zinniahatch_platform::HttpStore;
+use zinniahatch_platform::KvClient;
 use zinniahatch_platform::ListedVm;
 use zinniahatch_platform::VmKind;
 use zinniahatch_platform::VmState;
@@ -103,7 +103,7 @@
             .collect(),
         check: false,
     };
-    let verdict = ChangeDesk::new(HttpStore::new(store))
+    let verdict = ChangeDesk::new(KvClient::new(store))
         .apply(&ask, "lab", |_| None)
         .await;
     assert_eq!(
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -214,18 +214,14 @@
 impl ReplicaTable {
     /// Takes an entry from the store; tells whether the belief changed.
     pub fn upsert(&mut self, entry: ReplicaEntry, now: Instant) -> bool {
-        match self.rows.get_mut(&entry.id) {
-            Some(belief) => {
-                let changed = belief.entry.leaving != entry.leaving || belief.lapsed.is_some();
-                belief.update(entry, now);
-                changed
-            }
-            None => {
-                self.rows
-                    .insert(entry.id.clone(), ReplicaBelief::new(entry, now));
-                true
-            }
-        }
+        let Some(belief) = self.rows.get_mut(&entry.id) else {
+            self.rows
+                .insert(entry.id.clone(), ReplicaBelief::new(entry, now));
+            return true;
+        };
+        let changed = belief.entry.leaving != entry.leaving || belief.lapsed.is_some();
+        belief.update(entry, now);
+        changed
     }
 
     /// Takes the news that an entry vanished.
--- /dev/null
+++ b/crates/zinniahatch_route/tests/beliefs.rs
@@ -0,0 +1,109 @@
+//! What a node believes of replicas when entries lapse, replicas go silent, answers fail.
+
+mod common;
+
+use common::entry;
+use common::table;
+use test_case::test_case;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::HealthRecord;
+use zinniahatch_route::KeptParts;
+use zinniahatch_route::PromptPart;
+
+/// The store was away for some seconds, all entries of replicas lapsed, and callers were refused
+/// although every replica lived. Entries that vanish around an outage count for a little longer.
+#[test]
+fn vanish_around_an_outage() {
+    let now = Instant::now();
+    let mut table = table(&["r1"], now);
+    table.note_store_trouble(now);
+    table.vanish("r1", now + Duration::from_secs(1));
+    assert_eq!(table.get("r1").unwrap().leaving, None);
+    table.tick(now + Duration::from_millis(3_000));
+    assert!(table.get("r1").is_some(), "within the grace");
+    table.tick(now + Duration::from_millis(3_600));
+    assert!(table.get("r1").is_none(), "it did not come back");
+}
+
+#[test]
+fn vanish_and_return() {
+    let now = Instant::now();
+    let mut table = table(&["r1"], now);
+    table.note_store_trouble(now);
+    table.vanish("r1", now);
+    assert!(table.upsert(entry("r1", "a"), now + Duration::from_secs(2)));
+    table.tick(now + Duration::from_secs(9));
+    assert_eq!(table.get("r1").unwrap().leaving, None);
+}
+
+#[test]
+fn vanish_on_a_calm_day() {
+    let now = Instant::now();
+    let mut table = table(&["r1"], now);
+    table.vanish("r1", now);
+    assert!(table.get("r1").unwrap().leaving.is_some());
+}
+
+/// A replica that said it was leaving and then lost its entry in an outage looked sound again when
+/// a late copy of its first entry arrived. What has been acknowledged as leaving stays so.
+#[test]
+fn update_keeps_leaving() {
+    let now = Instant::now();
+    let mut table = table(&["r1"], now);
+    let mut leaving = entry("r1", "a");
+    leaving.leaving = true;
+    table.upsert(leaving, now);
+    table.upsert(entry("r1", "a"), now);
+    assert!(table.get("r1").unwrap().leaving.is_some());
+}
+
+#[test_case(0, false; "no_failure")]
+#[test_case(1, false; "one_failure_is_no_verdict")]
+#[test_case(12, true; "many_failures")]
+fn failure_share_after(failures: u32, grey: bool) {
+    let now = Instant::now();
+    let mut record = HealthRecord::new(now);
+    for _ in 0..failures {
+        record.note_bad(now);
+    }
+    assert_eq!(record.failure_share(now) > 0.5, grey);
+    assert!(
+        record.failure_share(now + Duration::from_secs(20)) < 0.1,
+        "it fades"
+    );
+}
+
+/// A replica went dark: its connections stayed open and nothing came. Requests were sent there
+/// until their callers gave up. Silence while requests are open makes a suspect.
+#[test]
+fn is_suspect_when_silent() {
+    let now = Instant::now();
+    let mut record = HealthRecord::new(now);
+    assert!(
+        !record.is_suspect(now + Duration::from_secs(60)),
+        "idle is not silent"
+    );
+    record.note_open(Some(now), Duration::ZERO);
+    assert!(!record.is_suspect(now + Duration::from_millis(500)));
+    assert!(record.is_suspect(now + Duration::from_millis(1_000)));
+    record.note_open(Some(now), Duration::from_secs(2));
+    assert!(
+        !record.is_suspect(now + Duration::from_millis(1_000)),
+        "it reads a long prompt"
+    );
+    record.note_open(Some(now), Duration::ZERO);
+    record.note_heard(now + Duration::from_millis(900));
+    assert!(!record.is_suspect(now + Duration::from_millis(1_000)));
+}
+
+#[test]
+fn leading_counts_from_the_front() {
+    let part = |tag, tokens| PromptPart { tag, tokens };
+    let mut kept = KeptParts::default();
+    kept.note(&[part(1, 100), part(2, 100)], 1_000);
+    assert_eq!(kept.leading(&[part(1, 100), part(2, 100), part(3, 9)]), 2);
+    assert_eq!(kept.leading(&[part(9, 100), part(2, 100)]), 0);
+    kept.note(&[part(4, 950)], 1_000);
+    assert_eq!(kept.leading(&[part(1, 100)]), 0, "the oldest yields");
+    assert_eq!(kept.leading(&[part(4, 950)]), 1);
+}
--- /dev/null
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -0,0 +1,157 @@
+//! Small makers for tests of the pure decisions.
+
+#![allow(dead_code)]
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::CallerLimits;
+use zinniahatch_route::DesiredRoute;
+use zinniahatch_route::DesiredService;
+use zinniahatch_route::DesiredState;
+use zinniahatch_route::MemberCard;
+use zinniahatch_route::PlaceAsk;
+use zinniahatch_route::PromptPart;
+use zinniahatch_route::PromptSize;
+use zinniahatch_route::RepeatKind;
+use zinniahatch_route::ReplicaEntry;
+use zinniahatch_route::ReplicaTable;
+use zinniahatch_route::ServiceDigest;
+use zinniahatch_route::WeightedTarget;
+
+pub fn address(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9_000 + u16::from(last))
+}
+
+pub fn route(name: &str, host: &str, prefix: &str, service: &str) -> DesiredRoute {
+    DesiredRoute {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        repeat: RepeatKind::Idempotent,
+        timeout: Duration::from_secs(5),
+        goal: Duration::from_millis(500),
+        priority: 1,
+        targets: vec![WeightedTarget {
+            service: service.into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        resumable: false,
+        pause_limit: Duration::ZERO,
+        homes: BTreeSet::new(),
+    }
+}
+
+pub fn state(version: u64, routes: Vec<DesiredRoute>) -> DesiredState {
+    let service = DesiredService {
+        health_path: "/health".into(),
+        max_channels: 100,
+        warmup: Duration::from_secs(3),
+        cold_rate: 2.0,
+        kv_tokens: 0,
+        copy_token: Duration::ZERO,
+    };
+    DesiredState {
+        version,
+        routes,
+        services: [("s".into(), service)].into(),
+        limits: CallerLimits::default(),
+    }
+}
+
+pub fn entry(id: &str, place: &str) -> ReplicaEntry {
+    ReplicaEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: address(1),
+        data_centre: place.into(),
+        slots: 8,
+        leaving: false,
+        gone_in: None,
+        cold_for: Duration::ZERO,
+    }
+}
+
+pub fn table(ids: &[&str], now: Instant) -> ReplicaTable {
+    let mut table = ReplicaTable::default();
+    for id in ids {
+        table.upsert(entry(id, "a"), now);
+    }
+    table
+}
+
+pub fn regions() -> BTreeMap<DataCentreId, RegionId> {
+    [("a".into(), "north".into()), ("b".into(), "south".into())].into()
+}
+
+/// A prompt of one part for all, one for the session and one of its own.
+pub fn prompt(session: u64, own: u64) -> PromptSize {
+    PromptSize {
+        tokens_in: 2_000 + 4_000 + 3_000,
+        tokens_out: 50,
+        parts: vec![
+            PromptPart {
+                tag: 1,
+                tokens: 2_000,
+            },
+            PromptPart {
+                tag: 1_000 + session,
+                tokens: 4_000,
+            },
+            PromptPart {
+                tag: 1_000_000 + own,
+                tokens: 3_000,
+            },
+        ],
+    }
+}
+
+pub struct AskParts {
+    pub service: ServiceId,
+    pub tried: BTreeSet<ReplicaId>,
+    pub peers: BTreeSet<NodeId>,
+    pub size: PromptSize,
+    pub copy_token: Duration,
+}
+
+impl AskParts {
+    pub fn new(size: PromptSize) -> Self {
+        Self {
+            service: "s".into(),
+            tried: BTreeSet::new(),
+            peers: BTreeSet::new(),
+            size,
+            copy_token: Duration::ZERO,
+        }
+    }
+
+    pub fn ask(&self) -> PlaceAsk<'_> {
+        PlaceAsk {
+            service: &self.service,
+            region: "north",
+            size: &self.size,
+            urgent: false,
+            tried: &self.tried,
+            deadline: Duration::from_secs(5),
+            copy_token: self.copy_token,
+            cold_bound: 6.0,
+            node: "n1",
+            peers: &self.peers,
+        }
+    }
+}
+
+pub fn card(node: &str, region: &str, wait_ms: u32, sound: u16) -> MemberCard {
+    MemberCard {
+        node: node.into(),
+        incarnation: 1,
+        region: region.into(),
+        data_centre: "b".into(),
+        front: address(2),
+        peer: address(3),
+        ready: true,
+        version: 1,
+        services: [(tag_of("s"), ServiceDigest { sound, wait_ms })].into(),
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_route/tests/overload.rs
@@ -0,0 +1,155 @@
+//! Replayed loads: what admission and budgets gain when there is more than can be served.
+
+mod common;
+
+use proptest::prelude::*;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::AdmissionRule;
+use zinniahatch_route::FirstEventModel;
+use zinniahatch_route::ModelSample;
+use zinniahatch_route::RepeatBudget;
+use zinniahatch_route::Verdict;
+
+const GOAL: Duration = Duration::from_millis(800);
+const LEFT: Duration = Duration::from_secs(5);
+
+fn rule() -> AdmissionRule {
+    AdmissionRule {
+        goal: GOAL,
+        spent: Duration::ZERO,
+        left: LEFT,
+        favour: 1.0,
+    }
+}
+
+/// Replays requests of one reading time at a fixed pace against one replica that reads one after
+/// the other; gives how many were answered within the goal.
+fn replay(read: Duration, every: Duration, count: u32, admit: bool) -> u32 {
+    let mut free_at = Duration::ZERO;
+    let mut in_time = 0;
+    for index in 0..count {
+        let now = every * index;
+        let wait = free_at.saturating_sub(now);
+        if admit && rule().judge(wait + read, wait) != Verdict::Admit {
+            continue;
+        }
+        free_at = free_at.max(now) + read;
+        in_time += u32::from(free_at - now <= GOAL);
+    }
+    in_time
+}
+
+/// At a regional peak of 2.3 times what a replica can read, every request joined the queue and
+/// after a second none was in time, though the replica never idled. With admission the queue stays
+/// short, and the replica's whole capacity is in time.
+#[test]
+fn judge_at_a_regional_peak() {
+    let read = Duration::from_millis(100);
+    let every = read.div_f64(2.3);
+    let without = replay(read, every, 1_000, false);
+    let with = replay(read, every, 1_000, true);
+    assert!(without < 30, "{without} in time without admission");
+    assert!(with > 420, "{with} in time of about 435 that could be read");
+}
+
+/// The longest prompts cannot meet the goal even on an idle replica. Judged by the goal alone they
+/// were turned away at any load, and their callers were never served.
+#[test]
+fn judge_long_prompt_on_an_idle_replica() {
+    let read = Duration::from_millis(1_200);
+    assert_eq!(rule().judge(read, Duration::ZERO), Verdict::Admit);
+}
+
+#[test]
+fn judge_what_cannot_be_served() {
+    let verdict = rule().judge(Duration::from_secs(6), Duration::from_secs(5));
+    let Verdict::Refuse(after) = verdict else {
+        panic!("it cannot end before its caller gives up");
+    };
+    assert!(
+        after <= LEFT / 3 + Duration::from_millis(1),
+        "callers heed no more: {after:?}"
+    );
+}
+
+/// Callers who were refused asked again at once and made the overload worse. The hint names when
+/// the queue will have shrunk.
+#[test]
+fn retry_after_grows_with_the_queue() {
+    let hint = |wait_ms: u64| {
+        let wait = Duration::from_millis(wait_ms);
+        match rule().judge(wait + Duration::from_millis(100), wait) {
+            Verdict::Refuse(after) => after,
+            Verdict::Admit => Duration::ZERO,
+        }
+    };
+    assert_eq!(hint(100), Duration::ZERO);
+    assert!(hint(900) > Duration::from_millis(400));
+    assert!(hint(1_500) > hint(900));
+}
+
+proptest! {
+    /// The oracle: over any window and over all nodes, restarted ones included, repeats stay
+    /// within the ratio and the slack.
+    #[test]
+    fn repeat_budget_holds_over_nodes(
+        steps in prop::collection::vec((0_usize..7, 0_u64..60, any::<bool>(), 0_u32..200), 1..800),
+    ) {
+        const WINDOW: Duration = Duration::from_secs(10);
+        const RATIO: f64 = 0.2;
+        const SLACK: f64 = 54.0;
+        let fresh = || RepeatBudget::new(WINDOW, RATIO, SLACK, 10);
+        let mut nodes: Vec<RepeatBudget> = (0..7).map(|_| fresh()).collect();
+        let mut restarts: Vec<Instant> = Vec::new();
+        let mut firsts: Vec<Instant> = Vec::new();
+        let mut repeats: Vec<Instant> = Vec::new();
+        let mut now = Instant::now();
+        for (node, pause, first, restart) in steps {
+            now += Duration::from_millis(pause);
+            let recent = restarts.iter().filter(|at| now.duration_since(**at) <= WINDOW).count();
+            if restart == 0 && recent < 10 {
+                restarts.push(now);
+                nodes[node] = fresh();
+            }
+            if first {
+                nodes[node].note_first(now);
+                firsts.push(now);
+            }
+            if nodes[node].take(now) {
+                repeats.push(now);
+            }
+            let within = |list: &[Instant]| {
+                list.iter().filter(|at| now.duration_since(**at) <= WINDOW).count() as f64
+            };
+            prop_assert!(within(&repeats) <= RATIO * within(&firsts) + SLACK);
+        }
+    }
+
+    /// The oracle is the line that made the samples; the model finds it within a tenth.
+    #[test]
+    fn model_learns_a_line(base in 5.0_f64..200.0, token in 0.005_f64..0.1, seed in 0_u32..1000) {
+        let mut model = FirstEventModel::new(40.0);
+        for index in 0..400_u32 {
+            let tokens = (index.wrapping_mul(2_654_435_761).wrapping_add(seed) >> 8) % 12_000;
+            let millis = base + token * f64::from(tokens);
+            model.learn(ModelSample {
+                tokens,
+                took: Duration::from_secs_f64(millis / 1e3),
+            });
+        }
+        let expected = base + token * 6_000.0;
+        let found = model.expect(6_000).as_secs_f64() * 1e3;
+        prop_assert!((found - expected).abs() <= expected * 0.1 + 2.0, "{found} for {expected}");
+    }
+
+    /// Hangs of some requests must not make all others look slow.
+    #[test]
+    fn model_withstands_hangs(every in 10_u32..40) {
+        let mut model = FirstEventModel::new(40.0);
+        for index in 0..400_u32 {
+            let took = if index % every == 0 { 8_000 } else { 50 };
+            model.learn(ModelSample { tokens: 100, took: Duration::from_millis(took) });
+        }
+        prop_assert!(model.expect(100) < Duration::from_millis(90));
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_route/tests/placement.rs
@@ -0,0 +1,214 @@
+//! Where requests go: sessions stay, load spreads, sick and leaving replicas get nothing.
+
+mod common;
+
+use common::AskParts;
+use common::card;
+use common::entry;
+use common::prompt;
+use common::regions;
+use common::table;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::ColdGate;
+use zinniahatch_route::LeaveReason;
+use zinniahatch_route::LocalChoice;
+use zinniahatch_route::MemberTable;
+use zinniahatch_route::OpenWork;
+use zinniahatch_route::PromptRead;
+use zinniahatch_route::PromptSize;
+use zinniahatch_route::ReplicaTable;
+use zinniahatch_route::choose_away;
+use zinniahatch_route::choose_local;
+
+fn choose(table: &ReplicaTable, parts: &AskParts, now: Instant) -> Option<LocalChoice> {
+    choose_local(table, &ColdGate::default(), &regions(), &parts.ask(), now)
+}
+
+#[test]
+fn choose_local_keeps_a_session() {
+    let now = Instant::now();
+    let table = table(&["r1", "r2", "r3", "r4"], now);
+    let mut used = BTreeSet::new();
+    for session in 0..40 {
+        let first = choose(&table, &AskParts::new(prompt(session, 1)), now).unwrap();
+        let again = choose(&table, &AskParts::new(prompt(session, 2)), now).unwrap();
+        assert_eq!(first.replica, again.replica, "session {session} moved");
+        used.insert(first.replica);
+    }
+    assert_eq!(used.len(), 4, "sessions spread over all replicas");
+}
+
+/// A replica of four left and every session moved, so that all prompts were read again at once.
+/// Only the sessions of the one that left may move.
+#[test]
+fn choose_local_moves_only_what_left() {
+    let now = Instant::now();
+    let mut table = table(&["r1", "r2", "r3", "r4"], now);
+    let before: Vec<ReplicaId> = (0..40)
+        .map(|session| {
+            choose(&table, &AskParts::new(prompt(session, 1)), now)
+                .unwrap()
+                .replica
+        })
+        .collect();
+    table.get_mut("r2").unwrap().leaving = Some(LeaveReason::Draining);
+    for (session, old) in before.iter().enumerate() {
+        let parts = AskParts::new(prompt(session as u64, 1));
+        let new = choose(&table, &parts, now).unwrap().replica;
+        if &**old == "r2" {
+            assert_ne!(new, *old);
+        } else {
+            assert_eq!(new, *old, "session {session} moved without need");
+        }
+    }
+}
+
+/// A burst of one session's requests queued up behind its own replica while the others idled, and
+/// its callers waited seconds. Beyond a bounded load a session goes elsewhere.
+#[test]
+fn choose_local_leaves_a_busy_first_choice() {
+    let now = Instant::now();
+    let mut table = table(&["r1", "r2"], now);
+    let parts = AskParts::new(prompt(7, 1));
+    let first = choose(&table, &parts, now).unwrap().replica;
+    table.get_mut(&first).unwrap().own = OpenWork {
+        requests: 5,
+        tokens: 60_000,
+        urgent_tokens: 0,
+    };
+    let second = choose(&table, &parts, now).unwrap();
+    assert_ne!(second.replica, first);
+    assert_eq!(second.wait, Duration::ZERO);
+}
+
+/// A session's shared parts were read again by each replica that the load pushed it to, a third of
+/// all reading. A replica that lacks them names the one that keeps them, and copies.
+#[test]
+fn choose_local_copies_from_the_keeper() {
+    let now = Instant::now();
+    let mut table = table(&["r1", "r2"], now);
+    let mut parts = AskParts::new(prompt(7, 1));
+    parts.copy_token = Duration::from_micros(2);
+    let first = choose(&table, &parts, now).unwrap().replica;
+    let read = PromptRead {
+        replica: first.clone(),
+        parts: parts.size.parts[..2].to_vec(),
+    };
+    table.note_reads(&[read], |_| 100_000);
+    let at_home = choose(&table, &parts, now).unwrap();
+    assert_eq!((at_home.tokens, at_home.copy_from), (3_000, None));
+    table.get_mut(&first).unwrap().own.tokens = 60_000;
+    let elsewhere = choose(&table, &parts, now).unwrap();
+    assert_ne!(elsewhere.replica, first);
+    assert_eq!(elsewhere.tokens, 3_000, "only its own part is read");
+    assert_eq!(elsewhere.copy_from, Some(first));
+}
+
+#[test]
+fn choose_local_without_replicas_for_new_work() {
+    let now = Instant::now();
+    let parts = AskParts::new(PromptSize::default());
+    assert!(choose(&table(&[], now), &parts, now).is_none());
+
+    let mut leaving = table(&["r1"], now);
+    leaving.get_mut("r1").unwrap().leaving = Some(LeaveReason::Draining);
+    assert!(choose(&leaving, &parts, now).is_none());
+
+    let mut evacuated = table(&["r1"], now);
+    evacuated.set_evacuated(["a".into()].into());
+    assert!(choose(&evacuated, &parts, now).is_none());
+
+    let mut unreached = table(&["r1"], now);
+    unreached
+        .get_mut("r1")
+        .unwrap()
+        .health
+        .note_unreachable(now);
+    assert!(choose(&unreached, &parts, now).is_none());
+
+    let mut far = ReplicaTable::default();
+    far.upsert(entry("r1", "b"), now);
+    assert!(
+        choose(&far, &parts, now).is_none(),
+        "another region's replica"
+    );
+}
+
+/// A replica was taken away with two seconds' notice and cut off every answer that was longer.
+/// It gets only what ends before.
+#[test]
+fn choose_local_with_short_notice() {
+    let now = Instant::now();
+    let mut table = table(&["r1"], now);
+    table.get_mut("r1").unwrap().gone_at = Some(now + Duration::from_secs(2));
+    let parts = AskParts::new(PromptSize::default());
+    assert!(
+        choose(&table, &parts, now).is_none(),
+        "the deadline is in five seconds"
+    );
+}
+
+/// A region's nodes sent their whole load to a replica that had just started; it crashed. Over any
+/// second and over all nodes a cold replica gets no more than its bound.
+#[test]
+fn choose_local_bounds_a_cold_replica() {
+    let start = Instant::now();
+    let names = ["n1", "n2", "n3", "n4", "n5"];
+    let peers: BTreeSet<NodeId> = names.iter().map(|name| (*name).into()).collect();
+    let bound = 6.3;
+    let mut sent: Vec<Instant> = Vec::new();
+    let mut gates: Vec<ColdGate> = names.iter().map(|_| ColdGate::default()).collect();
+    for step in 0..400_u64 {
+        let now = start + Duration::from_millis(step * 10);
+        for (name, gate) in names.iter().zip(&mut gates) {
+            let share = ColdGate::share(bound, "r1", name, &peers);
+            if gate.allows("r1", share, now) {
+                gate.note(&"r1".into(), now);
+                sent.push(now);
+            }
+        }
+    }
+    for (index, first) in sent.iter().enumerate() {
+        let within = sent[index..]
+            .iter()
+            .take_while(|at| at.duration_since(*first) < Duration::from_secs(1))
+            .count();
+        assert!(within as f64 <= bound, "{within} in one second");
+    }
+    assert!(sent.len() >= 12, "the bound is also used: {}", sent.len());
+}
+
+#[test]
+fn choose_away_takes_the_sooner_region() {
+    let now = Instant::now();
+    let mut members = MemberTable::default();
+    members.hear(card("s1", "south", 400, 2), now);
+    members.hear(card("w1", "west", 50, 2), now);
+    members.hear(card("e1", "east", 0, 0), now);
+    let table = ReplicaTable::default();
+    let parts = AskParts::new(PromptSize::default());
+    let away = |allowed: &[&str], tried: &[&str]| {
+        let allowed = allowed.iter().map(|name| (*name).into()).collect();
+        let tried = tried.iter().map(|name| (*name).into()).collect();
+        choose_away(&members, &table, &parts.ask(), &allowed, &tried, 0, now)
+            .map(|choice| choice.node)
+    };
+    assert_eq!(away(&[], &[]).as_deref(), Some("w1"));
+    assert_eq!(away(&["south"], &[]).as_deref(), Some("s1"), "homes bind");
+    assert_eq!(away(&[], &["west"]).as_deref(), Some("s1"));
+    assert_eq!(away(&["east"], &[]), None, "no sound replica there");
+    let later = now + Duration::from_secs(3);
+    assert!(
+        choose_away(
+            &members,
+            &table,
+            &parts.ask(),
+            &BTreeSet::new(),
+            &BTreeSet::new(),
+            0,
+            later
+        )
+        .is_none(),
+        "silent nodes get nothing"
+    );
+}
--- /dev/null
+++ b/crates/zinniahatch_route/tests/routes.rs
@@ -0,0 +1,74 @@
+//! Which route a request takes, and which regions the directory prefers for a host.
+
+mod common;
+
+use common::route;
+use common::state;
+use test_case::test_case;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::RouteTable;
+use zinniahatch_route::WeightedTarget;
+
+fn table() -> RouteTable {
+    RouteTable::new(&state(
+        3,
+        vec![
+            route("short", "h.example", "/a/", "s"),
+            route("long", "h.example", "/a/b/", "s"),
+            route("other", "o.example", "/a/", "s"),
+        ],
+    ))
+}
+
+#[test_case("h.example", "/a/x", Some("short"); "short_prefix")]
+#[test_case("h.example", "/a/b/x?q=/a/", Some("long"); "longest_prefix_wins")]
+#[test_case("h.example", "/a/bc", Some("short"); "prefix_ends_at_a_slash")]
+#[test_case("h.example", "/a", None; "no_slash_no_match")]
+#[test_case("H.Example:80", "/a/b/", Some("long"); "host_case_and_port")]
+#[test_case("o.example", "/a/b/", Some("other"); "hosts_are_apart")]
+#[test_case("x.example", "/a/b/", None; "unknown_host")]
+fn find_route(host: &str, path: &str, expected: Option<&str>) {
+    let found = table().find(host, path);
+    assert_eq!(found.as_ref().map(|route| &*route.name), expected);
+}
+
+#[test]
+fn target_follows_weights() {
+    let mut split = route("r", "h", "/", "s");
+    split.targets = vec![
+        WeightedTarget {
+            service: "s".into(),
+            weight: 90,
+        },
+        WeightedTarget {
+            service: "t".into(),
+            weight: 10,
+        },
+    ];
+    let to_t = (0..10_000)
+        .filter(|id| {
+            let target = split.target(&format!("{id}"));
+            target.is_some_and(|target| &*target.service == "t")
+        })
+        .count();
+    assert!((800..1_200).contains(&to_t), "{to_t} of 10000");
+    // Every node picks the same for one request.
+    assert_eq!(split.target("x"), split.target("x"));
+}
+
+/// While all nodes of a caller's region were being stopped in turn, callers of bound routes were
+/// led to a region that is no home. The host had routes with different homes, and their
+/// intersection was empty, which was taken for "any region will do".
+#[test]
+fn homes_of_host_with_differing_homes() {
+    let mut first = route("first", "h", "/a/", "s");
+    first.homes = ["north".into(), "south".into()].into();
+    let mut second = route("second", "h", "/b/", "s");
+    second.homes = ["south".into()].into();
+    let mut third = route("third", "h", "/c/", "s");
+    third.homes = ["west".into()].into();
+    let table = RouteTable::new(&state(1, vec![first, second, third]));
+    let expected: BTreeSet<RegionId> = ["south".into()].into();
+    assert_eq!(table.homes_of("h"), expected);
+    assert!(table.homes_of("unknown").is_empty());
+}
