Tell only changed work, often; place sessions among four replicas; watch longer

Change: work datagrams of a few ten bytes with changes only, every 50 ms + 2 ms a node; four rendezvous choices a session, the others at a penalty of one prompt's reading; a watch waits 4 s and gathers 350 ms. Ruled out: capacity (28 in 100 of the reading rate in use).

--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -4,6 +4,7 @@
 use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
+use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -14,13 +15,13 @@
 use zinniahatch_route::OpenWork;
 use zinniahatch_route::PromptRead;
 
-/// Pause between datagrams to the nodes of the own region, before it grows with their number.
-/// A long prompt is read in about 60 ms, and what others send should be known before that.
-const NEAR_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between work datagrams to the nodes of the own region, before it grows with their
+/// number. A prompt is read in about 60 ms, and what others send should be known before that.
+const NEAR_PAUSE: Duration = Duration::from_millis(50);
 /// Pause added for each node of the region, so that a large one costs no more processor time.
-const NEAR_PAUSE_EACH: Duration = Duration::from_millis(8);
-/// Pause between datagrams to all other nodes; three are lost before a node counts as silent.
-const FAR_PAUSE: Duration = Duration::from_millis(500);
+const NEAR_PAUSE_EACH: Duration = Duration::from_millis(2);
+/// Pause between cards to all other nodes; three are lost before a node counts as silent.
+const CARD_PAUSE: Duration = Duration::from_millis(500);
 /// Largest datagram that is read.
 const LARGEST: usize = 8 << 10;
 /// Other nodes named in a datagram, so that a fresh node finds all from one.
@@ -28,13 +29,18 @@
 
 /// A datagram.
 #[derive(Debug, Serialize, Deserialize)]
-struct NodeGram {
+enum NodeGram {
+    /// Who a node is and what its region can take.
+    Card(CardGram),
+    /// What a node of the region has open and had read.
+    Work(WorkGram),
+}
+
+/// Who a node is.
+#[derive(Debug, Serialize, Deserialize)]
+struct CardGram {
     /// Who sends.
     card: MemberCard,
-    /// Its open work, by replica; only for nodes of its own region.
-    work: Vec<WorkNote>,
-    /// Shared prompt parts that it had read since its last datagram to these nodes.
-    reads: Vec<PromptRead>,
     /// Its clock, to measure the way there and back.
     stamp: u64,
     /// The receiver's last clock and how long it was held.
@@ -43,13 +49,14 @@
     hints: Vec<SocketAddrV4>,
 }
 
-/// Open work at one replica.
+/// What a node has open, by the tags of the replicas. The sender is known by its address, and what
+/// has not changed is left out, so that most of these datagrams have a few ten bytes.
 #[derive(Debug, Serialize, Deserialize)]
-struct WorkNote {
-    replica: ReplicaId,
-    requests: u32,
-    tokens: u32,
-    urgent_tokens: u32,
+struct WorkGram {
+    /// Open work that changed.
+    work: Vec<(ShortTag, OpenWork)>,
+    /// Shared prompt parts that were read since the last datagram.
+    reads: Vec<PromptRead>,
 }
 
 /// The last clock heard of each node, and when.
@@ -60,16 +67,16 @@
     let start = Instant::now();
     let mut echoes = EchoTable::new();
     let mut near = interval(NEAR_PAUSE);
-    let mut far = interval(FAR_PAUSE);
+    let mut cards = interval(CARD_PAUSE);
     near.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    far.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    cards.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; LARGEST];
-    let mut idle_rounds = 0_u32;
+    let mut whole = false;
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
-                if let Ok((length, _)) = received {
-                    hear(&core, &mut echoes, &buffer[..length], start);
+                if let Ok((length, SocketAddr::V4(from))) = received {
+                    hear(&core, &mut echoes, &buffer[..length], from, start);
                 }
             }
             _ = near.tick() => {
@@ -80,71 +87,75 @@
                     near.set_missed_tick_behavior(MissedTickBehavior::Delay);
                     near.reset();
                 }
-                // Without work there is little to tell; then a few a second are enough.
-                idle_rounds += 1;
-                if core.open_calls.get() > 0 || idle_rounds >= 5 {
-                    idle_rounds = 0;
-                    tell(&core, &socket, &echoes, start, true).await;
-                }
+                tell_work(&core, &socket, std::mem::take(&mut whole)).await;
+            }
+            _ = cards.tick() => {
+                whole = true;
+                tell_cards(&core, &socket, &echoes, start).await;
             }
-            _ = far.tick() => tell(&core, &socket, &echoes, start, false).await,
         }
     }
 }
 
-/// Tells the nodes at once that this one leaves.
+/// Tells the nodes of the region what is open and was read, where that changed.
+async fn tell_work(core: &Rc<EntryCore>, socket: &UdpSocket, whole: bool) {
+    let gram = {
+        let mut replicas = core.replicas.borrow_mut();
+        WorkGram {
+            work: replicas.take_work(whole),
+            reads: replicas.take_reads(),
+        }
+    };
+    if gram.work.is_empty() && gram.reads.is_empty() {
+        return;
+    }
+    let Ok(bytes) = postcard::to_allocvec(&NodeGram::Work(gram)) else {
+        return;
+    };
+    let near: Vec<SocketAddrV4> = {
+        let members = core.members.borrow();
+        members
+            .known()
+            .filter(|card| card.region == core.settings.region)
+            .map(|card| card.peer)
+            .collect()
+    };
+    for address in near {
+        // A datagram that cannot be sent is as good as lost; the next one follows.
+        let _ = socket.send_to(&bytes, address).await;
+    }
+}
+
+/// Tells all nodes at once what this one is, when it leaves.
 pub(crate) async fn tell_all(core: &Rc<EntryCore>, socket: &UdpSocket) {
-    let start = Instant::now();
-    tell(core, socket, &EchoTable::new(), start, false).await;
-    tell(core, socket, &EchoTable::new(), start, true).await;
+    tell_cards(core, socket, &EchoTable::new(), Instant::now()).await;
 }
 
-async fn tell(
-    core: &Rc<EntryCore>,
-    socket: &UdpSocket,
-    echoes: &EchoTable,
-    start: Instant,
-    near: bool,
-) {
+async fn tell_cards(core: &Rc<EntryCore>, socket: &UdpSocket, echoes: &EchoTable, start: Instant) {
     let now = Instant::now();
-    let mut gram = NodeGram {
+    let mut gram = CardGram {
         card: core.card(now),
-        work: if near { own_work(core) } else { Vec::new() },
-        reads: if near {
-            core.replicas.borrow_mut().take_reads()
-        } else {
-            Vec::new()
-        },
         stamp: now.saturating_duration_since(start).as_micros() as u64,
         echo: None,
         hints: hints(core),
     };
-    for (node, address) in receivers(core, near) {
+    for (node, address) in receivers(core) {
         gram.echo = node
             .and_then(|node| echoes.get(&node))
             .map(|(stamp, at)| (*stamp, at.elapsed().as_micros() as u64));
-        let Ok(bytes) = postcard::to_allocvec(&gram) else {
+        let card = NodeGram::Card(gram);
+        let bytes = postcard::to_allocvec(&card);
+        let NodeGram::Card(back) = card else {
+            return;
+        };
+        gram = back;
+        let Ok(bytes) = bytes else {
             return;
         };
-        // A datagram that cannot be sent is as good as lost; the next one follows.
         let _ = socket.send_to(&bytes, address).await;
     }
 }
 
-fn own_work(core: &EntryCore) -> Vec<WorkNote> {
-    let replicas = core.replicas.borrow();
-    replicas
-        .rows()
-        .filter(|belief| belief.own.requests > 0)
-        .map(|belief| WorkNote {
-            replica: belief.entry.id.clone(),
-            requests: belief.own.requests,
-            tokens: belief.own.tokens,
-            urgent_tokens: belief.own.urgent_tokens,
-        })
-        .collect()
-}
-
 fn hints(core: &EntryCore) -> Vec<SocketAddrV4> {
     let members = core.members.borrow();
     let known: Vec<SocketAddrV4> = members.known().map(|card| card.peer).collect();
@@ -154,18 +165,14 @@
         .collect()
 }
 
-/// Gives whom to tell: the own region's nodes often, everybody and mere addresses seldom.
-fn receivers(core: &EntryCore, near: bool) -> Vec<(Option<NodeId>, SocketAddrV4)> {
+/// Gives whom to tell: the nodes that are known and the mere addresses.
+fn receivers(core: &EntryCore) -> Vec<(Option<NodeId>, SocketAddrV4)> {
     let own = core.settings.listen.peer;
     let members = core.members.borrow();
     let mut found: Vec<(Option<NodeId>, SocketAddrV4)> = members
         .known()
-        .filter(|card| (card.region == core.settings.region) == near)
         .map(|card| (Some(card.node.clone()), card.peer))
         .collect();
-    if near {
-        return found;
-    }
     let known: BTreeSet<SocketAddrV4> = members.known().map(|card| card.peer).collect();
     let mut contacts = core.contacts.borrow().clone();
     for seed in &core.settings.seeds {
@@ -179,24 +186,34 @@
     found
 }
 
-fn hear(core: &EntryCore, echoes: &mut EchoTable, bytes: &[u8], start: Instant) {
-    let Ok(gram) = postcard::from_bytes::<NodeGram>(bytes) else {
-        core.log.write(
+fn hear(
+    core: &EntryCore,
+    echoes: &mut EchoTable,
+    bytes: &[u8],
+    from: SocketAddrV4,
+    start: Instant,
+) {
+    match postcard::from_bytes(bytes) {
+        Ok(NodeGram::Card(gram)) => hear_card(core, echoes, gram, start),
+        Ok(NodeGram::Work(gram)) => hear_work(core, &gram, from),
+        Err(_) => core.log.write(
             "datagram-rejected",
-            serde_json::json!({"bytes": bytes.len()}),
-        );
-        return;
-    };
+            serde_json::json!({"bytes": bytes.len(), "from": from.to_string()}),
+        ),
+    }
+}
+
+fn hear_card(core: &EntryCore, echoes: &mut EchoTable, gram: CardGram, start: Instant) {
     let node = gram.card.node.clone();
     if node == core.settings.name {
         return;
     }
     let now = Instant::now();
     echoes.insert(node.clone(), (gram.stamp, now));
-    let region = gram.card.region.clone();
-    let ready = gram.card.ready;
-    let fresh = core.members.borrow_mut().hear(gram.card, now);
-    if fresh {
+    core.contacts.borrow_mut().extend(gram.hints);
+    let (region, ready) = (gram.card.region.clone(), gram.card.ready);
+    let mut members = core.members.borrow_mut();
+    if members.hear(gram.card, now) {
         core.log.write(
             "member",
             serde_json::json!({"member": node, "region": region, "ready": ready}),
@@ -205,38 +222,21 @@
     if let Some((stamp, held)) = gram.echo {
         let passed = now.saturating_duration_since(start).as_micros() as u64;
         let trip = passed.saturating_sub(stamp).saturating_sub(held);
-        core.members
-            .borrow_mut()
-            .note_trip(&node, Duration::from_micros(trip));
+        members.note_trip(&node, Duration::from_micros(trip));
     }
-    {
-        let mut contacts = core.contacts.borrow_mut();
-        contacts.extend(gram.hints);
-    }
-    if region != core.settings.region {
+}
+
+fn hear_work(core: &EntryCore, gram: &WorkGram, from: SocketAddrV4) {
+    let members = core.members.borrow();
+    let Some(card) = members.at_address(from) else {
+        return;
+    };
+    if card.region != core.settings.region {
         return;
     }
     let mut replicas = core.replicas.borrow_mut();
+    replicas.note_work(&card.node, &gram.work, Instant::now());
     replicas.note_reads(&gram.reads, |service| {
         core.service(service).map_or(0, |spec| spec.kv_tokens)
     });
-    let mut told: BTreeMap<ReplicaId, OpenWork> = BTreeMap::new();
-    for note in gram.work {
-        let work = OpenWork {
-            requests: note.requests,
-            tokens: note.tokens,
-            urgent_tokens: note.urgent_tokens,
-        };
-        told.insert(note.replica, work);
-    }
-    for belief in replicas.rows_mut() {
-        match told.get(&belief.entry.id) {
-            Some(work) => {
-                belief.peers.insert(node.clone(), (*work, now));
-            }
-            None => {
-                belief.peers.remove(&node);
-            }
-        }
-    }
 }
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -21,11 +21,11 @@
 const WATCHED: &str = "";
 /// Start of the keys under which nodes register.
 pub(crate) const NODE_PREFIX: &str = "zinniahatch/nodes/";
-/// Longest wait of one watch. A channel that went silent shows only when this is over, and the
-/// desired state has to be in force within four seconds.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of one watch. A channel that went silent shows only when this is over; a shorter
+/// wait would find that sooner, and cost a call each time that nothing happened.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause after a watch that brought news, so that changes which come together cost one call.
-const GATHER_TIME: Duration = Duration::from_millis(250);
+const GATHER_TIME: Duration = Duration::from_millis(350);
 /// Limits of a page of a listing, in turn. While the store is silent each try hangs for the limit,
 /// and a node without a desired state serves nobody, so the short one finds its return soon; a
 /// store that is merely slow answers within the long one.
--- a/crates/zinniahatch_entry/tests/events.rs
+++ b/crates/zinniahatch_entry/tests/events.rs
@@ -41,7 +41,8 @@
         while !rest.is_empty() {
             let take = cuts.next().unwrap_or(1).min(rest.len());
             if let Some(ready) = splitter.push(&rest[..take]) {
-                prop_assert!(ready.ends_with(format!("{end}{end}").as_bytes()));
+                let blank = [end, end].concat();
+                prop_assert!(ready.ends_with(blank.as_bytes()));
                 out.extend_from_slice(&ready);
             }
             rest = &rest[take..];
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -79,6 +79,14 @@
         fresh
     }
 
+    /// Gives the node that speaks from an address.
+    pub fn at_address(&self, peer: SocketAddrV4) -> Option<&MemberCard> {
+        self.rows
+            .values()
+            .map(|row| &row.card)
+            .find(|card| card.peer == peer)
+    }
+
     /// Notes a measured round trip.
     pub fn note_trip(&mut self, node: &str, trip: Duration) {
         let Some(row) = self.rows.get_mut(node) else {
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -26,6 +26,13 @@
 const FAILURE_TOLERATED: f64 = 0.25;
 /// Penalty of a cold replica in ms: it is slow and may crash.
 const COLD_PENALTY_MS: f64 = 150.0;
+/// Replicas among which a session is placed by load alone; a few choices give nearly all of what
+/// the choice among all would.
+const CHOICES: usize = 4;
+/// Penalty of the others in ms, about the time in which a prompt is read. Nodes hear of each other's
+/// placements late, and all of them would send to the one replica that looks idle; with choices
+/// that differ from session to session they do not.
+const OUTSIDER_PENALTY_MS: f64 = 80.0;
 /// Least slowness that counts: a replica that answered fast a few times is not trusted further.
 const LEAST_SLOWNESS: f64 = 0.8;
 /// Share of the slots that are kept for what other nodes send before they hear of it.
@@ -94,7 +101,7 @@
     now: Instant,
 ) -> Option<LocalChoice> {
     let model = table.model_of(ask.service);
-    let first = first_choice(table, regions, ask, now);
+    let choices = first_choices(table, regions, ask, now);
     let keeper = best_keeper(table, regions, ask, now);
     let mut best: Option<(f64, LocalChoice)> = None;
     for belief in candidates(table, regions, ask, now) {
@@ -116,7 +123,11 @@
         if cold {
             score += COLD_PENALTY_MS;
         }
-        if first.as_ref().is_some_and(|id| **id != *belief.entry.id) {
+        let rank = choices.iter().position(|id| **id == *belief.entry.id);
+        if !choices.is_empty() && rank.is_none() {
+            score += OUTSIDER_PENALTY_MS;
+        }
+        if !choices.is_empty() && rank != Some(0) {
             let read = model.reading(prompt.shared_read).mul_f64(READ_PENALTY);
             let copied = model.reading(prompt.copied).mul_f64(COPY_PENALTY);
             score += (read + copied).as_secs_f64() * 1e3;
@@ -224,18 +235,26 @@
     })
 }
 
-/// Gives the replica with the highest rank for the session.
-fn first_choice(
+/// Gives the replicas with the highest ranks for the session, the highest first.
+fn first_choices(
     table: &ReplicaTable,
     regions: &BTreeMap<DataCentreId, RegionId>,
     ask: &PlaceAsk<'_>,
     now: Instant,
-) -> Option<ReplicaId> {
-    let session = ask.size.session()?;
-    candidates(table, regions, ask, now)
+) -> Vec<ReplicaId> {
+    let Some(session) = ask.size.session() else {
+        return Vec::new();
+    };
+    let mut ranked: Vec<(u64, &ReplicaBelief)> = candidates(table, regions, ask, now)
         .filter(|belief| !belief.is_cold(now))
-        .max_by_key(|belief| session_rank(session, &belief.entry.id))
-        .map(|belief| belief.entry.id.clone())
+        .map(|belief| (session_rank(session, belief.tag), belief))
+        .collect();
+    ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+    ranked
+        .into_iter()
+        .take(CHOICES)
+        .map(|(_, belief)| belief.entry.id.clone())
+        .collect()
 }
 
 /// Chooses the region in which an answer would begin first, and a node there.
--- a/crates/zinniahatch_route/src/prompt.rs
+++ b/crates/zinniahatch_route/src/prompt.rs
@@ -39,9 +39,9 @@
 }
 
 /// Gives the rendezvous rank of a replica for a session; the highest rank is its first choice.
-pub(crate) fn session_rank(session: u64, replica: &ReplicaId) -> u64 {
+pub(crate) fn session_rank(session: u64, replica: ShortTag) -> u64 {
     // Mixing two numbers is enough here and a hundredth of the cost of a digest of text.
-    let mut mixed = session ^ (u64::from(tag_of(replica)) << 17);
+    let mut mixed = session ^ (u64::from(replica) << 17);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -69,15 +69,17 @@
     Replaced,
 }
 
-/// The open work that one node has at a replica.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct OpenWork {
-    /// Requests sent and not ended.
-    pub requests: u32,
-    /// Tokens to read before the first event of those that have none yet.
-    pub tokens: u32,
-    /// The part of these tokens that urgent requests brought.
-    pub urgent_tokens: u32,
+domain! {
+    /// The open work that one node has at a replica.
+    #[derive(Copy, Default, Eq)]
+    pub struct OpenWork {
+        /// Requests sent and not ended.
+        pub requests: u32,
+        /// Tokens to read before the first event of those that have none yet.
+        pub tokens: u32,
+        /// The part of these tokens that urgent requests brought.
+        pub urgent_tokens: u32,
+    }
 }
 
 impl OpenWork {
@@ -107,6 +109,8 @@
 pub struct ReplicaBelief {
     /// What it says of itself.
     pub entry: ReplicaEntry,
+    /// Short tag of its id, for datagrams.
+    pub tag: ShortTag,
     /// When it stops being cold.
     pub cold_until: Option<Instant>,
     /// Why it gets no new work.
@@ -117,6 +121,8 @@
     pub lapsed: Option<Instant>,
     /// Work of this node.
     pub own: OpenWork,
+    /// Work of this node as the other nodes were told.
+    pub told: OpenWork,
     /// Work of other nodes, with the time at which they said so.
     pub peers: BTreeMap<NodeId, (OpenWork, Instant)>,
     /// Running and waiting requests as the replica reported them.
@@ -141,7 +147,9 @@
             leaving: None,
             gone_at: None,
             lapsed: None,
+            tag: tag_of(&entry.id),
             own: OpenWork::default(),
+            told: OpenWork::default(),
             peers: BTreeMap::new(),
             reported: None,
             kept: KeptParts::default(),
@@ -375,6 +383,37 @@
         std::mem::take(&mut self.reads)
     }
 
+    /// Takes the work that changed since the other nodes were told, or all of it.
+    pub fn take_work(&mut self, all: bool) -> Vec<(ShortTag, OpenWork)> {
+        let mut work = Vec::new();
+        for belief in self.rows.values_mut() {
+            let open = all && belief.own != OpenWork::default();
+            if belief.own == belief.told && !open {
+                continue;
+            }
+            belief.told = belief.own;
+            work.push((belief.tag, belief.own));
+        }
+        work
+    }
+
+    /// Notes the work of another node; what it does not name is as it was.
+    pub fn note_work(&mut self, node: &NodeId, work: &[(ShortTag, OpenWork)], now: Instant) {
+        if work.is_empty() {
+            return;
+        }
+        for belief in self.rows.values_mut() {
+            let Some((_, work)) = work.iter().find(|(tag, _)| *tag == belief.tag) else {
+                continue;
+            };
+            if *work == OpenWork::default() {
+                belief.peers.remove(node);
+            } else {
+                belief.peers.insert(node.clone(), (*work, now));
+            }
+        }
+    }
+
     /// Notes what another node had read.
     pub fn note_reads(&mut self, reads: &[PromptRead], capacity: impl Fn(&str) -> u64) {
         for read in reads {
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -19,11 +19,11 @@
 use zinniahatch_route::ServiceDigest;
 use zinniahatch_route::WeightedTarget;
 
-pub fn address(last: u8) -> SocketAddrV4 {
+pub(crate) fn address(last: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9_000 + u16::from(last))
 }
 
-pub fn route(name: &str, host: &str, prefix: &str, service: &str) -> DesiredRoute {
+pub(crate) fn route(name: &str, host: &str, prefix: &str, service: &str) -> DesiredRoute {
     DesiredRoute {
         name: name.into(),
         host: host.into(),
@@ -43,7 +43,7 @@
     }
 }
 
-pub fn state(version: u64, routes: Vec<DesiredRoute>) -> DesiredState {
+pub(crate) fn state(version: u64, routes: Vec<DesiredRoute>) -> DesiredState {
     let service = DesiredService {
         health_path: "/health".into(),
         max_channels: 100,
@@ -60,7 +60,7 @@
     }
 }
 
-pub fn entry(id: &str, place: &str) -> ReplicaEntry {
+pub(crate) fn entry(id: &str, place: &str) -> ReplicaEntry {
     ReplicaEntry {
         id: id.into(),
         service: "s".into(),
@@ -73,7 +73,7 @@
     }
 }
 
-pub fn table(ids: &[&str], now: Instant) -> ReplicaTable {
+pub(crate) fn table(ids: &[&str], now: Instant) -> ReplicaTable {
     let mut table = ReplicaTable::default();
     for id in ids {
         table.upsert(entry(id, "a"), now);
@@ -81,12 +81,12 @@
     table
 }
 
-pub fn regions() -> BTreeMap<DataCentreId, RegionId> {
+pub(crate) fn regions() -> BTreeMap<DataCentreId, RegionId> {
     [("a".into(), "north".into()), ("b".into(), "south".into())].into()
 }
 
 /// A prompt of one part for all, one for the session and one of its own.
-pub fn prompt(session: u64, own: u64) -> PromptSize {
+pub(crate) fn prompt(session: u64, own: u64) -> PromptSize {
     PromptSize {
         tokens_in: 2_000 + 4_000 + 3_000,
         tokens_out: 50,
@@ -107,16 +107,16 @@
     }
 }
 
-pub struct AskParts {
-    pub service: ServiceId,
-    pub tried: BTreeSet<ReplicaId>,
-    pub peers: BTreeSet<NodeId>,
-    pub size: PromptSize,
-    pub copy_token: Duration,
+pub(crate) struct AskParts {
+    pub(crate) service: ServiceId,
+    pub(crate) tried: BTreeSet<ReplicaId>,
+    pub(crate) peers: BTreeSet<NodeId>,
+    pub(crate) size: PromptSize,
+    pub(crate) copy_token: Duration,
 }
 
 impl AskParts {
-    pub fn new(size: PromptSize) -> Self {
+    pub(crate) fn new(size: PromptSize) -> Self {
         Self {
             service: "s".into(),
             tried: BTreeSet::new(),
@@ -126,7 +126,7 @@
         }
     }
 
-    pub fn ask(&self) -> PlaceAsk<'_> {
+    pub(crate) fn ask(&self) -> PlaceAsk<'_> {
         PlaceAsk {
             service: &self.service,
             region: "north",
@@ -142,7 +142,7 @@
     }
 }
 
-pub fn card(node: &str, region: &str, wait_ms: u32, sound: u16) -> MemberCard {
+pub(crate) fn card(node: &str, region: &str, wait_ms: u32, sound: u16) -> MemberCard {
     MemberCard {
         node: node.into(),
         incarnation: 1,
