--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -39,6 +39,7 @@
 pub(crate) struct EntryCore {
     pub(crate) settings: EntrySettings,
     pub(crate) incarnation: Incarnation,
+    pub(crate) started: Instant,
     pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
     pub(crate) routes: RefCell<Rc<RouteTable>>,
     pub(crate) preset: RefCell<ServingPreset>,
@@ -72,6 +73,7 @@
         let store = KvClient::new(&settings.store.to_string());
         Self {
             incarnation,
+            started: Instant::now(),
             desired: RefCell::default(),
             routes: RefCell::default(),
             preset: RefCell::default(),
--- a/crates/zinniahatch_lab/src/cluster.rs
+++ b/crates/zinniahatch_lab/src/cluster.rs
@@ -364,7 +364,7 @@
 }
 
 /// Finds the daemon's program beside this one.
-fn daemon_path() -> PathBuf {
+pub(crate) fn daemon_path() -> PathBuf {
     let own = std::env::current_exe().expect("a running program has a path");
     let folder = own.parent().expect("a program is in a folder");
     let folder = if folder.ends_with("deps") {
--- a/crates/zinniahatch_lab/src/lib.rs
+++ b/crates/zinniahatch_lab/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod load;
 pub mod operator;
 pub mod relay;
+pub mod site;
 pub mod stand;
 pub mod users;
--- /dev/null
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -0,0 +1,337 @@
+//! A small system on the users' platform: the real daemon as processes, stand-ins around it.
+
+use crate::cluster::daemon_path;
+use crate::cluster::free_addresses;
+use crate::stand::faults::FaultSwitch;
+use crate::stand::replica::StandReplica;
+use crate::stand::replica::StreamShape;
+use crate::stand::serve::StandServer;
+use crate::stand::store::StandStore;
+use reqwest::Client;
+use reqwest::RequestBuilder;
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+
+/// The host of every route.
+pub const HOST: &str = "desk.test";
+/// Pause between looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+/// Looks before a test gives up; far beyond what a busy machine takes.
+const MOST_LOOKS: u32 = 3_000;
+/// Grace of a planned stop, in seconds.
+const GRACE_SECONDS: u64 = 8;
+
+/// One region of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct SiteRegion {
+    /// Its name; its one data centre is called the same with `-a`.
+    pub name: &'static str,
+    /// Entry VMs.
+    pub entries: usize,
+    /// Replicas of the model service.
+    pub replicas: usize,
+}
+
+/// One entry VM.
+#[derive(Debug)]
+pub struct SiteEntry {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its region.
+    pub region: &'static str,
+    /// Addresses: callers, readiness, control, directory, other nodes.
+    pub addresses: Vec<Box<str>>,
+    child: Option<Child>,
+    folder: PathBuf,
+}
+
+/// A whole site; its processes end when this is dropped.
+pub struct SiteCluster {
+    /// The store.
+    pub store: StandStore,
+    /// The faults of the store.
+    pub switch: FaultSwitch,
+    /// The entry VMs.
+    pub entries: Vec<SiteEntry>,
+    /// The replicas with the region of each.
+    pub replicas: Vec<(StandReplica, &'static str)>,
+    server: StandServer,
+    regions: Vec<SiteRegion>,
+    folder: PathBuf,
+}
+
+impl SiteCluster {
+    /// Starts a site and waits until every entry VM is ready.
+    ///
+    /// # Panics
+    ///
+    /// Where a process cannot be started.
+    pub async fn start(regions: &[SiteRegion], shape: StreamShape) -> Self {
+        let mut cluster = Self::prepare(regions, shape).await;
+        for index in 0..cluster.entries.len() {
+            cluster.spawn(index);
+        }
+        for index in 0..cluster.entries.len() {
+            cluster.wait_ready(index).await;
+        }
+        cluster.wait_acquainted().await;
+        cluster
+    }
+
+    /// Makes everything but starts no entry VM.
+    ///
+    /// # Panics
+    ///
+    /// Where a folder cannot be made.
+    pub async fn prepare(regions: &[SiteRegion], shape: StreamShape) -> Self {
+        let store = StandStore::default();
+        let switch = FaultSwitch::default();
+        let server = store.front(switch.clone()).await;
+        let name = format!("zinnia-site-{}-{}", std::process::id(), server.address);
+        let folder = std::env::temp_dir().join(name.replace(':', "-"));
+        std::fs::create_dir_all(&folder).expect("a folder can be made");
+        let mut replicas = Vec::new();
+        for region in regions {
+            for number in 0..region.replicas {
+                let id = format!("i-{}-{number}", region.name);
+                let replica = StandReplica::start(&id, shape).await;
+                replicas.push((replica, region.name));
+            }
+        }
+        let mut entries = Vec::new();
+        for region in regions {
+            for number in 0..region.entries {
+                entries.push(SiteEntry {
+                    name: format!("{}-{number}", region.name).into(),
+                    region: region.name,
+                    addresses: free_addresses(5),
+                    child: None,
+                    folder: folder.clone(),
+                });
+            }
+        }
+        let cluster = Self {
+            store,
+            switch,
+            entries,
+            replicas,
+            server,
+            regions: regions.to_vec(),
+            folder,
+        };
+        cluster.configure(1, &[]);
+        for index in 0..cluster.replicas.len() {
+            cluster.register(index, "ready");
+        }
+        cluster
+    }
+
+    /// Writes a desired state, as the operator does; `more` names further plain routes.
+    pub fn configure(&self, version: u64, more: &[&str]) {
+        let route = |name: &str, kind: &str, attempts: u32, resumable: bool, homes: &[&str]| {
+            serde_json::json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"),
+                "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 5_000, "priority": 1,
+                "service": "desk", "max_attempts": attempts, "affinity": false,
+                "resumable": resumable, "gap_target_ms": 300, "home_regions": homes})
+        };
+        let mut routes = vec![
+            route("plain", "idempotent", 2, false, &[]),
+            route("once", "non_idempotent", 1, false, &[]),
+            route("stream", "streaming", 2, true, &[]),
+            route("bound", "idempotent", 2, false, &["north"]),
+        ];
+        for name in more {
+            routes.push(route(name, "idempotent", 2, false, &[]));
+        }
+        let state = serde_json::json!({"version": version, "routes": routes,
+            "services": [{"name": "desk", "health_path": "/health", "max_conns": 400,
+                "warmup_s": 0, "cold_per_s": 0}],
+            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}});
+        self.store.write("op/config", &state.to_string());
+    }
+
+    /// Writes the entry of a replica.
+    pub fn register(&self, index: usize, state: &str) {
+        let (replica, region) = &self.replicas[index];
+        let zone = format!("{region}-a");
+        let key = format!("servers/{}", replica.id);
+        self.store.write(&key, &replica.entry("desk", &zone, state));
+    }
+
+    /// Gives the store's address.
+    pub fn store_address(&self) -> &str {
+        &self.server.address
+    }
+
+    fn settings(&self, index: usize) -> String {
+        let entry = &self.entries[index];
+        let [front, readiness, control, directory, peer] = &entry.addresses[..] else {
+            panic!("an entry VM has five addresses");
+        };
+        // All entry VMs of a lab share one IP, so that seeds cannot name them by the port of the
+        // day; they find each other through their keys in the store.
+        let mut text = format!(
+            "[node]\nname = {}\nregion = {}\ndata_centre = {}-a\n\n[listen]\nfront = {front}\n\
+             readiness = {readiness}\ncontrol = {control}\ndirectory = {directory}\npeer = {peer}\n\
+             \n[regions]\n",
+            entry.name, entry.region, entry.region
+        );
+        for region in &self.regions {
+            text += &format!("{}-a = {}\n", region.name, region.name);
+        }
+        text += &format!(
+            "\n[store]\naddress = {}\n\n[bounds]\nrepeat_slack = 540\ngrace = {GRACE_SECONDS}s\n\
+             \n[log]\nlines_per_second = 1000\n",
+            self.server.address
+        );
+        text
+    }
+
+    /// Starts an entry VM; its decision log goes to a file.
+    ///
+    /// # Panics
+    ///
+    /// Where the daemon cannot be started.
+    pub fn spawn(&mut self, index: usize) {
+        let name = self.entries[index].name.clone();
+        let settings = self.folder.join(format!("{name}.ini"));
+        std::fs::write(&settings, self.settings(index)).expect("settings can be written");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path(index))
+            .expect("a log can be opened");
+        let child = Command::new(daemon_path())
+            .arg("--config")
+            .arg(&settings)
+            .stdout(log)
+            .spawn()
+            .expect("the daemon is built");
+        self.entries[index].child = Some(child);
+    }
+
+    /// Gives the path of an entry VM's decision log.
+    pub fn log_path(&self, index: usize) -> PathBuf {
+        let entry = &self.entries[index];
+        entry.folder.join(format!("{}.log", entry.name))
+    }
+
+    /// Gives an entry VM's decision log.
+    pub fn log(&self, index: usize) -> String {
+        std::fs::read_to_string(self.log_path(index)).unwrap_or_default()
+    }
+
+    /// Kills an entry VM.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.entries[index].child.take() {
+            // It may have ended by itself; then there is nothing to kill.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks an entry VM to stop.
+    pub fn terminate(&self, index: usize) {
+        if let Some(child) = &self.entries[index].child {
+            let _ = Command::new("kill")
+                .args(["-TERM", &child.id().to_string()])
+                .status();
+        }
+    }
+
+    /// Tells whether an entry VM has ended, and how.
+    pub fn ended(&mut self, index: usize) -> Option<bool> {
+        let child = self.entries[index].child.as_mut()?;
+        child.try_wait().ok()?.map(|status| status.success())
+    }
+
+    /// Waits until an entry VM says that it is ready.
+    pub async fn wait_ready(&self, index: usize) {
+        let url = format!("http://{}/readiness", self.entries[index].addresses[1]);
+        let client = Client::new();
+        wait_until("the entry VM is ready", async || {
+            let answer = client.get(&url).send().await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+    }
+
+    /// Waits until every entry VM knows the others.
+    async fn wait_acquainted(&self) {
+        for index in 0..self.entries.len() {
+            for region in &self.regions {
+                let entries = self.entries.iter();
+                let fronts: BTreeSet<Box<str>> = entries
+                    .filter(|entry| entry.region == region.name)
+                    .map(|entry| entry.addresses[0].clone())
+                    .collect();
+                wait_until("the entry VMs know each other", async || {
+                    self.resolve(index, region.name).await == fronts
+                })
+                .await;
+            }
+        }
+    }
+
+    /// Asks an entry VM's directory for the addresses for a region.
+    pub async fn resolve(&self, index: usize, region: &str) -> BTreeSet<Box<str>> {
+        let address = &self.entries[index].addresses[3];
+        let url = format!("http://{address}/resolve?name={HOST}&region={region}&zone={region}-a");
+        let Ok(answer) = Client::new().get(url).send().await else {
+            return BTreeSet::new();
+        };
+        let body: serde_json::Value = answer.json().await.unwrap_or_default();
+        let list = body["addresses"].as_array().cloned().unwrap_or_default();
+        list.iter()
+            .filter_map(|address| address.as_str().map(Into::into))
+            .collect()
+    }
+
+    /// Begins a call to an entry VM.
+    pub fn call(&self, index: usize, path: &str, attempt: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.entries[index].addresses[0]);
+        Client::new()
+            .get(url)
+            .header("host", HOST)
+            .header("x-attempt-id", attempt)
+            .header("x-time-remaining", "20000")
+    }
+
+    /// Gives how often an attempt ran, over all replicas.
+    pub fn runs(&self, attempt: &str) -> u32 {
+        self.replicas
+            .iter()
+            .filter_map(|(replica, _)| replica.sight().runs.get(attempt).copied())
+            .sum()
+    }
+}
+
+impl Drop for SiteCluster {
+    fn drop(&mut self) {
+        for index in 0..self.entries.len() {
+            self.kill(index);
+        }
+        // What is left over of a temporary folder harms nobody.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Where it never does.
+pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    for _ in 0..MOST_LOOKS {
+        if holds().await {
+            return;
+        }
+        sleep(LOOK).await;
+    }
+    panic!("waited in vain: {what}");
+}
--- a/crates/zinniahatch_lab/src/stand.rs
+++ b/crates/zinniahatch_lab/src/stand.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod faults;
 pub mod plain;
+pub mod replica;
 pub mod serve;
 pub mod store;
 pub mod text;
--- /dev/null
+++ b/crates/zinniahatch_lab/src/stand/replica.rs
@@ -0,0 +1,321 @@
+//! A replica on the users' platform: plain calls and streams, with faults that can be switched.
+//!
+//! It speaks the platform's published protocol on a plain socket, so that it can break off, answer
+//! twice or stay silent at any byte.
+
+use httparse::EMPTY_HEADER;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+
+/// Headers of a request at most.
+const MOST_HEADERS: usize = 64;
+/// Bytes read at once.
+const READ_BYTES: usize = 16 << 10;
+
+/// How a replica behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReplicaBehaviour {
+    /// As it should.
+    #[default]
+    Serve,
+    /// It refuses every request as full.
+    Shed,
+    /// It runs every request and answers with a failure.
+    Fail,
+    /// It runs every request and closes the channel without an answer.
+    LoseAnswer,
+    /// It breaks off each stream inside an event, after so many whole ones.
+    BreakAfter(u32),
+    /// It takes requests and answers nothing.
+    Mute,
+}
+
+/// What a replica saw.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaSight {
+    /// Runs of each attempt.
+    pub runs: BTreeMap<Box<str>, u32>,
+    /// Streams whose caller's side closed the channel before the end.
+    pub left: u32,
+    /// Requests that expected another replica.
+    pub misdirected: u32,
+}
+
+#[derive(Debug, Default)]
+struct ReplicaState {
+    behaviour: ReplicaBehaviour,
+    sight: ReplicaSight,
+}
+
+/// How long a stream is.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamShape {
+    /// Events.
+    pub events: u32,
+    /// Pause before each.
+    pub pause: Duration,
+}
+
+/// A running replica; it ends when this is dropped.
+#[derive(Debug)]
+pub struct StandReplica {
+    /// The id of this start.
+    pub id: Box<str>,
+    /// Where it listens.
+    pub address: SocketAddrV4,
+    state: Arc<Mutex<ReplicaState>>,
+    task: JoinHandle<()>,
+}
+
+impl StandReplica {
+    /// Starts a replica on a free port.
+    ///
+    /// # Panics
+    ///
+    /// Where no port is free.
+    pub async fn start(id: &str, shape: StreamShape) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let Ok(SocketAddr::V4(address)) = listener.local_addr() else {
+            panic!("an IPv4 address was bound");
+        };
+        let state = Arc::new(Mutex::new(ReplicaState::default()));
+        let serving = ReplicaServer {
+            id: id.into(),
+            shape,
+            state: Arc::clone(&state),
+        };
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().run(stream));
+            }
+        });
+        Self {
+            id: id.into(),
+            address,
+            state,
+            task,
+        }
+    }
+
+    /// Switches its behaviour.
+    pub fn behave(&self, behaviour: ReplicaBehaviour) {
+        lock(&self.state).behaviour = behaviour;
+    }
+
+    /// Gives what it saw so far.
+    pub fn sight(&self) -> ReplicaSight {
+        lock(&self.state).sight.clone()
+    }
+
+    /// Gives its entry in the platform's store.
+    pub fn entry(&self, service: &str, zone: &str, state: &str) -> String {
+        serde_json::json!({"service": service, "address": self.address.to_string(),
+            "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
+            "sequence": 1})
+        .to_string()
+    }
+}
+
+impl Drop for StandReplica {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn lock(state: &Mutex<ReplicaState>) -> MutexGuard<'_, ReplicaState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[derive(Clone)]
+struct ReplicaServer {
+    id: Box<str>,
+    shape: StreamShape,
+    state: Arc<Mutex<ReplicaState>>,
+}
+
+/// A request as the replica reads it.
+struct ReplicaCall {
+    path: Box<str>,
+    attempt: Box<str>,
+    expected: Option<Box<str>>,
+    last_event: u32,
+}
+
+impl ReplicaServer {
+    async fn run(self, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        while let Some(call) = read_call(&mut stream, &mut buffer).await {
+            if !self.answer(&mut stream, &call).await {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; tells whether the channel goes on.
+    async fn answer(&self, stream: &mut TcpStream, call: &ReplicaCall) -> bool {
+        if &*call.path == "/health" {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
+            return stream.write_all(head.as_bytes()).await.is_ok();
+        }
+        let misdirected = call
+            .expected
+            .as_deref()
+            .is_some_and(|expected| expected != &*self.id);
+        if misdirected {
+            lock(&self.state).sight.misdirected += 1;
+            return self.refuse(stream, call, "421 Misdirected Request").await;
+        }
+        let behaviour = lock(&self.state).behaviour;
+        if behaviour == ReplicaBehaviour::Shed {
+            return self.refuse(stream, call, "503 Service Unavailable").await;
+        }
+        if behaviour == ReplicaBehaviour::Mute {
+            std::future::pending::<()>().await;
+        }
+        {
+            let mut state = lock(&self.state);
+            *state.sight.runs.entry(call.attempt.clone()).or_default() += 1;
+        }
+        match behaviour {
+            ReplicaBehaviour::LoseAnswer => false,
+            ReplicaBehaviour::Fail => self.plain(stream, call, "500 Internal Error").await,
+            _ if call.path.contains("/stream/") => self.events(stream, call, behaviour).await,
+            _ => self.plain(stream, call, "200 OK").await,
+        }
+    }
+
+    fn head(call: &ReplicaCall, status: &str) -> String {
+        format!(
+            "HTTP/1.1 {status}\r\nX-Attempt-Id: {}\r\nKeep-Alive: timeout=5\r\n",
+            call.attempt
+        )
+    }
+
+    async fn refuse(&self, stream: &mut TcpStream, call: &ReplicaCall, status: &str) -> bool {
+        let text = format!(
+            "{}X-Not-Executed: 1\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+            Self::head(call, status),
+            self.id
+        );
+        stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    async fn plain(&self, stream: &mut TcpStream, call: &ReplicaCall, status: &str) -> bool {
+        let body = format!("{}@{}", call.attempt, self.id);
+        let text = format!(
+            "{}X-Server-Seal: {}\r\nX-Server-Load: 1,0,8\r\nContent-Length: {}\r\n\r\n{body}",
+            Self::head(call, status),
+            self.id,
+            body.len()
+        );
+        stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    async fn events(
+        &self,
+        stream: &mut TcpStream,
+        call: &ReplicaCall,
+        behaviour: ReplicaBehaviour,
+    ) -> bool {
+        let head = format!(
+            "{}X-Server-Seal: {}\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            Self::head(call, "200 OK"),
+            self.id
+        );
+        if stream.write_all(head.as_bytes()).await.is_err() {
+            return false;
+        }
+        for id in call.last_event + 1..=self.shape.events {
+            if !self.pause(stream).await {
+                lock(&self.state).sight.left += 1;
+                return false;
+            }
+            let event = format!("id: {id}\ndata: {}\n\n", call.attempt);
+            if behaviour == ReplicaBehaviour::BreakAfter(id - call.last_event - 1) {
+                let torn = &event[..event.len() / 2];
+                let chunk = format!("{:x}\r\n{torn}\r\n", torn.len());
+                // The break itself is the point; whether its bytes arrive does not matter.
+                let _ = stream.write_all(chunk.as_bytes()).await;
+                return false;
+            }
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if stream.write_all(chunk.as_bytes()).await.is_err() {
+                lock(&self.state).sight.left += 1;
+                return false;
+            }
+        }
+        stream.write_all(b"0\r\n\r\n").await.is_ok()
+    }
+
+    /// Waits before an event; `false` where the other side closed the channel meanwhile.
+    async fn pause(&self, stream: &mut TcpStream) -> bool {
+        let mut byte = [0_u8; 1];
+        tokio::select! {
+            () = sleep(self.shape.pause) => true,
+            read = stream.peek(&mut byte) => matches!(read, Ok(count) if count > 0),
+        }
+    }
+}
+
+async fn read_call(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReplicaCall> {
+    loop {
+        if let Some((call, used, body)) = parse_call(buffer) {
+            while buffer.len() < used + body {
+                read_some(stream, buffer).await?;
+            }
+            buffer.drain(..used + body);
+            return Some(call);
+        }
+        read_some(stream, buffer).await?;
+    }
+}
+
+async fn read_some(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
+    let mut bytes = vec![0; READ_BYTES];
+    let count = stream
+        .read(&mut bytes)
+        .await
+        .ok()
+        .filter(|count| *count > 0)?;
+    buffer.extend_from_slice(&bytes[..count]);
+    Some(())
+}
+
+fn parse_call(buffer: &[u8]) -> Option<(ReplicaCall, usize, usize)> {
+    let mut lines = [EMPTY_HEADER; MOST_HEADERS];
+    let mut request = httparse::Request::new(&mut lines);
+    let Ok(httparse::Status::Complete(used)) = request.parse(buffer) else {
+        return None;
+    };
+    let text = |name: &str| {
+        let mut headers = request.headers.iter();
+        let header = headers.find(|header| header.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(header.value).ok().map(Box::<str>::from)
+    };
+    let number = |name: &str| text(name).and_then(|value| value.parse::<u32>().ok());
+    let call = ReplicaCall {
+        path: request.path.unwrap_or_default().into(),
+        attempt: text("x-attempt-id").unwrap_or_default(),
+        expected: text("x-expect-instance"),
+        last_event: number("last-event-id").unwrap_or(0),
+    };
+    let body = number("content-length").unwrap_or(0) as usize;
+    Some((call, used, body))
+}
