--- /dev/null
+++ b/crates/zinniahatch_config/tests/entry.rs
@@ -0,0 +1,91 @@
+//! Settings of an entry VM, as the platform fills them in, and presets.
+
+use std::time::Duration;
+use test_case::test_case;
+use zinniahatch_config::EntrySettings;
+use zinniahatch_config::format_serving_preset;
+use zinniahatch_config::parse_serving_preset;
+
+const TEMPLATE: &str = include_str!("../../../platform/entry.ini");
+
+/// The values that the platform gives to the template's names.
+const VALUES: [(&str, &str); 18] = [
+    ("node_name", "front-a-1"),
+    ("region", "north"),
+    ("zone", "north-a"),
+    ("seeds", "10.1.0.1:80,10.2.0.1:80"),
+    ("listen.front", "10.1.0.5:8144"),
+    ("listen.readiness", "10.1.0.5:8140"),
+    ("listen.control", "10.1.0.5:8146"),
+    ("listen.directory", "10.1.0.5:8143"),
+    ("ip", "10.1.0.5"),
+    ("internal_ports.0", "7660"),
+    ("platform.address", "10.200.1.7:8142"),
+    ("platform.ttl_min_ms", "1000"),
+    ("bounds.retry_ratio", "0.2"),
+    ("bounds.retry_window_s", "10"),
+    ("bounds.retry_slack", "54"),
+    ("bounds.cold_overrun", "1.5"),
+    ("bounds.cold_slack", "3"),
+    ("bounds.grace_s", "8"),
+];
+
+fn filled() -> String {
+    let mut text = TEMPLATE.replace("{{bounds.ttl_max_s}}", "5");
+    for (name, value) in VALUES {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    let start = text.find("{{#zones}}").expect("the section begins");
+    let end = text.find("{{/zones}}").expect("the section ends") + "{{/zones}}".len();
+    text.replace_range(start..end, "north-a = north\nsouth-a = south\n");
+    text
+}
+
+#[test]
+fn parse_filled_template() {
+    let text = filled();
+    assert!(!text.contains("{{"), "every name is filled in");
+    assert!(EntrySettings::is_meant(&text));
+    let settings = EntrySettings::parse("entry.ini", &text).unwrap();
+    assert_eq!(&*settings.name, "front-a-1");
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.regions.len(), 2);
+    assert_eq!(settings.listen.peer.port(), 7660);
+    assert_eq!(settings.bounds.grace, Duration::from_secs(8));
+    assert_eq!(settings.bounds.directory_ttl, Duration::from_secs(2));
+    assert!((settings.cold_bound(2.2) - 6.3).abs() < 1e-9);
+}
+
+#[test_case("front = 10.1.0.5:8144", "front = nowhere", "[listen] front"; "no_address")]
+#[test_case("seeds = 10.1.0.1:80", "seeds = x", "seeds"; "bad_seed")]
+#[test_case("name = front-a-1", "", "name"; "no_name")]
+#[test_case("grace = 8s", "grace = 8", "grace"; "no_unit")]
+#[test_case("[store]", "[shop]", "unknown section"; "unknown_section")]
+fn parse_bad_settings(from: &str, to: &str, hint: &str) {
+    let text = filled().replace(from, to);
+    let error = EntrySettings::parse("entry.ini", &text).unwrap_err();
+    let text = error.to_string();
+    let words: Vec<&str> = hint.split(' ').collect();
+    assert!(words.iter().all(|word| text.contains(word)), "{text}");
+}
+
+#[test_case("ordinary")]
+#[test_case("peak")]
+#[test_case("maintenance")]
+fn parse_shipped_preset(name: &str) {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/presets");
+    let file = format!("{folder}/{name}.ini");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let preset = parse_serving_preset(&file, &text).unwrap();
+    assert_eq!(&*preset.name, name);
+    let again = parse_serving_preset("store", &format_serving_preset(&preset)).unwrap();
+    assert_eq!(again, preset);
+}
+
+#[test_case("[preset p]\ngoal_margin = 9\n", "out of range"; "range")]
+#[test_case("[preset p]\n[preset q]\n", "exactly one"; "two")]
+#[test_case("[preset]\n", "no name"; "nameless")]
+fn parse_bad_preset(text: &str, hint: &str) {
+    let error = parse_serving_preset("p", text).unwrap_err().to_string();
+    assert!(error.contains(hint), "{error}");
+}
--- a/crates/zinniahatch_entry/src/probe.rs
+++ b/crates/zinniahatch_entry/src/probe.rs
@@ -3,7 +3,6 @@
 use crate::channel::BackendChannel;
 use crate::core::EntryCore;
 use http::Method;
-use http::StatusCode;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::time::sleep;
@@ -45,7 +44,7 @@
 }
 
 async fn probe(core: Rc<EntryCore>, replica: ReplicaId, address: SocketAddrV4, path: Box<str>) {
-    let sound = timeout(PROBE_TIME, ask_health(address, &path))
+    let sound = timeout(PROBE_TIME, ask_sign_of_life(address, &path))
         .await
         .unwrap_or(false);
     let now = Instant::now();
@@ -62,7 +61,7 @@
     );
 }
 
-async fn ask_health(address: SocketAddrV4, path: &str) -> bool {
+async fn ask_sign_of_life(address: SocketAddrV4, path: &str) -> bool {
     let Ok(mut channel) = BackendChannel::connect(address, PROBE_TIME).await else {
         return false;
     };
@@ -70,6 +69,7 @@
     if channel.send(head.as_bytes(), &[]).await.is_err() {
         return false;
     }
-    let answer = channel.read_head(&Method::GET, "").await;
-    answer.is_ok_and(|head| head.status == StatusCode::OK)
+    // Any answer shows that the replica lives. What it says of its health may be false either way,
+    // so whether it serves is judged by its answers to requests.
+    channel.read_head(&Method::GET, "").await.is_ok()
 }
--- a/crates/zinniahatch_entry/src/serve.rs
+++ b/crates/zinniahatch_entry/src/serve.rs
@@ -22,6 +22,7 @@
 use zinniahatch_platform::returned;
 use zinniahatch_route::AdmissionRule;
 use zinniahatch_route::AwayChoice;
+use zinniahatch_route::AwayTried;
 use zinniahatch_route::DesiredRoute;
 use zinniahatch_route::DesiredService;
 use zinniahatch_route::LocalChoice;
@@ -77,7 +78,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct CallCourse {
     tried: BTreeSet<ReplicaId>,
-    tried_regions: BTreeSet<RegionId>,
+    away: AwayTried,
     /// Replicas that it was sent to.
     pub(crate) sends: u32,
     connects: u32,
@@ -311,8 +312,8 @@
             SendFailure::NotRun(hint) => {
                 course.retry_hint = hint.or(course.retry_hint);
                 // A refusal of another node cost no replica anything.
-                let away = matches!(place, NextPlace::Away(_));
-                if away {
+                if let NextPlace::Away(choice) = &place {
+                    course.away.regions.insert(choice.region.clone());
                     course.sends -= 1;
                     continue;
                 }
@@ -369,7 +370,7 @@
             );
         }
         NextPlace::Away(choice) => {
-            course.tried_regions.insert(choice.region.clone());
+            course.away.nodes.insert(choice.node.clone());
             course.region = Some(choice.region.clone());
             core.log.write(
                 "away",
@@ -513,7 +514,7 @@
         &replicas,
         ask,
         &plan.route.homes,
-        &course.tried_regions,
+        &course.away,
         core.ticket(),
         now,
     )
--- a/crates/zinniahatch_gateway/src/counters.rs
+++ b/crates/zinniahatch_gateway/src/counters.rs
@@ -9,7 +9,7 @@
 use prometheus::TextEncoder;
 use zinniahatch_base::prelude::*;
 
-/// Every counter and gauge; `docs/OPERATING.md` says how to read them.
+/// Every counter and gauge; `docs/OPERATIONS.md` says how to read them.
 pub struct CounterSet {
     registry: Registry,
     /// Requests by result code.
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -33,6 +33,7 @@
 pub use members::MemberTable;
 pub use members::ServiceDigest;
 pub use placement::AwayChoice;
+pub use placement::AwayTried;
 pub use placement::LocalChoice;
 pub use placement::PlaceAsk;
 pub use placement::choose_away;
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -92,6 +92,15 @@
     pub wait: Duration,
 }
 
+/// Where a request was sent away to already.
+#[derive(Clone, Debug, Default)]
+pub struct AwayTried {
+    /// Regions that refused it.
+    pub regions: BTreeSet<RegionId>,
+    /// Nodes that failed it; others of their region may still serve it.
+    pub nodes: BTreeSet<NodeId>,
+}
+
 /// Chooses the replica with the least expected time among those that may get new work.
 pub fn choose_local(
     table: &ReplicaTable,
@@ -265,18 +274,19 @@
     table: &ReplicaTable,
     ask: &PlaceAsk<'_>,
     allowed: &BTreeSet<RegionId>,
-    tried: &BTreeSet<RegionId>,
+    tried: &AwayTried,
     pick: u64,
     now: Instant,
 ) -> Option<AwayChoice> {
     let model = table.model_of(ask.service);
     let mut best: Option<AwayChoice> = None;
     for (region, nodes) in members.live_elsewhere(ask.region, now) {
-        if tried.contains(&region) || (!allowed.is_empty() && !allowed.contains(&region)) {
+        if tried.regions.contains(&region) || (!allowed.is_empty() && !allowed.contains(&region)) {
             continue;
         }
         let able: Vec<_> = nodes
             .iter()
+            .filter(|card| !tried.nodes.contains(&card.node))
             .filter_map(|card| {
                 let digest = card.services.get(&tag_of(ask.service))?;
                 (digest.sound > 0).then_some((card, digest))
