Split the way of a request into planning, placing, trying, answering; tell the truth at the deadline

Change: modules plan, placing, answering, resume, serve; the outcome is noted before the deadline is looked at; a placement is logged before the request leaves, not after. Before and after: the new test deadline_while_a_replica_is_silent failed on the old order (not-run), passes.

--- a/crates/zinniahatch_ctl/src/args.rs
+++ b/crates/zinniahatch_ctl/src/args.rs
@@ -231,7 +231,8 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "report")]
 pub(crate) struct ReportArgs {
-    /// fields, separated by commas: account, caller, region, served, service, preset, result
+    /// fields, separated by commas: account, caller, region, served, service, preset, result; on the
+    /// platform the account is the route and the caller the data centre that was asked
     #[argh(option, default = "String::from(\"account\")")]
     pub(crate) by: String,
     /// first hour, counted from the epoch, or -N for N hours ago (default: -23)
--- a/crates/zinniahatch_ctl/src/site.rs
+++ b/crates/zinniahatch_ctl/src/site.rs
@@ -1,10 +1,10 @@
 //! Commands for a system on the users' platform; they go through the platform's store alone.
 
 use crate::CtlError;
+use crate::args::ReportArgs;
 use crate::report::hour;
 use crate::site_args::SiteArgs;
 use crate::site_args::SiteCommand;
-use crate::site_args::SiteReportArgs;
 use crate::site_args::SiteSwitchArgs;
 use zinniahatch_base::prelude::*;
 use zinniahatch_config::PRESET_KEY;
@@ -114,7 +114,7 @@
     )
 }
 
-async fn tell(store: &KvClient, format: &str, args: &SiteReportArgs) -> Result<String, CtlError> {
+async fn tell(store: &KvClient, format: &str, args: &ReportArgs) -> Result<String, CtlError> {
     let mut by = Vec::new();
     for word in args.by.split(',') {
         let field = ReportField::parse(word.trim()).ok_or_else(|| {
--- a/crates/zinniahatch_ctl/src/site_args.rs
+++ b/crates/zinniahatch_ctl/src/site_args.rs
@@ -1,5 +1,6 @@
 //! Arguments of the commands for a system on the users' platform.
 
+use crate::args::ReportArgs;
 use argh::FromArgs;
 
 /// a system on the users' platform, driven through the platform's store
@@ -18,7 +19,7 @@
 pub(crate) enum SiteCommand {
     Show(SiteShowArgs),
     Switch(SiteSwitchArgs),
-    Report(SiteReportArgs),
+    Report(ReportArgs),
 }
 
 /// show the preset in force
@@ -38,22 +39,6 @@
     pub(crate) from: Option<String>,
 }
 
-/// who got what
-#[derive(FromArgs, Debug)]
-#[argh(subcommand, name = "report")]
-pub(crate) struct SiteReportArgs {
-    /// what the lines are broken down by, separated by commas: account (the route), caller (the
-    /// data centre asked), region, served, service, preset, result
-    #[argh(option, default = "String::from(\"account,region\")")]
-    pub(crate) by: String,
-    /// first hour, from the epoch; 0 or less counts back from now (default: -23)
-    #[argh(option, default = "-23")]
-    pub(crate) from: i64,
-    /// last hour, likewise (default: 0)
-    #[argh(option, default = "0")]
-    pub(crate) until: i64,
-}
-
 /// tell what became of a request, from the decision logs of the nodes
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "explain")]
--- a/crates/zinniahatch_entry/src/accounts.rs
+++ b/crates/zinniahatch_entry/src/accounts.rs
@@ -5,8 +5,8 @@
 //! loses what it had not yet sealed, and the fleet asks the store for a few writes a minute.
 
 use crate::core::EntryCore;
+use crate::plan::CallPlan;
 use crate::received::ReceivedCall;
-use crate::serve::CallPlan;
 use crate::snapshot::ask_peer;
 use rand::RngExt;
 use serde::Deserialize;
--- a/crates/zinniahatch_entry/src/call.rs
+++ b/crates/zinniahatch_entry/src/call.rs
@@ -4,12 +4,12 @@
 use crate::channel::BackendChannel;
 use crate::channel::ChannelError;
 use crate::core::EntryCore;
+use crate::plan::CallPlan;
 use crate::pool::PoolError;
 use crate::received::ReceivedCall;
 use crate::refusal::is_own;
 use crate::refusal::retry_hint;
 use crate::refusal::says_not_run;
-use crate::serve::CallPlan;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::StatusCode;
@@ -80,6 +80,20 @@
         }
     }
 
+    /// Sends a request and reads the head of its answer.
+    async fn exchange(
+        &mut self,
+        call: &ReceivedCall,
+        head: &[u8],
+    ) -> Result<AnswerHead, ChannelError> {
+        self.sent_at = Instant::now();
+        let Some(channel) = self.channel.as_mut() else {
+            return Err(ChannelError::Broken("no channel".into()));
+        };
+        channel.send(head, &call.body).await?;
+        channel.read_head(&call.method, &call.attempt).await
+    }
+
     /// Reads some of the answer's body; none at its end.
     pub(crate) async fn read_body(&mut self) -> Result<Option<Bytes>, ChannelError> {
         let Some(channel) = self.channel.as_mut() else {
@@ -215,7 +229,7 @@
     let mut open = OpenCall::new(core, address, &plan.service);
     open.note = Some(begin(core, call, plan, choice, now));
     let share = core.channel_share(&plan.service);
-    let mut channel = match core.pool.take(address, share, now).await {
+    let channel = match core.pool.take(address, share, now).await {
         Ok(channel) => channel,
         Err(error) => return Err(unreached(core, &choice.replica, &error)),
     };
@@ -232,15 +246,9 @@
         },
         call.body.len(),
     );
-    open.sent_at = Instant::now();
     let used = channel.was_used();
-    let sent = channel.send(&head, &call.body).await;
     open.channel = Some(channel);
-    let answer = match sent {
-        Ok(()) => read_head(&mut open, call).await,
-        Err(error) => Err(error),
-    };
-    match answer {
+    match open.exchange(call, &head).await {
         Ok(head) => sort_answer(core, choice, head, open),
         Err(error) => {
             // A kept channel that breaks says little of the replica; it may have closed it.
@@ -308,13 +316,6 @@
     }
 }
 
-async fn read_head(open: &mut OpenCall, call: &ReceivedCall) -> Result<AnswerHead, ChannelError> {
-    match open.channel.as_mut() {
-        Some(channel) => channel.read_head(&call.method, &call.attempt).await,
-        None => Err(ChannelError::Broken("no channel".into())),
-    }
-}
-
 /// Sorts an answer's head: what promises that the request did not run, and the rest.
 fn sort_answer(
     core: &Rc<EntryCore>,
@@ -388,7 +389,7 @@
         .map(|card| card.peer)
         .ok_or_else(|| SendFailure::NotSent("the node is gone".into()))?;
     let mut open = OpenCall::new(core, address, &plan.service);
-    let mut channel = match core.pool.take(address, PEER_CHANNELS, now).await {
+    let channel = match core.pool.take(address, PEER_CHANNELS, now).await {
         Ok(channel) => channel,
         Err(error) => {
             core.members
@@ -412,13 +413,8 @@
         &own,
         call.body.len(),
     );
-    let sent = channel.send(&head, &call.body).await;
     open.channel = Some(channel);
-    let answer = match sent {
-        Ok(()) => read_head(&mut open, call).await,
-        Err(error) => Err(error),
-    };
-    let head = match answer {
+    let head = match open.exchange(call, &head).await {
         Ok(head) => head,
         Err(error) => {
             core.pool.purge(address);
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -1,11 +1,12 @@
 //! The entry VM on the users' platform.
 //!
-//! A request's way runs one way: `ingress` reads it, `serve` decides, `call` sends it through a
-//! `channel` from the `pool`, `relay` passes a stream on. `gossip`, `membership` and `watch` keep
+//! A request's way runs one way: `ingress` reads it, `serve` plans and tries it, `placing` chooses,
+//! `call` sends it through a `channel` from the `pool`, `answering` and `relay` answer. `gossip`, `membership` and `watch` keep
 //! the tables that `serve` decides by.
 
 mod accounts;
 mod answer;
+mod answering;
 mod call;
 mod channel;
 mod chunks;
@@ -16,11 +17,14 @@
 mod ingress;
 mod membership;
 mod metrics;
+mod placing;
+mod plan;
 mod pool;
 mod probe;
 mod received;
 mod refusal;
 mod relay;
+mod resume;
 mod run;
 mod serve;
 mod services;
--- /dev/null
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -0,0 +1,230 @@
+//! Where the next try of a request goes, and sending it there.
+
+use crate::call::OpenCall;
+use crate::call::SendFailure;
+use crate::call::send_away;
+use crate::call::send_local;
+use crate::channel::AnswerHead;
+use crate::core::EntryCore;
+use crate::plan::CallCourse;
+use crate::plan::CallPlan;
+use crate::received::ReceivedCall;
+use std::rc::Rc;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::AdmissionRule;
+use zinniahatch_route::AwayChoice;
+use zinniahatch_route::LocalChoice;
+use zinniahatch_route::PlaceAsk;
+use zinniahatch_route::ServingPreset;
+use zinniahatch_route::Verdict;
+use zinniahatch_route::choose_away;
+use zinniahatch_route::choose_local;
+
+/// Time that a caller is told to wait where no replica can be used.
+pub(crate) const NO_BACKEND_RETRY: Duration = Duration::from_millis(700);
+
+/// Where the next try goes.
+#[derive(Debug)]
+pub(crate) enum NextPlace {
+    /// To a replica of this region.
+    Local(LocalChoice),
+    /// To a node of another region.
+    Away(AwayChoice),
+    /// Nowhere: the code, and when to come back.
+    Refuse(ResultCode, Duration),
+}
+
+impl NextPlace {
+    /// Gives the expected time to the first event.
+    pub(crate) fn expected(&self) -> Duration {
+        match self {
+            Self::Local(choice) => choice.expected,
+            Self::Away(choice) => choice.expected,
+            Self::Refuse(..) => Duration::ZERO,
+        }
+    }
+}
+
+/// Chooses where the next try goes, or that there is none; `judged` asks admission first.
+pub(crate) fn next_place(
+    core: &EntryCore,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    course: &CallCourse,
+    judged: bool,
+) -> NextPlace {
+    let now = Instant::now();
+    let preset = core.preset.borrow().clone();
+    let rule = admission_rule(call, plan, &preset, now);
+    let peers = core.members.borrow().names_in(&core.settings.region);
+    let ask = PlaceAsk {
+        service: &plan.service,
+        region: &core.settings.region,
+        size: &call.size,
+        urgent: plan.urgent,
+        tried: &course.tried,
+        deadline: plan.deadline.saturating_duration_since(now),
+        copy_token: plan.spec.copy_token,
+        cold_bound: plan.cold_bound,
+        node: &core.settings.name,
+        peers: &peers,
+    };
+    let local = if plan.route.allows(&core.settings.region) {
+        let replicas = core.replicas.borrow();
+        let gate = core.gate.borrow();
+        choose_local(&replicas, &gate, &core.settings.regions, &ask, now)
+    } else {
+        None
+    };
+    let verdict = local
+        .as_ref()
+        .map(|choice| rule.judge(choice.expected, choice.wait));
+    let late = local
+        .as_ref()
+        .is_some_and(|choice| choice.expected + rule.spent > plan.route.goal);
+    let admitted = !judged || verdict == Some(Verdict::Admit);
+    if let Some(choice) = &local
+        && admitted
+        && !late
+    {
+        return NextPlace::Local(choice.clone());
+    }
+    let mut slow_away = None;
+    if call.is_direct()
+        && let Some(away) = find_away(core, plan, course, &ask, now)
+    {
+        let better = local.as_ref().is_none_or(|choice| {
+            !admitted || away.expected < choice.expected.mul_f64(preset.away_gain)
+        });
+        match rule.judge(away.expected, away.wait) {
+            Verdict::Admit if better => return NextPlace::Away(away),
+            Verdict::Admit => {}
+            Verdict::Refuse(after) => slow_away = Some(after),
+        }
+    }
+    match (local, verdict) {
+        (Some(choice), _) if admitted => NextPlace::Local(choice),
+        (_, Some(Verdict::Refuse(after))) => NextPlace::Refuse(ResultCode::WaitTooLong, after),
+        _ if slow_away.is_some() => {
+            NextPlace::Refuse(ResultCode::WaitTooLong, slow_away.unwrap_or_default())
+        }
+        _ => NextPlace::Refuse(ResultCode::NoBackend, NO_BACKEND_RETRY),
+    }
+}
+
+fn find_away(
+    core: &EntryCore,
+    plan: &CallPlan,
+    course: &CallCourse,
+    ask: &PlaceAsk<'_>,
+    now: Instant,
+) -> Option<AwayChoice> {
+    let members = core.members.borrow();
+    let replicas = core.replicas.borrow();
+    choose_away(
+        &members,
+        &replicas,
+        ask,
+        &plan.route.homes,
+        &course.away,
+        core.ticket(),
+        now,
+    )
+}
+
+fn admission_rule(
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    preset: &ServingPreset,
+    now: Instant,
+) -> AdmissionRule {
+    AdmissionRule {
+        goal: plan.route.goal,
+        spent: now.saturating_duration_since(call.arrived) + call.spent_before(),
+        left: plan.deadline.saturating_duration_since(call.arrived) + call.spent_before(),
+        favour: if plan.urgent {
+            preset.urgent_favour
+        } else {
+            1.0
+        },
+        goal_margin: preset.goal_margin,
+        least_wait: preset.least_wait,
+    }
+}
+
+/// Sends a request to its place and reads the head of the answer.
+pub(crate) async fn send_to(
+    core: &Rc<EntryCore>,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    place: &NextPlace,
+    last_event: Option<&str>,
+) -> Result<(AnswerHead, OpenCall), SendFailure> {
+    match place {
+        NextPlace::Local(choice) => send_local(core, call, plan, choice, last_event).await,
+        NextPlace::Away(choice) => {
+            core.metrics.note_away(&plan.service, &choice.region);
+            send_away(core, call, plan, choice, last_event).await
+        }
+        NextPlace::Refuse(..) => Err(SendFailure::NotSent("there is no place".into())),
+    }
+}
+
+/// Notes and logs where a request is sent.
+pub(crate) fn note_tried(
+    core: &EntryCore,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    course: &mut CallCourse,
+    place: &NextPlace,
+) {
+    match place {
+        NextPlace::Local(choice) => {
+            course.tried.insert(choice.replica.clone());
+            course.region = None;
+            core.log.write(
+                "placed",
+                serde_json::json!({"request": call.attempt, "route": plan.route.name,
+                    "service": plan.service, "replica": choice.replica, "version": plan.version,
+                    "expected_ms": choice.expected.as_millis() as u64,
+                    "wait_ms": choice.wait.as_millis() as u64,
+                    "tokens": choice.tokens, "copy_from": choice.copy_from,
+                    "cold": choice.cold, "sends": course.sends}),
+            );
+        }
+        NextPlace::Away(choice) => {
+            course.away.nodes.insert(choice.node.clone());
+            course.region = Some(choice.region.clone());
+            core.log.write(
+                "away",
+                serde_json::json!({"request": call.attempt, "route": plan.route.name,
+                    "service": plan.service, "node": choice.node, "region": choice.region,
+                    "expected_ms": choice.expected.as_millis() as u64,
+                    "version": plan.version, "sends": course.sends}),
+            );
+        }
+        NextPlace::Refuse(..) => {}
+    }
+}
+
+/// Logs why a try failed.
+pub(crate) fn note_failure(
+    core: &EntryCore,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    course: &CallCourse,
+    place: &NextPlace,
+    failure: &SendFailure,
+) {
+    let target = match place {
+        NextPlace::Local(choice) => &choice.replica,
+        NextPlace::Away(choice) => &choice.node,
+        NextPlace::Refuse(..) => return,
+    };
+    core.log.write(
+        "try-failed",
+        serde_json::json!({"request": call.attempt, "service": plan.service, "at": target,
+            "failure": format!("{failure:?}"), "sends": course.sends,
+            "age_ms": call.arrived.elapsed().as_millis() as u64}),
+    );
+}
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -22,6 +22,8 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Looks before a test gives up; far beyond what a busy machine takes.
 const MOST_LOOKS: u32 = 3_000;
+/// How long a caller waits.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// Grace of a planned stop, in seconds.
 const GRACE_SECONDS: u64 = 8;
 
@@ -292,14 +294,25 @@
             .collect()
     }
 
-    /// Begins a call to an entry VM.
+    /// Begins a call to an entry VM, of a caller who waits long.
     pub fn call(&self, index: usize, path: &str, attempt: &str) -> RequestBuilder {
+        self.call_within(index, path, attempt, PATIENCE)
+    }
+
+    /// Begins a call to an entry VM, of a caller who waits for so long.
+    pub fn call_within(
+        &self,
+        index: usize,
+        path: &str,
+        attempt: &str,
+        patience: Duration,
+    ) -> RequestBuilder {
         let url = format!("http://{}{path}", self.entries[index].addresses[0]);
         Client::new()
             .get(url)
             .header("host", HOST)
             .header("x-attempt-id", attempt)
-            .header("x-time-remaining", "20000")
+            .header("x-time-remaining", patience.as_millis().to_string())
     }
 
     /// Gives how often an attempt ran, over all replicas.
--- a/crates/zinniahatch_lab/tests/site.rs
+++ b/crates/zinniahatch_lab/tests/site.rs
@@ -142,6 +142,19 @@
     }
 }
 
+/// A replica took an entry and never answered, and the caller's time ran out. Told "not run", it
+/// would enter it again; whether it ran is not known, and the answer must say so.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_while_a_replica_is_silent() {
+    let site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    site.replicas[0].0.behave(ReplicaBehaviour::Mute);
+    let patience = Duration::from_millis(400);
+    let call = site.call_within(0, "/once/x", "q1", patience);
+    let answer = call.send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(answer.headers()["x-zinnia-execution"], "unknown");
+}
+
 /// A replica that is full refuses without running; the caller is told so and when to come back.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusal_of_a_full_replica_is_passed_on() {
