Let no other node's older news revive a replica that has left

Ruled out: a late watch (the node's log shows the entry gone 0.3 s after the store's acknowledgement). Test learn_does_not_revive_what_left.

--- a/crates/zinniahatch_entry/src/snapshot.rs
+++ b/crates/zinniahatch_entry/src/snapshot.rs
@@ -26,6 +26,7 @@
     desired: Option<DesiredState>,
     preset: ServingPreset,
     replicas: Vec<ReplicaEntry>,
+    gone: Vec<ReplicaId>,
     evacuated: BTreeSet<DataCentreId>,
 }
 
@@ -42,6 +43,7 @@
         desired,
         preset: core.preset.borrow().clone(),
         replicas: entries.collect(),
+        gone: replicas.gone().cloned().collect(),
         evacuated: replicas.evacuated().clone(),
     };
     // An empty answer is taken as no snapshot by the reader.
@@ -50,7 +52,6 @@
 
 /// Fetches and takes over the beliefs of another node; tells whether that worked.
 ///
-/// Replicas that the other does not know stay: it may be the one that is behind.
 pub(crate) async fn fetch_snapshot(core: &Rc<EntryCore>, peer: SocketAddrV4) -> bool {
     let fetched = timeout(FETCH_TIME, read_snapshot(core, peer)).await;
     let Ok(Some(snapshot)) = fetched else {
@@ -66,15 +67,9 @@
     }
     core.adopt_preset(snapshot.preset, "peer");
     let mut replicas = core.replicas.borrow_mut();
-    for entry in snapshot.replicas {
-        let leaving = entry.leaving;
-        let known = replicas.get(&entry.id).is_some();
-        if known && !leaving {
-            continue;
-        }
-        replicas.upsert(entry, now);
-    }
-    if !core.listed.get() {
+    let first = !core.listed.get();
+    replicas.learn(snapshot.replicas, &snapshot.gone, now);
+    if first {
         replicas.set_evacuated(snapshot.evacuated);
     }
     let any = replicas.rows().next().is_some();
--- a/crates/zinniahatch_route/src/estimate.rs
+++ b/crates/zinniahatch_route/src/estimate.rs
@@ -42,9 +42,12 @@
 /// The line for one service.
 #[derive(Clone, Debug)]
 pub struct FirstEventModel {
-    base_ms: f64,
-    token_ms: f64,
-    hold_ms: f64,
+    /// Time with nothing to read, in ms.
+    base: f64,
+    /// Time for each token to read, in ms.
+    token: f64,
+    /// Average time that a slot is held, in ms.
+    hold: f64,
 }
 
 /// Moves a tracked quantile by one observation.
@@ -61,9 +64,9 @@
     /// Starts from a prior base, in ms.
     pub fn new(base_ms: f64) -> Self {
         Self {
-            base_ms,
-            token_ms: PRIOR_TOKEN_MS,
-            hold_ms: base_ms,
+            base: base_ms,
+            token: PRIOR_TOKEN_MS,
+            hold: base_ms,
         }
     }
 
@@ -79,27 +82,27 @@
         let tokens = f64::from(sample.tokens);
         let took = sample.took.as_secs_f64() * 1e3;
         if sample.tokens < LONG_PROMPT {
-            let seen = took - self.token_ms * tokens;
-            self.base_ms = track(self.base_ms, seen, BASE_MS);
+            let seen = took - self.token * tokens;
+            self.base = track(self.base, seen, BASE_MS);
         } else {
-            let seen = (took - self.base_ms) / tokens;
-            self.token_ms = track(self.token_ms, seen, TOKEN_MS);
+            let seen = (took - self.base) / tokens;
+            self.token = track(self.token, seen, TOKEN_MS);
         }
     }
 
     /// Learns from the end of an answer how long a request holds its slot.
     pub fn learn_hold(&mut self, took: Duration) {
         let took = took.as_secs_f64() * 1e3;
-        self.hold_ms += HOLD_GAIN * (took - self.hold_ms);
+        self.hold += HOLD_GAIN * (took - self.hold);
     }
 
     /// Gives how long a request holds its slot on average.
     pub fn hold(&self) -> Duration {
-        Duration::from_secs_f64(self.hold_ms / 1e3)
+        Duration::from_secs_f64(self.hold / 1e3)
     }
 
     fn millis(&self, tokens: u32) -> f64 {
-        self.base_ms + self.token_ms * f64::from(tokens)
+        self.base + self.token * f64::from(tokens)
     }
 
     /// Gives the expected time until the first event with so many tokens to read.
@@ -109,7 +112,7 @@
 
     /// Gives the time that reading so many tokens takes by itself.
     pub fn reading(&self, tokens: u32) -> Duration {
-        Duration::from_secs_f64(self.token_ms * f64::from(tokens) / 1e3)
+        Duration::from_secs_f64(self.token * f64::from(tokens) / 1e3)
     }
 
     /// Gives the time for which so many tokens ahead hold a request up.
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -13,6 +13,9 @@
 const LAPSE_GRACE: Duration = Duration::from_millis(2500);
 /// For how long after trouble with the store a vanished entry may be a mere lapse.
 const STORE_TROUBLE: Duration = Duration::from_secs(4);
+/// How long a replica that has left is remembered, so that no other node's older news brings it back;
+/// far longer than any node stays cut off and still serves.
+const GONE_TIME: Duration = Duration::from_secs(300);
 /// How long what another node said of its open work counts.
 const PEER_WORK_TIME: Duration = Duration::from_millis(1200);
 /// How long a load that the replica reported counts.
@@ -220,12 +223,14 @@
     models: BTreeMap<ServiceId, FirstEventModel>,
     evacuated: BTreeSet<DataCentreId>,
     reads: Vec<PromptRead>,
+    gone: BTreeMap<ReplicaId, Instant>,
     store_trouble: Option<Instant>,
 }
 
 impl ReplicaTable {
     /// Takes an entry from the store; tells whether the belief changed.
     pub fn upsert(&mut self, entry: ReplicaEntry, now: Instant) -> bool {
+        self.gone.remove(&entry.id);
         let Some(belief) = self.rows.get_mut(&entry.id) else {
             self.rows
                 .insert(entry.id.clone(), ReplicaBelief::new(entry, now));
@@ -236,15 +241,47 @@
         changed
     }
 
+    /// Takes what another node knows, for a node that the store does not serve.
+    ///
+    /// The other node may be behind: it still knew a replica that this one had seen leave, and told
+    /// of it; the replica got requests five seconds after it had left. So what has left here stays
+    /// away, and new entries count only while this node has no news of its own.
+    pub fn learn(&mut self, entries: Vec<ReplicaEntry>, gone: &[ReplicaId], now: Instant) {
+        let blind = self.rows.is_empty() || self.in_trouble(now);
+        for entry in entries {
+            if self.gone.contains_key(&entry.id) {
+                continue;
+            }
+            let known = self.rows.contains_key(&entry.id);
+            if (known && entry.leaving) || (!known && blind) {
+                self.upsert(entry, now);
+            }
+        }
+        for id in gone {
+            if let Some(belief) = self.rows.get_mut(id) {
+                belief.leaving.get_or_insert(LeaveReason::EntryGone);
+            }
+        }
+    }
+
+    /// Gives the replicas that have left, to tell other nodes.
+    pub fn gone(&self) -> impl Iterator<Item = &ReplicaId> {
+        self.gone.keys()
+    }
+
+    /// Tells whether the store was in trouble a moment ago.
+    fn in_trouble(&self, now: Instant) -> bool {
+        self.store_trouble
+            .is_some_and(|at| now.saturating_duration_since(at) <= STORE_TROUBLE)
+    }
+
     /// Takes the news that an entry vanished.
     ///
     /// While the store was in trouble a moment ago, leases may have lapsed of replicas that live;
     /// dropping them all would leave no place for requests. They are kept a little, and dropped
     /// for good when they do not come back.
     pub fn vanish(&mut self, id: &str, now: Instant) {
-        let trouble = self
-            .store_trouble
-            .is_some_and(|at| now.saturating_duration_since(at) <= STORE_TROUBLE);
+        let trouble = self.in_trouble(now);
         let Some(belief) = self.rows.get_mut(id) else {
             return;
         };
@@ -318,7 +355,10 @@
         }
         for id in &dropped {
             self.rows.remove(id);
+            self.gone.insert(id.clone(), now);
         }
+        self.gone
+            .retain(|_, at| now.saturating_duration_since(*at) <= GONE_TIME);
         dropped
     }
 
--- a/crates/zinniahatch_route/tests/beliefs.rs
+++ b/crates/zinniahatch_route/tests/beliefs.rs
@@ -57,6 +57,40 @@
     assert!(table.get("r1").unwrap().leaving.is_some());
 }
 
+/// A replica left, this node dropped it, and five seconds later sent requests there again: another
+/// node that was behind had told of the replica in a snapshot. What has left does not come back.
+#[test]
+fn learn_does_not_revive_what_left() {
+    let now = Instant::now();
+    let mut table = table(&["r1", "r2"], now);
+    table.vanish("r1", now);
+    table.tick(now);
+    assert!(table.get("r1").is_none());
+    table.note_store_trouble(now);
+    table.learn(vec![entry("r1", "a")], &[], now + Duration::from_secs(1));
+    assert!(table.get("r1").is_none());
+}
+
+#[test]
+fn learn_only_while_blind() {
+    let now = Instant::now();
+    let mut table = table(&["r1"], now);
+    table.learn(vec![entry("r2", "a")], &[], now);
+    assert!(table.get("r2").is_none(), "this node has news of its own");
+    let mut leaving = entry("r1", "a");
+    leaving.leaving = true;
+    table.learn(vec![leaving], &[], now);
+    assert!(table.get("r1").unwrap().leaving.is_some());
+    table.note_store_trouble(now);
+    table.learn(vec![entry("r2", "a")], &[], now);
+    assert!(table.get("r2").is_some());
+    table.learn(Vec::new(), &["r2".into()], now);
+    assert!(
+        table.get("r2").unwrap().leaving.is_some(),
+        "it left elsewhere"
+    );
+}
+
 #[test_case(0, false; "no_failure")]
 #[test_case(1, false; "one_failure_is_no_verdict")]
 #[test_case(12, true; "many_failures")]
