--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 	cargo build --release --workspace
 
 demo: build
+	target/release/zinnia-lab site
 	target/release/zinnia-lab demo
 
 test: tools
--- a/crates/zinniahatch_lab/src/lib.rs
+++ b/crates/zinniahatch_lab/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod operator;
 pub mod relay;
 pub mod site;
+pub mod site_demo;
 pub mod stand;
 pub mod users;
--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -18,10 +18,16 @@
 #[argh(subcommand)]
 enum LabCommand {
     Demo(DemoArgs),
+    Site(SiteArgs),
     Up(UpArgs),
     Experiment(ExperimentArgs),
 }
 
+/// run a small site on the platform's protocol, with a kill and a planned stop
+#[derive(FromArgs)]
+#[argh(subcommand, name = "site")]
+struct SiteArgs {}
+
 /// one experiment; its last line is a JSON object with its figures and "violations"
 #[derive(FromArgs)]
 #[argh(subcommand, name = "experiment")]
@@ -115,6 +121,7 @@
     let args: LabArgs = argh::from_env();
     let violations = match args.command {
         LabCommand::Demo(_) => zinniahatch_lab::demo::run_demo().await,
+        LabCommand::Site(_) => zinniahatch_lab::site_demo::run().await,
         LabCommand::Up(up) => zinniahatch_lab::demo::run_up(&up.user, up.seconds, up.rate).await,
         LabCommand::Experiment(args) => run_experiment(args).await,
     };
--- /dev/null
+++ b/crates/zinniahatch_lab/src/site_demo.rs
@@ -0,0 +1,138 @@
+//! A demonstration of the platform path: a small site, a load, a kill, a planned stop, a report.
+
+use crate::site::SiteCluster;
+use crate::site::SiteRegion;
+use crate::site::wait_until;
+use crate::stand::replica::ReplicaBehaviour;
+use crate::stand::replica::StreamShape;
+use futures_util::StreamExt;
+use futures_util::stream;
+use zinniahatch_base::prelude::*;
+use zinniahatch_report::CountSheet;
+use zinniahatch_report::HourLedger;
+use zinniahatch_report::ReportField;
+use zinniahatch_report::ReportQuery;
+use zinniahatch_report::render_table;
+use zinniahatch_report::run_query;
+
+/// Calls of each phase.
+const CALLS: usize = 120;
+/// Calls in progress at once.
+const AT_ONCE: usize = 8;
+/// Routes that are called in turn.
+const ROUTES: [&str; 4] = ["plain", "once", "stream", "bound"];
+/// Events of a stream and the pause before each.
+const SHAPE: StreamShape = StreamShape {
+    events: 10,
+    pause: Duration::from_millis(5),
+};
+
+/// What callers saw in one phase.
+#[derive(Debug, Default)]
+struct PhaseSight {
+    answered: usize,
+    refused: usize,
+    unknown: usize,
+    broken: Vec<String>,
+}
+
+/// Runs the demonstration; gives how many promises broke.
+pub async fn run() -> usize {
+    let regions =
+        [("north", 2, 2), ("south", 1, 2), ("west", 1, 0)].map(|(name, entries, replicas)| {
+            SiteRegion {
+                name,
+                entries,
+                replicas,
+            }
+        });
+    let mut site = SiteCluster::start(&regions, SHAPE).await;
+    println!("site: 4 entry VMs, 4 replicas, 3 regions; west has no replica of its own");
+    let mut broken = phase(&site, "calm", &[0, 1, 2, 3]).await;
+    site.replicas[0].0.behave(ReplicaBehaviour::BreakAfter(3));
+    broken += phase(&site, "a replica breaks its streams", &[0, 1, 2, 3]).await;
+    site.replicas[0].0.behave(ReplicaBehaviour::Serve);
+    site.kill(2);
+    broken += phase(&site, "the entry VM of south is killed", &[0, 1, 3]).await;
+    site.terminate(0);
+    broken += phase(&site, "an entry VM of north is stopped", &[1, 3]).await;
+    wait_until("the stopped entry VM ends", async || {
+        site.ended(0).is_some()
+    })
+    .await;
+    for index in [1, 3] {
+        site.terminate(index);
+        wait_until("an entry VM ends", async || site.ended(index).is_some()).await;
+    }
+    print!("{}", report(&site));
+    broken
+}
+
+async fn phase(site: &SiteCluster, title: &str, entries: &[usize]) -> usize {
+    let mut sight = PhaseSight::default();
+    let calls = stream::iter(0..CALLS).map(|number| {
+        let route = ROUTES[number % ROUTES.len()];
+        let entry = entries[(number / ROUTES.len()) % entries.len()];
+        let attempt = format!("{title}-{number}").replace(' ', "-");
+        async move { (one_call(site, entry, route, &attempt).await, route, attempt) }
+    });
+    let mut calls = calls.buffer_unordered(AT_ONCE);
+    while let Some((status, route, attempt)) = calls.next().await {
+        let runs = site.runs(&attempt);
+        match status {
+            Some(200) => sight.answered += 1,
+            Some(503) => sight.refused += 1,
+            _ => sight.unknown += 1,
+        }
+        if status == Some(503) && runs > 0 && route == "once" {
+            sight
+                .broken
+                .push(format!("{attempt}: told not run, ran {runs} times"));
+        }
+        if route == "once" && runs > 1 {
+            sight.broken.push(format!("{attempt}: ran {runs} times"));
+        }
+    }
+    println!(
+        "{title}: {} answered, {} refused as not run, {} unknown, {} promises broken",
+        sight.answered,
+        sight.refused,
+        sight.unknown,
+        sight.broken.len()
+    );
+    for line in &sight.broken {
+        println!("  {line}");
+    }
+    sight.broken.len()
+}
+
+/// Makes a call and reads its answer to the end; none where the channel broke.
+async fn one_call(site: &SiteCluster, entry: usize, route: &str, attempt: &str) -> Option<u16> {
+    let call = site.call(entry, &format!("/{route}/x"), attempt);
+    let answer = call.send().await.ok()?;
+    let status = answer.status().as_u16();
+    answer.bytes().await.ok()?;
+    Some(status)
+}
+
+fn report(site: &SiteCluster) -> String {
+    let mut sheet = CountSheet::default();
+    let mut gaps = Vec::new();
+    for (key, text) in site.store.copy_values() {
+        if !key.starts_with(zinniahatch_report::ACCOUNTS_PREFIX) {
+            continue;
+        }
+        let Ok(ledger) = serde_json::from_str::<HourLedger>(&text) else {
+            continue;
+        };
+        sheet.merge(&ledger.sheet);
+        gaps.extend(ledger.gaps);
+    }
+    let query = ReportQuery {
+        by: vec![ReportField::Account, ReportField::Region],
+        from: 0,
+        until: u64::MAX,
+        accounts: None,
+    };
+    render_table(&run_query(&query, &sheet, gaps, Vec::new()))
+}
--- /dev/null
+++ b/crates/zinniahatch_lab/src/stand/store/front.rs
@@ -0,0 +1,238 @@
+//! The store's calls over HTTP, with the faults of one front.
+
+use super::CommitRefusal;
+use super::StandStore;
+use super::wire::CommitAsk;
+use super::wire::ItemBody;
+use super::wire::ItemsBody;
+use super::wire::KeptBody;
+use super::wire::LeaseAsk;
+use super::wire::LeaseBody;
+use super::wire::PageBody;
+use super::wire::RevisionBody;
+use super::wire::item_body;
+use crate::stand::faults::CallFate;
+use crate::stand::faults::FaultSwitch;
+use salvo::Request;
+use salvo::Response;
+use salvo::handler;
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use serde::Serialize;
+use std::sync::atomic::Ordering;
+use tokio::time::timeout;
+use zinniahatch_base::prelude::*;
+
+/// Largest body: a value as text, and what stands around it.
+const BODY_LIMIT: usize = 2 << 20;
+/// Items of one page; few, so that tests meet more than one.
+const PAGE_ITEMS: usize = 50;
+
+#[derive(Clone)]
+pub(super) struct FrontHandler {
+    pub(super) store: StandStore,
+    pub(super) switch: FaultSwitch,
+}
+
+impl FrontHandler {
+    /// Counts the call and decides its fate; `None` where it was refused.
+    async fn begin(&self, write: bool, response: &mut Response) -> Option<CallFate> {
+        self.store.calls.fetch_add(1, Ordering::Relaxed);
+        self.store
+            .writes
+            .fetch_add(u64::from(write), Ordering::Relaxed);
+        let fate = self.switch.fate(write).await;
+        if fate == CallFate::Refuse {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return None;
+        }
+        self.store.drop_lapsed();
+        Some(fate)
+    }
+}
+
+/// Ends a call: with its answer, or with a broken connection after it took effect.
+fn end(fate: CallFate, response: &mut Response, body: impl Serialize + Send) {
+    match fate {
+        CallFate::Answer => response.render(Json(body)),
+        CallFate::LoseAnswer | CallFate::Refuse => {
+            let broken = futures_util::stream::once(async {
+                Err::<bytes::Bytes, _>(std::io::Error::other("lost"))
+            });
+            response.stream(Box::pin(broken));
+        }
+    }
+}
+
+pub(super) struct KeyHandler(pub(super) FrontHandler);
+
+#[handler]
+impl KeyHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let Some(fate) = self.0.begin(false, response).await else {
+            return;
+        };
+        let key = request.query::<String>("key").unwrap_or_default();
+        let data = self.0.store.lock();
+        let revision = data.revision;
+        let Some(value) = data.values.get(key.as_str()).cloned() else {
+            response.status_code(StatusCode::NOT_FOUND);
+            return;
+        };
+        drop(data);
+        let mut body = item_body(&key, &value);
+        body.store_revision = Some(revision);
+        end(fate, response, body);
+    }
+}
+
+pub(super) struct RangeHandler(pub(super) FrontHandler);
+
+#[handler]
+impl RangeHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let Some(fate) = self.0.begin(false, response).await else {
+            return;
+        };
+        let prefix = request.query::<String>("path_prefix").unwrap_or_default();
+        let after = request.query::<String>("after").unwrap_or_default();
+        let data = self.0.store.lock();
+        let mut found = data
+            .values
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix) && ***key > *after)
+            .map(|(key, value)| item_body(key, value));
+        let items: Vec<ItemBody> = found.by_ref().take(PAGE_ITEMS).collect();
+        let truncated = found.next().is_some();
+        let store_revision = data.revision;
+        drop(data);
+        end(
+            fate,
+            response,
+            PageBody {
+                items,
+                truncated,
+                store_revision,
+            },
+        );
+    }
+}
+
+pub(super) struct WatchHandler(pub(super) FrontHandler);
+
+#[handler]
+impl WatchHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let Some(fate) = self.0.begin(false, response).await else {
+            return;
+        };
+        let prefix = request.query::<String>("path_prefix").unwrap_or_default();
+        let after = request.query::<u64>("after").unwrap_or(0);
+        let wait = Duration::from_millis(request.query::<u64>("wait_ms").unwrap_or(0));
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.0.store.changed.notified();
+            let Some(body) = self.0.store.events(&prefix, after) else {
+                response.status_code(StatusCode::GONE);
+                return;
+            };
+            let left = until.saturating_duration_since(Instant::now());
+            if !body.events.is_empty() || timeout(left, changed).await.is_err() {
+                return end(fate, response, body);
+            }
+        }
+    }
+}
+
+pub(super) struct CommitHandler(pub(super) FrontHandler);
+
+#[handler]
+impl CommitHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let body = request.payload_with_max_size(BODY_LIMIT).await.cloned();
+        let Ok(body) = body else {
+            response.status_code(StatusCode::PAYLOAD_TOO_LARGE);
+            return;
+        };
+        let Ok(ask) = serde_json::from_slice::<CommitAsk>(&body) else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let Some(fate) = self.0.begin(true, response).await else {
+            return;
+        };
+        match self.0.store.commit(ask) {
+            Ok(revision) => end(fate, response, RevisionBody { revision }),
+            Err(CommitRefusal::Status(status)) => {
+                response.status_code(status);
+            }
+            Err(CommitRefusal::Conflict(items)) => {
+                response.status_code(StatusCode::PRECONDITION_FAILED);
+                response.render(Json(ItemsBody { items }));
+            }
+        }
+    }
+}
+
+pub(super) struct LeaseHandler(pub(super) FrontHandler);
+
+#[handler]
+impl LeaseHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let Ok(ask) = request.parse_json::<LeaseAsk>().await else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let Some(fate) = self.0.begin(true, response).await else {
+            return;
+        };
+        let mut data = self.0.store.lock();
+        data.revision += 1;
+        let lease = data.revision;
+        data.leases
+            .insert(lease, (Instant::now(), Duration::from_millis(ask.ttl_ms)));
+        drop(data);
+        let ttl_ms = ask.ttl_ms;
+        end(fate, response, LeaseBody { lease, ttl_ms });
+    }
+}
+
+pub(super) struct KeepHandler(pub(super) FrontHandler);
+
+#[handler]
+impl KeepHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let Some(fate) = self.0.begin(true, response).await else {
+            return;
+        };
+        let id = request.param::<u64>("id").unwrap_or(0);
+        let mut data = self.0.store.lock();
+        let Some(lease) = data.leases.get_mut(&id) else {
+            response.status_code(StatusCode::NOT_FOUND);
+            return;
+        };
+        lease.0 = Instant::now();
+        let ttl_ms = lease.1.as_millis() as u64;
+        drop(data);
+        end(fate, response, KeptBody { ttl_ms });
+    }
+}
+
+pub(super) struct EndHandler(pub(super) FrontHandler);
+
+#[handler]
+impl EndHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let Some(fate) = self.0.begin(true, response).await else {
+            return;
+        };
+        let id = request.param::<u64>("id").unwrap_or(0);
+        if self.0.store.lock().leases.remove(&id).is_none() {
+            response.status_code(StatusCode::NOT_FOUND);
+            return;
+        }
+        self.0.store.drop_lapsed();
+        let revision = self.0.store.lock().revision;
+        end(fate, response, RevisionBody { revision });
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_lab/src/stand/store/wire.rs
@@ -0,0 +1,106 @@
+//! Bodies of the platform's calls, as the stand-in store reads and writes them.
+
+use super::StandValue;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde::Serialize;
+
+#[derive(Serialize)]
+pub(super) struct ItemBody {
+    pub(super) key: Box<str>,
+    pub(super) value: String,
+    pub(super) revision: u64,
+    pub(super) create_rev: u64,
+    pub(super) lease: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) store_revision: Option<u64>,
+}
+
+#[derive(Serialize)]
+pub(super) struct RemovedBody {
+    pub(super) key: Box<str>,
+    pub(super) revision: u64,
+    pub(super) deleted: bool,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+pub(super) enum EventBody {
+    Written(ItemBody),
+    Removed(RemovedBody),
+}
+
+#[derive(Serialize)]
+pub(super) struct EventsBody {
+    pub(super) events: Vec<EventBody>,
+    pub(super) store_revision: u64,
+}
+
+#[derive(Serialize)]
+pub(super) struct PageBody {
+    pub(super) items: Vec<ItemBody>,
+    pub(super) truncated: bool,
+    pub(super) store_revision: u64,
+}
+
+#[derive(Serialize)]
+pub(super) struct RevisionBody {
+    pub(super) revision: u64,
+}
+
+#[derive(Serialize)]
+pub(super) struct ItemsBody {
+    pub(super) items: Vec<ItemBody>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct CommitAsk {
+    #[serde(default)]
+    pub(super) expected_rev: Vec<ExpectedAsk>,
+    #[serde(default)]
+    pub(super) set_keys: Vec<SetAsk>,
+    #[serde(default)]
+    pub(super) remove: Vec<Box<str>>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct ExpectedAsk {
+    pub(super) key: Box<str>,
+    pub(super) revision: u64,
+}
+
+#[derive(Deserialize)]
+pub(super) struct SetAsk {
+    pub(super) key: Box<str>,
+    pub(super) value: String,
+    #[serde(default)]
+    pub(super) lease: u64,
+}
+
+#[derive(Deserialize)]
+pub(super) struct LeaseAsk {
+    pub(super) ttl_ms: u64,
+}
+
+#[derive(Serialize)]
+pub(super) struct LeaseBody {
+    pub(super) lease: u64,
+    pub(super) ttl_ms: u64,
+}
+
+#[derive(Serialize)]
+pub(super) struct KeptBody {
+    pub(super) ttl_ms: u64,
+}
+
+pub(super) fn item_body(key: &str, value: &StandValue) -> ItemBody {
+    ItemBody {
+        key: key.into(),
+        value: STANDARD.encode(value.value.as_bytes()),
+        revision: value.revision,
+        create_rev: value.created,
+        lease: value.lease,
+        store_revision: None,
+    }
+}
--- a/crates/zinniahatch_lab/tests/site.rs
+++ b/crates/zinniahatch_lab/tests/site.rs
@@ -62,6 +62,25 @@
     let metrics = format!("http://{}/metrics", site.entries[0].addresses[2]);
     let text = reqwest::get(metrics).await.unwrap().text().await.unwrap();
     assert!(text.contains("zinniahatch_answers_total"));
+    let page = include_str!("../../../docs/OPERATIONS.md");
+    for line in text.lines() {
+        let Some(name) = line.strip_prefix("# TYPE ") else {
+            continue;
+        };
+        let name = name.split(' ').next().unwrap_or_default();
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "{name} is not on the page"
+        );
+    }
+    for line in site.log(0).lines() {
+        let fields: serde_json::Value = serde_json::from_str(line).expect("a line is JSON");
+        let kind = fields["kind"].as_str().expect("a line has a kind");
+        assert!(
+            page.contains(&format!("`{kind}`")),
+            "{kind} is not on the page"
+        );
+    }
 }
 
 /// A region's only replica of a service was gone and its callers were refused, though the next
@@ -90,6 +109,23 @@
     assert_eq!(event_ids(&streamed.text().await.unwrap()).len(), 12);
 }
 
+/// A lookup whose answers failed ran on three replicas of the two that its route allows: the node that
+/// it was handed to tried as often as the first one could. All its tries count together.
+#[tokio::test(flavor = "multi_thread")]
+async fn handed_over_request_keeps_its_attempts() {
+    let site = SiteCluster::start(&[region("north", 2, 3), region("south", 1, 0)], SHORT).await;
+    for (replica, _) in &site.replicas {
+        replica.behave(ReplicaBehaviour::Fail);
+    }
+    for number in 0..4 {
+        let attempt = format!("h{number}");
+        let answer = site.call(2, "/plain/x", &attempt).send().await.unwrap();
+        assert_eq!(answer.status(), StatusCode::INTERNAL_SERVER_ERROR);
+        let runs = site.runs(&attempt);
+        assert!((1..=2).contains(&runs), "{runs} runs of 2");
+    }
+}
+
 /// The home of bound requests lost its only replica. Nobody else may serve them: they are refused
 /// at once, as not run, with a time to come back.
 #[tokio::test(flavor = "multi_thread")]
