--- a/crates/zinniahatch_entry/src/answering.rs
+++ b/crates/zinniahatch_entry/src/answering.rs
@@ -2,9 +2,9 @@
 
 use crate::accounts::count;
 use crate::answer::AnswerBody;
-use crate::call::OpenCall;
 use crate::channel::AnswerHead;
 use crate::core::EntryCore;
+use crate::open_call::OpenCall;
 use crate::plan::CallCount;
 use crate::plan::CallCourse;
 use crate::plan::CallPlan;
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod ingress;
 mod membership;
 mod metrics;
+mod open_call;
 mod placing;
 mod plan;
 mod pool;
--- /dev/null
+++ b/crates/zinniahatch_entry/src/open_call.rs
@@ -0,0 +1,181 @@
+//! A request on its way: its channel, and the books that are kept of it.
+
+use crate::channel::AnswerHead;
+use crate::channel::BackendChannel;
+use crate::channel::ChannelError;
+use crate::core::EntryCore;
+use crate::received::ReceivedCall;
+use bytes::Bytes;
+use bytes::BytesMut;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::ModelSample;
+use zinniahatch_route::OpenWork;
+
+/// What is noted of a replica while it works on a request.
+#[derive(Debug)]
+pub(crate) struct ReplicaNote {
+    pub(crate) replica: ReplicaId,
+    pub(crate) ticket: u64,
+    pub(crate) work: OpenWork,
+    pub(crate) ahead: u32,
+    pub(crate) cold: bool,
+    pub(crate) first_seen: bool,
+}
+
+/// A request on its way; however it ends, the books are put right when this is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenCall {
+    core: Rc<EntryCore>,
+    address: SocketAddrV4,
+    pub(crate) note: Option<ReplicaNote>,
+    service: ServiceId,
+    sent_at: Instant,
+    pub(crate) channel: Option<BackendChannel>,
+}
+
+impl OpenCall {
+    /// Starts the books of a request that goes to an address.
+    pub(crate) fn new(core: &Rc<EntryCore>, address: SocketAddrV4, service: &ServiceId) -> Self {
+        Self {
+            core: Rc::clone(core),
+            address,
+            note: None,
+            service: service.clone(),
+            sent_at: Instant::now(),
+            channel: None,
+        }
+    }
+
+    /// Sends a request and reads the head of its answer.
+    pub(crate) async fn exchange(
+        &mut self,
+        call: &ReceivedCall,
+        head: &[u8],
+    ) -> Result<AnswerHead, ChannelError> {
+        self.sent_at = Instant::now();
+        let Some(channel) = self.channel.as_mut() else {
+            return Err(ChannelError::Broken("no channel".into()));
+        };
+        channel.send(head, &call.body).await?;
+        channel.read_head(&call.method, &call.attempt).await
+    }
+
+    /// Reads some of the answer's body; none at its end.
+    pub(crate) async fn read_body(&mut self) -> Result<Option<Bytes>, ChannelError> {
+        let Some(channel) = self.channel.as_mut() else {
+            return Ok(None);
+        };
+        let piece = channel.read_body().await;
+        if matches!(piece, Ok(Some(_))) {
+            self.note_event();
+        }
+        piece
+    }
+
+    /// Reads the whole body.
+    pub(crate) async fn read_whole(&mut self) -> Result<Bytes, ChannelError> {
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.read_body().await? {
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Notes bytes of the answer; the first teach the model.
+    fn note_event(&mut self) {
+        let Some(note) = self.note.as_mut() else {
+            return;
+        };
+        let now = Instant::now();
+        let mut replicas = self.core.replicas.borrow_mut();
+        if let Some(belief) = replicas.get_mut(&note.replica) {
+            belief.health.note_heard(now);
+        }
+        if note.first_seen {
+            return;
+        }
+        note.first_seen = true;
+        replicas.note_first_event(&note.replica, note.work);
+        if note.cold {
+            return;
+        }
+        let took = now.saturating_duration_since(self.sent_at);
+        let (tokens, ahead) = (note.work.tokens, note.ahead);
+        let model = replicas.model(&self.service);
+        let expected = model.expect(tokens) + model.waiting(ahead);
+        model.learn(ModelSample {
+            tokens,
+            ahead,
+            took,
+        });
+        if let Some(belief) = replicas.get_mut(&note.replica) {
+            belief.note_pace(expected, took);
+        }
+    }
+
+    /// Notes that the answer is whole and gives the channel back.
+    pub(crate) fn finish(mut self, good: bool) {
+        self.note_health(good);
+        if let Some(channel) = self.channel.take() {
+            self.core.pool.give(self.address, channel, Instant::now());
+        }
+    }
+
+    /// Notes a failure of the replica.
+    pub(crate) fn fail(&self) {
+        self.note_health(false);
+    }
+
+    fn note_health(&self, good: bool) {
+        let Some(note) = &self.note else {
+            return;
+        };
+        let now = Instant::now();
+        let mut replicas = self.core.replicas.borrow_mut();
+        let Some(belief) = replicas.get_mut(&note.replica) else {
+            return;
+        };
+        if !good {
+            belief.health.note_bad(now);
+            return;
+        }
+        belief.health.note_good(now);
+        let held = now.saturating_duration_since(self.sent_at);
+        replicas.model(&self.service).learn_hold(held);
+    }
+
+    /// Tells whether the replica has gone silent on everything that this node has there.
+    pub(crate) fn is_suspect(&self) -> bool {
+        let Some(note) = &self.note else {
+            return false;
+        };
+        let replicas = self.core.replicas.borrow();
+        replicas
+            .get(&note.replica)
+            .is_some_and(|belief| belief.health.is_suspect(Instant::now()))
+    }
+
+    /// Gives the replica, where the request went to one.
+    pub(crate) fn replica(&self) -> Option<&ReplicaId> {
+        self.note.as_ref().map(|note| &note.replica)
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        if self.channel.take().is_some() {
+            self.core.pool.lose(self.address);
+        }
+        let Some(note) = &self.note else {
+            return;
+        };
+        self.core.replicas.borrow_mut().note_ended(
+            &note.replica,
+            note.ticket,
+            note.work,
+            note.first_seen,
+        );
+    }
+}
--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -1,11 +1,11 @@
 //! Where the next try of a request goes, and sending it there.
 
-use crate::call::OpenCall;
 use crate::call::SendFailure;
 use crate::call::send_away;
 use crate::call::send_local;
 use crate::channel::AnswerHead;
 use crate::core::EntryCore;
+use crate::open_call::OpenCall;
 use crate::plan::CallCourse;
 use crate::plan::CallPlan;
 use crate::received::ReceivedCall;
--- a/crates/zinniahatch_entry/src/resume.rs
+++ b/crates/zinniahatch_entry/src/resume.rs
@@ -1,8 +1,8 @@
 //! Going on with a broken stream at another replica.
 
-use crate::call::OpenCall;
 use crate::call::SendFailure;
 use crate::core::EntryCore;
+use crate::open_call::OpenCall;
 use crate::placing::NextPlace;
 use crate::placing::next_place;
 use crate::placing::note_failure;
--- a/crates/zinniahatch_route/src/kept_parts.rs
+++ b/crates/zinniahatch_route/src/kept_parts.rs
@@ -44,9 +44,4 @@
             .take_while(|part| self.uses.contains_key(&part.tag))
             .count()
     }
-
-    /// Forgets everything, when the replica starts anew.
-    pub fn clear(&mut self) {
-        *self = Self::default();
-    }
 }
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -140,8 +140,6 @@
     pub health: HealthRecord,
     /// Its time against what its service's model expects; 1 is as expected.
     pub slowness: f64,
-    /// When it last refused a request as full.
-    pub refused_at: Option<Instant>,
     /// Start of each own request that waits for its first byte, by a number of the node's.
     pub open: BTreeMap<u64, Instant>,
 }
@@ -162,7 +160,6 @@
             kept: KeptParts::default(),
             health: HealthRecord::new(now),
             slowness: 1.0,
-            refused_at: None,
             open: BTreeMap::new(),
             entry: entry.clone(),
         };
