Split a cold replica's bound as if all senders were known

A node that had just started knew nobody and took the whole bound beside the parts of the others. Ruled out: the sliding count of one node (its test over five nodes holds). Change: the bound is always split over three; a node younger than two seconds sends nothing to a cold replica.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -174,6 +174,15 @@
         run(budget)
     }
 
+    /// Gives the bound of a cold replica over all nodes, in requests a second; none for a node that
+    /// has just started, since it cannot know yet who else uses a part of it.
+    pub(crate) fn cold_bound(&self, rate: f64) -> f64 {
+        if self.started.elapsed() < ACQUAINT_TIME {
+            return 0.0;
+        }
+        self.settings.cold_bound(rate)
+    }
+
     /// Gives this node's part of the channels that one replica accepts.
     pub(crate) fn channel_share(&self, service: &str) -> usize {
         let most = self.service(service).map_or(0, |entry| entry.max_channels);
@@ -215,6 +224,8 @@
     }
 }
 
+/// Time in which a fresh node gets to know the others; cards come every half second.
+pub(crate) const ACQUAINT_TIME: Duration = Duration::from_secs(2);
 /// Nodes that share a budget at least, before the others are known: a process that has just
 /// started must not take the whole slack for itself.
 const LEAST_NODES: usize = 10;
--- a/crates/zinniahatch_entry/src/plan.rs
+++ b/crates/zinniahatch_entry/src/plan.rs
@@ -101,7 +101,7 @@
             deadline: call.arrived + left,
             rank: engine.then_some(if urgent { URGENT_RANK } else { COMMON_RANK }),
             urgent,
-            cold_bound: core.settings.cold_bound(spec.cold_rate),
+            cold_bound: core.cold_bound(spec.cold_rate),
             most_sends,
             route,
             service,
--- a/crates/zinniahatch_entry/src/services.rs
+++ b/crates/zinniahatch_entry/src/services.rs
@@ -1,6 +1,7 @@
 //! The listeners: callers, other nodes, directory, readiness, control.
 
 use crate::answer::AnswerBody;
+use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
 use crate::core::StopPhase;
 use crate::ingress::CallerSide;
@@ -31,9 +32,6 @@
 
 /// Addresses that one answer of the directory names at most.
 const MOST_ADDRESSES: usize = 64;
-/// Time in which a fresh node that knows nobody names nobody to callers of other regions: it would
-/// name itself, though their own region's nodes live. They ask the next directory.
-const ACQUAINT_TIME: Duration = Duration::from_secs(2);
 /// Time that an idle channel stays open beyond what callers are told.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 /// Connections that wait to be accepted; a burst beyond it would wait for a second packet.
@@ -191,6 +189,7 @@
     let own = &core.settings.region;
     let region = region.unwrap_or(own);
     let members = core.members.borrow();
+    // It would name itself, though the other region's nodes live; callers ask the next directory.
     let unacquainted = now.saturating_duration_since(core.started) < ACQUAINT_TIME;
     if **own != *region && unacquainted && members.known().next().is_none() {
         return Vec::new();
--- a/crates/zinniahatch_route/src/budget.rs
+++ b/crates/zinniahatch_route/src/budget.rs
@@ -82,7 +82,8 @@
 
 impl ColdGate {
     /// Gives what this node may send to a cold replica in a second: the fleet's bound split over
-    /// the few nodes with the highest rank for that replica, 0 for the others.
+    /// the few nodes with the highest rank for that replica, 0 for the others. The split is the same
+    /// where there are fewer nodes, since a node cannot tell that from not knowing them.
     pub fn share(bound: f64, replica: &str, node: &str, peers: &BTreeSet<NodeId>) -> usize {
         let own = zinniahatch_base::rank_member(replica, node);
         let above = peers
@@ -90,8 +91,9 @@
             .filter(|peer| &***peer != node)
             .filter(|peer| zinniahatch_base::rank_member(replica, peer) > own)
             .count();
-        let nodes = peers.iter().filter(|peer| &***peer != node).count() + 1;
-        let senders = nodes.min(COLD_SENDERS).min(bound.max(1.0) as usize);
+        // A node that has just started may know nobody yet; counted alone, it took the whole bound
+        // beside the parts of the others, and a cold replica got eight requests of six.
+        let senders = COLD_SENDERS.min(bound.max(1.0) as usize);
         if above >= senders {
             return 0;
         }
--- a/crates/zinniahatch_route/tests/placement.rs
+++ b/crates/zinniahatch_route/tests/placement.rs
@@ -179,6 +179,19 @@
     assert!(sent.len() >= 12, "the bound is also used: {}", sent.len());
 }
 
+/// A node started anew, knew nobody, and took the whole bound of a cold replica for itself while the
+/// others used their parts: eight requests in a second where six are allowed.
+#[test]
+fn share_of_a_node_that_knows_nobody() {
+    let bound = 6.3;
+    let names = ["n1", "n2"];
+    let known: BTreeSet<NodeId> = names.iter().map(|name| (*name).into()).collect();
+    let fresh = ColdGate::share(bound, "r1", "n3", &BTreeSet::new());
+    let others = names.map(|name| ColdGate::share(bound, "r1", name, &known));
+    let sum = fresh + others.iter().sum::<usize>();
+    assert!(sum as f64 <= bound, "{sum} of {bound}");
+}
+
 #[test]
 fn choose_away_takes_the_sooner_region() {
     let now = Instant::now();
