--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -240,6 +240,24 @@
     hold.mul_f64((over / slots).max(0.5 / slots))
 }
 
+/// Tells whether a replica of a service in a region may get new work at all.
+fn takes_work(
+    table: &ReplicaTable,
+    regions: &BTreeMap<DataCentreId, RegionId>,
+    service: &str,
+    region: &str,
+    belief: &ReplicaBelief,
+    now: Instant,
+) -> bool {
+    let entry = &belief.entry;
+    let found = regions.get(&entry.data_centre);
+    *entry.service == *service
+        && found.is_some_and(|found| **found == *region)
+        && belief.leaving.is_none()
+        && !table.evacuated().contains(&entry.data_centre)
+        && !belief.health.is_suspect(now)
+}
+
 fn candidates<'a>(
     table: &'a ReplicaTable,
     regions: &'a BTreeMap<DataCentreId, RegionId>,
@@ -247,15 +265,8 @@
     now: Instant,
 ) -> impl Iterator<Item = &'a ReplicaBelief> {
     table.rows().filter(move |belief| {
-        let entry = &belief.entry;
-        entry.service == *ask.service
-            && regions
-                .get(&entry.data_centre)
-                .is_some_and(|region| **region == *ask.region)
-            && belief.leaving.is_none()
-            && !table.evacuated().contains(&entry.data_centre)
-            && !ask.tried.contains(&entry.id)
-            && !belief.health.is_suspect(now)
+        takes_work(table, regions, ask.service, ask.region, belief, now)
+            && !ask.tried.contains(&belief.entry.id)
             && belief.gone_at.is_none_or(|gone| now + ask.deadline < gone)
     })
 }
@@ -344,22 +355,12 @@
     let mut sound = 0_u16;
     let mut least = u32::MAX;
     for belief in table.rows() {
-        let entry = &belief.entry;
-        let here = regions
-            .get(&entry.data_centre)
-            .is_some_and(|found| **found == *region);
-        if entry.service != *service
-            || !here
-            || belief.leaving.is_some()
-            || belief.is_cold(now)
-            || belief.health.is_suspect(now)
-            || table.evacuated().contains(&entry.data_centre)
-        {
+        if belief.is_cold(now) || !takes_work(table, regions, service, region, belief, now) {
             continue;
         }
         sound += 1;
         let work = belief.all_work(now);
-        let slots = f64::from(entry.slots.max(1));
+        let slots = f64::from(belief.entry.slots.max(1));
         let wait =
             model.waiting(work.tokens) + slot_wait(f64::from(work.requests), slots, model.hold());
         let penalty = failure_penalty(belief, now) as u32;
