Soak the real programs under random faults from outside

Cause: faults were tested one at a time; what breaks when they overlap was not looked for without the bench.

--- a/crates/zinniahatch_lab/src/lib.rs
+++ b/crates/zinniahatch_lab/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod relay;
 pub mod site;
 pub mod site_demo;
+pub mod soak;
 pub mod stand;
 pub mod users;
--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -6,6 +6,7 @@
 use zinniahatch_lab::experiments;
 use zinniahatch_lab::experiments::faults::FaultKind;
 use zinniahatch_lab::experiments::faults::FaultRun;
+use zinniahatch_lab::soak::SoakRun;
 
 /// Runs the demonstration and the experiments.
 #[derive(FromArgs)]
@@ -21,6 +22,29 @@
     Site(SiteArgs),
     Up(UpArgs),
     Experiment(ExperimentArgs),
+    Soak(SoakArgs),
+}
+
+/// random faults on real processes, promises checked meanwhile; the last line is a JSON object with
+/// "violations"
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakArgs {
+    /// the first seed (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many seeds, one after the other (default: 1)
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// seconds in which faults begin, for each seed (default: 12)
+    #[argh(option, default = "12")]
+    seconds: u64,
+    /// entry VMs in each of three regions (default: 2)
+    #[argh(option, default = "2")]
+    entries: usize,
+    /// callers at once (default: 12)
+    #[argh(option, default = "12")]
+    callers: usize,
 }
 
 /// run a small site on the platform's protocol, with a kill and a planned stop
@@ -124,6 +148,16 @@
         LabCommand::Site(_) => zinniahatch_lab::site_demo::run().await,
         LabCommand::Up(up) => zinniahatch_lab::demo::run_up(&up.user, up.seconds, up.rate).await,
         LabCommand::Experiment(args) => run_experiment(args).await,
+        LabCommand::Soak(args) => {
+            let run = SoakRun {
+                seed: args.seed,
+                seeds: args.seeds,
+                time: Duration::from_secs(args.seconds),
+                entries: args.entries,
+                callers: args.callers,
+            };
+            zinniahatch_lab::soak::run(&run).await
+        }
     };
     if violations == 0 {
         ExitCode::SUCCESS
--- a/crates/zinniahatch_lab/src/relay.rs
+++ b/crates/zinniahatch_lab/src/relay.rs
@@ -1,4 +1,5 @@
-//! A TCP relay: a slow wide-area link that can be cut, and connections that go silent.
+//! A TCP relay: a slow wide-area link that can be cut, one way or both, slowed and reset, and
+//! connections that go silent.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -9,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -28,6 +30,20 @@
 pub struct LinkState {
     silent_below: Arc<AtomicU64>,
     opened: Arc<AtomicU64>,
+    /// Direction in which bytes are lost: a `LinkWay`, or 0.
+    lost: Arc<AtomicU64>,
+    /// Delay beyond the link's own, in ms.
+    slowed: Arc<AtomicU64>,
+    reset: Arc<Notify>,
+}
+
+/// A direction of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkWay {
+    /// From whoever connects.
+    There = 1,
+    /// Back to them.
+    Back = 2,
 }
 
 impl LinkState {
@@ -47,9 +63,38 @@
         self.silent_below.store(next, Ordering::SeqCst);
     }
 
+    /// Loses the bytes of one direction, of open and of new connections.
+    pub fn lose(&self, way: LinkWay) {
+        self.lost.store(way as u64, Ordering::SeqCst);
+    }
+
+    /// Delays bytes beyond the link's own delay.
+    pub fn slow(&self, delay: Duration) {
+        let millis = delay.as_millis() as u64;
+        self.slowed.store(millis, Ordering::SeqCst);
+    }
+
+    /// Closes the connections that are open now.
+    pub fn reset_open(&self) {
+        self.reset.notify_waiters();
+    }
+
+    /// Ends losses and delays. Connections that lost bytes are closed, since what came after the hole
+    /// would be taken for the rest.
+    pub fn restore(&self) {
+        self.slowed.store(0, Ordering::SeqCst);
+        if self.lost.swap(0, Ordering::SeqCst) != 0 {
+            self.reset_open();
+        }
+    }
+
     fn is_silent(&self, number: u64) -> bool {
         number < self.silent_below.load(Ordering::SeqCst)
     }
+
+    fn loses(&self, number: u64, way: LinkWay) -> bool {
+        self.is_silent(number) || self.lost.load(Ordering::SeqCst) == way as u64
+    }
 }
 
 /// One relay to one address.
@@ -103,25 +148,52 @@
     let _ = outbound.set_nodelay(true);
     let (in_read, in_write) = inbound.into_split();
     let (out_read, out_write) = outbound.into_split();
-    let there = tokio::spawn(carry(in_read, out_write, delay, link.clone(), number));
-    let back = tokio::spawn(carry(out_read, in_write, delay, link, number));
-    let _ = there.await;
-    let _ = back.await;
+    let there = CarriedWay {
+        link: link.clone(),
+        number,
+        way: LinkWay::There,
+    };
+    let back = CarriedWay {
+        way: LinkWay::Back,
+        ..there.clone()
+    };
+    let mut there = tokio::spawn(carry(in_read, out_write, delay, there));
+    let mut back = tokio::spawn(carry(out_read, in_write, delay, back));
+    let ended = async {
+        // A task fails only when it is aborted below.
+        let _ = (&mut there).await;
+        let _ = (&mut back).await;
+    };
+    tokio::select! {
+        () = ended => {}
+        () = link.reset.notified() => {
+            there.abort();
+            back.abort();
+        }
+    }
+}
+
+/// One direction of one connection.
+#[derive(Clone)]
+struct CarriedWay {
+    link: LinkState,
+    number: u64,
+    way: LinkWay,
 }
 
 async fn carry(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     delay: Duration,
-    link: LinkState,
-    number: u64,
+    carried: CarriedWay,
 ) {
     let (sender, mut receiver) = mpsc::channel::<(tokio::time::Instant, Vec<u8>)>(CHUNKS);
+    let CarriedWay { link, number, way } = carried;
     let writer_link = link.clone();
     let writer = tokio::spawn(async move {
         while let Some((due, bytes)) = receiver.recv().await {
             sleep_until(due).await;
-            if writer_link.is_silent(number) {
+            if writer_link.loses(number, way) {
                 continue;
             }
             if to.write_all(&bytes).await.is_err() {
@@ -141,7 +213,8 @@
         if size == 0 {
             break;
         }
-        let due = tokio::time::Instant::now() + delay;
+        let slowed = Duration::from_millis(link.slowed.load(Ordering::SeqCst));
+        let due = tokio::time::Instant::now() + delay + slowed;
         if sender.send((due, buffer[..size].to_vec())).await.is_err() {
             break;
         }
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -2,7 +2,10 @@
 
 use crate::cluster::daemon_path;
 use crate::cluster::free_addresses;
+use crate::relay::LinkState;
+use crate::relay::TcpRelay;
 use crate::stand::faults::FaultSwitch;
+use crate::stand::replica::ReplicaSight;
 use crate::stand::replica::StandReplica;
 use crate::stand::replica::StreamShape;
 use crate::stand::serve::StandServer;
@@ -10,6 +13,7 @@
 use reqwest::Client;
 use reqwest::RequestBuilder;
 use std::fs::File;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -61,9 +65,17 @@
     pub entries: Vec<SiteEntry>,
     /// The replicas with the region of each.
     pub replicas: Vec<(StandReplica, &'static str)>,
+    /// The link to each replica, and the relay at whose address it is registered.
+    links: Vec<(LinkState, TcpRelay)>,
+    /// Each region's link to the store.
+    store_links: BTreeMap<&'static str, (LinkState, TcpRelay)>,
+    /// What replicas saw that have ended.
+    retired: Vec<(&'static str, ReplicaSight)>,
+    shape: StreamShape,
     server: StandServer,
     regions: Vec<SiteRegion>,
     folder: PathBuf,
+    keep_folder: bool,
 }
 
 impl SiteCluster {
@@ -97,10 +109,14 @@
         let folder = std::env::temp_dir().join(name.replace(':', "-"));
         std::fs::create_dir_all(&folder).expect("a folder can be made");
         let mut replicas = Vec::new();
+        let mut links = Vec::new();
+        let mut store_links = BTreeMap::new();
         for region in regions {
+            store_links.insert(region.name, linked(&server.address).await);
             for number in 0..region.replicas {
                 let id = format!("i-{}-{number}", region.name);
                 let replica = StandReplica::start(&id, shape).await;
+                links.push(linked(&replica.address.to_string()).await);
                 replicas.push((replica, region.name));
             }
         }
@@ -121,9 +137,14 @@
             switch,
             entries,
             replicas,
+            links,
+            store_links,
+            retired: Vec::new(),
+            shape,
             server,
             regions: regions.to_vec(),
             folder,
+            keep_folder: false,
         };
         cluster.configure(1, &[]);
         for index in 0..cluster.replicas.len() {
@@ -162,7 +183,39 @@
         let (replica, region) = &self.replicas[index];
         let zone = format!("{region}-a");
         let key = format!("servers/{}", replica.id);
-        self.store.write(&key, &replica.entry("desk", &zone, state));
+        let address = &self.links[index].1.address;
+        let entry = replica.entry_at(address, "desk", &zone, state);
+        self.store.write(&key, &entry);
+    }
+
+    /// Removes the entry of a replica, as when it has left or its lease lapsed.
+    pub fn unregister(&self, index: usize) {
+        let id = &self.replicas[index].0.id;
+        self.store.remove(&format!("servers/{id}"));
+    }
+
+    /// Ends a replica and starts another one in its place, under a new id at a new address.
+    pub async fn replace_replica(&mut self, index: usize) {
+        self.unregister(index);
+        let number = self.retired.len();
+        let region = self.replicas[index].1;
+        let id = format!("i-{region}-{index}-{number}");
+        let replica = StandReplica::start(&id, self.shape).await;
+        self.links[index] = linked(&replica.address.to_string()).await;
+        let old = std::mem::replace(&mut self.replicas[index].0, replica);
+        self.retired.push((region, old.sight()));
+        drop(old);
+        self.register(index, "ready");
+    }
+
+    /// Gives the link to a replica.
+    pub fn link(&self, index: usize) -> &LinkState {
+        &self.links[index].0
+    }
+
+    /// Gives a region's link to the store.
+    pub fn store_link(&self, region: &str) -> &LinkState {
+        &self.store_links[region].0
     }
 
     /// Writes an entry under another id at a replica's address, as it lies there when the address was
@@ -199,7 +252,7 @@
         text += &format!(
             "\n[store]\naddress = {}\n\n[bounds]\nrepeat_slack = 540\ngrace = {GRACE_SECONDS}s\n\
              \n[log]\nlines_per_second = 1000\n",
-            self.server.address
+            self.store_links[entry.region].1.address
         );
         text
     }
@@ -249,13 +302,34 @@
 
     /// Asks an entry VM to stop.
     pub fn terminate(&self, index: usize) {
+        self.signal(index, "-TERM");
+    }
+
+    /// Sends a signal, such as `-STOP`, to an entry VM.
+    pub fn signal(&self, index: usize, signal: &str) {
         if let Some(child) = &self.entries[index].child {
+            // Where it has ended meanwhile there is nobody to tell.
             let _ = Command::new("kill")
-                .args(["-TERM", &child.id().to_string()])
+                .args([signal, &child.id().to_string()])
                 .status();
         }
     }
 
+    /// Tells whether an entry VM was started and not killed.
+    pub fn has_process(&self, index: usize) -> bool {
+        self.entries[index].child.is_some()
+    }
+
+    /// Gives the folder of settings and decision logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Keeps the folder when this is dropped, so that the logs of a failure can be read.
+    pub fn keep_logs(&mut self) {
+        self.keep_folder = true;
+    }
+
     /// Tells whether an entry VM has ended, and how.
     pub fn ended(&mut self, index: usize) -> Option<bool> {
         let child = self.entries[index].child.as_mut()?;
@@ -327,11 +401,38 @@
 
     /// Gives how often an attempt ran, over all replicas.
     pub fn runs(&self, attempt: &str) -> u32 {
-        self.replicas
-            .iter()
-            .filter_map(|(replica, _)| replica.sight().runs.get(attempt).copied())
+        let living = self.replicas.iter().map(|(replica, _)| replica.sight());
+        living
+            .chain(self.retired.iter().map(|(_, sight)| sight.clone()))
+            .filter_map(|sight| sight.runs.get(attempt).copied())
             .sum()
     }
+
+    /// Gives the attempts that ran on a replica outside a region.
+    pub fn runs_outside(&self, region: &str) -> BTreeSet<Box<str>> {
+        let living = self
+            .replicas
+            .iter()
+            .map(|(replica, place)| (*place, replica.sight()));
+        let retired = self.retired.iter().cloned();
+        living
+            .chain(retired)
+            .filter(|(place, _)| *place != region)
+            .flat_map(|(_, sight)| sight.runs.into_keys())
+            .collect()
+    }
+
+    /// Gives the runs of every attempt, over all replicas that there were.
+    pub fn all_runs(&self) -> BTreeMap<Box<str>, u32> {
+        let mut sum = BTreeMap::new();
+        let living = self.replicas.iter().map(|(replica, _)| replica.sight());
+        for sight in living.chain(self.retired.iter().map(|(_, sight)| sight.clone())) {
+            for (attempt, runs) in sight.runs {
+                *sum.entry(attempt).or_default() += runs;
+            }
+        }
+        sum
+    }
 }
 
 impl Drop for SiteCluster {
@@ -339,11 +440,21 @@
         for index in 0..self.entries.len() {
             self.kill(index);
         }
+        if self.keep_folder {
+            return;
+        }
         // What is left over of a temporary folder harms nobody.
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
+/// Starts a link without faults to an address.
+async fn linked(address: &str) -> (LinkState, TcpRelay) {
+    let link = LinkState::default();
+    let relay = TcpRelay::start(address, Duration::ZERO, link.clone()).await;
+    (link, relay)
+}
+
 /// Waits until a condition holds.
 ///
 /// # Panics
--- /dev/null
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -0,0 +1,90 @@
+//! A randomized fault soak: the real programs as processes on one machine, faults injected from outside.
+//!
+//! A seed draws which faults begin when and how long they last; they overlap freely. Callers keep calling
+//! through it all and check each answer as it comes; when all faults are over, the books of the
+//! replicas are compared with what callers were told, and every entry VM must serve again.
+
+mod callers;
+mod faults;
+mod plan;
+mod promises;
+
+use crate::site::SiteCluster;
+use crate::site::SiteRegion;
+use crate::stand::replica::StreamShape;
+use callers::CallerCrowd;
+use faults::FaultBoard;
+use plan::SoakPlan;
+use promises::PromiseBook;
+use std::sync::Arc;
+use zinniahatch_base::prelude::*;
+
+/// Events of a stream and the pause before each.
+const SHAPE: StreamShape = StreamShape {
+    events: 15,
+    pause: Duration::from_millis(20),
+};
+
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakRun {
+    /// The first seed.
+    pub seed: u64,
+    /// How many seeds, one after the other.
+    pub seeds: u64,
+    /// How long faults begin, for each seed.
+    pub time: Duration,
+    /// Entry VMs in each of the three regions.
+    pub entries: usize,
+    /// Callers at once.
+    pub callers: usize,
+}
+
+/// Runs seed after seed; gives how many promises broke.
+pub async fn run(soak: &SoakRun) -> usize {
+    let mut broken = 0;
+    for seed in soak.seed..soak.seed + soak.seeds {
+        let found = run_seed(soak, seed).await;
+        broken += found.len();
+        for line in &found {
+            println!("  BROKEN {line}");
+        }
+    }
+    println!(
+        "{}",
+        serde_json::json!({"first_seed": soak.seed, "seeds": soak.seeds, "violations": broken})
+    );
+    broken
+}
+
+/// Runs one seed; gives the promises that broke.
+pub async fn run_seed(soak: &SoakRun, seed: u64) -> Vec<String> {
+    let regions = [("north", 3), ("south", 2), ("west", 1)].map(|(name, replicas)| SiteRegion {
+        name,
+        entries: soak.entries,
+        replicas,
+    });
+    let mut site = SiteCluster::start(&regions, SHAPE).await;
+    let plan = SoakPlan::draw(seed, soak.time, &site);
+    let book = Arc::new(PromiseBook::default());
+    let crowd = CallerCrowd::start(seed, soak.callers, &site, &book);
+    let mut board = FaultBoard::new(&plan);
+    board.play(&mut site, &book).await;
+    crowd.stop().await;
+    promises::check_recovery(&mut site, &board, &book).await;
+    promises::check_runs(&site, &book);
+    let broken = book.take_broken();
+    println!(
+        "seed {seed}: {} faults in {:?}, {}, {} broken",
+        plan.faults.len(),
+        soak.time,
+        book.summary(),
+        broken.len()
+    );
+    if !broken.is_empty() {
+        println!("  faults: {plan}");
+        site.keep_logs();
+        println!("  logs: {}", site.folder().display());
+    }
+    broken
+}
--- /dev/null
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -0,0 +1,205 @@
+//! Which faults a seed draws, when they begin and how long they last.
+
+use crate::site::SiteCluster;
+use crate::stand::replica::ReplicaBehaviour;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::fmt;
+use zinniahatch_base::prelude::*;
+
+/// Mean time between the beginnings of two faults.
+const FAULT_EVERY: Duration = Duration::from_millis(900);
+/// How long a fault lasts.
+const FAULT_MILLIS: std::ops::Range<u64> = 300..4_000;
+/// How long a replica that leaves goes on serving before it is gone.
+const DRAIN_TIME: Duration = Duration::from_secs(7);
+/// Added delay of a slow link.
+const SLOW_MILLIS: std::ops::Range<u64> = 50..600;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum SoakFault {
+    /// An entry VM is killed, and started again at the end.
+    KillEntry(usize),
+    /// Every entry VM is killed at once.
+    KillAll,
+    /// An entry VM is stopped as planned, and started again when it has ended.
+    StopEntry(usize),
+    /// An entry VM is paused.
+    FreezeEntry(usize),
+    /// The store refuses.
+    StoreDown,
+    /// The store hangs.
+    StoreSilent,
+    /// The store answers late.
+    StoreSlow(u64),
+    /// The answers of some writes are lost.
+    StoreLosesAnswers(u32),
+    /// All leases lapse.
+    LeasesLapse,
+    /// The store forgets its history.
+    HistoryGone,
+    /// A region's link to the store loses what nodes send.
+    StoreCut(&'static str),
+    /// A region's connections to the store go silent for good.
+    StoreMute(&'static str),
+    /// The link to a replica is slow.
+    LinkSlow(usize, u64),
+    /// The open connections to a replica are closed.
+    LinkReset(usize),
+    /// Requests to a replica are lost.
+    LinkLosesRequests(usize),
+    /// Answers of a replica are lost.
+    LinkLosesAnswers(usize),
+    /// The open connections to a replica go silent for good.
+    LinkMute(usize),
+    /// A replica ends, and another one takes its place.
+    ReplicaReplaced(usize),
+    /// A replica says that it is leaving, and is back at the end.
+    ReplicaDrains(usize),
+    /// A replica's entry vanishes without a word, and is back at the end.
+    ReplicaVanishes(usize),
+    /// A replica misbehaves.
+    ReplicaIll(usize, ReplicaBehaviour),
+    /// The operator adds a route.
+    AddRoute,
+    /// The operator evacuates a data centre.
+    Evacuate(&'static str),
+}
+
+impl SoakFault {
+    /// Tells whether it may delay or hide news from the store.
+    pub(crate) fn hides_news(self) -> bool {
+        matches!(
+            self,
+            Self::KillEntry(_)
+                | Self::KillAll
+                | Self::StopEntry(_)
+                | Self::FreezeEntry(_)
+                | Self::StoreDown
+                | Self::StoreSilent
+                | Self::StoreSlow(_)
+                | Self::StoreLosesAnswers(_)
+                | Self::LeasesLapse
+                | Self::HistoryGone
+                | Self::StoreCut(_)
+                | Self::StoreMute(_)
+        )
+    }
+
+    /// Gives the replica that it is about.
+    pub(crate) fn replica(self) -> Option<usize> {
+        match self {
+            Self::LinkSlow(index, _)
+            | Self::LinkReset(index)
+            | Self::LinkLosesRequests(index)
+            | Self::LinkLosesAnswers(index)
+            | Self::LinkMute(index)
+            | Self::ReplicaReplaced(index)
+            | Self::ReplicaDrains(index)
+            | Self::ReplicaVanishes(index)
+            | Self::ReplicaIll(index, _) => Some(index),
+            _ => None,
+        }
+    }
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlannedFault {
+    /// When it begins, from the start of the calls.
+    pub(crate) at: Duration,
+    /// When it ends.
+    pub(crate) until: Duration,
+    /// What it is.
+    pub(crate) fault: SoakFault,
+}
+
+/// All faults of a seed, by their beginning.
+#[derive(Clone, Debug)]
+pub(crate) struct SoakPlan {
+    pub(crate) faults: Vec<PlannedFault>,
+}
+
+impl SoakPlan {
+    /// Draws the faults of a seed.
+    pub(crate) fn draw(seed: u64, time: Duration, site: &SiteCluster) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        let mut at = Duration::ZERO;
+        loop {
+            at += FAULT_EVERY.mul_f64(random.random_range(0.1..1.9));
+            if at >= time {
+                return Self { faults };
+            }
+            let fault = draw_fault(&mut random, site);
+            let lasting = match fault {
+                SoakFault::ReplicaDrains(_) | SoakFault::ReplicaVanishes(_) => DRAIN_TIME,
+                _ => Duration::from_millis(random.random_range(FAULT_MILLIS)),
+            };
+            faults.push(PlannedFault {
+                at,
+                until: at + lasting,
+                fault,
+            });
+        }
+    }
+}
+
+impl fmt::Display for SoakPlan {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for planned in &self.faults {
+            write!(
+                out,
+                "{:.1}-{:.1}s {:?}; ",
+                planned.at.as_secs_f64(),
+                planned.until.as_secs_f64(),
+                planned.fault
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn draw_fault(random: &mut StdRng, site: &SiteCluster) -> SoakFault {
+    const KINDS: u32 = 23;
+    let entry = random.random_range(0..site.entries.len());
+    let replica = random.random_range(0..site.replicas.len());
+    let region = site.entries[entry].region;
+    match random.random_range(0..KINDS) {
+        0 => SoakFault::KillEntry(entry),
+        1 => SoakFault::KillAll,
+        2 => SoakFault::StopEntry(entry),
+        3 => SoakFault::FreezeEntry(entry),
+        4 => SoakFault::StoreDown,
+        5 => SoakFault::StoreSilent,
+        6 => SoakFault::StoreSlow(random.random_range(SLOW_MILLIS)),
+        7 => SoakFault::StoreLosesAnswers(random.random_range(1..6)),
+        8 => SoakFault::LeasesLapse,
+        9 => SoakFault::HistoryGone,
+        10 => SoakFault::StoreCut(region),
+        11 => SoakFault::StoreMute(region),
+        12 => SoakFault::LinkSlow(replica, random.random_range(SLOW_MILLIS)),
+        13 => SoakFault::LinkReset(replica),
+        14 => SoakFault::LinkLosesRequests(replica),
+        15 => SoakFault::LinkLosesAnswers(replica),
+        16 => SoakFault::LinkMute(replica),
+        17 => SoakFault::ReplicaReplaced(replica),
+        18 => SoakFault::ReplicaDrains(replica),
+        19 => SoakFault::ReplicaVanishes(replica),
+        20 => SoakFault::ReplicaIll(replica, draw_illness(random)),
+        21 => SoakFault::AddRoute,
+        _ => SoakFault::Evacuate(region),
+    }
+}
+
+fn draw_illness(random: &mut StdRng) -> ReplicaBehaviour {
+    match random.random_range(0..5) {
+        0 => ReplicaBehaviour::Shed,
+        1 => ReplicaBehaviour::Fail,
+        2 => ReplicaBehaviour::LoseAnswer,
+        3 => ReplicaBehaviour::BreakAfter(random.random_range(0..10)),
+        _ => ReplicaBehaviour::Mute,
+    }
+}
--- a/crates/zinniahatch_lab/src/stand/replica.rs
+++ b/crates/zinniahatch_lab/src/stand/replica.rs
@@ -46,6 +46,8 @@
 pub struct ReplicaSight {
     /// Runs of each attempt.
     pub runs: BTreeMap<Box<str>, u32>,
+    /// When it last began to run a request.
+    pub last_run: Option<Instant>,
     /// Streams whose caller's side closed the channel before the end.
     pub left: u32,
     /// Requests that expected another replica.
@@ -122,7 +124,12 @@
 
     /// Gives its entry in the platform's store.
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> String {
-        serde_json::json!({"service": service, "address": self.address.to_string(),
+        self.entry_at(&self.address.to_string(), service, zone, state)
+    }
+
+    /// Gives its entry with the address of a relay to it.
+    pub fn entry_at(&self, address: &str, service: &str, zone: &str, state: &str) -> String {
+        serde_json::json!({"service": service, "address": address,
             "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
             "sequence": 1})
         .to_string()
@@ -191,6 +198,7 @@
         {
             let mut state = lock(&self.state);
             *state.sight.runs.entry(call.attempt.clone()).or_default() += 1;
+            state.sight.last_run = Some(Instant::now());
         }
         match behaviour {
             ReplicaBehaviour::LoseAnswer => false,
