--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -21,8 +21,8 @@
 
 /// Events of a stream and the pause before each.
 const SHAPE: StreamShape = StreamShape {
-    events: 15,
-    pause: Duration::from_millis(20),
+    events: 20,
+    pause: Duration::from_millis(40),
 };
 
 /// What to run.
@@ -72,11 +72,12 @@
     board.play(&mut site, &book).await;
     crowd.stop().await;
     promises::check_recovery(&mut site, &board, &book).await;
-    promises::check_runs(&site, &book);
+    promises::check_runs(&site, plan.mix, &book);
     let broken = book.take_broken();
     println!(
-        "seed {seed}: {} faults in {:?}, {}, {} broken",
+        "seed {seed}: {} faults ({:?}) in {:?}, {}, {} broken",
         plan.faults.len(),
+        plan.mix,
         soak.time,
         book.summary(),
         broken.len()
--- a/crates/zinniahatch_lab/src/soak/callers.rs
+++ b/crates/zinniahatch_lab/src/soak/callers.rs
@@ -26,8 +26,9 @@
 const HANG_TIME: Duration = Duration::from_secs(20);
 /// Pause between two calls of a caller, in ms.
 const PAUSE: std::ops::Range<u64> = 5..120;
-/// Calls on one connection before a caller asks the directory again.
-const STAY: u32 = 12;
+/// Calls on one connection before a caller asks the directory again. Some stay long, so that they still
+/// call an entry VM that is about to stop.
+const STAY: std::ops::Range<u32> = 2..80;
 /// One caller in so many leaves in the middle of a stream.
 const LEAVERS: u32 = 10;
 
@@ -108,7 +109,7 @@
                 sleep(Duration::from_millis(self.random.random_range(PAUSE))).await;
                 continue;
             };
-            for _ in 0..STAY {
+            for _ in 0..self.random.random_range(STAY) {
                 number += 1;
                 let kept = self.call(&front, number).await;
                 sleep(Duration::from_millis(self.random.random_range(PAUSE))).await;
--- a/crates/zinniahatch_lab/src/soak/faults.rs
+++ b/crates/zinniahatch_lab/src/soak/faults.rs
@@ -233,7 +233,7 @@
             return;
         };
         let excused = self.plan.faults.iter().any(|other| {
-            let touches = other.fault.hides_news() || other.fault.replica() == Some(index);
+            let touches = other.fault.hides_news() || other.fault.registers() == Some(index);
             let overlaps =
                 other.at < planned.until + NEWS_TIME && planned.at < other.until + NEWS_TIME;
             let same = other.at == planned.at;
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -88,18 +88,12 @@
         )
     }
 
-    /// Gives the replica that it is about.
-    pub(crate) fn replica(self) -> Option<usize> {
+    /// Gives the replica whose entry in the store it changes.
+    pub(crate) fn registers(self) -> Option<usize> {
         match self {
-            Self::LinkSlow(index, _)
-            | Self::LinkReset(index)
-            | Self::LinkLosesRequests(index)
-            | Self::LinkLosesAnswers(index)
-            | Self::LinkMute(index)
-            | Self::ReplicaReplaced(index)
+            Self::ReplicaReplaced(index)
             | Self::ReplicaDrains(index)
-            | Self::ReplicaVanishes(index)
-            | Self::ReplicaIll(index, _) => Some(index),
+            | Self::ReplicaVanishes(index) => Some(index),
             _ => None,
         }
     }
@@ -116,9 +110,46 @@
     pub(crate) fault: SoakFault,
 }
 
+/// Which kinds of faults a seed draws. Among all of them, each is excused by some other one nearly all of
+/// the time: a mutant that sent to leaving replicas, and one whose stops did not wait, went unseen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FaultMix {
+    /// Any.
+    Any,
+    /// Those of replicas and of the links to them: nothing hides what the store says.
+    Replicas,
+    /// Planned work: stops, leaving replicas, new routes, evacuations. Nothing may be cut off.
+    Planned,
+}
+
+impl FaultMix {
+    fn of_seed(seed: u64) -> Self {
+        match seed % 4 {
+            2 => Self::Replicas,
+            3 => Self::Planned,
+            _ => Self::Any,
+        }
+    }
+
+    fn has(self, fault: SoakFault) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Replicas => !fault.hides_news(),
+            Self::Planned => matches!(
+                fault,
+                SoakFault::StopEntry(_)
+                    | SoakFault::ReplicaDrains(_)
+                    | SoakFault::AddRoute
+                    | SoakFault::Evacuate(_)
+            ),
+        }
+    }
+}
+
 /// All faults of a seed, by their beginning.
 #[derive(Clone, Debug)]
 pub(crate) struct SoakPlan {
+    pub(crate) mix: FaultMix,
     pub(crate) faults: Vec<PlannedFault>,
 }
 
@@ -126,14 +157,20 @@
     /// Draws the faults of a seed.
     pub(crate) fn draw(seed: u64, time: Duration, site: &SiteCluster) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
+        let mix = FaultMix::of_seed(seed);
         let mut faults = Vec::new();
         let mut at = Duration::ZERO;
         loop {
             at += FAULT_EVERY.mul_f64(random.random_range(0.1..1.9));
             if at >= time {
-                return Self { faults };
+                return Self { mix, faults };
             }
-            let fault = draw_fault(&mut random, site);
+            let fault = loop {
+                let drawn = draw_fault(&mut random, site);
+                if mix.has(drawn) {
+                    break drawn;
+                }
+            };
             let lasting = match fault {
                 SoakFault::ReplicaDrains(_) | SoakFault::ReplicaVanishes(_) => DRAIN_TIME,
                 _ => Duration::from_millis(random.random_range(FAULT_MILLIS)),
--- a/crates/zinniahatch_lab/src/soak/promises.rs
+++ b/crates/zinniahatch_lab/src/soak/promises.rs
@@ -1,6 +1,7 @@
 //! What must hold in a soak: checked at each answer, and against the books of the replicas at the end.
 
 use super::faults::FaultBoard;
+use super::plan::FaultMix;
 use crate::site::SiteCluster;
 use crate::site::wait_until;
 use bytes::Bytes;
@@ -66,7 +67,7 @@
     not_run: BTreeSet<Box<str>>,
     served: usize,
     refused: usize,
-    broken_off: usize,
+    broken_off: BTreeSet<Box<str>>,
     left: usize,
     broken: Vec<String>,
 }
@@ -100,7 +101,7 @@
             rows.kinds.len(),
             rows.served,
             rows.refused,
-            rows.broken_off,
+            rows.broken_off.len(),
             rows.left
         )
     }
@@ -128,7 +129,7 @@
                 denied.then(|| format!("was denied with {status}"))
             }
             CallerSight::Broken => {
-                rows.broken_off += 1;
+                rows.broken_off.insert(attempt.into());
                 None
             }
             CallerSight::Hung => Some("was never answered".into()),
@@ -161,7 +162,7 @@
 }
 
 /// Compares the books of the replicas with what callers were told.
-pub(crate) fn check_runs(site: &SiteCluster, book: &PromiseBook) {
+pub(crate) fn check_runs(site: &SiteCluster, mix: FaultMix, book: &PromiseBook) {
     let runs = site.all_runs();
     let foreign = site.runs_outside("north");
     let mut rows = book.lock();
@@ -179,6 +180,12 @@
         if *kind == RouteKind::Bound && foreign.contains(attempt) {
             found.push(format!("{attempt} (bound) ran outside its home"));
         }
+        if mix == FaultMix::Planned && rows.broken_off.contains(attempt) {
+            found.push(format!(
+                "{attempt} ({}) was cut off by planned work",
+                kind.name()
+            ));
+        }
         // Two replicas are allowed; a third may follow where one of them ended meanwhile.
         if *kind == RouteKind::Plain && *count > 3 {
             found.push(format!("{attempt} (plain) ran {count} times"));
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -6,8 +6,9 @@
 use zinniahatch_lab::soak::run_seed;
 
 /// Each seed draws another series of faults; the line that the run prints names them.
-#[test_case(3; "a stop while the store is down")]
-#[test_case(103; "many connections broken off")]
+#[test_case(1; "any")]
+#[test_case(2; "replicas")]
+#[test_case(3; "planned")]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_in_a_soak(seed: u64) {
     let soak = SoakRun {
