Wait for changes within the store's history; take duties once the others are known

And all nodes took the readers' and the preset's duties in their first moments, since none knew the others yet. Test: watch_wait_within_history.

--- a/crates/zinniahatch_config/src/entry.rs
+++ b/crates/zinniahatch_config/src/entry.rs
@@ -9,6 +9,16 @@
 /// Time for which a directory answer counts, where the platform sets no bound.
 const DIRECTORY_TTL: Duration = Duration::from_secs(2);
 
+/// Longest wait of one watch, a little below what the store allows; each one costs a call though nothing
+/// happened. That the store or the channel to it is gone shows by other means: the kernel's keep-alive and
+/// the renewals of the node's key.
+const WATCH_MOST: Duration = Duration::from_secs(28);
+/// Part of the time for which the store keeps its history that a watch waits. A wait of 28 s beside a
+/// history of 20 s ended as compacted each time, and nodes took the store for troubled on calm days.
+const HISTORY_PART: f64 = 0.7;
+/// Time for which the platform's service keeps its history, where the settings do not say.
+const STORE_HISTORY: Duration = Duration::from_secs(20);
+
 domain! {
     /// Addresses that an entry VM listens on.
     pub struct ListenSettings {
@@ -60,6 +70,8 @@
         pub store: SocketAddrV4,
         /// Shortest lease that the service gives.
         pub lease_least: Duration,
+        /// Time for which the service keeps the history of its changes.
+        pub store_history: Duration,
         /// The bounds.
         pub bounds: BoundSettings,
         /// Lines of the decision log a second, for each kind.
@@ -99,6 +111,7 @@
             seeds: seeds(node)?,
             store: address(store, "address")?,
             lease_least: store.duration("lease_least", Some(Duration::from_secs(1)))?,
+            store_history: store.duration("history", Some(STORE_HISTORY))?,
             bounds: bounds(parsed.optional("bounds"))?,
             log_budget: log.map_or(Ok(50), |section| {
                 section.number("lines_per_second", Some(50))
@@ -118,6 +131,11 @@
         text.lines().any(|line| line.trim() == "[listen]")
     }
 
+    /// Gives how long a watch waits for changes.
+    pub fn watch_wait(&self) -> Duration {
+        self.store_history.mul_f64(HISTORY_PART).min(WATCH_MOST)
+    }
+
     /// Gives the bound of a cold replica in requests a second, from the rate that it bears.
     pub fn cold_bound(&self, rate: f64) -> f64 {
         rate * self.bounds.cold_overrun + self.bounds.cold_slack
--- a/crates/zinniahatch_config/tests/entry.rs
+++ b/crates/zinniahatch_config/tests/entry.rs
@@ -22,6 +22,7 @@
     ("internal_ports.0", "7660"),
     ("platform.address", "10.200.1.7:8142"),
     ("platform.ttl_min_ms", "1000"),
+    ("platform.history_s", "20"),
     ("bounds.retry_ratio", "0.2"),
     ("bounds.retry_window_s", "10"),
     ("bounds.retry_slack", "54"),
@@ -69,6 +70,17 @@
     assert!(words.iter().all(|word| text.contains(word)), "{text}");
 }
 
+/// A watch that waited longer than the store keeps its history ended as compacted though nothing had
+/// happened, and its node listed all keys anew and took the store for troubled.
+#[test_case("history = 20s", 14_000; "as_filled")]
+#[test_case("history = 5s", 3_500; "short")]
+#[test_case("history = 90s", 28_000; "long")]
+fn watch_wait_within_history(history: &str, millis: u64) {
+    let text = filled().replace("history = 20s", history);
+    let settings = EntrySettings::parse("entry.ini", &text).unwrap();
+    assert_eq!(settings.watch_wait(), Duration::from_millis(millis));
+}
+
 #[test_case("ordinary")]
 #[test_case("peak")]
 #[test_case("maintenance")]
--- a/crates/zinniahatch_entry/src/news.rs
+++ b/crates/zinniahatch_entry/src/news.rs
@@ -1,5 +1,6 @@
 //! Taking over what the store tells: desired state, evacuations, replicas, the preset.
 
+use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
 use crate::watch::WatchTopic;
 use serde::Deserialize;
@@ -44,8 +45,12 @@
     }
 }
 
-/// Tells whether this node has a duty that falls to the first few of its region by rank.
+/// Tells whether this node has a duty that falls to the first few of its region by rank. One that has
+/// just started has none, since it does not know the others yet and all would take it.
 pub(crate) fn has_duty(core: &EntryCore, duty: &str, nodes: usize) -> bool {
+    if core.started.elapsed() < ACQUAINT_TIME {
+        return false;
+    }
     let own = rank_member(duty, &core.settings.name);
     let members = core.members.borrow();
     let near = members.live_in(&core.settings.region, Instant::now());
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -17,10 +17,6 @@
 use zinniahatch_platform::KvError;
 use zinniahatch_platform::OPERATOR_PREFIX;
 
-/// Longest wait of one watch, a little below what the store allows; each one costs a call though nothing
-/// happened. That the store or the channel to it is gone shows by other means: the kernel's keep-alive and
-/// the renewals of this node's key.
-const WATCH_WAIT: Duration = Duration::from_secs(28);
 /// Nodes of a region that follow the preset; the others hear of it from them. Each node that did so cost
 /// three calls a minute for what changes a few times a day.
 const PRESET_WATCHERS: usize = 2;
@@ -124,7 +120,11 @@
             return list_soon(&self.core, self.topic).await;
         };
         // An answer at once shows that a store that was lost is back.
-        let wait = if self.fine { WATCH_WAIT } else { ANY_NEWS };
+        let wait = if self.fine {
+            self.core.settings.watch_wait()
+        } else {
+            ANY_NEWS
+        };
         follow(&self.core, self.topic, after, wait).await
     }
 
