--- a/crates/zinniahatch_config/tests/entry.rs
+++ b/crates/zinniahatch_config/tests/entry.rs
@@ -9,7 +9,7 @@
 const TEMPLATE: &str = include_str!("../../../platform/entry.ini");
 
 /// The values that the platform gives to the template's names.
-const VALUES: [(&str, &str); 18] = [
+const VALUES: [(&str, &str); 19] = [
     ("node_name", "front-a-1"),
     ("region", "north"),
     ("zone", "north-a"),
