--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -3,9 +3,10 @@
 use crate::FirstEventModel;
 use crate::HealthRecord;
 use crate::KeptParts;
-use crate::PromptPart;
+use crate::OpenWork;
+use crate::PromptRead;
 use crate::PromptSize;
-use std::net::SocketAddrV4;
+use crate::ReplicaEntry;
 use zinniahatch_base::prelude::*;
 
 /// How long an entry that vanished while the store was in trouble still counts. Entries that
@@ -22,10 +23,6 @@
 const REPORT_TIME: Duration = Duration::from_millis(400);
 /// Prior time to the answer of a service, in ms, until answers show it.
 const PRIOR_BASE_MS: f64 = 40.0;
-/// Part of the common tokens ahead that counts for an urgent request. They hold it up by a half, but
-/// counted so, placement followed the reading alone and long answers gathered where little was read:
-/// with 0.6 a score of 0.872 and 0.910 on two sites, with 0.2 0.882 and 0.920.
-const SHARED_READING: f64 = 0.2;
 /// Reads that wait to be told to other nodes at most; older knowledge is worth more than none.
 const MOST_READS: usize = 64;
 /// Bounds of the learned slowness of one replica against its service.
@@ -33,40 +30,6 @@
 /// Weight of a new observation in the slowness of a replica; about the last ten count.
 const SLOWNESS_GAIN: f64 = 0.1;
 
-domain! {
-    /// What a replica says of itself in the store.
-    pub struct ReplicaEntry {
-        /// The id of this start of the replica.
-        pub id: ReplicaId,
-        /// Its service.
-        pub service: ServiceId,
-        /// Where it listens.
-        pub address: SocketAddrV4,
-        /// Its data centre.
-        pub data_centre: DataCentreId,
-        /// Requests that it works on at once.
-        pub slots: u32,
-        /// Whether it is leaving.
-        pub leaving: bool,
-        /// Time until it is gone, where it leaves at short notice.
-        pub gone_in: Option<Duration>,
-        /// How much longer it is cold.
-        pub cold_for: Duration,
-        /// The store's revision of this entry.
-        pub revision: u64,
-    }
-}
-
-domain! {
-    /// Shared prompt parts that a node had a replica read.
-    pub struct PromptRead {
-        /// The replica.
-        pub replica: ReplicaId,
-        /// The parts in order, without the last, which belongs to the request itself.
-        pub parts: Vec<PromptPart>,
-    }
-}
-
 /// Why a replica gets no new work for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaveReason {
@@ -78,64 +41,6 @@
     Replaced,
 }
 
-domain! {
-    /// The open work that one node has at a replica.
-    #[derive(Copy, Default, Eq)]
-    pub struct OpenWork {
-        /// Requests sent and not ended.
-        pub requests: u32,
-        /// The part of these that are urgent.
-        pub urgent_requests: u32,
-        /// Tokens to read before the first event of those that have none yet.
-        pub tokens: u32,
-        /// The part of these tokens that urgent requests brought.
-        pub urgent_tokens: u32,
-    }
-}
-
-impl OpenWork {
-    /// Gives the tokens that are read before those of a new request. An urgent one is admitted
-    /// first, but shares the reading with prompts that were admitted before it.
-    pub fn ahead(&self, urgent: bool) -> u32 {
-        if !urgent {
-            return self.tokens;
-        }
-        let common = self.tokens.saturating_sub(self.urgent_tokens);
-        self.urgent_tokens + (f64::from(common) * SHARED_READING) as u32
-    }
-
-    /// Gives the requests that hold slots which a new request cannot have. Engines put common
-    /// requests off for urgent ones: with all of 24 slots in use, urgent ones began after 100 ms at the
-    /// median, and an estimate that made them wait for a slot sent them to other regions.
-    pub fn holding(&self, urgent: bool) -> u32 {
-        if urgent {
-            self.urgent_requests
-        } else {
-            self.requests
-        }
-    }
-
-    fn add_requests(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.urgent_requests += other.urgent_requests;
-    }
-
-    fn take_requests(&mut self, other: Self) {
-        self.requests = self.requests.saturating_sub(other.requests);
-        self.urgent_requests = self.urgent_requests.saturating_sub(other.urgent_requests);
-    }
-
-    fn add_tokens(&mut self, other: Self) {
-        self.tokens = self.tokens.saturating_add(other.tokens);
-        self.urgent_tokens = self.urgent_tokens.saturating_add(other.urgent_tokens);
-    }
-
-    fn take_tokens(&mut self, other: Self) {
-        self.tokens = self.tokens.saturating_sub(other.tokens);
-        self.urgent_tokens = self.urgent_tokens.saturating_sub(other.urgent_tokens);
-    }
-}
-
 /// One replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaBelief {
