--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -448,6 +448,11 @@
     }
 }
 
+/// Gives the path of the operators' command-line tool, which is built beside the daemon.
+pub fn tool_path() -> PathBuf {
+    daemon_path().with_file_name("zinniactl")
+}
+
 /// Starts a link without faults to an address.
 async fn linked(address: &str) -> (LinkState, TcpRelay) {
     let link = LinkState::default();
--- /dev/null
+++ b/crates/zinniahatch_lab/tests/operators.rs
@@ -0,0 +1,77 @@
+//! What operators do on the platform, with the real command-line tool against real entry VMs.
+
+use std::process::Command;
+use std::process::Output;
+use std::time::Duration;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
+use zinniahatch_lab::stand::replica::StreamShape;
+
+const SHAPE: StreamShape = StreamShape {
+    events: 5,
+    pause: Duration::from_millis(5),
+};
+const PRESETS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/presets");
+
+/// Starts a site with more nodes in a region than follow the preset in the store.
+async fn site() -> SiteCluster {
+    let regions = [("north", 4, 1), ("south", 1, 1)].map(|(name, entries, replicas)| SiteRegion {
+        name,
+        entries,
+        replicas,
+    });
+    SiteCluster::start(&regions, SHAPE).await
+}
+
+/// Runs `zinniactl`, which is built beside the daemon.
+async fn ctl(site: &SiteCluster, args: &[&str]) -> Output {
+    let mut command = Command::new(zinniahatch_lab::site::tool_path());
+    command.args(args).env("ZINNIA_STORE", site.store_address());
+    let run = tokio::task::spawn_blocking(move || command.output());
+    run.await.unwrap().expect("zinniactl is built")
+}
+
+/// An operator switched to the preset for peaks. The two nodes of each region that follow it took it over;
+/// the others had it only when they were restarted.
+#[tokio::test(flavor = "multi_thread")]
+async fn switch_reaches_every_node() {
+    let site = site().await;
+    let file = format!("{PRESETS}/peak.ini");
+    let done = ctl(&site, &["site", "switch", &file]).await;
+    let text = String::from_utf8_lossy(&done.stdout).into_owned();
+    assert!(text.contains("preset peak is in force"), "{done:?}");
+    for index in 0..site.entries.len() {
+        wait_until("the preset is in force", async || {
+            site.log(index)
+                .lines()
+                .any(|line| line.contains(r#""kind":"preset""#) && line.contains(r#""to":"peak""#))
+        })
+        .await;
+    }
+    let shown = ctl(&site, &["site", "preset"]).await;
+    assert!(String::from_utf8_lossy(&shown.stdout).contains("[preset peak]"));
+    let late = format!("{PRESETS}/maintenance.ini");
+    let refused = ctl(&site, &["site", "switch", "--from", "ordinary", &late]).await;
+    assert!(!refused.status.success());
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("`peak`"));
+}
+
+/// A caller complained of one request, and the engineer had nothing but its id and the logs.
+#[tokio::test(flavor = "multi_thread")]
+async fn explain_tells_a_request_from_logs() {
+    let site = site().await;
+    let answer = site.call(0, "/plain/x", "told-1").send().await.unwrap();
+    assert!(answer.status().is_success());
+    let path = site.log_path(0).display().to_string();
+    wait_until("the end is logged", async || {
+        site.log(0).contains("told-1") && site.log(0).contains("answered")
+    })
+    .await;
+    let told = ctl(&site, &["explain", "told-1", &path]).await;
+    let text = String::from_utf8_lossy(&told.stdout).into_owned();
+    assert!(text.starts_with("request told-1\n"), "{told:?}");
+    assert!(text.contains("placed") && text.contains("answered by the replica with status 200"));
+    let unknown = ctl(&site, &["explain", "told-2", &path]).await;
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("left_out"));
+}
