Tell lives of a replica apart; never name a region outside the homes; serve on alone at a planned stop

(2) A replica may now start again under its id; health, kept prompts, open work, the mark of leaving and the memory of its end were tied to the id.

Ruled out for (1): a wrong choice of homes with a living home (named first before, as now).

--- a/crates/zinniahatch_entry/src/call.rs
+++ b/crates/zinniahatch_entry/src/call.rs
@@ -17,6 +17,7 @@
 use zinniahatch_platform::write_call;
 use zinniahatch_platform::write_forward;
 use zinniahatch_route::AwayChoice;
+use zinniahatch_route::LeaveReason;
 use zinniahatch_route::LocalChoice;
 use zinniahatch_route::OpenWork;
 
@@ -164,26 +165,19 @@
 ) -> Result<(AnswerHead, OpenCall), SendFailure> {
     let now = Instant::now();
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        let mut replicas = core.replicas.borrow_mut();
-        if let Some(belief) = replicas.get_mut(&choice.replica) {
-            belief.leaving = Some(zinniahatch_route::LeaveReason::Replaced);
-        }
-        drop(replicas);
+        open.with_replica(|belief| belief.leaving = Some(LeaveReason::Replaced));
         core.log.write(
             "replica-replaced",
             serde_json::json!({"replica": choice.replica, "answered_by": head.marks.replica}),
         );
         return Err(SendFailure::WrongReplica);
     }
-    {
-        let mut replicas = core.replicas.borrow_mut();
-        if let Some(belief) = replicas.get_mut(&choice.replica) {
-            belief.health.note_heard(now);
-            if let Some((running, waiting, _)) = head.marks.load {
-                belief.reported = Some((running, waiting, now));
-            }
+    open.with_replica(|belief| {
+        belief.health.note_heard(now);
+        if let Some((running, waiting, _)) = head.marks.load {
+            belief.reported = Some((running, waiting, now));
         }
-    }
+    });
     if head.marks.not_run {
         let hint = retry_hint(&head.headers);
         if head.status == StatusCode::BAD_REQUEST {
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -19,6 +19,7 @@
 use zinniahatch_route::DesiredService;
 use zinniahatch_route::DesiredState;
 use zinniahatch_route::MemberCard;
+use zinniahatch_route::MemberStage;
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::RepeatBudget;
 use zinniahatch_route::ReplicaTable;
@@ -33,6 +34,8 @@
     Serving,
     /// It says that it is not ready, and serves whoever comes all the same.
     Leaving,
+    /// It still takes requests that end soon, since no other node of its region is ready.
+    PlainOnly,
     /// It takes no new requests and closes idle channels.
     Closing,
 }
@@ -126,7 +129,19 @@
 
     /// Tells whether callers should come here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase() == StopPhase::Serving && self.listed.get() && self.desired.borrow().is_some()
+        self.stage() == MemberStage::Ready
+    }
+
+    /// Tells how far this node is between its start and its end, as the others are told.
+    pub(crate) fn stage(&self) -> MemberStage {
+        let knows = self.listed.get() && self.desired.borrow().is_some();
+        match self.phase() {
+            _ if !knows => MemberStage::Starting,
+            StopPhase::Serving => MemberStage::Ready,
+            StopPhase::Leaving => MemberStage::Leaving,
+            StopPhase::PlainOnly => MemberStage::PlainOnly,
+            StopPhase::Closing => MemberStage::Closing,
+        }
     }
 
     /// Gives the version of the desired state; 0 while none is known.
@@ -241,7 +256,7 @@
             data_centre: self.settings.data_centre.clone(),
             front: self.settings.listen.front,
             peer: self.settings.listen.peer,
-            ready: self.is_ready(),
+            stage: self.stage(),
             version: self.version(),
             preset: self.preset.borrow().revision,
             sighted: !replicas.in_trouble(now),
--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -243,7 +243,7 @@
             contacts.note(*address, Some(region));
         }
     }
-    let (region, ready) = (gram.card.region.clone(), gram.card.ready);
+    let (region, stage) = (gram.card.region.clone(), gram.card.stage);
     let asks = gram.asks;
     let (fresh, replaced) = core.members.borrow_mut().hear(gram.card, asks, now);
     if let Some(incarnation) = replaced
@@ -254,7 +254,7 @@
     if fresh {
         core.log.write(
             "member",
-            serde_json::json!({"member": node, "region": region, "ready": ready}),
+            serde_json::json!({"member": node, "region": region, "stage": stage}),
         );
     }
     if let Some((stamp, held)) = gram.echo {
--- a/crates/zinniahatch_entry/src/news.rs
+++ b/crates/zinniahatch_entry/src/news.rs
@@ -17,6 +17,7 @@
 use zinniahatch_platform::decode_backend;
 use zinniahatch_platform::decode_desired;
 use zinniahatch_platform::subject_of;
+use zinniahatch_route::EntryChange;
 use zinniahatch_route::ReplicaEntry;
 
 /// Nodes of a region that read the news of replicas soon and tell the others; two may die at once.
@@ -81,16 +82,19 @@
             KeySubject::Other => note_own(core, item),
         }
     }
-    let mut replicas = core.replicas.borrow_mut();
     match topic {
-        WatchTopic::Operator => replicas.set_evacuated(evacuated),
+        WatchTopic::Operator => core.replicas.borrow_mut().set_evacuated(evacuated),
         WatchTopic::Replicas => {
-            replicas.relist(entries, revision, now);
+            let mut replicas = core.replicas.borrow_mut();
+            let changes = replicas.relist(entries, revision, now);
+            drop(replicas);
+            for (entry, change) in changes {
+                note_change(core, &entry, change);
+            }
             core.listed.set(true);
         }
         WatchTopic::Preset => {}
     }
-    drop(replicas);
     core.log.write(
         "listed",
         serde_json::json!({"topic": format!("{topic:?}"), "revision": revision,
@@ -118,7 +122,11 @@
                 });
                 take_entry(core, entry, now);
             }
-            Err(error) => reject(core, &error.to_string()),
+            Err(error) => {
+                // It names no replica to use; what it said before is no longer so.
+                reject(core, &error.to_string());
+                forget_backend(core, id, item.revision, now);
+            }
         },
         KeySubject::Other => note_own(core, item),
     }
@@ -127,33 +135,50 @@
 fn removed(core: &Rc<EntryCore>, key: &str, revision: Revision, now: Instant) {
     match subject_of(key) {
         KeySubject::Evacuation(place) => set_evacuation(core, place, false),
-        KeySubject::Backend(id) => {
-            let replicas = core.replicas.borrow();
-            let place = replicas
-                .get(id)
-                .map(|belief| belief.entry.data_centre.clone());
-            drop(replicas);
-            if let Some(place) = place {
-                tell_region(core, &place, |news| {
-                    news.removed.push((id.into(), revision));
-                });
-            }
-            take_removal(core, id, revision, now);
-        }
+        KeySubject::Backend(id) => forget_backend(core, id, revision, now),
         KeySubject::Desired => reject(core, "the desired state was removed"),
         KeySubject::Other => {}
     }
 }
 
+/// Takes the news that a key names no replica any more, and tells the region.
+fn forget_backend(core: &EntryCore, id: &str, revision: Revision, now: Instant) {
+    let replicas = core.replicas.borrow();
+    let place = replicas
+        .get(id)
+        .map(|belief| belief.entry.data_centre.clone());
+    drop(replicas);
+    if let Some(place) = place {
+        tell_region(core, &place, |news| {
+            news.removed.push((id.into(), revision));
+        });
+    }
+    take_removal(core, id, revision, now);
+}
+
 /// Takes what a replica says of itself, from the store or from a node that read it there.
 fn take_entry(core: &EntryCore, entry: ReplicaEntry, now: Instant) {
-    let line = serde_json::json!({"replica": entry.id, "leaving": entry.leaving,
-        "cold_ms": entry.cold_for.as_millis() as u64,
-        "gone_in_ms": entry.gone_in.map(|left| left.as_millis() as u64),
-        "revision": entry.revision});
-    if core.replicas.borrow_mut().upsert(entry, now) {
-        core.log.write("replica", line);
-    }
+    let change = core.replicas.borrow_mut().upsert(entry.clone(), now);
+    note_change(core, &entry, change);
+}
+
+/// Logs what an entry changed, and closes what led to an earlier life of the replica.
+fn note_change(core: &EntryCore, entry: &ReplicaEntry, change: EntryChange) {
+    let kind = match change {
+        EntryChange::None => return,
+        EntryChange::Belief => "replica",
+        EntryChange::NewLife(before) => {
+            core.pool.purge(before);
+            "replica-reborn"
+        }
+    };
+    core.log.write(
+        kind,
+        serde_json::json!({"replica": entry.id, "born_ms": entry.born, "leaving": entry.leaving,
+            "cold_ms": entry.cold_for.as_millis() as u64,
+            "gone_in_ms": entry.gone_in.map(|left| left.as_millis() as u64),
+            "revision": entry.revision}),
+    );
 }
 
 fn take_removal(core: &EntryCore, id: &str, revision: Revision, now: Instant) {
--- a/crates/zinniahatch_entry/src/open_call.rs
+++ b/crates/zinniahatch_entry/src/open_call.rs
@@ -12,6 +12,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::ModelSample;
 use zinniahatch_route::OpenWork;
+use zinniahatch_route::ReplicaBelief;
 
 /// What is noted of a replica while it works on a request.
 #[derive(Debug)]
@@ -92,14 +93,15 @@
         };
         let now = Instant::now();
         let mut replicas = self.core.replicas.borrow_mut();
-        if let Some(belief) = replicas.get_mut(&note.replica) {
-            belief.health.note_heard(now);
-        }
+        let Some(belief) = replicas.working_on(&note.replica, note.ticket) else {
+            return;
+        };
+        belief.health.note_heard(now);
         if note.first_seen {
             return;
         }
         note.first_seen = true;
-        replicas.note_first_event(&note.replica, note.work);
+        replicas.note_first_event(&note.replica, note.ticket, note.work);
         if note.cold {
             return;
         }
@@ -138,7 +140,7 @@
         };
         let now = Instant::now();
         let mut replicas = self.core.replicas.borrow_mut();
-        let Some(belief) = replicas.get_mut(&note.replica) else {
+        let Some(belief) = replicas.working_on(&note.replica, note.ticket) else {
             return;
         };
         if !good {
@@ -150,15 +152,27 @@
         replicas.model(&self.service).learn_hold(held);
     }
 
-    /// Tells whether the replica has gone silent on everything that this node has there.
+    /// Gives the belief of the replica's life that works on the request, to change.
+    pub(crate) fn with_replica(&self, change: impl FnOnce(&mut ReplicaBelief)) {
+        let Some(note) = &self.note else {
+            return;
+        };
+        let mut replicas = self.core.replicas.borrow_mut();
+        if let Some(belief) = replicas.working_on(&note.replica, note.ticket) {
+            change(belief);
+        }
+    }
+
+    /// Tells whether the replica has gone silent on everything that this node has there, or has started
+    /// again since.
     pub(crate) fn is_suspect(&self) -> bool {
         let Some(note) = &self.note else {
             return false;
         };
-        let replicas = self.core.replicas.borrow();
+        let mut replicas = self.core.replicas.borrow_mut();
         replicas
-            .get(&note.replica)
-            .is_some_and(|belief| belief.health.is_suspect(Instant::now()))
+            .working_on(&note.replica, note.ticket)
+            .is_none_or(|belief| belief.health.is_suspect(Instant::now()))
     }
 
     /// Gives the replica, where the request went to one.
--- a/crates/zinniahatch_entry/src/plan.rs
+++ b/crates/zinniahatch_entry/src/plan.rs
@@ -77,6 +77,9 @@
         let route = routes
             .find(&call.host, &call.path)
             .ok_or(ResultCode::NoRoute)?;
+        if core.phase() == StopPhase::PlainOnly && route.repeat == RepeatKind::Streaming {
+            return Err(ResultCode::NodeLeaving);
+        }
         let service = match &call.hop {
             // A node with newer rules decides by them; one that is behind trusts the one before.
             RequestHop::Forwarded(note) if note.version > routes.version() => note.service.clone(),
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -37,6 +37,9 @@
 /// Time between saying that this node leaves and taking no more requests: callers keep what the
 /// directory told them for two seconds.
 const LEAVE_TIME: Duration = Duration::from_millis(2_600);
+/// Part of the grace time until which a node takes requests where it is alone; a plain request ends well
+/// within the rest.
+const ALONE_PART: f64 = 0.7;
 /// Part of the grace time that is left for the way out.
 const EXIT_TIME: Duration = Duration::from_millis(400);
 /// Pause between looks whether all requests have ended.
@@ -190,6 +193,27 @@
     }
 }
 
+/// Goes on taking what ends soon while no other node of the region is ready.
+///
+/// Where all nodes of a region are stopped in turn, each ends its streams for seconds and nobody is left
+/// for new callers: of seven nodes stopped one second apart, half of the look-ups found nobody.
+async fn serve_alone(core: &EntryCore, began: Instant) {
+    core.phase.send_replace(StopPhase::PlainOnly);
+    let last = began + core.settings.bounds.grace.mul_f64(ALONE_PART);
+    while Instant::now() < last {
+        if has_ready_neighbour(core) {
+            return;
+        }
+        sleep(DRAIN_LOOK).await;
+    }
+}
+
+fn has_ready_neighbour(core: &EntryCore) -> bool {
+    let members = core.members.borrow();
+    let ready = members.live_in(&core.settings.region, Instant::now());
+    !ready.is_empty()
+}
+
 /// Leaves: says so, serves whoever still comes, then ends what is in progress.
 async fn leave(core: &Rc<EntryCore>) {
     let began = Instant::now();
@@ -204,6 +228,7 @@
         let _ = timeout(FAREWELL_TIME, tell_all(core, &socket)).await;
     }
     sleep(LEAVE_TIME.min(core.settings.bounds.grace / 3)).await;
+    serve_alone(core, began).await;
     core.phase.send_replace(StopPhase::Closing);
     sleep(DRAIN_LOOK * 2).await;
     while core.open_calls.get() > 0 && Instant::now() < last {
--- a/crates/zinniahatch_entry/src/services.rs
+++ b/crates/zinniahatch_entry/src/services.rs
@@ -26,9 +26,12 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::READINESS_PATH;
 use zinniahatch_platform::RESOLVE_PATH;
+use zinniahatch_platform::ResolveQuery;
 use zinniahatch_platform::decode_resolve;
 use zinniahatch_platform::encode_resolved;
-use zinniahatch_route::MemberTable;
+use zinniahatch_route::DirectoryAsk;
+use zinniahatch_route::NamedNodes;
+use zinniahatch_route::name_nodes;
 
 /// Addresses that one answer of the directory names at most.
 const MOST_ADDRESSES: usize = 64;
@@ -103,11 +106,19 @@
         .max_buf_size(limits.max_header_bytes.max(LEAST_HEAD) + LEAST_HEAD)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let closing = phases.wait_for(|phase| *phase == StopPhase::Closing);
+    let closing = async {
+        // Whoever asks for the directory, readiness or metrics is answered to the end: a directory that
+        // closes on its callers leaves those of a region whose nodes stop in turn without any.
+        if !matches!(duty, ListenerDuty::Calls(_)) {
+            std::future::pending::<()>().await;
+        }
+        // The sender lives as long as the process.
+        let _ = phases.wait_for(|phase| *phase == StopPhase::Closing).await;
+    };
     // A connection ends with an error when its caller leaves, which is no news.
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = closing => {}
+        () = closing => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
@@ -164,11 +175,7 @@
         return plain(StatusCode::NOT_FOUND, "text/plain", "");
     }
     let query = decode_resolve(request.uri().query().unwrap_or_default());
-    let homes = core
-        .routes
-        .borrow()
-        .homes_of(query.host.as_deref().unwrap_or_default());
-    let addresses = addresses_for(core, query.region.as_deref(), &homes, Instant::now());
+    let addresses = addresses_for(core, &query, Instant::now());
     if addresses.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "");
     }
@@ -180,70 +187,36 @@
     )
 }
 
-fn addresses_for(
-    core: &EntryCore,
-    region: Option<&str>,
-    homes: &BTreeSet<RegionId>,
-    now: Instant,
-) -> Vec<SocketAddrV4> {
+fn addresses_for(core: &EntryCore, query: &ResolveQuery, now: Instant) -> Vec<SocketAddrV4> {
     let own = &core.settings.region;
-    let region = region.unwrap_or(own);
+    let region = query.region.as_deref().unwrap_or(own);
     let members = core.members.borrow();
     // It would name itself, though the other region's nodes live; callers ask the next directory.
     let unacquainted = now.saturating_duration_since(core.started) < ACQUAINT_TIME;
     if **own != *region && unacquainted && members.known().next().is_none() {
         return Vec::new();
     }
-    let mut found: Vec<SocketAddrV4> = members
-        .live_in(region, now)
-        .into_iter()
-        .map(|card| card.front)
-        .collect();
-    if **own == *region && core.is_ready() {
-        found.push(core.settings.listen.front);
-    }
-    if found.is_empty() {
-        found = members
-            .perhaps_live_in(region, now)
-            .into_iter()
-            .map(|card| card.front)
-            .collect();
-    }
-    if found.is_empty() {
-        found = elsewhere(core, &members, region, homes, now);
+    let known = core.desired.borrow().is_some();
+    let host = query.host.as_deref().unwrap_or_default();
+    let ask = DirectoryAsk {
+        region,
+        homes: known.then(|| core.routes.borrow().homes_of(host)),
+        own_region: own,
+        own_front: core.settings.listen.front,
+        own_stage: core.stage(),
+    };
+    let named = name_nodes(&members, &ask, now);
+    if let NamedNodes::Elsewhere(addresses) = &named {
         core.log.write(
             "directory-elsewhere",
-            serde_json::json!({"region": region, "homes": homes, "addresses": &found,
+            serde_json::json!({"region": region, "homes": ask.homes, "addresses": addresses,
                 "members": members.known().count()}),
         );
     }
+    let mut found = named.addresses();
     found.sort_unstable();
     found.dedup();
     found.shuffle(&mut rand::rng());
     found.truncate(MOST_ADDRESSES);
     found
 }
-
-/// Gives the nodes outside a region: those in a home of the host's routes, where there are any,
-/// since the others would see the bodies of requests that are bound to the homes.
-fn elsewhere(
-    core: &EntryCore,
-    members: &MemberTable,
-    region: &str,
-    homes: &BTreeSet<RegionId>,
-    now: Instant,
-) -> Vec<SocketAddrV4> {
-    let mut regions: BTreeMap<RegionId, Vec<SocketAddrV4>> = BTreeMap::new();
-    for (other, cards) in members.live_elsewhere(region, now) {
-        let fronts = cards.into_iter().map(|card| card.front).collect();
-        regions.insert(other, fronts);
-    }
-    if core.is_ready() {
-        let own = regions.entry(core.settings.region.clone()).or_default();
-        own.push(core.settings.listen.front);
-    }
-    if regions.keys().any(|other| homes.contains(other)) {
-        regions.retain(|other, _| homes.contains(other));
-    }
-    regions.into_values().flatten().collect()
-}
--- a/crates/zinniahatch_entry/src/snapshot.rs
+++ b/crates/zinniahatch_entry/src/snapshot.rs
@@ -11,6 +11,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::DesiredState;
 use zinniahatch_route::ReplicaEntry;
+use zinniahatch_route::ReplicaLife;
 use zinniahatch_route::ServingPreset;
 
 /// Path of the snapshot on the listener for other nodes.
@@ -26,7 +27,7 @@
     desired: Option<DesiredState>,
     preset: ServingPreset,
     replicas: Vec<ReplicaEntry>,
-    gone: Vec<ReplicaId>,
+    gone: Vec<ReplicaLife>,
     evacuated: BTreeSet<DataCentreId>,
 }
 
@@ -43,7 +44,7 @@
         desired,
         preset: core.preset.borrow().clone(),
         replicas: entries.collect(),
-        gone: replicas.gone().cloned().collect(),
+        gone: replicas.gone().collect(),
         evacuated: replicas.evacuated().clone(),
     };
     // An empty answer is taken as no snapshot by the reader.
@@ -51,7 +52,6 @@
 }
 
 /// Fetches and takes over the beliefs of another node; tells whether that worked.
-///
 pub(crate) async fn fetch_snapshot(core: &Rc<EntryCore>, peer: SocketAddrV4) -> bool {
     let fetched = timeout(FETCH_TIME, read_snapshot(core, peer)).await;
     let Ok(Some(snapshot)) = fetched else {
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -26,6 +26,22 @@
         pub wait_ms: u32,
     }
 
+    /// How far a node is between its start and its end.
+    #[derive(Copy, Eq)]
+    pub enum MemberStage {
+        /// It does not know enough yet to serve.
+        Starting,
+        /// It takes callers.
+        Ready,
+        /// It was told to stop and serves whoever still comes.
+        Leaving,
+        /// It was told to stop and takes only requests that end soon, since nobody else of its region is
+        /// ready.
+        PlainOnly,
+        /// It takes no more requests and ends those that it has.
+        Closing,
+    }
+
     /// What a node tells the others of itself.
     pub struct MemberCard {
         /// Its name.
@@ -40,8 +56,8 @@
         pub front: SocketAddrV4,
         /// Where other nodes reach it.
         pub peer: SocketAddrV4,
-        /// Whether it takes callers.
-        pub ready: bool,
+        /// How far it is.
+        pub stage: MemberStage,
         /// The version of the desired state that it follows.
         pub version: u64,
         /// Number of the switch that put its preset in force.
@@ -147,10 +163,31 @@
 
     /// Gives the living nodes of a region that take callers.
     pub fn live_in(&self, region: &str, now: Instant) -> Vec<&MemberCard> {
+        self.heard_in(region, MemberStage::Ready, SILENCE, now)
+    }
+
+    /// Gives the nodes of a region that were told to stop and still serve whoever comes.
+    pub fn leaving_in(&self, region: &str, now: Instant) -> Vec<&MemberCard> {
+        self.heard_in(region, MemberStage::Leaving, SILENCE, now)
+    }
+
+    /// Gives the nodes of a region that still take requests that end soon.
+    pub fn plain_only_in(&self, region: &str, now: Instant) -> Vec<&MemberCard> {
+        self.heard_in(region, MemberStage::PlainOnly, SILENCE, now)
+    }
+
+    /// Gives the nodes of a region that were heard of at a stage not longer ago than a bound.
+    fn heard_in(
+        &self,
+        region: &str,
+        stage: MemberStage,
+        bound: Duration,
+        now: Instant,
+    ) -> Vec<&MemberCard> {
         self.rows
             .values()
-            .filter(|row| *row.card.region == *region && row.card.ready)
-            .filter(|row| now.saturating_duration_since(row.heard) <= SILENCE)
+            .filter(|row| *row.card.region == *region && row.card.stage == stage)
+            .filter(|row| now.saturating_duration_since(row.heard) <= bound)
             .map(|row| &row.card)
             .collect()
     }
@@ -159,7 +196,7 @@
     pub fn live_elsewhere(&self, own: &str, now: Instant) -> BTreeMap<RegionId, Vec<&MemberCard>> {
         let mut regions: BTreeMap<RegionId, Vec<&MemberCard>> = BTreeMap::new();
         for row in self.rows.values() {
-            if *row.card.region == *own || !row.card.ready {
+            if *row.card.region == *own || row.card.stage != MemberStage::Ready {
                 continue;
             }
             if now.saturating_duration_since(row.heard) > SILENCE {
@@ -190,12 +227,7 @@
 
     /// Gives the nodes of a region that were heard of within the longer bound.
     pub fn perhaps_live_in(&self, region: &str, now: Instant) -> Vec<&MemberCard> {
-        self.rows
-            .values()
-            .filter(|row| *row.card.region == *region && row.card.ready)
-            .filter(|row| now.saturating_duration_since(row.heard) <= KEY_SILENCE)
-            .map(|row| &row.card)
-            .collect()
+        self.heard_in(region, MemberStage::Ready, KEY_SILENCE, now)
     }
 
     /// Forgets nodes that were silent for long, and gives their last cards.
--- a/crates/zinniahatch_route/src/replica_entry.rs
+++ b/crates/zinniahatch_route/src/replica_entry.rs
@@ -4,11 +4,25 @@
 use std::net::SocketAddrV4;
 use zinniahatch_base::prelude::*;
 
+domain! {
+    /// One life of a replica. A replica may start again under its id; it then keeps nothing, and nothing
+    /// that was learned of its earlier life or promised to it counts.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct ReplicaLife {
+        /// Its id.
+        pub id: ReplicaId,
+        /// When it started, in Unix milliseconds by its own clock; only equality counts.
+        pub born: u64,
+    }
+}
+
 domain! {
     /// What a replica says of itself in the store.
     pub struct ReplicaEntry {
-        /// The id of this start of the replica.
+        /// The replica's id, which its next life may bear again.
         pub id: ReplicaId,
+        /// When this life of it started, in Unix milliseconds by its own clock; 0 where it does not say.
+        pub born: u64,
         /// Its service.
         pub service: ServiceId,
         /// Where it listens.
@@ -28,11 +42,21 @@
     }
 }
 
+impl ReplicaEntry {
+    /// Gives the life that the entry speaks of.
+    pub fn life(&self) -> ReplicaLife {
+        ReplicaLife {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+}
+
 domain! {
     /// Shared prompt parts that a node had a replica read.
     pub struct PromptRead {
-        /// The replica.
-        pub replica: ReplicaId,
+        /// The life of the replica.
+        pub replica: ReplicaLife,
         /// The parts in order, without the last, which belongs to the request itself.
         pub parts: Vec<PromptPart>,
     }
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -7,6 +7,8 @@
 use crate::PromptRead;
 use crate::PromptSize;
 use crate::ReplicaEntry;
+use crate::ReplicaLife;
+use std::net::SocketAddrV4;
 use zinniahatch_base::prelude::*;
 
 /// How long an entry that vanished while the store was in trouble still counts. Entries that
@@ -46,7 +48,7 @@
 pub struct ReplicaBelief {
     /// What it says of itself.
     pub entry: ReplicaEntry,
-    /// Short tag of its id, for datagrams.
+    /// Short tag of this life, for datagrams.
     pub tag: ShortTag,
     /// When it stops being cold.
     pub cold_until: Option<Instant>,
@@ -85,7 +87,7 @@
             gone_at: None,
             lapsed: None,
             vanished: 0,
-            tag: tag_of(&entry.id),
+            tag: tag_of(&format!("{}@{}", entry.id, entry.born)),
             own: OpenWork::default(),
             told: OpenWork::default(),
             peers: BTreeMap::new(),
@@ -153,6 +155,28 @@
     }
 }
 
+/// The last life of a replica that has left.
+#[derive(Clone, Copy, Debug)]
+struct EndedLife {
+    born: u64,
+    /// When it was dropped.
+    at: Instant,
+    /// The store's revision when its entry vanished.
+    vanished: Revision,
+}
+
+/// What an entry changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryChange {
+    /// Nothing that anybody has to be told of.
+    None,
+    /// What is believed of a replica.
+    Belief,
+    /// The replica has started again under its id. Channels that were open to the address are dead, and
+    /// what is sent on them is lost without an answer.
+    NewLife(SocketAddrV4),
+}
+
 /// All replicas that the node knows.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaTable {
@@ -160,30 +184,43 @@
     models: BTreeMap<ServiceId, FirstEventModel>,
     evacuated: BTreeSet<DataCentreId>,
     reads: Vec<PromptRead>,
-    /// When each replica that has left was dropped, and the store's revision then.
-    gone: BTreeMap<ReplicaId, (Instant, Revision)>,
+    /// The lives that have ended, by the replica's id.
+    gone: BTreeMap<ReplicaId, EndedLife>,
     store_trouble: Option<Instant>,
 }
 
 impl ReplicaTable {
-    /// Takes an entry from the store; tells whether the belief changed.
-    pub fn upsert(&mut self, entry: ReplicaEntry, now: Instant) -> bool {
+    /// Takes an entry from the store.
+    ///
+    /// A replica that starts again under its id is believed anew. Taken for the life before, it was
+    /// never used again after it had said that it leaves, was thought to keep prompts that it had lost,
+    /// and its old failures and open work counted against it.
+    pub fn upsert(&mut self, entry: ReplicaEntry, now: Instant) -> EntryChange {
         let left = self.gone.get(&entry.id);
-        if left.is_some_and(|(_, vanished)| entry.revision < *vanished) {
-            return false;
+        if left.is_some_and(|ended| entry.revision < ended.vanished) {
+            return EntryChange::None;
         }
         self.gone.remove(&entry.id);
         let Some(belief) = self.rows.get_mut(&entry.id) else {
             self.rows
                 .insert(entry.id.clone(), ReplicaBelief::new(entry, now));
-            return true;
+            return EntryChange::Belief;
         };
         if entry.revision < belief.entry.revision.max(belief.vanished) {
-            return false;
+            return EntryChange::None;
+        }
+        if entry.born != belief.entry.born {
+            let before = belief.entry.address;
+            *belief = ReplicaBelief::new(entry, now);
+            return EntryChange::NewLife(before);
         }
         let changed = belief.entry.leaving != entry.leaving || belief.lapsed.is_some();
         belief.update(entry, now);
-        changed
+        if changed {
+            EntryChange::Belief
+        } else {
+            EntryChange::None
+        }
     }
 
     /// Takes what another node knows, for a node that the store does not serve.
@@ -191,27 +228,34 @@
     /// The other node may be behind: it still knew a replica that this one had seen leave, and told
     /// of it; the replica got requests five seconds after it had left. So what has left here stays
     /// away, and new entries count only while this node has no news of its own.
-    pub fn learn(&mut self, entries: Vec<ReplicaEntry>, gone: &[ReplicaId], now: Instant) {
+    pub fn learn(&mut self, entries: Vec<ReplicaEntry>, gone: &[ReplicaLife], now: Instant) {
         let blind = self.rows.is_empty() || self.in_trouble(now);
         for entry in entries {
-            if self.gone.contains_key(&entry.id) {
+            let ended = self.gone.get(&entry.id);
+            if ended.is_some_and(|ended| ended.born == entry.born) {
                 continue;
             }
-            let known = self.rows.contains_key(&entry.id);
+            let row = self.rows.get(&entry.id);
+            let known = row.is_some_and(|belief| belief.entry.born == entry.born);
             if (known && entry.leaving) || (!known && blind) {
                 self.upsert(entry, now);
             }
         }
-        for id in gone {
-            if let Some(belief) = self.rows.get_mut(id) {
+        for life in gone {
+            if let Some(belief) = self.rows.get_mut(&life.id)
+                && belief.entry.born == life.born
+            {
                 belief.leaving.get_or_insert(LeaveReason::EntryGone);
             }
         }
     }
 
-    /// Gives the replicas that have left, to tell other nodes.
-    pub fn gone(&self) -> impl Iterator<Item = &ReplicaId> {
-        self.gone.keys()
+    /// Gives the lives that have ended, to tell other nodes.
+    pub fn gone(&self) -> impl Iterator<Item = ReplicaLife> {
+        self.gone.iter().map(|(id, ended)| ReplicaLife {
+            id: id.clone(),
+            born: ended.born,
+        })
     }
 
     /// Tells whether the store was in trouble a moment ago.
@@ -243,8 +287,14 @@
         belief.leaving.get_or_insert(LeaveReason::EntryGone);
     }
 
-    /// Replaces all entries by a whole listing, as of a revision of the store.
-    pub fn relist(&mut self, entries: Vec<ReplicaEntry>, revision: Revision, now: Instant) {
+    /// Replaces all entries by a whole listing, as of a revision of the store; gives what started again
+    /// under its id.
+    pub fn relist(
+        &mut self,
+        entries: Vec<ReplicaEntry>,
+        revision: Revision,
+        now: Instant,
+    ) -> Vec<(ReplicaEntry, EntryChange)> {
         let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id.clone()).collect();
         let missing: Vec<ReplicaId> = self
             .rows
@@ -255,9 +305,14 @@
         for id in missing {
             self.vanish(&id, revision, now);
         }
+        let mut reborn = Vec::new();
         for entry in entries {
-            self.upsert(entry, now);
+            let change = self.upsert(entry.clone(), now);
+            if matches!(change, EntryChange::NewLife(_)) {
+                reborn.push((entry, change));
+            }
         }
+        reborn
     }
 
     /// Notes that a call to the store failed.
@@ -305,11 +360,18 @@
             }
         }
         for id in &dropped {
-            let vanished = self.rows.remove(id).map_or(0, |belief| belief.vanished);
-            self.gone.insert(id.clone(), (now, vanished));
+            let Some(belief) = self.rows.remove(id) else {
+                continue;
+            };
+            let ended = EndedLife {
+                born: belief.entry.born,
+                at: now,
+                vanished: belief.vanished,
+            };
+            self.gone.insert(id.clone(), ended);
         }
         self.gone
-            .retain(|_, (at, _)| now.saturating_duration_since(*at) <= GONE_TIME);
+            .retain(|_, ended| now.saturating_duration_since(ended.at) <= GONE_TIME);
         dropped
     }
 
@@ -367,7 +429,7 @@
         belief.kept.note(&size.parts, capacity);
         if size.parts.len() > 1 && self.reads.len() < MOST_READS {
             self.reads.push(PromptRead {
-                replica: id.into(),
+                replica: belief.entry.life(),
                 parts: size.parts[..size.parts.len() - 1].to_vec(),
             });
         }
@@ -412,16 +474,27 @@
     /// Notes what another node had read.
     pub fn note_reads(&mut self, reads: &[PromptRead], capacity: impl Fn(&str) -> u64) {
         for read in reads {
-            if let Some(belief) = self.rows.get_mut(&read.replica) {
+            if let Some(belief) = self.rows.get_mut(&read.replica.id)
+                && belief.entry.born == read.replica.born
+            {
                 let capacity = capacity(&belief.entry.service);
                 belief.kept.note(&read.parts, capacity);
             }
         }
     }
 
+    /// Gives the replica that works on a request to change; none where that life of it has ended.
+    ///
+    /// A request that a replica's earlier life took would otherwise be taken off the work of the life
+    /// that followed, and its failure counted against it.
+    pub fn working_on(&mut self, id: &str, ticket: u64) -> Option<&mut ReplicaBelief> {
+        let belief = self.rows.get_mut(id)?;
+        belief.open.contains_key(&ticket).then_some(belief)
+    }
+
     /// Notes the first event of an answer: its prompt is read.
-    pub fn note_first_event(&mut self, id: &str, work: OpenWork) {
-        if let Some(belief) = self.rows.get_mut(id) {
+    pub fn note_first_event(&mut self, id: &str, ticket: u64, work: OpenWork) {
+        if let Some(belief) = self.working_on(id, ticket) {
             belief.own.take_tokens(work);
         }
     }
@@ -429,9 +502,9 @@
     /// Notes the end of a request, however it ended.
     pub fn note_ended(&mut self, id: &str, ticket: u64, work: OpenWork, first_seen: bool) {
         if !first_seen {
-            self.note_first_event(id, work);
+            self.note_first_event(id, ticket, work);
         }
-        if let Some(belief) = self.rows.get_mut(id) {
+        if let Some(belief) = self.working_on(id, ticket) {
             belief.open.remove(&ticket);
             belief.own.take_requests(work);
         }
--- a/crates/zinniahatch_route/tests/beliefs.rs
+++ b/crates/zinniahatch_route/tests/beliefs.rs
@@ -6,6 +6,7 @@
 use common::table;
 use test_case::test_case;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::EntryChange;
 use zinniahatch_route::HealthRecord;
 use zinniahatch_route::KeptParts;
 use zinniahatch_route::PromptPart;
@@ -31,7 +32,8 @@
     let mut table = table(&["r1"], now);
     table.note_store_trouble(now);
     table.vanish("r1", 0, now);
-    assert!(table.upsert(entry("r1", "a"), now + Duration::from_secs(2)));
+    let change = table.upsert(entry("r1", "a"), now + Duration::from_secs(2));
+    assert_eq!(change, EntryChange::Belief);
     table.tick(now + Duration::from_secs(9));
     assert_eq!(table.get("r1").unwrap().leaving, None);
 }
@@ -84,7 +86,7 @@
     table.note_store_trouble(now);
     table.learn(vec![entry("r2", "a")], &[], now);
     assert!(table.get("r2").is_some());
-    table.learn(Vec::new(), &["r2".into()], now);
+    table.learn(Vec::new(), &[entry("r2", "a").life()], now);
     assert!(
         table.get("r2").unwrap().leaving.is_some(),
         "it left elsewhere"
@@ -151,12 +153,12 @@
     table.vanish("r1", 9, now);
     let mut old = entry("r1", "a");
     old.revision = 5;
-    assert!(!table.upsert(old.clone(), now));
+    assert_eq!(table.upsert(old.clone(), now), EntryChange::None);
     table.tick(now);
-    assert!(!table.upsert(old.clone(), now));
+    assert_eq!(table.upsert(old.clone(), now), EntryChange::None);
     assert!(table.get("r1").is_none());
     old.revision = 10;
-    assert!(table.upsert(old, now));
+    assert_eq!(table.upsert(old, now), EntryChange::Belief);
 }
 
 /// The news that a replica is cold for two seconds came a second time, two seconds later, from the own
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use zinniahatch_route::DesiredService;
 use zinniahatch_route::DesiredState;
 use zinniahatch_route::MemberCard;
+use zinniahatch_route::MemberStage;
 use zinniahatch_route::PlaceAsk;
 use zinniahatch_route::PromptPart;
 use zinniahatch_route::PromptSize;
@@ -63,6 +64,7 @@
 pub(crate) fn entry(id: &str, place: &str) -> ReplicaEntry {
     ReplicaEntry {
         id: id.into(),
+        born: 1,
         service: "s".into(),
         address: address(1),
         data_centre: place.into(),
@@ -152,7 +154,7 @@
         data_centre: "b".into(),
         front: address(2),
         peer: address(3),
-        ready: true,
+        stage: MemberStage::Ready,
         version: 1,
         preset: 0,
         sighted: true,
--- /dev/null
+++ b/crates/zinniahatch_route/tests/lives.rs
@@ -0,0 +1,131 @@
+//! A replica that starts again under its id.
+
+mod common;
+
+use common::entry;
+use common::prompt;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::EntryChange;
+use zinniahatch_route::LeaveReason;
+use zinniahatch_route::OpenWork;
+use zinniahatch_route::PromptRead;
+use zinniahatch_route::ReplicaEntry;
+use zinniahatch_route::ReplicaLife;
+use zinniahatch_route::ReplicaTable;
+
+const WORK: OpenWork = OpenWork {
+    requests: 1,
+    urgent_requests: 0,
+    tokens: 500,
+    urgent_tokens: 0,
+};
+const CAPACITY: u64 = 100_000;
+
+fn life(born: u64, revision: Revision) -> ReplicaEntry {
+    ReplicaEntry {
+        born,
+        revision,
+        ..entry("r", "a")
+    }
+}
+
+/// A replica said that it was leaving, ended and started again under its id. It was back in the store and got
+/// nothing for good, since what leaves never takes that back. Cause: its two lives counted as one.
+#[test]
+fn upsert_drained_and_reborn() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    table.upsert(
+        ReplicaEntry {
+            leaving: true,
+            ..life(1, 11)
+        },
+        now,
+    );
+    let change = table.upsert(life(2, 12), now);
+    assert_eq!(change, EntryChange::NewLife(entry("r", "a").address));
+    assert_eq!(table.get("r").and_then(|belief| belief.leaving), None);
+}
+
+/// A replica crashed with requests open and prompts kept, and was back under its id before its entry
+/// lapsed. What had been open stayed on its books, and nodes placed sessions there for prompts that it had
+/// lost. Cause: nothing that was learned was tied to the life that it was learned of.
+#[test]
+fn upsert_reborn_holds_nothing_of_before() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    let size = prompt(1, 1);
+    table.note_sent("r", 7, &size, WORK, CAPACITY, now);
+    let peer: NodeId = "n2".into();
+    let before = table.get("r").map(|belief| belief.tag).unwrap_or_default();
+    table.note_work(&peer, &[(before, WORK)], now);
+    if let Some(belief) = table.get_mut("r") {
+        belief.health.note_unreachable(now);
+        belief.note_pace(Duration::from_millis(10), Duration::from_millis(80));
+    }
+    table.upsert(life(2, 11), now);
+
+    // What still comes of the life before changes nothing of this one.
+    table.note_work(&peer, &[(before, WORK)], now);
+    let read = PromptRead {
+        replica: life(1, 10).life(),
+        parts: size.parts.clone(),
+    };
+    table.note_reads(&[read], |_| CAPACITY);
+    table.note_sent("r", 8, &prompt(2, 2), WORK, CAPACITY, now);
+    table.note_ended("r", 7, WORK, false);
+    let belief = table.get("r").expect("the replica is known");
+    assert_eq!(belief.all_work(now), WORK);
+    assert_eq!(belief.kept.leading(&size.parts[1..]), 0);
+    assert!(!belief.health.is_suspect(now));
+    assert!((belief.slowness - 1.0).abs() < f64::EPSILON);
+    assert!(table.working_on("r", 7).is_none());
+}
+
+/// News of the earlier life that was on its way when the next one registered must not end that one.
+#[test]
+fn upsert_reborn_late_news_of_before() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    table.upsert(life(2, 12), now);
+    table.vanish("r", 11, now);
+    assert_eq!(table.upsert(life(1, 10), now), EntryChange::None);
+    let belief = table.get("r").expect("the replica is known");
+    assert_eq!((belief.entry.born, belief.leaving), (2, None));
+}
+
+/// A node that the store does not serve learns from another that the first life is gone; the second life,
+/// which it knows, goes on.
+#[test]
+fn learn_gone_of_another_life() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(2, 12), now);
+    let gone = |born| ReplicaLife {
+        id: "r".into(),
+        born,
+    };
+    table.learn(Vec::new(), &[gone(1)], now);
+    assert_eq!(table.get("r").and_then(|belief| belief.leaving), None);
+    table.learn(Vec::new(), &[gone(2)], now);
+    let reason = table.get("r").and_then(|belief| belief.leaving);
+    assert_eq!(reason, Some(LeaveReason::EntryGone));
+}
+
+/// The same the other way round: the node saw the first life end and learns of the second.
+#[test]
+fn learn_next_life_of_one_that_ended() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    table.vanish("r", 11, now);
+    table.tick(now);
+    table.note_store_trouble(now);
+    table.learn(vec![life(1, 10)], &[], now);
+    assert!(table.get("r").is_none());
+    table.learn(vec![life(2, 12)], &[], now);
+    assert_eq!(table.get("r").map(|belief| belief.entry.born), Some(2));
+}
