--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -200,7 +200,18 @@
         let number = self.retired.len();
         let region = self.replicas[index].1;
         let id = format!("i-{region}-{index}-{number}");
-        let replica = StandReplica::start(&id, self.shape).await;
+        self.start_replica(index, &id).await;
+    }
+
+    /// Ends a replica and starts it again under its id; it knows nothing of before.
+    pub async fn restart_replica(&mut self, index: usize) {
+        let id = self.replicas[index].0.id.clone();
+        self.start_replica(index, &id).await;
+    }
+
+    async fn start_replica(&mut self, index: usize, id: &str) {
+        let region = self.replicas[index].1;
+        let replica = StandReplica::start(id, self.shape).await;
         self.links[index] = linked(&replica.address.to_string()).await;
         let old = std::mem::replace(&mut self.replicas[index].0, replica);
         self.retired.push((region, old.sight()));
--- a/crates/zinniahatch_lab/src/soak/faults.rs
+++ b/crates/zinniahatch_lab/src/soak/faults.rs
@@ -195,11 +195,10 @@
             SoakFault::LinkSlow(index, _)
             | SoakFault::LinkLosesRequests(index)
             | SoakFault::LinkLosesAnswers(index) => site.link(index).restore(),
-            // A replica that said that it is leaving never takes it back; its successor has a new id.
             SoakFault::ReplicaDrains(index) => {
                 self.check_left(site, index, planned, book);
                 self.leaving.remove(&index);
-                site.replace_replica(index).await;
+                site.restart_replica(index).await;
             }
             SoakFault::ReplicaVanishes(index) => {
                 self.check_left(site, index, planned, book);
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -56,7 +56,7 @@
     LinkMute(usize),
     /// A replica ends, and another one takes its place.
     ReplicaReplaced(usize),
-    /// A replica says that it is leaving, and another one takes its place at the end.
+    /// A replica says that it is leaving, and starts again under its id at the end.
     ReplicaDrains(usize),
     /// A replica's entry vanishes without a word, and is back at the end.
     ReplicaVanishes(usize),
--- a/crates/zinniahatch_lab/src/stand/replica.rs
+++ b/crates/zinniahatch_lab/src/stand/replica.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -72,8 +74,10 @@
 /// A running replica; it ends when this is dropped.
 #[derive(Debug)]
 pub struct StandReplica {
-    /// The id of this start.
+    /// Its id, which a later start may bear again.
     pub id: Box<str>,
+    /// When it started, in Unix milliseconds.
+    pub born: u64,
     /// Where it listens.
     pub address: SocketAddrV4,
     state: Arc<Mutex<ReplicaState>>,
@@ -106,6 +110,7 @@
         });
         Self {
             id: id.into(),
+            born: unix_millis(),
             address,
             state,
             task,
@@ -131,11 +136,16 @@
     pub fn entry_at(&self, address: &str, service: &str, zone: &str, state: &str) -> String {
         serde_json::json!({"service": service, "address": address,
             "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
-            "sequence": 1})
+            "sequence": 1, "born": self.born})
         .to_string()
     }
 }
 
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 impl Drop for StandReplica {
     fn drop(&mut self) {
         self.task.abort();
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -22,9 +22,13 @@
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
 }
 
-/// Two losses of one link overlapped, and the relay of the lab delivered a stream with a hole in the
+/// In 122, two losses of one link overlapped, and the relay of the lab delivered a stream with a hole in the
 /// middle, which no connection does: events 1 to 3, then 8 to 20.
+///
+/// In 131, replicas that had said that they leave started again under their ids and got nothing any more:
+/// with two data centres evacuated nobody was left, and 433 of 917 calls were refused.
 #[test_case(122; "losses_of_one_link_overlap")]
+#[test_case(131; "replicas_start_again_under_their_ids")]
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_that_failed(seed: u64) {
     let soak = SoakRun {
