Count losses by cause from the decision logs: zinniactl losses

Now: end lines bear route, goal, limit of pauses and events; 'zinniactl losses' counts requests by route, region, window and cause.

--- a/crates/zinniahatch_ctl/src/args.rs
+++ b/crates/zinniahatch_ctl/src/args.rs
@@ -1,6 +1,7 @@
 //! Arguments.
 
 use crate::site_args::ExplainArgs;
+use crate::site_args::LossesArgs;
 use crate::site_args::SiteArgs;
 use argh::FromArgs;
 
@@ -33,6 +34,7 @@
     Digest(DigestArgs),
     Site(SiteArgs),
     Explain(ExplainArgs),
+    Losses(LossesArgs),
 }
 
 /// the configuration and its changes
--- a/crates/zinniahatch_ctl/src/commands.rs
+++ b/crates/zinniahatch_ctl/src/commands.rs
@@ -15,6 +15,7 @@
 use crate::directory_of_parts::compare;
 use crate::directory_of_parts::read_parts;
 use crate::explain;
+use crate::losses;
 use crate::report;
 use crate::site;
 use crate::table::render;
@@ -45,6 +46,7 @@
     match command {
         CtlCommand::Site(args) => site::run(&format, args).await,
         CtlCommand::Explain(args) => explain::run(&args),
+        CtlCommand::Losses(args) => losses::run(&args),
         CtlCommand::Digest(digest) => Ok(format!("{}\n", digest_text(&digest.text))),
         CtlCommand::Config(config) => match config.command {
             ConfigCommand::Check(check) => {
--- a/crates/zinniahatch_ctl/src/explain.rs
+++ b/crates/zinniahatch_ctl/src/explain.rs
@@ -1,10 +1,10 @@
 //! The story of one request, told from the decision logs of several nodes.
 
 use crate::CtlError;
+use crate::log_lines::LogLine;
+use crate::log_lines::read_logs;
 use crate::site_args::ExplainArgs;
-use serde_json::Map;
 use serde_json::Value;
-use std::io::Read;
 use zinniahatch_base::ResultCode;
 
 /// Time around a request, in ms, in which changes of belief are shown with it.
@@ -33,65 +33,15 @@
     "reload",
 ];
 
-/// One line of a log.
-#[derive(Clone, Debug)]
-struct LogLine {
-    time: u64,
-    node: String,
-    kind: String,
-    fields: Map<String, Value>,
-}
-
 /// Tells the story.
 pub(crate) fn run(args: &ExplainArgs) -> Result<String, CtlError> {
-    let mut lines = Vec::new();
-    if args.files.is_empty() {
-        let mut text = String::new();
-        std::io::stdin()
-            .read_to_string(&mut text)
-            .map_err(|error| CtlError::Refused(format!("standard input: {error}")))?;
-        read_lines(&text, &mut lines);
-    }
-    for file in &args.files {
-        let text = std::fs::read_to_string(file)
-            .map_err(|error| CtlError::Refused(format!("{file}: {error}")))?;
-        read_lines(&text, &mut lines);
-    }
-    lines.sort_by_key(|line| line.time);
-    tell(&args.request, &lines)
-}
-
-/// Reads the lines that are JSON objects of the decision log; a prefix before the object, such as
-/// a collector's time stamp, is passed over.
-fn read_lines(text: &str, lines: &mut Vec<LogLine>) {
-    for line in text.lines() {
-        let Some(start) = line.find('{') else {
-            continue;
-        };
-        let Ok(Value::Object(mut fields)) = serde_json::from_str(&line[start..]) else {
-            continue;
-        };
-        let time = fields.remove("time_ms").and_then(|time| time.as_u64());
-        let mut text = |key: &str| {
-            let value = fields.remove(key)?;
-            value.as_str().map(str::to_owned)
-        };
-        let (Some(time), Some(node), Some(kind)) = (time, text("node"), text("kind")) else {
-            continue;
-        };
-        lines.push(LogLine {
-            time,
-            node,
-            kind,
-            fields,
-        });
-    }
+    tell(&args.request, &read_logs(&args.files)?)
 }
 
 fn tell(request: &str, lines: &[LogLine]) -> Result<String, CtlError> {
     let own: Vec<&LogLine> = lines
         .iter()
-        .filter(|line| line.fields.get("request").and_then(Value::as_str) == Some(request))
+        .filter(|line| line.text("request") == Some(request))
         .collect();
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         return Err(CtlError::Refused(format!(
--- a/crates/zinniahatch_ctl/src/lib.rs
+++ b/crates/zinniahatch_ctl/src/lib.rs
@@ -6,6 +6,8 @@
 mod directory_of_parts;
 mod error;
 mod explain;
+mod log_lines;
+mod losses;
 mod report;
 mod site;
 mod site_args;
--- a/crates/zinniahatch_ctl/src/site_args.rs
+++ b/crates/zinniahatch_ctl/src/site_args.rs
@@ -50,3 +50,21 @@
     #[argh(positional)]
     pub(crate) files: Vec<String>,
 }
+
+/// count what was not answered whole and in time, by cause, from the decision logs of all nodes
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "losses")]
+pub(crate) struct LossesArgs {
+    /// what to count by, of: route, region, window, cause (default: route,region,cause)
+    #[argh(option, default = "String::from(\"route,region,cause\")")]
+    pub(crate) by: String,
+    /// seconds of a window (default: 2)
+    #[argh(option, default = "2")]
+    pub(crate) window: u64,
+    /// table, json or csv (default: table)
+    #[argh(option, default = "String::from(\"table\")")]
+    pub(crate) format: String,
+    /// log files of all nodes; none reads the standard input
+    #[argh(positional)]
+    pub(crate) files: Vec<String>,
+}
--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -185,7 +185,8 @@
             course.region = None;
             core.log.write(
                 "placed",
-                serde_json::json!({"request": call.attempt, "route": plan.route.name,
+                serde_json::json!({"request": call.attempt, "direct": call.is_direct(),
+                    "route": plan.route.name, "tokens_in": call.size.tokens_in,
                     "service": plan.service, "replica": choice.replica, "version": plan.version,
                     "expected_ms": choice.expected.as_millis() as u64,
                     "wait_ms": choice.wait.as_millis() as u64,
@@ -198,8 +199,9 @@
             course.region = Some(choice.region.clone());
             core.log.write(
                 "away",
-                serde_json::json!({"request": call.attempt, "route": plan.route.name,
-                    "service": plan.service, "node": choice.node, "region": choice.region,
+                serde_json::json!({"request": call.attempt, "direct": call.is_direct(),
+                    "route": plan.route.name, "tokens_in": call.size.tokens_in,
+                    "service": plan.service, "to": choice.node, "region": choice.region,
                     "expected_ms": choice.expected.as_millis() as u64,
                     "version": plan.version, "sends": course.sends}),
             );
--- a/crates/zinniahatch_entry/src/relay.rs
+++ b/crates/zinniahatch_entry/src/relay.rs
@@ -35,6 +35,8 @@
     pub(crate) pause: Duration,
     /// When the last event came.
     pub(crate) last: Option<Instant>,
+    /// Pieces passed on so far, about one for each event.
+    pub(crate) events: u32,
 }
 
 /// Why a stream stopped.
@@ -107,10 +109,13 @@
         let millis = |time: Duration| time.as_millis() as u64;
         self.core.log.write(
             "stream-end",
-            serde_json::json!({"request": self.call.attempt, "result": result.number(),
-                "end": format!("{end:?}"), "sends": self.course.sends,
+            serde_json::json!({"request": self.call.attempt, "direct": self.call.is_direct(),
+                "route": self.plan.route.name, "result": result.number(),
+                "end": format!("{end:?}"), "sends": self.course.sends, "events": self.events,
                 "first_ms": self.first.map(millis), "pause_ms": millis(self.pause),
-                "took_ms": millis(self.call.arrived.elapsed())}),
+                "took_ms": millis(self.call.arrived.elapsed()),
+                "goal_ms": millis(self.plan.route.goal),
+                "pause_limit_ms": millis(self.plan.route.pause_limit)}),
         );
         if *end != RelayEnd::Whole {
             // The caller has left or reads no more where this fails; the channel ends anyway.
@@ -122,6 +127,7 @@
     /// Notes that an event goes on to the caller.
     fn note_event(&mut self) {
         let now = Instant::now();
+        self.events += 1;
         if let Some(last) = self.last.replace(now) {
             self.pause = self.pause.max(now.saturating_duration_since(last));
             return;
