--- a/crates/zinniahatch_entry/src/open_call.rs
+++ b/crates/zinniahatch_entry/src/open_call.rs
@@ -25,6 +25,8 @@
     pub(crate) urgent: bool,
     pub(crate) cold: bool,
     pub(crate) first_seen: bool,
+    /// Whether the answer is a stream of an engine, whose pauses tell of its load.
+    pub(crate) streams: bool,
 }
 
 /// A request on its way; however it ends, the books are put right when this is dropped.
@@ -35,6 +37,8 @@
     pub(crate) note: Option<ReplicaNote>,
     service: ServiceId,
     sent_at: Instant,
+    /// When the last bytes of the answer came.
+    heard_at: Option<Instant>,
     pub(crate) channel: Option<BackendChannel>,
 }
 
@@ -47,6 +51,7 @@
             note: None,
             service: service.clone(),
             sent_at: Instant::now(),
+            heard_at: None,
             channel: None,
         }
     }
@@ -92,11 +97,18 @@
             return;
         };
         let now = Instant::now();
+        let before = self.heard_at.replace(now);
         let mut replicas = self.core.replicas.borrow_mut();
         let Some(belief) = replicas.working_on(&note.replica, note.ticket) else {
             return;
         };
         belief.health.note_heard(now);
+        if let Some(before) = before
+            && note.streams
+        {
+            let pause = now.saturating_duration_since(before);
+            replicas.note_pause(&note.replica, note.ticket, pause, now);
+        }
         if note.first_seen {
             return;
         }
--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -17,6 +17,7 @@
 use zinniahatch_route::PlaceAsk;
 use zinniahatch_route::ServingPreset;
 use zinniahatch_route::Verdict;
+use zinniahatch_route::away_share;
 use zinniahatch_route::choose_away;
 use zinniahatch_route::choose_local;
 
@@ -88,7 +89,9 @@
         && admitted
         && !late
     {
-        return NextPlace::Local(choice.clone());
+        let faster = find_faster(core, call, plan, course, &ask, choice, &preset, now);
+        let faster = faster.filter(|away| rule.judge(away.expected, away.wait) == Verdict::Admit);
+        return faster.map_or_else(|| NextPlace::Local(choice.clone()), NextPlace::Away);
     }
     let mut slow_away = None;
     if call.is_direct()
@@ -113,6 +116,26 @@
     }
 }
 
+/// Finds a region that generates an answer faster, for the share of the streams that should go there.
+#[expect(clippy::too_many_arguments, reason = "trial")]
+fn find_faster(
+    core: &EntryCore,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+    course: &CallCourse,
+    ask: &PlaceAsk<'_>,
+    here: &LocalChoice,
+    preset: &ServingPreset,
+    now: Instant,
+) -> Option<AwayChoice> {
+    if !call.is_direct() || here.answer.is_zero() {
+        return None;
+    }
+    let away = find_away(core, plan, course, ask, now)?;
+    let share = away_share(here.whole(), away.whole(), preset.away_gain);
+    rand::random_bool(share).then_some(away)
+}
+
 fn find_away(
     core: &EntryCore,
     plan: &CallPlan,
@@ -189,6 +212,7 @@
                     "route": plan.route.name, "tokens_in": call.size.tokens_in,
                     "service": plan.service, "replica": choice.replica, "version": plan.version,
                     "expected_ms": choice.expected.as_millis() as u64,
+                    "answer_ms": choice.answer.as_millis() as u64,
                     "wait_ms": choice.wait.as_millis() as u64,
                     "tokens": choice.tokens, "copy_from": choice.copy_from,
                     "cold": choice.cold, "sends": course.sends}),
@@ -203,6 +227,7 @@
                     "route": plan.route.name, "tokens_in": call.size.tokens_in,
                     "service": plan.service, "to": choice.node, "region": choice.region,
                     "expected_ms": choice.expected.as_millis() as u64,
+                    "answer_ms": choice.answer.as_millis() as u64,
                     "version": plan.version, "sends": course.sends}),
             );
         }
--- a/crates/zinniahatch_entry/src/relay.rs
+++ b/crates/zinniahatch_entry/src/relay.rs
@@ -85,6 +85,7 @@
             open = next;
         };
         if end == RelayEnd::Whole {
+            self.note_length();
             open.finish(true);
         } else {
             drop(open);
@@ -124,6 +125,14 @@
         drop(self.guard);
     }
 
+    /// Learns how long answers are, from one that did not begin in the middle.
+    fn note_length(&self) {
+        if self.call.last_event.is_none() {
+            let mut replicas = self.core.replicas.borrow_mut();
+            replicas.note_length(&self.plan.service, &self.call.size, self.events);
+        }
+    }
+
     /// Notes that an event goes on to the caller.
     fn note_event(&mut self) {
         let now = Instant::now();
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -24,6 +24,8 @@
         pub sound: u16,
         /// Expected wait at the best of them, in ms.
         pub wait_ms: u32,
+        /// Pause between the events of a stream there, in us; 0 where none was seen.
+        pub pause_us: u32,
     }
 
     /// How far a node is between its start and its end.
@@ -275,6 +277,13 @@
         now: Instant,
     ) -> Self {
         let (sound, wait_ms) = crate::placement::digest_of(table, regions, service, region, now);
-        Self { sound, wait_ms }
+        let pause = table
+            .stream_model(service)
+            .map_or(Duration::ZERO, |model| model.region_pause(now));
+        Self {
+            sound,
+            wait_ms,
+            pause_us: pause.as_micros() as u32,
+        }
     }
 }
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::PromptSize;
 use crate::ReplicaBelief;
 use crate::ReplicaTable;
+use crate::StreamModel;
 use crate::prompt::session_rank;
 use std::cmp::Reverse;
 use zinniahatch_base::prelude::*;
@@ -87,6 +88,8 @@
     pub wait: Duration,
     /// The part of the wait that is for a slot.
     pub queue: Duration,
+    /// Expected time from the first event to the last.
+    pub answer: Duration,
     /// Tokens that the replica must read for this request.
     pub tokens: u32,
     /// Whether the replica is cold.
@@ -106,6 +109,22 @@
     pub expected: Duration,
     /// The part of it that is spent waiting for others there.
     pub wait: Duration,
+    /// Expected time from the first event to the last.
+    pub answer: Duration,
+}
+
+impl LocalChoice {
+    /// Gives the expected time to the last event.
+    pub fn whole(&self) -> Duration {
+        self.expected + self.answer
+    }
+}
+
+impl AwayChoice {
+    /// Gives the expected time to the last event.
+    pub fn whole(&self) -> Duration {
+        self.expected + self.answer
+    }
 }
 
 /// Where a request was sent away to already.
@@ -170,6 +189,7 @@
             expected,
             wait: wait.mul_f64(pace),
             queue: queue.mul_f64(pace),
+            answer: answer_time(table, belief, ask, now),
             tokens: prompt.tokens,
             cold,
             copy_from: prompt.copy_from,
@@ -179,6 +199,20 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Gives the expected time from the first event to the last on a replica.
+fn answer_time(
+    table: &ReplicaTable,
+    belief: &ReplicaBelief,
+    ask: &PlaceAsk<'_>,
+    now: Instant,
+) -> Duration {
+    let Some(model) = table.stream_model(ask.service) else {
+        return Duration::ZERO;
+    };
+    let events = model.events(ask.size.asked_out());
+    model.replica_pause(&belief.pace, now).mul_f64(events)
+}
+
 /// How a replica would come by the tokens of a prompt.
 struct PromptPlan {
     /// Tokens that it reads.
@@ -301,7 +335,7 @@
     (ids(ranked, CHOICES), ids(others, OUTSIDERS))
 }
 
-/// Chooses the region in which an answer would begin first, and a node there.
+/// Chooses the region in which an answer would end first, and a node there.
 ///
 /// `pick` is a random number; nodes of one region share the load evenly.
 pub fn choose_away(
@@ -314,6 +348,9 @@
     now: Instant,
 ) -> Option<AwayChoice> {
     let model = table.model_of(ask.service);
+    let streams = table.stream_model(ask.service);
+    let events = streams.map_or(0.0, |streams| streams.events(ask.size.asked_out()));
+    let idle = streams.map_or(Duration::ZERO, StreamModel::idle_pause);
     let mut best: Option<AwayChoice> = None;
     for (region, nodes) in members.live_elsewhere(ask.region, now) {
         if tried.regions.contains(&region) || (!allowed.is_empty() && !allowed.contains(&region)) {
@@ -333,9 +370,11 @@
         let (card, digest) = able[(pick % able.len() as u64) as usize];
         let wait = Duration::from_millis(u64::from(digest.wait_ms));
         let expected = members.round_trip(&card.node) + wait + model.expect(ask.size.tokens_in);
+        let pause = Duration::from_micros(u64::from(digest.pause_us)).max(idle);
+        let answer = pause.mul_f64(events);
         if best
             .as_ref()
-            .is_some_and(|least| least.expected <= expected)
+            .is_some_and(|least| least.whole() <= expected + answer)
         {
             continue;
         }
@@ -344,6 +383,7 @@
             region,
             expected,
             wait,
+            answer,
         });
     }
     best
--- a/crates/zinniahatch_route/src/prompt.rs
+++ b/crates/zinniahatch_route/src/prompt.rs
@@ -20,11 +20,22 @@
     pub tokens_in: u32,
     /// Tokens to generate at most.
     pub tokens_out: u32,
+    /// Tokens that the caller expects; 0 where it does not say.
+    pub expected_out: u32,
     /// The parts in order; the last belongs to the request itself or to its session.
     pub parts: Vec<PromptPart>,
 }
 
 impl PromptSize {
+    /// Gives the tokens that the answer may be expected to have.
+    pub fn asked_out(&self) -> u32 {
+        if self.expected_out > 0 {
+            self.expected_out
+        } else {
+            self.tokens_out
+        }
+    }
+
     /// Gives the key that requests with the same shared parts have in common.
     pub fn session(&self) -> Option<u64> {
         let shared = self.parts.len().checked_sub(2)?;
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -4,10 +4,12 @@
 use crate::HealthRecord;
 use crate::KeptParts;
 use crate::OpenWork;
+use crate::PaceMeter;
 use crate::PromptRead;
 use crate::PromptSize;
 use crate::ReplicaEntry;
 use crate::ReplicaLife;
+use crate::StreamModel;
 use std::net::SocketAddrV4;
 use zinniahatch_base::prelude::*;
 
@@ -72,6 +74,8 @@
     pub kept: KeptParts,
     /// What answers say of its health.
     pub health: HealthRecord,
+    /// The pauses between the events of its streams.
+    pub pace: PaceMeter,
     /// Its time against what its service's model expects; 1 is as expected.
     pub slowness: f64,
     /// Start of each own request that waits for its first byte, by a number of the node's.
@@ -94,6 +98,7 @@
             reported: None,
             kept: KeptParts::default(),
             health: HealthRecord::new(now),
+            pace: PaceMeter::new(now),
             slowness: 1.0,
             open: BTreeMap::new(),
             entry: entry.clone(),
@@ -182,6 +187,7 @@
 pub struct ReplicaTable {
     rows: BTreeMap<ReplicaId, ReplicaBelief>,
     models: BTreeMap<ServiceId, FirstEventModel>,
+    streams: BTreeMap<ServiceId, StreamModel>,
     evacuated: BTreeSet<DataCentreId>,
     reads: Vec<PromptRead>,
     /// The lives that have ended, by the replica's id.
@@ -410,6 +416,31 @@
             .unwrap_or_else(|| FirstEventModel::new(PRIOR_BASE_MS))
     }
 
+    /// Gives what is known of the streams of a service; none before the first.
+    pub fn stream_model(&self, service: &str) -> Option<&StreamModel> {
+        self.streams.get(service)
+    }
+
+    /// Notes the pause before an event of a stream.
+    pub fn note_pause(&mut self, id: &str, ticket: u64, pause: Duration, now: Instant) {
+        let Some(belief) = self.rows.get_mut(id) else {
+            return;
+        };
+        if !belief.open.contains_key(&ticket) {
+            return;
+        }
+        let streams = self.streams.entry(belief.entry.service.clone());
+        let model = streams.or_insert_with(|| StreamModel::new(now));
+        model.note_pause(&mut belief.pace, pause, now);
+    }
+
+    /// Notes the length of a whole stream.
+    pub fn note_length(&mut self, service: &ServiceId, size: &PromptSize, events: u32) {
+        if let Some(model) = self.streams.get_mut(service) {
+            model.note_length(size.asked_out(), events);
+        }
+    }
+
     /// Notes that a request goes out; `ticket` is a number of the node's own.
     pub fn note_sent(
         &mut self,
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -93,6 +93,7 @@
     PromptSize {
         tokens_in: 2_000 + 4_000 + 3_000,
         tokens_out: 50,
+        expected_out: 0,
         parts: vec![
             PromptPart {
                 tag: 1,
@@ -158,6 +159,14 @@
         version: 1,
         preset: 0,
         sighted: true,
-        services: [(tag_of("s"), ServiceDigest { sound, wait_ms })].into(),
+        services: [(
+            tag_of("s"),
+            ServiceDigest {
+                sound,
+                wait_ms,
+                pause_us: 0,
+            },
+        )]
+        .into(),
     }
 }
