Let a node that has just started wait for what it must know before it refuses

Change: such a request waits for the news, an eighth of its time and a second at most; then it is refused with the time to come back as before. Cards go every 100 ms in the first two seconds of a process. Ruled out: a slow listing (one round trip to the store).

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -68,7 +68,9 @@
     pub(crate) metrics: EntryMetrics,
     pub(crate) phase: watch::Sender<StopPhase>,
     /// Whether the replicas have been listed, from the store or a peer.
-    pub(crate) listed: Cell<bool>,
+    listed: Cell<bool>,
+    /// Told when this node learned the desired state, the replicas, or of another node.
+    pub(crate) learned: Notify,
     /// Requests in progress.
     pub(crate) open_calls: Cell<usize>,
     tickets: Cell<u64>,
@@ -109,6 +111,7 @@
             metrics,
             phase: watch::Sender::new(StopPhase::Serving),
             listed: Cell::new(false),
+            learned: Notify::new(),
             open_calls: Cell::new(0),
             tickets: Cell::new(0),
             settings,
@@ -132,11 +135,26 @@
         self.stage() == MemberStage::Ready
     }
 
+    /// Tells whether the desired state and the replicas are known.
+    pub(crate) fn knows(&self) -> bool {
+        self.is_listed() && self.desired.borrow().is_some()
+    }
+
+    /// Tells whether the replicas have been listed, from the store or a peer.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.listed.get()
+    }
+
+    /// Notes that the replicas have been listed.
+    pub(crate) fn note_listed(&self) {
+        self.listed.set(true);
+        self.learned.notify_waiters();
+    }
+
     /// Tells how far this node is between its start and its end, as the others are told.
     pub(crate) fn stage(&self) -> MemberStage {
-        let knows = self.listed.get() && self.desired.borrow().is_some();
         match self.phase() {
-            _ if !knows => MemberStage::Starting,
+            _ if !self.knows() => MemberStage::Starting,
             StopPhase::Serving => MemberStage::Ready,
             StopPhase::Leaving => MemberStage::Leaving,
             StopPhase::PlainOnly => MemberStage::PlainOnly,
@@ -164,6 +182,7 @@
         );
         *self.routes.borrow_mut() = Rc::new(RouteTable::new(&state));
         *self.desired.borrow_mut() = Some(Rc::new(state));
+        self.learned.notify_waiters();
         true
     }
 
--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Datagrams between nodes: who lives, what each region can take, and who has work where.
 
 use crate::accounts::note_death;
+use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
 use crate::news::ReplicaNews;
 use crate::news::take_replica_news;
@@ -25,6 +26,9 @@
 const NEAR_PAUSE_EACH: Duration = Duration::from_millis(2);
 /// Pause between cards; three are lost before a node counts as silent.
 const CARD_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between cards while a node gets to know the others. Until it heard of one in another region it
+/// turned away what its own could not serve.
+const START_PAUSE: Duration = Duration::from_millis(100);
 /// Largest datagram that is read.
 const LARGEST: usize = 8 << 10;
 /// News in a datagram at most: about 60 bytes each, within one packet.
@@ -76,7 +80,7 @@
     let start = Instant::now();
     let mut echoes = EchoTable::new();
     let mut near = interval(NEAR_PAUSE);
-    let mut cards = interval(CARD_PAUSE);
+    let mut cards = interval(START_PAUSE);
     near.set_missed_tick_behavior(MissedTickBehavior::Delay);
     cards.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; LARGEST];
@@ -102,6 +106,11 @@
             _ = cards.tick() => {
                 whole = true;
                 tell_cards(&core, &socket, &echoes, start).await;
+                if cards.period() != CARD_PAUSE && core.started.elapsed() >= ACQUAINT_TIME {
+                    cards = interval(CARD_PAUSE);
+                    cards.set_missed_tick_behavior(MissedTickBehavior::Delay);
+                    cards.reset();
+                }
             }
         }
     }
@@ -252,6 +261,7 @@
         note_death(core, &node, incarnation);
     }
     if fresh {
+        core.learned.notify_waiters();
         core.log.write(
             "member",
             serde_json::json!({"member": node, "region": region, "stage": stage}),
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod serve;
 mod services;
 mod snapshot;
+mod starting;
 mod watch;
 
 pub use channel::AnswerHead;
--- a/crates/zinniahatch_entry/src/news.rs
+++ b/crates/zinniahatch_entry/src/news.rs
@@ -91,7 +91,7 @@
             for (entry, change) in changes {
                 note_change(core, &entry, change);
             }
-            core.listed.set(true);
+            core.note_listed();
         }
         WatchTopic::Preset => {}
     }
--- a/crates/zinniahatch_entry/src/serve.rs
+++ b/crates/zinniahatch_entry/src/serve.rs
@@ -19,6 +19,8 @@
 use crate::plan::CallPlan;
 use crate::received::ReceivedCall;
 use crate::refusal::own_answer;
+use crate::starting::await_members;
+use crate::starting::await_rules;
 use http::Response;
 use std::rc::Rc;
 use tokio::time::timeout_at;
@@ -37,6 +39,7 @@
 
 /// Serves a request.
 pub(crate) async fn serve(core: &Rc<EntryCore>, call: ReceivedCall) -> Response<AnswerBody> {
+    await_rules(core, &call).await;
     let plan = match CallPlan::new(core, &call) {
         Ok(plan) => Rc::new(plan),
         Err(code) => return unrouted(core, &call, code),
@@ -112,6 +115,12 @@
             let (core, call) = (self.core, &self.call);
             let first = self.course.sends == 0;
             let place = next_place(core, call, &self.plan, &self.course, first);
+            if matches!(place, NextPlace::Refuse(ResultCode::NoBackend, _))
+                && first
+                && await_members(core, call).await
+            {
+                continue;
+            }
             if let NextPlace::Refuse(code, after) = place {
                 let hint = self.course.retry_hint.unwrap_or(after);
                 return self.give_up((code, Some(self.plan.cap_retry(hint))));
--- a/crates/zinniahatch_entry/src/snapshot.rs
+++ b/crates/zinniahatch_entry/src/snapshot.rs
@@ -67,7 +67,7 @@
     }
     core.adopt_preset(snapshot.preset, "peer");
     let mut replicas = core.replicas.borrow_mut();
-    let first = !core.listed.get();
+    let first = !core.is_listed();
     replicas.learn(snapshot.replicas, &snapshot.gone, now);
     if first {
         replicas.set_evacuated(snapshot.evacuated);
@@ -75,7 +75,7 @@
     let any = replicas.rows().next().is_some();
     drop(replicas);
     if any {
-        core.listed.set(true);
+        core.note_listed();
     }
     true
 }
