--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -260,8 +260,9 @@
     {
         note_death(core, &node, incarnation);
     }
+    // A node that was heard of while it started tells by a later card that it is ready now.
+    core.learned.notify_waiters();
     if fresh {
-        core.learned.notify_waiters();
         core.log.write(
             "member",
             serde_json::json!({"member": node, "region": region, "stage": stage}),
