Give the engines the route's priority in three steps

Cause: engines knew two ranks, so that short verdicts (priority 1) waited behind the longest prompts (priority 2).

--- a/crates/zinniahatch_entry/src/plan.rs
+++ b/crates/zinniahatch_entry/src/plan.rs
@@ -102,7 +102,7 @@
         Ok(Self {
             version: routes.version(),
             deadline: call.arrived + left,
-            rank: engine.then_some(if urgent { URGENT_RANK } else { COMMON_RANK }),
+            rank: engine.then_some((URGENT_RANK + route.priority).min(COMMON_RANK)),
             urgent,
             cold_bound: core.cold_bound(spec.cold_rate),
             most_sends,
