--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -93,7 +93,7 @@
             .is_direct()
             .then(|| find_faster(core, plan, course, &ask, choice, preset.away_gain, now))
             .flatten()
-            .filter(|away| judge_away(&rule, away) == Verdict::Admit);
+            .filter(|away| rule.is_in_time(away.expected, away.trip));
         return faster.map_or_else(|| NextPlace::Local(choice.clone()), NextPlace::Away);
     }
     let mut slow_away = None;
--- a/crates/zinniahatch_route/src/admission.rs
+++ b/crates/zinniahatch_route/src/admission.rs
@@ -50,8 +50,7 @@
             return Verdict::Refuse(self.retry_after(wait));
         }
         let goal = self.goal.mul_f64(self.favour);
-        let left = goal.saturating_sub(self.spent + trip);
-        let in_time = expected.saturating_sub(trip) <= left.mul_f64(self.goal_margin);
+        let in_time = self.is_in_time(expected, trip);
         let fair = wait <= goal.mul_f64(self.least_wait);
         if in_time || fair {
             return Verdict::Admit;
@@ -59,6 +58,13 @@
         Verdict::Refuse(self.retry_after(wait.saturating_sub(goal.mul_f64(self.least_wait))))
     }
 
+    /// Tells whether the first event is expected well within the goal.
+    pub fn is_in_time(&self, expected: Duration, trip: Duration) -> bool {
+        let goal = self.goal.mul_f64(self.favour);
+        let left = goal.saturating_sub(self.spent + trip);
+        expected.saturating_sub(trip) <= left.mul_f64(self.goal_margin)
+    }
+
     /// Gives the time after which the request can probably be admitted.
     pub fn retry_after(&self, over: Duration) -> Duration {
         let most = self.left.mul_f64(RETRY_PART);
