--- a/crates/zinniahatch_lab/tests/site.rs
+++ b/crates/zinniahatch_lab/tests/site.rs
@@ -431,3 +431,28 @@
     let answer = site.call(0, "/plain/x", "g1").send().await.unwrap();
     assert_eq!(answer.status(), StatusCode::OK);
 }
+
+/// All entry VMs lost power; their callers came back with the power, and for the moment in which a node reads
+/// the store each was refused with its last retry. Here the store takes 150 ms for each call, so that a
+/// fresh node never knows its routes when the first caller comes; of three starts one at least serves that one.
+#[tokio::test(flavor = "multi_thread")]
+async fn serve_the_first_caller_of_a_start() {
+    let mut site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    site.switch
+        .set(ServiceMode::Slow(Duration::from_millis(150)));
+    let mut served = 0;
+    for start in 0..3 {
+        site.kill(0);
+        site.spawn(0);
+        let attempt = format!("early-{start}");
+        let mut answer = None;
+        wait_until("the node listens", async || {
+            answer = site.call(0, "/plain/x", &attempt).send().await.ok();
+            answer.is_some()
+        })
+        .await;
+        let status = answer.map(|answer| answer.status());
+        served += usize::from(status == Some(StatusCode::OK));
+    }
+    assert!(served > 0, "every first caller was refused");
+}
