Take the memory that requests hold out of placement again

What fills the engines' memory there is not what requests hold at the time of placement; the cause of the preemptions is open.

--- a/crates/zinniahatch_entry/src/call.rs
+++ b/crates/zinniahatch_entry/src/call.rs
@@ -115,7 +115,6 @@
         tokens: choice.tokens,
         urgent_requests: u32::from(plan.urgent),
         urgent_tokens: if plan.urgent { choice.tokens } else { 0 },
-        held_tokens: call.size.held_tokens(),
     };
     replicas.note_sent(
         &choice.replica,
--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -65,7 +65,6 @@
         urgent: plan.urgent,
         tried: &course.tried,
         deadline: plan.deadline.saturating_duration_since(now),
-        memory: plan.spec.kv_tokens,
         copy_token: plan.spec.copy_token,
         cold_bound: plan.cold_bound,
         draw: rand::random(),
--- a/crates/zinniahatch_route/src/open_work.rs
+++ b/crates/zinniahatch_route/src/open_work.rs
@@ -19,8 +19,6 @@
         pub tokens: u32,
         /// The part of these tokens that urgent requests brought.
         pub urgent_tokens: u32,
-        /// Tokens of memory that the requests hold until they end: their prompts, and what is generated.
-        pub held_tokens: u32,
     }
 }
 
@@ -49,13 +47,11 @@
     pub(crate) fn add_requests(&mut self, other: Self) {
         self.requests += other.requests;
         self.urgent_requests += other.urgent_requests;
-        self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
     }
 
     pub(crate) fn take_requests(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.urgent_requests = self.urgent_requests.saturating_sub(other.urgent_requests);
-        self.held_tokens = self.held_tokens.saturating_sub(other.held_tokens);
     }
 
     pub(crate) fn add_tokens(&mut self, other: Self) {
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -7,7 +7,6 @@
 
 use crate::ColdGate;
 use crate::MemberTable;
-use crate::OpenWork;
 use crate::PromptSize;
 use crate::ReplicaBelief;
 use crate::ReplicaTable;
@@ -73,8 +72,6 @@
     pub tried: &'a BTreeSet<ReplicaId>,
     /// The longest time that the answer may take in all.
     pub deadline: Duration,
-    /// Tokens that a replica's memory holds; 0 for plain services.
-    pub memory: u64,
     /// Time to copy one kept token between replicas; zero where they cannot.
     pub copy_token: Duration,
     /// Bound of a cold replica over all nodes, requests a second.
@@ -176,13 +173,12 @@
         let work = belief.all_work(now);
         let prompt = prompt_plan(belief, keeper.as_ref(), ask);
         let slots = f64::from(belief.entry.slots.max(1));
-        let queue = slot_wait(f64::from(work.holding(ask.urgent)), slots, model.hold())
-            .max(memory_wait(&work, ask, model.hold()));
+        let queue = slot_wait(f64::from(work.holding(ask.urgent)), slots, model.hold());
         let wait = model.waiting(work.ahead(ask.urgent)) + queue;
         let pace = belief.slowness.max(LEAST_SLOWNESS);
         let expected = (model.expect(prompt.tokens) + wait).mul_f64(pace) + prompt.copying;
         let mut score = expected.as_secs_f64() * 1e3 + failure_penalty(belief, now);
-        let fill = (f64::from(work.requests) / slots).max(memory_fill(&work, ask.memory));
+        let fill = f64::from(work.requests) / slots;
         score += fill * fill * FULL_PENALTY_MS;
         let hold_up = model.reading(prompt.tokens) * work.requests;
         score += hold_up.mul_f64(HOLD_UP_PART).as_secs_f64() * 1e3;
@@ -301,33 +297,6 @@
     hold.mul_f64((over / slots).max(0.5 / slots))
 }
 
-/// Gives the part of a replica's memory that its requests hold.
-fn memory_fill(work: &OpenWork, memory: u64) -> f64 {
-    if memory == 0 {
-        return 0.0;
-    }
-    f64::from(work.held_tokens) / memory as f64
-}
-
-/// Gives the expected wait for memory: nothing while the request fits beside the others, then the part of a
-/// hold time in which enough of them end.
-///
-/// Load pattern: long prompts fill a replica's memory before its slots. The engine then puts the newest of
-/// the least urgent requests off in the middle of their streams and reads their prompts again: 4,173 times
-/// on a day of high load of 80 nodes.
-fn memory_wait(work: &OpenWork, ask: &PlaceAsk<'_>, hold: Duration) -> Duration {
-    if ask.memory == 0 || ask.urgent {
-        return Duration::ZERO;
-    }
-    let memory = ask.memory as f64;
-    let need = f64::from(ask.size.held_tokens());
-    let over = f64::from(work.held_tokens) + need - memory * SLOT_MARGIN;
-    if over <= 0.0 || work.held_tokens == 0 {
-        return Duration::ZERO;
-    }
-    hold.mul_f64(over / memory)
-}
-
 /// Tells whether a replica of a service in a region may get new work at all.
 fn takes_work(
     table: &ReplicaTable,
--- a/crates/zinniahatch_route/src/prompt.rs
+++ b/crates/zinniahatch_route/src/prompt.rs
@@ -36,11 +36,6 @@
         }
     }
 
-    /// Gives the tokens of memory that the request holds while it is worked on.
-    pub fn held_tokens(&self) -> u32 {
-        self.tokens_in.saturating_add(self.asked_out())
-    }
-
     /// Gives the key that requests with the same shared parts have in common.
     pub fn session(&self) -> Option<u64> {
         let shared = self.parts.len().checked_sub(2)?;
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -138,7 +138,6 @@
             urgent: false,
             tried: &self.tried,
             deadline: Duration::from_secs(5),
-            memory: 0,
             copy_token: self.copy_token,
             cold_bound: 6.0,
             draw: 1,
--- a/crates/zinniahatch_route/tests/lives.rs
+++ b/crates/zinniahatch_route/tests/lives.rs
@@ -18,7 +18,6 @@
     urgent_requests: 0,
     tokens: 500,
     urgent_tokens: 0,
-    held_tokens: 0,
 };
 const CAPACITY: u64 = 100_000;
 
--- a/crates/zinniahatch_route/tests/placement.rs
+++ b/crates/zinniahatch_route/tests/placement.rs
@@ -77,7 +77,6 @@
         tokens: 60_000,
         urgent_requests: 0,
         urgent_tokens: 0,
-        held_tokens: 0,
     };
     let second = choose(&table, &parts, now).unwrap();
     assert_ne!(second.replica, first);
--- a/crates/zinniahatch_route/tests/replay.rs
+++ b/crates/zinniahatch_route/tests/replay.rs
@@ -85,7 +85,6 @@
                     tokens: reads.iter().map(|(_, tokens)| tokens).sum(),
                     urgent_requests: 0,
                     urgent_tokens: 0,
-                    held_tokens: 0,
                 };
             }
         }
