--- a/crates/zinniahatch_entry/src/accounts.rs
+++ b/crates/zinniahatch_entry/src/accounts.rs
@@ -11,7 +11,6 @@
 use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
-use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::SystemTime;
@@ -22,13 +21,11 @@
 use zinniahatch_platform::PutOutcome;
 use zinniahatch_platform::StoreClient;
 use zinniahatch_report::ACCOUNTS_PREFIX;
-use zinniahatch_report::CountBook;
 use zinniahatch_report::CountKey;
 use zinniahatch_report::CountRow;
 use zinniahatch_report::CountSheet;
 use zinniahatch_report::DeskSheet;
 use zinniahatch_report::HourLedger;
-use zinniahatch_report::MergeDesk;
 use zinniahatch_report::MergeTask;
 
 /// Path at which the merger of a region takes counts.
@@ -58,25 +55,6 @@
     sheets: Vec<(u64, u64, CountSheet)>,
 }
 
-/// The counts of this node and, where it merges, of others.
-#[derive(Debug)]
-pub(crate) struct AccountDesk {
-    book: RefCell<CountBook>,
-    merging: RefCell<MergeDesk>,
-    /// Numbers that are in the store, by the node that has not been told yet.
-    told: RefCell<BTreeMap<(NodeId, Incarnation), Vec<u64>>>,
-}
-
-impl Default for AccountDesk {
-    fn default() -> Self {
-        Self {
-            book: RefCell::new(CountBook::with_shards(1)),
-            merging: RefCell::default(),
-            told: RefCell::default(),
-        }
-    }
-}
-
 fn epoch_minute() -> u64 {
     const SECONDS: u64 = 60;
     SystemTime::now()
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -1,10 +1,10 @@
 //! What the tasks of one process share.
 
-use crate::accounts::AccountDesk;
+use crate::account_desk::AccountDesk;
 use crate::decision_log::DecisionLog;
 use crate::metrics::EntryMetrics;
-use crate::news::ReplicaNews;
 use crate::pool::ChannelPool;
+use crate::replica_news::ReplicaNews;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -3,8 +3,8 @@
 use crate::accounts::note_death;
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
-use crate::news::ReplicaNews;
 use crate::news::take_replica_news;
+use crate::replica_news::ReplicaNews;
 use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! `call` sends it through a `channel` from the `pool`, `answering` and `relay` answer. `gossip`,
 //! `membership`, `watch` with `news`, and `catch_up` keep the tables that `serve` decides by.
 
+mod account_desk;
 mod accounts;
 mod answer;
 mod answering;
@@ -27,6 +28,7 @@
 mod received;
 mod refusal;
 mod relay;
+mod replica_news;
 mod resume;
 mod run;
 mod serve;
@@ -34,6 +36,7 @@
 mod snapshot;
 mod starting;
 mod watch;
+mod watch_topic;
 
 pub use channel::AnswerHead;
 pub use channel::BackendChannel;
--- a/crates/zinniahatch_entry/src/news.rs
+++ b/crates/zinniahatch_entry/src/news.rs
@@ -2,9 +2,8 @@
 
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
-use crate::watch::WatchTopic;
-use serde::Deserialize;
-use serde::Serialize;
+use crate::replica_news::ReplicaNews;
+use crate::watch_topic::WatchTopic;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
 use zinniahatch_base::rank_member;
@@ -25,27 +24,6 @@
 /// The duty by which these are ranked.
 pub(crate) const READER_DUTY: &str = "replicas";
 
-/// News of replicas for the nodes of a region.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ReplicaNews {
-    /// Entries that were written.
-    pub(crate) written: Vec<ReplicaEntry>,
-    /// Entries that were removed, with the store's revision then.
-    pub(crate) removed: Vec<(ReplicaId, Revision)>,
-}
-
-impl ReplicaNews {
-    /// Takes up to so many news out.
-    pub(crate) fn take_part(&mut self, most: usize) -> Self {
-        let written = self.written.len().min(most);
-        let removed = self.removed.len().min(most - written);
-        Self {
-            written: self.written.drain(..written).collect(),
-            removed: self.removed.drain(..removed).collect(),
-        }
-    }
-}
-
 /// Tells whether this node has a duty that falls to the first few of its region by rank. One that has
 /// just started has none, since it does not know the others yet and all would take it.
 pub(crate) fn has_duty(core: &EntryCore, duty: &str, nodes: usize) -> bool {
--- a/crates/zinniahatch_entry/src/plan.rs
+++ b/crates/zinniahatch_entry/src/plan.rs
@@ -20,6 +20,9 @@
 /// Time for the same, as a multiple of what was expected; a slow answer is not a lost one.
 const TRY_TIMES: u32 = 3;
 
+/// Connections that are tried for one request at most; each may cost its connect time.
+pub(crate) const MOST_CONNECTS: u32 = 4;
+
 /// What is fixed about a request.
 #[derive(Debug)]
 pub(crate) struct CallPlan {
--- a/crates/zinniahatch_entry/src/serve.rs
+++ b/crates/zinniahatch_entry/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::plan::CallCount;
 use crate::plan::CallCourse;
 use crate::plan::CallPlan;
+use crate::plan::MOST_CONNECTS;
 use crate::received::ReceivedCall;
 use crate::refusal::own_answer;
 use crate::starting::await_members;
@@ -27,8 +28,6 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::RepeatKind;
 
-/// Connections that are tried for one request at most; each may cost its connect time.
-pub(crate) const MOST_CONNECTS: u32 = 4;
 /// Time that a caller is told to wait where this node does not know the desired state. A start takes
 /// a few ms beside the store and 0.4 s from another region; where it takes longer, the store is away.
 const STARTING_RETRY: Duration = Duration::from_millis(600);
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -6,16 +6,14 @@
 use crate::news::has_duty;
 use crate::news::take_event;
 use crate::news::take_listing;
+use crate::watch_topic::WatchTopic;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rand::RngExt;
 use std::rc::Rc;
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
-use zinniahatch_config::PRESET_KEY;
-use zinniahatch_platform::BACKEND_PREFIX;
 use zinniahatch_platform::KvError;
-use zinniahatch_platform::OPERATOR_PREFIX;
 
 /// Nodes of a region that follow the preset; the others hear of it from them. Each node that did so cost
 /// three calls a minute for what changes a few times a day.
@@ -48,34 +46,6 @@
 const RETRY_MOST: Duration = Duration::from_secs(1);
 const RETRY_JITTER: std::ops::Range<f64> = 0.6..1.2;
 
-/// What one watch follows. Each wakes only for its own keys: where one watch saw all keys, every node
-/// woke for the key of each other node and for each account sheet, which is the square of the fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum WatchTopic {
-    /// The desired state and evacuations.
-    Operator,
-    /// The replicas.
-    Replicas,
-    /// The preset in force.
-    Preset,
-}
-
-impl WatchTopic {
-    /// All topics.
-    pub(crate) const ALL: [Self; 3] = [Self::Operator, Self::Replicas, Self::Preset];
-
-    /// The topic whose watch looks for the return of a store that is away.
-    const SCOUT: Self = Self::Operator;
-
-    fn prefix(self) -> &'static str {
-        match self {
-            Self::Operator => OPERATOR_PREFIX,
-            Self::Replicas => BACKEND_PREFIX,
-            Self::Preset => PRESET_KEY,
-        }
-    }
-}
-
 /// Follows the store until the process ends.
 pub(crate) async fn run_watch(core: Rc<EntryCore>, topic: WatchTopic) {
     let mut watcher = TopicWatcher {
