--- a/crates/zinniahatch_lab/tests/operators.rs
+++ b/crates/zinniahatch_lab/tests/operators.rs
@@ -6,6 +6,7 @@
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
+use zinniahatch_lab::stand::replica::ReplicaBehaviour;
 use zinniahatch_lab::stand::replica::StreamShape;
 
 const SHAPE: StreamShape = StreamShape {
@@ -75,3 +76,46 @@
     let unknown = ctl(&site, &["explain", "told-2", &path]).await;
     assert!(String::from_utf8_lossy(&unknown.stderr).contains("left_out"));
 }
+
+/// Nobody knew which requests a day had lost and why; the tool counts each once, at the node that was asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn losses_count_by_cause() {
+    let site = site().await;
+    for number in 0..3 {
+        let attempt = format!("counted-{number}");
+        let answer = site.call(0, "/plain/x", &attempt).send().await.unwrap();
+        assert!(answer.status().is_success());
+    }
+    for (replica, _) in &site.replicas {
+        replica.behave(ReplicaBehaviour::Shed);
+    }
+    let refused = site
+        .call(0, "/plain/x", "counted-not")
+        .send()
+        .await
+        .unwrap();
+    assert!(!refused.status().is_success());
+    let path = site.log_path(0).display().to_string();
+    wait_until("the ends are logged", async || {
+        let log = site.log(0);
+        log.matches("\"kind\":\"answered\"").count() >= 3 && log.contains("\"kind\":\"refused\"")
+    })
+    .await;
+    let told = ctl(
+        &site,
+        &["losses", "--by", "cause", "--format", "json", &path],
+    )
+    .await;
+    let rows: Vec<serde_json::Value> = serde_json::from_slice(&told.stdout).unwrap();
+    let count = |cause: &str| {
+        let mut found = rows.iter().filter(|row| {
+            let name = row["cause"].as_str().unwrap_or_default();
+            name.starts_with(cause)
+        });
+        found.next().and_then(|row| row["requests"].as_u64())
+    };
+    assert_eq!(count("in time"), Some(3), "{rows:?}");
+    assert_eq!(count("refused"), Some(1), "{rows:?}");
+    let unknown = ctl(&site, &["losses", "--by", "weather", &path]).await;
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("route, region, window, cause"));
+}
