--- a/crates/zinniahatch_ctl/src/losses.rs
+++ b/crates/zinniahatch_ctl/src/losses.rs
@@ -18,6 +18,9 @@
 const COLUMNS: [&str; 4] = ["route", "region", "window", "cause"];
 /// Cause of what was answered whole and in time; it is counted with the others, so that shares show.
 const IN_TIME: &str = "in time";
+/// Time from arrival to a refusal, in ms, beyond which the caller could have been elsewhere already; a way to
+/// another region and back takes longer.
+const LATE_REFUSAL_MS: u64 = 100;
 
 /// What became of one request.
 #[derive(Clone, Debug, Default)]
@@ -67,7 +70,7 @@
         .filter(|line| line.kind == "start")
         .filter_map(|line| Some((line.node.as_str(), line.text("region")?)))
         .collect();
-    let dead: BTreeSet<(&str, u64)> = lines
+    let starts: BTreeSet<(&str, u64)> = lines
         .iter()
         .filter(|line| line.kind == "start")
         .map(|line| (line.node.as_str(), line.time))
@@ -89,7 +92,7 @@
             _ => story
                 .cause
                 .clone()
-                .unwrap_or_else(|| unfinished(story, began, &dead)),
+                .unwrap_or_else(|| unfinished(story, began, &starts)),
         });
         let row = rows.entry(key.collect()).or_default();
         row.requests += 1;
@@ -175,17 +178,20 @@
             if line.number("result") != Some(u64::from(ResultCode::Answered.number())) {
                 return Some(broken(line));
             }
-            Some(match () {
-                () if late("first_ms", "goal_ms") => "late first event".to_owned(),
-                () if late("pause_ms", "pause_limit_ms") => "long pause".to_owned(),
-                () => IN_TIME.to_owned(),
-            })
+            let cause = if late("first_ms", "goal_ms") {
+                "late first event"
+            } else if late("pause_ms", "pause_limit_ms") {
+                "long pause"
+            } else {
+                IN_TIME
+            };
+            Some(cause.to_owned())
         }
         "refused" | "unrouted" => {
             let number = line.number("result")?;
             let mut known = ResultCode::ALL.iter();
             let code = known.find(|code| u64::from(code.number()) == number)?;
-            let kind = if line.number("age_ms").unwrap_or(0) > 100 {
+            let kind = if line.number("age_ms").unwrap_or(0) > LATE_REFUSAL_MS {
                 "refused late"
             } else {
                 "refused"
