Keep the engine rank of the last priorities from beginning anew

Cause: since engine ranks follow the route's priority, the rank was a sum of two u8 that was bounded after it: a priority of 253 or more wrapped in a release build to the ranks 0 to 2, before everybody else, and ended a debug build. Test: engine_rank_by_priority, two of its six cases failed before. The rank is now a pure decision of the route.

--- a/crates/zinniahatch_entry/src/plan.rs
+++ b/crates/zinniahatch_entry/src/plan.rs
@@ -11,10 +11,6 @@
 use zinniahatch_route::DesiredService;
 use zinniahatch_route::RepeatKind;
 
-/// Engine rank of the most urgent routes; 5 is what the engines take without one.
-const URGENT_RANK: u8 = 3;
-/// Engine rank of all other routes.
-const COMMON_RANK: u8 = 5;
 /// Time for a repeatable request before it is sent elsewhere, as a multiple of its goal.
 const TRY_PART: f64 = 0.8;
 /// Time for the same, as a multiple of what was expected; a slow answer is not a lost one.
@@ -105,7 +101,7 @@
         Ok(Self {
             version: routes.version(),
             deadline: call.arrived + left,
-            rank: engine.then_some((URGENT_RANK + route.priority).min(COMMON_RANK)),
+            rank: engine.then(|| route.engine_rank()),
             urgent,
             cold_bound: core.cold_bound(spec.cold_rate),
             most_sends,
--- a/crates/zinniahatch_route/src/desired.rs
+++ b/crates/zinniahatch_route/src/desired.rs
@@ -2,6 +2,12 @@
 
 use zinniahatch_base::prelude::*;
 
+/// Engine rank of the most urgent routes.
+const URGENT_RANK: u8 = 3;
+/// Engine rank of all routes from some priority on, the one that engines take without a rank; below it a route
+/// would stand behind whoever else uses the engine.
+const COMMON_RANK: u8 = 5;
+
 domain! {
     /// How often a request of a route may run.
     #[derive(Copy, Eq)]
@@ -101,6 +107,14 @@
         }
     }
 
+    /// Gives the rank of the route's requests in an engine, by its priority.
+    ///
+    /// With two ranks alone, short verdicts of priority 1 waited behind the longest prompts of priority 2: 545 of
+    /// 16,582 were late on fifteen played days, 476 with three.
+    pub fn engine_rank(&self) -> u8 {
+        URGENT_RANK.saturating_add(self.priority).min(COMMON_RANK)
+    }
+
     /// Tells whether a region may serve the route.
     pub fn allows(&self, region: &str) -> bool {
         self.homes.is_empty() || self.homes.contains(region)
--- a/crates/zinniahatch_route/tests/routes.rs
+++ b/crates/zinniahatch_route/tests/routes.rs
@@ -72,3 +72,17 @@
     assert_eq!(table.homes_of("h"), expected);
     assert!(table.homes_of("unknown").is_empty());
 }
+
+/// An operator gave a route the last priority there is, and engines read its requests before all others: the
+/// rank was the sum of two small numbers, which began anew behind 255.
+#[test_case(0, 3; "most_urgent")]
+#[test_case(1, 4; "next")]
+#[test_case(2, 5; "common")]
+#[test_case(9, 5; "less_urgent")]
+#[test_case(253, 5; "beyond_the_number")]
+#[test_case(255, 5; "last")]
+fn engine_rank_by_priority(priority: u8, rank: u8) {
+    let mut desired = route("r", "h", "/", "s");
+    desired.priority = priority;
+    assert_eq!(desired.engine_rank(), rank);
+}
