--- a/crates/zinniahatch_ctl/src/explain.rs
+++ b/crates/zinniahatch_ctl/src/explain.rs
@@ -5,7 +5,6 @@
 use crate::log_lines::read_logs;
 use crate::site_args::ExplainArgs;
 use serde_json::Value;
-use zinniahatch_base::ResultCode;
 
 /// Time around a request, in ms, in which changes of belief are shown with it.
 const AROUND_MS: u64 = 3_000;
@@ -95,17 +94,11 @@
 
 /// Gives the last result in words.
 fn verdict(own: &[&LogLine]) -> String {
-    let number = own
+    let told = own
         .iter()
         .rev()
-        .find_map(|line| line.fields.get("result").and_then(Value::as_u64));
-    let code = number.and_then(|number| {
-        let known = ResultCode::ALL.iter();
-        known
-            .copied()
-            .find(|code| u64::from(code.number()) == number)
-    });
-    if let Some(code) = code {
+        .find(|line| line.number("result").is_some());
+    if let Some(code) = told.and_then(|line| line.result()) {
         return format!(
             "result {} {} ({}): {}\n",
             code.number(),
@@ -114,10 +107,7 @@
             code.text()
         );
     }
-    let status = own
-        .iter()
-        .rev()
-        .find_map(|line| line.fields.get("status").and_then(Value::as_u64));
+    let status = own.iter().rev().find_map(|line| line.number("status"));
     match status {
         Some(status) => format!("answered by the replica with status {status}\n"),
         None => "no end is logged: the caller left, the node died, or the line was left out\n"
--- a/crates/zinniahatch_ctl/src/log_lines.rs
+++ b/crates/zinniahatch_ctl/src/log_lines.rs
@@ -4,6 +4,7 @@
 use serde_json::Map;
 use serde_json::Value;
 use std::io::Read;
+use zinniahatch_base::ResultCode;
 
 /// One line of a log.
 #[derive(Clone, Debug)]
@@ -24,6 +25,13 @@
         self.fields.get(key).and_then(Value::as_str)
     }
 
+    /// Gives the result code that the line tells.
+    pub(crate) fn result(&self) -> Option<ResultCode> {
+        let number = self.number("result")?;
+        let mut known = ResultCode::ALL.iter().copied();
+        known.find(|code| u64::from(code.number()) == number)
+    }
+
     /// Gives a field that is a whole number.
     pub(crate) fn number(&self, key: &str) -> Option<u64> {
         self.fields.get(key).and_then(Value::as_u64)
--- a/crates/zinniahatch_ctl/src/losses.rs
+++ b/crates/zinniahatch_ctl/src/losses.rs
@@ -175,7 +175,7 @@
             })
         }
         "stream-end" => {
-            if line.number("result") != Some(u64::from(ResultCode::Answered.number())) {
+            if line.result() != Some(ResultCode::Answered) {
                 return Some(broken(line));
             }
             let cause = if late("first_ms", "goal_ms") {
@@ -188,9 +188,7 @@
             Some(cause.to_owned())
         }
         "refused" | "unrouted" => {
-            let number = line.number("result")?;
-            let mut known = ResultCode::ALL.iter();
-            let code = known.find(|code| u64::from(code.number()) == number)?;
+            let code = line.result()?;
             let kind = if line.number("age_ms").unwrap_or(0) > LATE_REFUSAL_MS {
                 "refused late"
             } else {
--- a/crates/zinniahatch_entry/src/catch_up.rs
+++ b/crates/zinniahatch_entry/src/catch_up.rs
@@ -34,8 +34,7 @@
             continue;
         };
         let since = *behind_since.get_or_insert(now);
-        let starting = core.version() == 0 || !core.is_listed();
-        let waits = own.sighted && !starting;
+        let waits = own.sighted && core.knows();
         if waits && now.saturating_duration_since(since) < BEHIND_TIME {
             continue;
         }
--- a/crates/zinniahatch_entry/src/open_call.rs
+++ b/crates/zinniahatch_entry/src/open_call.rs
@@ -97,18 +97,12 @@
         let now = Instant::now();
         let before = self.heard_at.replace(now);
         let mut replicas = self.core.replicas.borrow_mut();
-        let Some(belief) = replicas.working_on(&note.replica, note.ticket) else {
-            return;
-        };
-        belief.health.note_heard(now);
-        if let Some(before) = before
-            && note.work.tokens > 0
-        {
-            // Only engines have tokens to read, and only their pauses tell of a batch.
-            let pause = now.saturating_duration_since(before);
-            replicas.note_pause(&note.replica, note.ticket, pause, now);
-        }
-        if note.first_seen {
+        // Only engines have tokens to read, and only their pauses tell of a batch.
+        let pause = before
+            .filter(|_| note.work.tokens > 0)
+            .map(|before| now.saturating_duration_since(before));
+        let lives = replicas.note_heard(&note.replica, note.ticket, pause, now);
+        if !lives || note.first_seen {
             return;
         }
         note.first_seen = true;
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -5,23 +5,28 @@
 use zinniahatch_lab::soak::SoakRun;
 use zinniahatch_lab::soak::run_seed;
 
-/// Each seed draws another series of faults; the line that the run prints names them.
-#[test_case(1; "any")]
-#[test_case(2; "replicas")]
-#[test_case(3; "planned")]
-#[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_in_a_soak(seed: u64) {
+/// Plays a seed for so many seconds with so many entry VMs a region and callers.
+async fn check_seed(seed: u64, seconds: u64, entries: usize, callers: usize) {
     let soak = SoakRun {
         seed,
         seeds: 1,
-        time: Duration::from_secs(8),
-        entries: 1,
-        callers: 8,
+        time: Duration::from_secs(seconds),
+        entries,
+        callers,
     };
     let broken = run_seed(&soak, seed).await;
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
 }
 
+/// Each seed draws another series of faults; the line that the run prints names them.
+#[test_case(1; "any")]
+#[test_case(2; "replicas")]
+#[test_case(3; "planned")]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_in_a_soak(seed: u64) {
+    check_seed(seed, 8, 1, 8).await;
+}
+
 /// In 122, two losses of one link overlapped, and the relay of the lab delivered a stream with a hole in the
 /// middle, which no connection does: events 1 to 3, then 8 to 20.
 ///
@@ -31,13 +36,5 @@
 #[test_case(131; "replicas_start_again_under_their_ids")]
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_that_failed(seed: u64) {
-    let soak = SoakRun {
-        seed,
-        seeds: 1,
-        time: Duration::from_secs(10),
-        entries: 2,
-        callers: 12,
-    };
-    let broken = run_seed(&soak, seed).await;
-    assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+    check_seed(seed, 10, 2, 12).await;
 }
--- a/crates/zinniahatch_route/src/cost.rs
+++ b/crates/zinniahatch_route/src/cost.rs
@@ -1,5 +1,5 @@
-//! What a replica costs a request: a sum of named parts, all in time, so that they can be compared, logged and
-//! left out one by one.
+//! What a replica costs a request beside the expected time to the first event: a sum of named parts, all in
+//! time, so that they can be compared, logged and left out one by one.
 
 use crate::FirstEventModel;
 use crate::ReplicaBelief;
@@ -27,11 +27,9 @@
 /// read, until 60 of 64 slots were held there and prompts waited 1.5 s for one.
 const FULL_COST: Duration = Duration::from_millis(150);
 
-/// The cost of one replica for one request.
+/// The cost of one replica for one request, beside the expected time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlaceCost {
-    /// Expected time to the first event.
-    pub expected: Duration,
     /// For its failures.
     pub failures: Duration,
     /// For the use of its slots.
@@ -45,9 +43,8 @@
 }
 
 impl PlaceCost {
-    fn parts(&self) -> [(&'static str, Duration); 6] {
+    fn parts(&self) -> [(&'static str, Duration); 5] {
         [
-            ("expected", self.expected),
             ("failures", self.failures),
             ("fullness", self.fullness),
             ("cold", self.cold),
@@ -61,10 +58,10 @@
         self.parts().iter().map(|(_, part)| *part).sum()
     }
 
-    /// Gives the parts of a millisecond or more beside the expected time, for a line of the log.
+    /// Gives the parts of a millisecond or more, for a line of the log.
     pub fn named_ms(&self) -> BTreeMap<&'static str, u64> {
-        let extra = self.parts().into_iter().skip(1);
-        extra
+        self.parts()
+            .into_iter()
             .map(|(name, part)| (name, part.as_millis() as u64))
             .filter(|(_, millis)| *millis > 0)
             .collect()
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -278,16 +278,6 @@
         region: &str,
         now: Instant,
     ) -> Self {
-        let (sound, wait_ms, running) =
-            crate::placement::digest_of(table, regions, service, region, now);
-        let pause = table
-            .stream_model(service)
-            .map_or(Duration::ZERO, |model| model.region_pause(now));
-        Self {
-            sound,
-            wait_ms,
-            pause_us: pause.as_micros() as u32,
-            running,
-        }
+        crate::placement::digest_of(table, regions, service, region, now)
     }
 }
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::PromptSize;
 use crate::ReplicaBelief;
 use crate::ReplicaTable;
+use crate::ServiceDigest;
 use crate::StreamModel;
 use crate::cost::COLD_COST;
 use crate::cost::PlaceCost;
@@ -71,10 +72,10 @@
 pub struct LocalChoice {
     /// The replica.
     pub replica: ReplicaId,
-    /// By what it was chosen.
-    pub cost: PlaceCost,
     /// Expected time to the first event.
     pub expected: Duration,
+    /// What else it costs.
+    pub cost: PlaceCost,
     /// The part of it that is spent waiting for others.
     pub wait: Duration,
     /// The part of the wait that is for a slot.
@@ -166,7 +167,6 @@
             continue;
         }
         let cost = PlaceCost {
-            expected,
             failures: failure_cost(belief, now),
             fullness: fullness_cost(f64::from(work.requests) / slots),
             cold: if cold { COLD_COST } else { Duration::ZERO },
@@ -175,14 +175,14 @@
         };
         if best
             .as_ref()
-            .is_some_and(|least| cost.total() >= least.cost.total())
+            .is_some_and(|least| expected + cost.total() >= least.expected + least.cost.total())
         {
             continue;
         }
         best = Some(LocalChoice {
             replica: belief.entry.id.clone(),
-            cost,
             expected,
+            cost,
             wait: wait.mul_f64(pace),
             queue: queue.mul_f64(pace),
             answer: answer_time(table, belief, ask, now),
@@ -353,13 +353,7 @@
         let hold_up = model
             .reading(ask.size.tokens_in)
             .mul_f64(f64::from(digest.running) / RUNNING_SCALE);
-        if best
-            .as_ref()
-            .is_some_and(|least| least.callers_time() <= expected + answer + hold_up)
-        {
-            continue;
-        }
-        best = Some(AwayChoice {
+        let choice = AwayChoice {
             node: card.node.clone(),
             region,
             expected,
@@ -367,13 +361,16 @@
             wait,
             answer,
             hold_up,
-        });
+        };
+        let sooner = |least: &AwayChoice| choice.callers_time() < least.callers_time();
+        if best.as_ref().is_none_or(sooner) {
+            best = Some(choice);
+        }
     }
     best
 }
 
-/// Gives the wait that a request may expect among the replicas of a service in a region, and how many
-/// are sound.
+/// Sums up what a region can take of a service.
 ///
 /// A request there has a few choices and not all, so that the least wait of many is not its own: told
 /// that, other regions sent requests of which 18 in 100 were refused after a way there and back.
@@ -383,7 +380,7 @@
     service: &ServiceId,
     region: &str,
     now: Instant,
-) -> (u16, u32, u16) {
+) -> ServiceDigest {
     let model = table.model_of(service);
     let mut waits = Vec::new();
     let mut running = 0;
@@ -402,9 +399,12 @@
     waits.sort_unstable();
     let wait = waits.get(waits.len() / CHOSEN_AMONG).copied();
     let mean = f64::from(running) / waits.len().max(1) as f64;
-    (
-        waits.len() as u16,
-        wait.unwrap_or(0),
-        (mean * RUNNING_SCALE) as u16,
-    )
+    let streams = table.stream_model(service);
+    let pause = streams.map_or(Duration::ZERO, |streams| streams.region_pause(now));
+    ServiceDigest {
+        sound: waits.len() as u16,
+        wait_ms: wait.unwrap_or(0),
+        pause_us: pause.as_micros() as u32,
+        running: (mean * RUNNING_SCALE) as u16,
+    }
 }
--- a/crates/zinniahatch_route/src/preset.rs
+++ b/crates/zinniahatch_route/src/preset.rs
@@ -12,7 +12,8 @@
         pub name: PresetId,
         /// Number of the switch that put it in force; it only rises.
         pub revision: Revision,
-        /// Part of the goal up to which the expected time of an admitted request may go.
+        /// Part of what is left of the goal, after the time spent and the way to another region, up to which
+        /// the expected time of an admitted request may go.
         pub goal_margin: f64,
         /// Wait that every request may have, as a part of its goal.
         pub least_wait: f64,
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -1,12 +1,11 @@
-//! What a node believes about the backend servers.
+//! The table of what a node believes about the backend servers.
 
 use crate::FirstEventModel;
-use crate::HealthRecord;
-use crate::KeptParts;
+use crate::LeaveReason;
 use crate::OpenWork;
-use crate::PaceMeter;
 use crate::PromptRead;
 use crate::PromptSize;
+use crate::ReplicaBelief;
 use crate::ReplicaEntry;
 use crate::ReplicaLife;
 use crate::StreamModel;
@@ -21,145 +20,10 @@
 /// How long a replica that has left is remembered, so that no other node's older news brings it back;
 /// far longer than any node stays cut off and still serves.
 const GONE_TIME: Duration = Duration::from_secs(300);
-/// How long what another node said of its open work counts.
-const PEER_WORK_TIME: Duration = Duration::from_millis(1200);
-/// How long a load that the replica reported counts.
-const REPORT_TIME: Duration = Duration::from_millis(400);
 /// Prior time to the answer of a service, in ms, until answers show it.
 const PRIOR_BASE_MS: f64 = 40.0;
 /// Reads that wait to be told to other nodes at most; older knowledge is worth more than none.
 const MOST_READS: usize = 64;
-/// Bounds of the learned slowness of one replica against its service.
-const SLOWNESS: (f64, f64) = (0.5, 8.0);
-/// Weight of a new observation in the slowness of a replica; about the last ten count.
-const SLOWNESS_GAIN: f64 = 0.1;
-
-/// Why a replica gets no new work for good.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LeaveReason {
-    /// It said that it is leaving.
-    Draining,
-    /// Its entry vanished.
-    EntryGone,
-    /// Another replica answers at its address.
-    Replaced,
-}
-
-/// One replica.
-#[derive(Clone, Debug)]
-pub struct ReplicaBelief {
-    /// What it says of itself.
-    pub entry: ReplicaEntry,
-    /// Short tag of this life, for datagrams.
-    pub tag: ShortTag,
-    /// When it stops being cold.
-    pub cold_until: Option<Instant>,
-    /// Why it gets no new work.
-    pub leaving: Option<LeaveReason>,
-    /// When it is gone, where it leaves at short notice.
-    pub gone_at: Option<Instant>,
-    /// When its entry vanished, while that may be a mere lapse.
-    pub lapsed: Option<Instant>,
-    /// The store's revision when its entry vanished; older news of it does not count.
-    pub vanished: Revision,
-    /// Work of this node.
-    pub own: OpenWork,
-    /// Work of this node as the other nodes were told.
-    pub told: OpenWork,
-    /// Work of other nodes, with the time at which they said so.
-    pub peers: BTreeMap<NodeId, (OpenWork, Instant)>,
-    /// Running and waiting requests as the replica reported them.
-    pub reported: Option<(u32, u32, Instant)>,
-    /// Which prompt parts it probably keeps.
-    pub kept: KeptParts,
-    /// What answers say of its health.
-    pub health: HealthRecord,
-    /// The pauses between the events of its streams.
-    pub pace: PaceMeter,
-    /// Its time against what its service's model expects; 1 is as expected.
-    pub slowness: f64,
-    /// Start of each own request that waits for its first byte, by a number of the node's.
-    pub open: BTreeMap<u64, Instant>,
-}
-
-impl ReplicaBelief {
-    /// Starts a belief.
-    pub fn new(entry: ReplicaEntry, now: Instant) -> Self {
-        let mut belief = Self {
-            cold_until: None,
-            leaving: None,
-            gone_at: None,
-            lapsed: None,
-            vanished: 0,
-            tag: tag_of(&format!("{}@{}", entry.id, entry.born)),
-            own: OpenWork::default(),
-            told: OpenWork::default(),
-            peers: BTreeMap::new(),
-            reported: None,
-            kept: KeptParts::default(),
-            health: HealthRecord::new(now),
-            pace: PaceMeter::new(now),
-            slowness: 1.0,
-            open: BTreeMap::new(),
-            entry: entry.clone(),
-        };
-        belief.update(entry, now);
-        belief
-    }
-
-    /// Takes an entry of the same start of the replica, newer or the same once more.
-    ///
-    /// The same one comes again from a listing, or from the own watch after another node told of it. The
-    /// time for which it says that the replica is cold began when it was written, not now.
-    pub fn update(&mut self, entry: ReplicaEntry, now: Instant) {
-        self.lapsed = None;
-        let known = entry.revision != 0 && entry.revision == self.entry.revision;
-        if entry.leaving {
-            self.leaving = Some(LeaveReason::Draining);
-            if !known || self.gone_at.is_none() {
-                self.gone_at = entry.gone_in.map(|left| now + left);
-            }
-        } else if self.leaving == Some(LeaveReason::EntryGone) {
-            self.leaving = None;
-        }
-        let counted = known && self.cold_until.is_some();
-        if !entry.cold_for.is_zero() && !counted {
-            self.cold_until = Some(now + entry.cold_for);
-        }
-        self.entry = entry;
-    }
-
-    /// Tells whether the replica is cold.
-    pub fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.is_some_and(|until| now < until)
-    }
-
-    /// Gives the work of all nodes at the replica.
-    pub fn all_work(&self, now: Instant) -> OpenWork {
-        let mut sum = self.own;
-        for (work, at) in self.peers.values() {
-            if now.saturating_duration_since(*at) > PEER_WORK_TIME {
-                continue;
-            }
-            sum.add_requests(*work);
-            sum.add_tokens(*work);
-        }
-        if let Some((running, waiting, at)) = self.reported
-            && now.saturating_duration_since(at) <= REPORT_TIME
-        {
-            sum.requests = sum.requests.max(running + waiting);
-        }
-        sum
-    }
-
-    /// Compares an answer with what the model expected of it.
-    pub fn note_pace(&mut self, expected: Duration, took: Duration) {
-        let expected = expected.as_secs_f64().max(1e-3);
-        let ratio = (took.as_secs_f64() / expected).clamp(SLOWNESS.0, SLOWNESS.1);
-        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
-    }
-}
-
 /// The last life of a replica that has left.
 #[derive(Clone, Copy, Debug)]
 struct EndedLife {
@@ -421,17 +285,35 @@
         self.streams.get(service)
     }
 
-    /// Notes the pause before an event of a stream.
-    pub fn note_pause(&mut self, id: &str, ticket: u64, pause: Duration, now: Instant) {
-        let Some(belief) = self.rows.get_mut(id) else {
-            return;
+    /// Notes bytes of an answer, and the pause before them where they are events of an engine; tells whether
+    /// the life of the replica that took the request still is.
+    pub fn note_heard(
+        &mut self,
+        id: &str,
+        ticket: u64,
+        pause: Option<Duration>,
+        now: Instant,
+    ) -> bool {
+        let Some(belief) = self
+            .rows
+            .get_mut(id)
+            .filter(|belief| belief.has_open(ticket))
+        else {
+            return false;
         };
-        if !belief.open.contains_key(&ticket) {
-            return;
+        belief.health.note_heard(now);
+        let Some(pause) = pause else {
+            return true;
+        };
+        // This runs for each event, so that the name is copied for the first one alone.
+        if !self.streams.contains_key(&belief.entry.service) {
+            let model = StreamModel::new(now);
+            self.streams.insert(belief.entry.service.clone(), model);
+        }
+        if let Some(model) = self.streams.get_mut(&belief.entry.service) {
+            model.note_pause(&mut belief.pace, pause, now);
         }
-        let streams = self.streams.entry(belief.entry.service.clone());
-        let model = streams.or_insert_with(|| StreamModel::new(now));
-        model.note_pause(&mut belief.pace, pause, now);
+        true
     }
 
     /// Notes the length of a whole stream.
@@ -520,7 +402,7 @@
     /// that followed, and its failure counted against it.
     pub fn working_on(&mut self, id: &str, ticket: u64) -> Option<&mut ReplicaBelief> {
         let belief = self.rows.get_mut(id)?;
-        belief.open.contains_key(&ticket).then_some(belief)
+        belief.has_open(ticket).then_some(belief)
     }
 
     /// Notes the first event of an answer: its prompt is read.
