Keep a probe and a failed connection of a replica's earlier life from the next

Test: note_probe_of_another_life failed before (suspected: true); the connection goes the same way as all other notes of a request now (with_replica).

--- a/crates/zinniahatch_entry/src/call.rs
+++ b/crates/zinniahatch_entry/src/call.rs
@@ -68,7 +68,7 @@
     let share = core.channel_share(&plan.service);
     let channel = match core.pool.take(address, share, now).await {
         Ok(channel) => channel,
-        Err(error) => return Err(unreached(core, &choice.replica, &error)),
+        Err(error) => return Err(unreached(core, &open, &error)),
     };
     let head = write_call(
         &call.method,
@@ -139,17 +139,15 @@
     }
 }
 
-fn unreached(core: &Rc<EntryCore>, replica: &ReplicaId, error: &PoolError) -> SendFailure {
+fn unreached(core: &EntryCore, open: &OpenCall, error: &PoolError) -> SendFailure {
     match error {
         PoolError::Full => SendFailure::NotSent("this node's channels are in use".into()),
         PoolError::Unreached(error) => {
             let now = Instant::now();
-            if let Some(belief) = core.replicas.borrow_mut().get_mut(replica) {
-                belief.health.note_unreachable(now);
-            }
+            open.with_replica(|belief| belief.health.note_unreachable(now));
             core.log.write(
                 "replica-unreached",
-                serde_json::json!({"replica": replica, "error": error.to_string()}),
+                serde_json::json!({"replica": open.replica(), "error": error.to_string()}),
             );
             SendFailure::NotSent(error.to_string().into())
         }
--- a/crates/zinniahatch_entry/src/probe.rs
+++ b/crates/zinniahatch_entry/src/probe.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::ReplicaLife;
 
 /// Pause between probes of one replica.
 const PROBE_PAUSE: Duration = Duration::from_millis(600);
@@ -18,13 +19,13 @@
 pub(crate) async fn run_probes(core: Rc<EntryCore>) {
     loop {
         sleep(PROBE_PAUSE).await;
-        for (replica, address, path) in suspects(&core) {
-            tokio::task::spawn_local(probe(Rc::clone(&core), replica, address, path));
+        for (life, address, path) in suspects(&core) {
+            tokio::task::spawn_local(probe(Rc::clone(&core), life, address, path));
         }
     }
 }
 
-fn suspects(core: &EntryCore) -> Vec<(ReplicaId, SocketAddrV4, Box<str>)> {
+fn suspects(core: &EntryCore) -> Vec<(ReplicaLife, SocketAddrV4, Box<str>)> {
     let now = Instant::now();
     let replicas = core.replicas.borrow();
     replicas
@@ -38,26 +39,21 @@
                 .service(&belief.entry.service)
                 .map(|service| service.health_path)
                 .unwrap_or_default();
-            (belief.entry.id.clone(), belief.entry.address, path)
+            (belief.entry.life(), belief.entry.address, path)
         })
         .collect()
 }
 
-async fn probe(core: Rc<EntryCore>, replica: ReplicaId, address: SocketAddrV4, path: Box<str>) {
+async fn probe(core: Rc<EntryCore>, life: ReplicaLife, address: SocketAddrV4, path: Box<str>) {
     let sound = timeout(PROBE_TIME, ask_sign_of_life(address, &path))
         .await
         .unwrap_or(false);
-    let now = Instant::now();
-    if let Some(belief) = core.replicas.borrow_mut().get_mut(&replica) {
-        if sound {
-            belief.health.note_probed(now);
-        } else {
-            belief.health.note_unreachable(now);
-        }
-    }
+    let mut replicas = core.replicas.borrow_mut();
+    replicas.note_probe(&life, sound, Instant::now());
+    drop(replicas);
     core.log.write(
         "probe",
-        serde_json::json!({"replica": replica, "sound": sound}),
+        serde_json::json!({"replica": life.id, "born_ms": life.born, "sound": sound}),
     );
 }
 
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -396,6 +396,22 @@
         }
     }
 
+    /// Notes what came of a probe of one life of a replica; a later life under the same id has nothing to
+    /// do with it.
+    pub fn note_probe(&mut self, life: &ReplicaLife, sound: bool, now: Instant) {
+        let Some(belief) = self.rows.get_mut(&life.id) else {
+            return;
+        };
+        if belief.entry.born != life.born {
+            return;
+        }
+        if sound {
+            belief.health.note_probed(now);
+        } else {
+            belief.health.note_unreachable(now);
+        }
+    }
+
     /// Gives the replica that works on a request to change; none where that life of it has ended.
     ///
     /// A request that a replica's earlier life took would otherwise be taken off the work of the life
--- a/crates/zinniahatch_route/tests/lives.rs
+++ b/crates/zinniahatch_route/tests/lives.rs
@@ -129,3 +129,25 @@
     table.learn(vec![life(2, 12)], &[], now);
     assert_eq!(table.get("r").map(|belief| belief.entry.born), Some(2));
 }
+
+/// A replica was probed just before it crashed and was back under its id within the half second that the
+/// probe waited; its failure then kept requests from the new life for a second and a half.
+#[test]
+fn note_probe_of_another_life() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(2, 12), now);
+    table.note_probe(&life(1, 10).life(), false, now);
+    let suspect = |table: &ReplicaTable| table.get("r").map(|belief| belief.health.is_suspect(now));
+    assert_eq!(suspect(&table), Some(false));
+    table.note_probe(&life(2, 12).life(), false, now);
+    assert_eq!(suspect(&table), Some(true));
+    table.note_probe(&life(1, 10).life(), true, now);
+    assert_eq!(
+        suspect(&table),
+        Some(true),
+        "nor does the earlier life clear it"
+    );
+    table.note_probe(&life(2, 12).life(), true, now);
+    assert_eq!(suspect(&table), Some(false));
+}
