Send requests to another region only where they are known to arrive

Cause: with one direction of a region's links cut its cards went on arriving and called it idle, so that streams went there and were heard of no more; only the way back was watched. Change: the echo in a card proves that what was sent arrived. A clock echoed from an earlier start is dropped; it made the way look as short as nothing.

--- a/crates/zinniahatch_entry/src/call.rs
+++ b/crates/zinniahatch_entry/src/call.rs
@@ -43,6 +43,38 @@
     Unknown(Box<str>),
 }
 
+/// A request to another region whose answer has not begun; dropped, it is given up.
+struct AwayWait<'a> {
+    core: &'a EntryCore,
+    region: &'a RegionId,
+    ticket: u64,
+}
+
+impl<'a> AwayWait<'a> {
+    fn new(core: &'a EntryCore, region: &'a RegionId) -> Self {
+        let ticket = core.ticket();
+        let mut ways = core.ways.borrow_mut();
+        ways.note_sent(region, ticket, Instant::now());
+        Self {
+            core,
+            region,
+            ticket,
+        }
+    }
+
+    fn note_answer(&self) {
+        let mut ways = self.core.ways.borrow_mut();
+        ways.note_answer(self.region, self.ticket, Instant::now());
+    }
+}
+
+impl Drop for AwayWait<'_> {
+    fn drop(&mut self) {
+        let mut ways = self.core.ways.borrow_mut();
+        ways.note_given_up(self.region, self.ticket);
+    }
+}
+
 /// Sends a request to a replica of the own region and reads the head of its answer.
 pub(crate) async fn send_local(
     core: &Rc<EntryCore>,
@@ -229,7 +261,12 @@
         call.body.len(),
     );
     open.channel = Some(channel);
-    let head = match open.exchange(call, &head).await {
+    let waiting = AwayWait::new(core, &choice.region);
+    let answer = open.exchange(call, &head).await;
+    if answer.is_ok() {
+        waiting.note_answer();
+    }
+    let head = match answer {
         Ok(head) => head,
         Err(error) => {
             core.pool.purge(address);
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -28,6 +28,7 @@
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::ReadDigest;
 use zinniahatch_route::ReaderCover;
+use zinniahatch_route::RegionWays;
 use zinniahatch_route::RepeatBudget;
 use zinniahatch_route::ReplicaTable;
 use zinniahatch_route::RouteTable;
@@ -58,6 +59,8 @@
     pub(crate) preset: RefCell<ServingPreset>,
     pub(crate) replicas: RefCell<ReplicaTable>,
     pub(crate) members: RefCell<MemberTable>,
+    /// Whether requests to other regions arrive there.
+    pub(crate) ways: RefCell<RegionWays>,
     pub(crate) gate: RefCell<ColdGate>,
     pub(crate) budgets: RefCell<BTreeMap<ServiceId, RepeatBudget>>,
     /// Where other nodes may listen, from the store and from other nodes.
@@ -111,6 +114,7 @@
             preset: RefCell::default(),
             replicas: RefCell::default(),
             members: RefCell::default(),
+            ways: RefCell::default(),
             gate: RefCell::default(),
             budgets: RefCell::default(),
             contacts: RefCell::new(contacts),
--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -236,9 +236,14 @@
     }
     if let Some((stamp, held)) = gram.echo {
         let passed = now.saturating_duration_since(start).as_micros() as u64;
-        let trip = passed.saturating_sub(stamp).saturating_sub(held);
+        // A node that has not heard of this start yet echoes the clock of an earlier one.
+        let Some(trip) = passed.checked_sub(stamp + held) else {
+            return;
+        };
         core.members
             .borrow_mut()
             .note_trip(&node, Duration::from_micros(trip));
+        let sent = start + Duration::from_micros(stamp);
+        core.ways.borrow_mut().note_proof(&region, sent);
     }
 }
--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -179,12 +179,14 @@
 ) -> Option<AwayChoice> {
     let members = core.members.borrow();
     let replicas = core.replicas.borrow();
+    let mut tried = course.away.clone();
+    tried.regions.extend(core.ways.borrow().broken(now));
     choose_away(
         &members,
         &replicas,
         ask,
         &plan.route.homes,
-        &course.away,
+        &tried,
         core.ticket(),
         now,
     )
