--- a/crates/zinniahatch_lab/tests/site.rs
+++ b/crates/zinniahatch_lab/tests/site.rs
@@ -456,3 +456,73 @@
     }
     assert!(served > 0, "every first caller was refused");
 }
+
+/// The settings file was announced as changed although nothing in it had changed. A summary in progress must go on
+/// to its end, the node stays ready, and its log says that nothing is new.
+#[tokio::test(flavor = "multi_thread")]
+async fn reload_without_a_change_disturbs_nobody() {
+    let site = SiteCluster::start(&[region("north", 1, 1)], LONG).await;
+    let mut answer = site.call(0, "/stream/x", "h1").send().await.unwrap();
+    let mut text = answer.chunk().await.unwrap().unwrap_or_default().to_vec();
+    for _ in 0..3 {
+        site.signal(0, "-HUP");
+    }
+    wait_until("the reload is logged", async || {
+        site.log(0).contains(r#""outcome":"unchanged""#)
+    })
+    .await;
+    site.wait_ready(0).await;
+    while let Some(chunk) = answer.chunk().await.unwrap() {
+        text.extend_from_slice(&chunk);
+    }
+    let ids = event_ids(&String::from_utf8(text).unwrap());
+    assert_eq!(ids, (1..=60).collect::<Vec<u32>>());
+}
+
+/// Gives the last way of the news of a node's work, as its log says.
+fn work_path(site: &SiteCluster, index: usize) -> String {
+    let lines = site.log(index);
+    let paths = lines.lines().filter(|line| line.contains("work-path"));
+    let Some(last) = paths.last() else {
+        return String::new();
+    };
+    let fields: serde_json::Value = serde_json::from_str(last).expect("a line is JSON");
+    fields["path"].as_str().unwrap_or_default().to_owned()
+}
+
+/// The node that gathered its region's news of open work died. The others went on telling it alone, and nobody
+/// knew what they had placed. They notice that it passes nothing on, and agree on another.
+#[tokio::test(flavor = "multi_thread")]
+async fn collector_that_died_is_left() {
+    let mut site = SiteCluster::start(&[region("north", 10, 2)], SHORT).await;
+    let collector_of = |site: &SiteCluster, index: usize| {
+        let path = work_path(site, index);
+        let gathers =
+            |entry: &&zinniahatch_lab::site::SiteEntry| path.contains(&*entry.addresses[4]);
+        site.entries.iter().position(|entry| gathers(&entry))
+    };
+    wait_until("most nodes tell a collector", async || {
+        (0..10)
+            .filter(|index| collector_of(&site, *index).is_some())
+            .count()
+            >= 8
+    })
+    .await;
+    let asking = (0..10).find(|index| collector_of(&site, *index).is_some());
+    let asking = asking.expect("a node tells a collector");
+    let first = collector_of(&site, asking).expect("it has one");
+    site.kill(first);
+    let number = std::sync::atomic::AtomicU32::new(0);
+    wait_until("another one gathers", async || {
+        let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let attempt = format!("c{number}");
+        let answer = site
+            .call(asking, "/plain/x", &attempt)
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+        collector_of(&site, asking) != Some(first)
+    })
+    .await;
+}
--- a/crates/zinniahatch_report/tests/counts.rs
+++ b/crates/zinniahatch_report/tests/counts.rs
@@ -70,6 +70,41 @@
     assert_eq!(ledger.sheet.requests(), 5);
 }
 
+/// The time of day of a node jumped back by 40 minutes and forward again while it counted. A report lacked the
+/// sheets that were sealed meanwhile, or named a gap for a node that lives, if minutes told their order.
+#[test]
+fn seal_clock_steps_back() {
+    let now = Instant::now();
+    let mut book = CountBook::with_shards(1);
+    let mut desk = MergeDesk::default();
+    let mut ledger = HourLedger::default();
+    for minute in [60, 20, 21, 61] {
+        let row = CountRow {
+            requests: 1,
+            ..CountRow::default()
+        };
+        book.add(key("a", "r", ResultCode::Answered), &row);
+        book.seal(minute);
+        for (_, _, sealed) in book.due(now, Duration::from_secs(60), |_| Some("m".into())) {
+            desk.take(
+                0,
+                DeskSheet {
+                    number: sealed.number,
+                    minute: sealed.minute,
+                    sheet: sealed.sheet,
+                    ..desk_sheet(0, 0)
+                },
+            );
+        }
+        for task in desk.tasks() {
+            task.apply(&mut ledger);
+            desk.done(&task);
+        }
+    }
+    assert_eq!(ledger.sheet.requests(), 4);
+    assert!(ledger.gaps.is_empty());
+}
+
 /// Requests are missing from a report although no node died. A sheet was lost on its way and the
 /// next one overtook it; counting it as merged "up to the next" would drop it for good.
 #[test]
