--- a/crates/zinniahatch_entry/src/catch_up.rs
+++ b/crates/zinniahatch_entry/src/catch_up.rs
@@ -44,15 +44,7 @@
             continue;
         };
         let since = *behind_since.get_or_insert(now);
-        let patience = if !sighted || !core.knows() {
-            Duration::ZERO
-        } else if core.rests.get() {
-            // The nodes that hear of a new version at once do not all ask the few that have it.
-            REST_BEHIND.mul_f64(rand::rng().random())
-        } else {
-            BEHIND_TIME
-        };
-        if now.saturating_duration_since(since) < patience {
+        if now.saturating_duration_since(since) < patience(&core, sighted) {
             continue;
         }
         fetch_snapshot(&core, peer).await;
@@ -62,3 +54,15 @@
         }
     }
 }
+
+/// Gives the time for which this node waits for its own watch before it asks a peer.
+fn patience(core: &EntryCore, sighted: bool) -> Duration {
+    if !sighted || !core.knows() {
+        return Duration::ZERO;
+    }
+    if !core.rests.get() {
+        return BEHIND_TIME;
+    }
+    // The nodes that hear of a new version at once do not all ask the few that have it.
+    REST_BEHIND.mul_f64(rand::rng().random())
+}
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -97,7 +97,7 @@
         };
         if self.fine {
             match rest(&self.core, self.topic).await {
-                RestEnd::None => {}
+                RestEnd::NoRest => {}
                 RestEnd::Behind => return follow(&self.core, self.topic, after, ANY_NEWS).await,
                 RestEnd::Over => return look(&self.core, self.topic).await,
             }
@@ -161,7 +161,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RestEnd {
     /// There was none: this node reads, or nobody does for it.
-    None,
+    NoRest,
     /// The readers know what this node does not.
     Behind,
     /// It is time to look.
@@ -176,14 +176,14 @@
 async fn rest(core: &EntryCore, topic: WatchTopic) -> RestEnd {
     let young = core.started.elapsed() < ACQUAINT_TIME;
     if young || topic.digest().is_none() || has_duty(core, READER_DUTY, READERS) {
-        return RestEnd::None;
+        return RestEnd::NoRest;
     }
     let since = Instant::now();
     let most = core.settings.store_history.mul_f64(LOOK_PART);
-    let mut end = RestEnd::None;
+    let mut end = RestEnd::NoRest;
     while since.elapsed() < most {
         match core.reader_cover(topic, Instant::now()) {
-            CoverState::Alone => return RestEnd::None,
+            CoverState::Alone => return RestEnd::NoRest,
             CoverState::Behind => return RestEnd::Behind,
             CoverState::Covered => {}
         }
--- a/crates/zinniahatch_entry/src/work_teller.rs
+++ b/crates/zinniahatch_entry/src/work_teller.rs
@@ -10,6 +10,7 @@
 use tokio::net::UdpSocket;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::CollectorBook;
+use zinniahatch_route::OpenWork;
 use zinniahatch_route::REFRESH_TIME;
 use zinniahatch_route::WorkGatherer;
 use zinniahatch_route::WorkPart;
@@ -30,6 +31,16 @@
     gather: bool,
 }
 
+impl WorkGram {
+    /// Makes the datagram of one process's news.
+    fn of(part: WorkPart, gather: bool) -> NodeGram {
+        NodeGram::Work(Self {
+            parts: vec![part],
+            gather,
+        })
+    }
+}
+
 /// Tells of this node's work, and of that of others where it gathers.
 pub(crate) struct WorkTeller {
     origin: ShortTag,
@@ -128,7 +139,7 @@
         &mut self,
         core: &EntryCore,
         socket: &UdpSocket,
-        work: Vec<(ShortTag, zinniahatch_route::OpenWork)>,
+        work: Vec<(ShortTag, OpenWork)>,
         now: Instant,
     ) {
         let reads = core.replicas.borrow_mut().take_reads();
@@ -142,22 +153,13 @@
             work,
             reads,
         };
+        let gather = matches!(self.path, WorkPath::Collector(_));
         match self.path {
             WorkPath::Own => self.gather(part, now),
-            WorkPath::All => {
-                let gram = WorkGram {
-                    parts: vec![part],
-                    gather: false,
-                };
-                tell_near(core, socket, &NodeGram::Work(gram)).await;
-            }
+            WorkPath::All => tell_near(core, socket, &WorkGram::of(part, gather)).await,
             WorkPath::Collector(collector) => {
-                let gram = WorkGram {
-                    parts: vec![part],
-                    gather: true,
-                };
                 self.book.note_told(collector, now);
-                if let Ok(bytes) = postcard::to_allocvec(&NodeGram::Work(gram)) {
+                if let Ok(bytes) = postcard::to_allocvec(&WorkGram::of(part, gather)) {
                     // A datagram that cannot be sent is as good as lost; the collector's silence shows it.
                     let _ = socket.send_to(&bytes, collector).await;
                 }
--- a/crates/zinniahatch_route/src/collectors.rs
+++ b/crates/zinniahatch_route/src/collectors.rs
@@ -13,6 +13,8 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_base::rank_member;
 
+/// The duty by which collectors are ranked.
+const COLLECTOR_DUTY: &str = "work";
 /// Other nodes of a region up to which each tells all of them by itself.
 const DIRECT_NODES: usize = 8;
 /// Nodes for which one collector gathers; it sends to all nodes of the region some 60 times a second.
@@ -117,6 +119,3 @@
         self.avoided.len() > avoided
     }
 }
-
-/// The duty by which collectors are ranked.
-const COLLECTOR_DUTY: &str = "work";
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -82,5 +82,4 @@
 pub use spread::away_share;
 pub use table::RouteTable;
 pub use work_news::WorkGatherer;
-pub use work_news::WorkNews;
 pub use work_news::WorkPart;
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -7,8 +7,8 @@
 use crate::ReplicaEntry;
 use crate::ReplicaLife;
 use crate::StreamModel;
-use crate::WorkNews;
 use crate::prompt::session_rank;
+use crate::work_news::WorkNews;
 use std::net::SocketAddrV4;
 use zinniahatch_base::prelude::*;
 
--- a/crates/zinniahatch_route/src/work_news.rs
+++ b/crates/zinniahatch_route/src/work_news.rs
@@ -63,7 +63,7 @@
 
 /// What is to be told of this node's work, and the numbers of what others told of theirs.
 #[derive(Clone, Debug, Default)]
-pub struct WorkNews {
+pub(crate) struct WorkNews {
     changed: BTreeSet<ShortTag>,
     reads: Vec<PromptRead>,
     /// When the last part of a chain was told to have been read by a replica.
