Test a replica and a collector that turn slow, and the new setting in the platform's template

The template's test failed for a value that it did not know; it fills the new one in and checks what is read, and a share of nothing is refused. Slow replica and slow collector: no fault found, the tests hold what is so.

--- a/crates/zinniahatch_config/tests/entry.rs
+++ b/crates/zinniahatch_config/tests/entry.rs
@@ -9,10 +9,11 @@
 const TEMPLATE: &str = include_str!("../../../platform/entry.ini");
 
 /// The values that the platform gives to the template's names.
-const VALUES: [(&str, &str); 19] = [
+const VALUES: [(&str, &str); 20] = [
     ("node_name", "front-a-1"),
     ("region", "north"),
     ("zone", "north-a"),
+    ("limits.cpu_share", "0.25"),
     ("seeds", "10.1.0.1:80,10.2.0.1:80"),
     ("listen.front", "10.1.0.5:8144"),
     ("listen.readiness", "10.1.0.5:8140"),
@@ -49,6 +50,7 @@
     assert!(EntrySettings::is_meant(&text));
     let settings = EntrySettings::parse("entry.ini", &text).unwrap();
     assert_eq!(&*settings.name, "front-a-1");
+    assert_eq!(settings.strength, 25);
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.regions.len(), 2);
     assert_eq!(settings.listen.peer.port(), 7660);
@@ -59,6 +61,7 @@
 
 #[test_case("front = 10.1.0.5:8144", "front = nowhere", "[listen] front"; "no_address")]
 #[test_case("seeds = 10.1.0.1:80", "seeds = x", "seeds"; "bad_seed")]
+#[test_case("processor = 0.25", "processor = 0", "processor"; "no_share_of_a_core")]
 #[test_case("name = front-a-1", "", "name"; "no_name")]
 #[test_case("grace = 8s", "grace = 8", "grace"; "no_unit")]
 #[test_case("[store]", "[shop]", "unknown section"; "unknown_section")]
--- a/crates/zinniahatch_route/tests/placement.rs
+++ b/crates/zinniahatch_route/tests/placement.rs
@@ -285,3 +285,25 @@
     let most = counts.values().max().copied().unwrap_or(0);
     assert!(most <= 10, "{most} of 30 at one replica");
 }
+
+/// A replica turned five times slower and went on answering. Half of its session's prompts began late, since
+/// its queue was no longer than those of others. What its answers took sends new ones to another choice.
+#[test]
+fn choose_local_leaves_a_replica_that_turned_slow() {
+    let now = Instant::now();
+    let mut table = table(&["r1", "r2", "r3", "r4"], now);
+    let parts = AskParts::new(prompt(7, 1));
+    let first = choose(&table, &parts, now).unwrap();
+    for _ in 0..10 {
+        let slow = table.get_mut(&first.replica).unwrap();
+        slow.note_pace(first.expected, first.expected * 5);
+    }
+    let other = choose(&table, &parts, now).unwrap();
+    assert_ne!(other.replica, first.replica);
+    // As fast as before, it has its session back.
+    for _ in 0..60 {
+        let healed = table.get_mut(&first.replica).unwrap();
+        healed.note_pace(first.expected, first.expected);
+    }
+    assert_eq!(choose(&table, &parts, now).unwrap().replica, first.replica);
+}
--- a/crates/zinniahatch_route/tests/work_news.rs
+++ b/crates/zinniahatch_route/tests/work_news.rs
@@ -108,6 +108,20 @@
     assert!(!book.review(start + Duration::from_secs(1)));
 }
 
+/// The collector's machine turned five times slower: what it was told was passed on after 75 ms instead of 15.
+/// It is kept, since every change of the collector has all open work told anew.
+#[test]
+fn review_slow_collector_stays() {
+    let mut book = CollectorBook::default();
+    let start = Instant::now();
+    for round in 0..20 {
+        let told = start + Duration::from_millis(100) * round;
+        book.note_told(address(1), told);
+        assert!(!book.review(told + gather_time(65) * 5));
+        book.note_heard(address(1));
+    }
+}
+
 #[test]
 fn gatherer_newer_news_replace_older() {
     let mut gatherer = WorkGatherer::default();
