--- a/crates/zinniahatch_lab/tests/site.rs
+++ b/crates/zinniahatch_lab/tests/site.rs
@@ -1,9 +1,12 @@
 //! The entry VM on the users' platform, as real processes among stand-ins that fail.
 
 use reqwest::StatusCode;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use zinniahatch_lab::site::HOST;
 use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteEntry;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::stand::faults::ServiceMode;
@@ -482,8 +485,8 @@
 /// Gives the last way of the news of a node's work, as its log says.
 fn work_path(site: &SiteCluster, index: usize) -> String {
     let lines = site.log(index);
-    let paths = lines.lines().filter(|line| line.contains("work-path"));
-    let Some(last) = paths.last() else {
+    let last = lines.lines().rfind(|line| line.contains("work-path"));
+    let Some(last) = last else {
         return String::new();
     };
     let fields: serde_json::Value = serde_json::from_str(last).expect("a line is JSON");
@@ -497,9 +500,8 @@
     let mut site = SiteCluster::start(&[region("north", 10, 2)], SHORT).await;
     let collector_of = |site: &SiteCluster, index: usize| {
         let path = work_path(site, index);
-        let gathers =
-            |entry: &&zinniahatch_lab::site::SiteEntry| path.contains(&*entry.addresses[4]);
-        site.entries.iter().position(|entry| gathers(&entry))
+        let gathers = |entry: &SiteEntry| path.contains(&*entry.addresses[4]);
+        site.entries.iter().position(gathers)
     };
     wait_until("most nodes tell a collector", async || {
         (0..10)
@@ -512,9 +514,9 @@
     let asking = asking.expect("a node tells a collector");
     let first = collector_of(&site, asking).expect("it has one");
     site.kill(first);
-    let number = std::sync::atomic::AtomicU32::new(0);
+    let number = AtomicU32::new(0);
     wait_until("another one gathers", async || {
-        let number = number.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let number = number.fetch_add(1, Ordering::Relaxed);
         let attempt = format!("c{number}");
         let answer = site
             .call(asking, "/plain/x", &attempt)
