Log what a request asks for and who asks, and under which requests a replica's channel broke

Cause: a line named an attempt id alone, and repeats of one request could not be told from different requests.

--- a/crates/zinniahatch_base/src/digest.rs
+++ b/crates/zinniahatch_base/src/digest.rs
@@ -1,5 +1,6 @@
 //! Digests of text, short tags and rendezvous ranks.
 
+use crate::ContentDigest;
 use crate::PartHash;
 use crate::ShortTag;
 
@@ -26,6 +27,19 @@
     u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
 }
 
+/// Gives the digest of several fields, each told apart from the next.
+///
+/// 64 bits: of ten million contents in the time for which one is remembered, the chance that any shares its
+/// digest with one of a few thousand remembered is below 1 in 100 million.
+pub fn digest_fields(fields: &[&[u8]]) -> ContentDigest {
+    let mut hasher = blake3::Hasher::new();
+    for field in fields {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    first_word(&hasher.finalize())
+}
+
 /// Gives the rendezvous rank of a member for an object; the highest rank owns the object.
 ///
 /// A member that joins or leaves moves only the objects it owns, which keeps
@@ -35,7 +49,10 @@
     hasher.update(object.as_bytes());
     hasher.update(&[0]);
     hasher.update(member.as_bytes());
-    let hash = hasher.finalize();
+    first_word(&hasher.finalize())
+}
+
+fn first_word(hash: &blake3::Hash) -> u64 {
     let mut first = [0_u8; 8];
     first.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(first)
--- a/crates/zinniahatch_base/src/ids.rs
+++ b/crates/zinniahatch_base/src/ids.rs
@@ -22,6 +22,8 @@
 pub type OperatorId = Box<str>;
 /// The id of one request, unique in the whole system.
 pub type RequestId = Box<str>;
+/// The digest of what a request asks for and who asks; its repeats have the same one, whatever their ids.
+pub type ContentDigest = u64;
 /// The revision of the configuration; it only rises.
 pub type Revision = u64;
 /// A number drawn at random at each start of a process.
--- a/crates/zinniahatch_base/src/lib.rs
+++ b/crates/zinniahatch_base/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod prelude;
 mod result_code;
 
+pub use digest::digest_fields;
 pub use digest::digest_text;
 pub use digest::rank_member;
 pub use digest::tag_of;
 pub use ids::AccountId;
 pub use ids::CallerId;
+pub use ids::ContentDigest;
 pub use ids::DataCentreId;
 pub use ids::Incarnation;
 pub use ids::ModelId;
--- a/crates/zinniahatch_base/src/prelude.rs
+++ b/crates/zinniahatch_base/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::AccountId;
 pub use crate::CallerId;
+pub use crate::ContentDigest;
 pub use crate::DataCentreId;
 pub use crate::Execution;
 pub use crate::Incarnation;
--- a/crates/zinniahatch_entry/src/answering.rs
+++ b/crates/zinniahatch_entry/src/answering.rs
@@ -41,7 +41,8 @@
     count(core, call, plan, &core.settings.region, code, None);
     core.log.write(
         "refused",
-        serde_json::json!({"request": call.attempt, "direct": call.is_direct(),
+        serde_json::json!({"request": call.attempt,
+            "content": call.content_text(), "direct": call.is_direct(),
             "route": plan.route.name, "tokens_in": call.size.tokens_in,
             "service": plan.service, "result": code.number(), "sends": course.sends,
             "connects": course.connects, "retry_ms": retry.map(|after| after.as_millis() as u64),
@@ -72,6 +73,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             open.fail();
+            open.log_break(call, &error.to_string());
             return Err(error.to_string().into());
         }
         Err(_) => return Err("no whole answer in time".into()),
@@ -90,7 +92,8 @@
     count(core, call, plan, &course.served(core), result, Some(took));
     core.log.write(
         "answered",
-        serde_json::json!({"request": call.attempt, "direct": call.is_direct(),
+        serde_json::json!({"request": call.attempt,
+            "content": call.content_text(), "direct": call.is_direct(),
             "route": plan.route.name, "status": head.status.as_u16(), "replica": at,
             "took_ms": took.as_millis() as u64, "goal_ms": plan.route.goal.as_millis() as u64}),
     );
--- a/crates/zinniahatch_entry/src/call.rs
+++ b/crates/zinniahatch_entry/src/call.rs
@@ -124,6 +124,7 @@
             if !used {
                 open.fail();
             }
+            open.log_break(call, &error.to_string());
             core.pool.purge(address);
             Err(SendFailure::Unknown(error.to_string().into()))
         }
--- a/crates/zinniahatch_entry/src/ingress.rs
+++ b/crates/zinniahatch_entry/src/ingress.rs
@@ -27,7 +27,9 @@
 use hyper::body::Incoming;
 use std::rc::Rc;
 use tokio::time::timeout;
+use zinniahatch_base::digest_fields;
 use zinniahatch_base::prelude::*;
+use zinniahatch_platform::credential;
 use zinniahatch_platform::forwarded;
 use zinniahatch_platform::idle_limit_header;
 use zinniahatch_platform::read_caller;
@@ -109,14 +111,14 @@
     arrived: Instant,
 ) -> Result<ReceivedCall, ResultCode> {
     let (parts, body) = request.into_parts();
-    let host = parts
+    let host: Box<str> = parts
         .headers
         .get(header::HOST)
         .and_then(|value| value.to_str().ok())
         .ok_or(ResultCode::BadRequest)?
         .into();
     let caller = read_caller(&parts.headers).map_err(|_| ResultCode::BadRequest)?;
-    let path = parts
+    let path: Box<str> = parts
         .uri
         .path_and_query()
         .map_or("/", |path| path.as_str())
@@ -126,6 +128,13 @@
         CallerSide::Front => RequestHop::Direct,
         CallerSide::Peer => RequestHop::Forwarded(read_note(&parts.headers)),
     };
+    let content = digest_fields(&[
+        parts.method.as_str().as_bytes(),
+        host.as_bytes(),
+        path.as_bytes(),
+        credential(&parts.headers),
+        &body,
+    ]);
     let mut headers = forwarded(&parts.headers);
     for own in [HOP_VERSION, HOP_SERVICE, HOP_SPENT] {
         headers.remove(own);
@@ -138,6 +147,7 @@
         path,
         headers,
         body,
+        content,
         arrived,
         time_left: caller.time_left,
         size: caller.size,
--- a/crates/zinniahatch_entry/src/open_call.rs
+++ b/crates/zinniahatch_entry/src/open_call.rs
@@ -181,6 +181,24 @@
             .is_none_or(|belief| belief.health.is_suspect(Instant::now()))
     }
 
+    /// Logs that the channel broke off under the request, and what this node had on the replica.
+    pub(crate) fn log_break(&self, call: &ReceivedCall, reason: &str) {
+        let Some(note) = &self.note else {
+            return;
+        };
+        let own = {
+            let replicas = self.core.replicas.borrow();
+            replicas.get(&note.replica).map(|belief| belief.own)
+        };
+        self.core.log.write(
+            "channel-broke",
+            serde_json::json!({"request": call.attempt, "content": call.content_text(),
+                "replica": note.replica, "reason": reason, "began": note.first_seen,
+                "ran_ms": self.sent_at.elapsed().as_millis() as u64,
+                "own_requests": own.map(|work| work.requests)}),
+        );
+    }
+
     /// Gives the replica, where the request went to one.
     pub(crate) fn replica(&self) -> Option<&ReplicaId> {
         self.note.as_ref().map(|note| &note.replica)
--- a/crates/zinniahatch_entry/src/received.rs
+++ b/crates/zinniahatch_entry/src/received.rs
@@ -44,6 +44,9 @@
     pub(crate) headers: HeaderMap,
     /// The body.
     pub(crate) body: Bytes,
+    /// Digest of what it asks for and who asks. Each repeat of a caller has an id of its own, and this in
+    /// common with those before.
+    pub(crate) content: ContentDigest,
     /// When it arrived.
     pub(crate) arrived: Instant,
     /// How long the caller will wait from then.
@@ -63,6 +66,11 @@
         }
     }
 
+    /// Gives the digest of its content as log lines and counters show it.
+    pub(crate) fn content_text(&self) -> String {
+        format!("{:016x}", self.content)
+    }
+
     /// Tells whether it may be forwarded.
     pub(crate) fn is_direct(&self) -> bool {
         self.hop == RequestHop::Direct
--- a/crates/zinniahatch_entry/src/relay.rs
+++ b/crates/zinniahatch_entry/src/relay.rs
@@ -62,6 +62,7 @@
                 break end;
             };
             open.fail();
+            open.log_break(&self.call, reason);
             if !self.plan.route.resumable {
                 break end;
             }
