--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -45,6 +45,9 @@
     /// callers at once (default: 12)
     #[argh(option, default = "12")]
     callers: usize,
+    /// one more caller comes with a request that ends each replica which begins it
+    #[argh(switch)]
+    fatal: bool,
 }
 
 /// run a small site on the platform's protocol, with a kill and a planned stop
@@ -155,6 +158,7 @@
                 time: Duration::from_secs(args.seconds),
                 entries: args.entries,
                 callers: args.callers,
+                fatal: args.fatal,
             };
             zinniahatch_lab::soak::run(&run).await
         }
--- a/crates/zinniahatch_lab/src/relay.rs
+++ b/crates/zinniahatch_lab/src/relay.rs
@@ -12,9 +12,11 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
 use zinniahatch_base::prelude::*;
 
 const CHUNK: usize = 16 << 10;
@@ -111,6 +113,21 @@
     ///
     /// Where no port is free.
     pub async fn start(to: &str, delay: Duration, link: LinkState) -> Self {
+        Self::start_until(to, delay, link, CancellationToken::new()).await
+    }
+
+    /// Relays to an address until its process has ended; then connections end and are refused, as they are
+    /// by the machine of a process that is gone.
+    ///
+    /// # Panics
+    ///
+    /// Where no port is free.
+    pub async fn start_until(
+        to: &str,
+        delay: Duration,
+        link: LinkState,
+        ended: CancellationToken,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a port is free");
@@ -120,9 +137,13 @@
             .to_string();
         let to: Box<str> = to.into();
         let task = tokio::spawn(async move {
-            while let Ok((inbound, _)) = listener.accept().await {
-                tokio::spawn(relay(inbound, to.clone(), delay, link.clone()));
-            }
+            let accept = async {
+                while let Ok((inbound, _)) = listener.accept().await {
+                    let relayed = relay(inbound, to.clone(), delay, link.clone());
+                    tokio::spawn(ended.clone().run_until_cancelled_owned(relayed));
+                }
+            };
+            ended.run_until_cancelled(accept).await;
         });
         Self {
             address: address.into(),
@@ -159,6 +180,7 @@
     };
     let mut there = tokio::spawn(carry(in_read, out_write, delay, there));
     let mut back = tokio::spawn(carry(out_read, in_write, delay, back));
+    let _guard = CarryGuard([there.abort_handle(), back.abort_handle()]);
     let ended = async {
         // A task fails only when it is aborted below.
         let _ = (&mut there).await;
@@ -166,9 +188,17 @@
     };
     tokio::select! {
         () = ended => {}
-        () = link.reset.notified() => {
-            there.abort();
-            back.abort();
+        () = link.reset.notified() => {}
+    }
+}
+
+/// Ends both directions of a connection when its relay ends, however it does.
+struct CarryGuard([AbortHandle; 2]);
+
+impl Drop for CarryGuard {
+    fn drop(&mut self) {
+        for handle in &self.0 {
+            handle.abort();
         }
     }
 }
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -4,6 +4,7 @@
 use crate::cluster::free_addresses;
 use crate::relay::LinkState;
 use crate::relay::TcpRelay;
+use crate::stand::fatal::FatalBook;
 use crate::stand::faults::FaultSwitch;
 use crate::stand::replica::ReplicaSight;
 use crate::stand::replica::StandReplica;
@@ -63,6 +64,8 @@
     pub switch: FaultSwitch,
     /// The entry VMs.
     pub entries: Vec<SiteEntry>,
+    /// The requests that end the replicas which begin them.
+    pub fatal: FatalBook,
     /// The replicas with the region of each.
     pub replicas: Vec<(StandReplica, &'static str)>,
     /// The link to each replica, and the relay at whose address it is registered.
@@ -108,6 +111,7 @@
         let name = format!("zinnia-site-{}-{}", std::process::id(), server.address);
         let folder = std::env::temp_dir().join(name.replace(':', "-"));
         std::fs::create_dir_all(&folder).expect("a folder can be made");
+        let fatal = FatalBook::default();
         let mut replicas = Vec::new();
         let mut links = Vec::new();
         let mut store_links = BTreeMap::new();
@@ -115,8 +119,8 @@
             store_links.insert(region.name, linked(&server.address).await);
             for number in 0..region.replicas {
                 let id = format!("i-{}-{number}", region.name);
-                let replica = StandReplica::start(&id, shape).await;
-                links.push(linked(&replica.address.to_string()).await);
+                let replica = StandReplica::start(&id, shape, &fatal).await;
+                links.push(replica_link(&replica).await);
                 replicas.push((replica, region.name));
             }
         }
@@ -136,6 +140,7 @@
             store,
             switch,
             entries,
+            fatal,
             replicas,
             links,
             store_links,
@@ -209,10 +214,22 @@
         self.start_replica(index, &id).await;
     }
 
+    /// Starts another replica in the place of each that has crashed; tells which.
+    pub async fn replace_crashed(&mut self) -> Vec<usize> {
+        let crashed = |(replica, _): &(StandReplica, &str)| replica.ended().is_cancelled();
+        let indices: Vec<usize> = (0..self.replicas.len())
+            .filter(|index| crashed(&self.replicas[*index]))
+            .collect();
+        for index in &indices {
+            self.replace_replica(*index).await;
+        }
+        indices
+    }
+
     async fn start_replica(&mut self, index: usize, id: &str) {
         let region = self.replicas[index].1;
-        let replica = StandReplica::start(id, self.shape).await;
-        self.links[index] = linked(&replica.address.to_string()).await;
+        let replica = StandReplica::start(id, self.shape, &self.fatal).await;
+        self.links[index] = replica_link(&replica).await;
         let old = std::mem::replace(&mut self.replicas[index].0, replica);
         self.retired.push((region, old.sight()));
         drop(old);
@@ -471,6 +488,15 @@
     (link, relay)
 }
 
+/// Starts a link without faults to a replica, which ends with it.
+async fn replica_link(replica: &StandReplica) -> (LinkState, TcpRelay) {
+    let link = LinkState::default();
+    let to = replica.address.to_string();
+    let ended = replica.ended().clone();
+    let relay = TcpRelay::start_until(&to, Duration::ZERO, link.clone(), ended).await;
+    (link, relay)
+}
+
 /// Waits until a condition holds.
 ///
 /// # Panics
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -5,6 +5,7 @@
 //! replicas are compared with what callers were told, and every entry VM must serve again.
 
 mod callers;
+mod fatal;
 mod faults;
 mod plan;
 mod promises;
@@ -13,6 +14,7 @@
 use crate::site::SiteRegion;
 use crate::stand::replica::StreamShape;
 use callers::CallerCrowd;
+use fatal::FatalCaller;
 use faults::FaultBoard;
 use plan::SoakPlan;
 use promises::PromiseBook;
@@ -38,6 +40,8 @@
     pub entries: usize,
     /// Callers at once.
     pub callers: usize,
+    /// Whether one more caller comes with a request that ends each replica which begins it.
+    pub fatal: bool,
 }
 
 /// Runs seed after seed; gives how many promises broke.
@@ -68,10 +72,14 @@
     let plan = SoakPlan::draw(seed, soak.time, &site);
     let book = Arc::new(PromiseBook::default());
     let crowd = CallerCrowd::start(seed, soak.callers, &site, &book);
+    let fatal = soak.fatal.then(|| FatalCaller::start(seed, &site));
     let mut board = FaultBoard::new(&plan);
     board.play(&mut site, &book).await;
     crowd.stop().await;
     promises::check_recovery(&mut site, &board, &book).await;
+    if let Some(fatal) = fatal {
+        fatal.check(&mut site, &plan, &book).await;
+    }
     promises::check_runs(&site, plan.mix, &book);
     let broken = book.take_broken();
     println!(
--- a/crates/zinniahatch_lab/src/soak/faults.rs
+++ b/crates/zinniahatch_lab/src/soak/faults.rs
@@ -81,6 +81,10 @@
                 self.end(site, &step.planned, book).await;
             }
             self.look_for_ends(site, book);
+            for index in site.replace_crashed().await {
+                // What takes the place of a crashed replica does not leave.
+                self.leaving.remove(&index);
+            }
         }
     }
 
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -88,6 +88,20 @@
         )
     }
 
+    /// Tells whether the store may not take or give what must last.
+    pub(crate) fn troubles_store(self) -> bool {
+        matches!(
+            self,
+            Self::StoreDown
+                | Self::StoreSilent
+                | Self::StoreSlow(_)
+                | Self::StoreLosesAnswers(_)
+                | Self::LeasesLapse
+                | Self::StoreCut(_)
+                | Self::StoreMute(_)
+        )
+    }
+
     /// Gives the replica whose entry in the store it changes.
     pub(crate) fn registers(self) -> Option<usize> {
         match self {
--- a/crates/zinniahatch_lab/src/soak/promises.rs
+++ b/crates/zinniahatch_lab/src/soak/promises.rs
@@ -197,6 +197,7 @@
 /// Waits until every entry VM serves again by the newest desired state; a fault that lasts shows as a
 /// wait in vain.
 pub(crate) async fn check_recovery(site: &mut SiteCluster, board: &FaultBoard, book: &PromiseBook) {
+    site.replace_crashed().await;
     for index in 0..site.replicas.len() {
         site.register(index, "ready");
     }
--- a/crates/zinniahatch_lab/src/stand.rs
+++ b/crates/zinniahatch_lab/src/stand.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod directory;
 pub mod engine;
+pub mod fatal;
 pub mod faults;
 pub mod plain;
 pub mod replica;
--- a/crates/zinniahatch_lab/src/stand/replica.rs
+++ b/crates/zinniahatch_lab/src/stand/replica.rs
@@ -3,6 +3,8 @@
 //! It speaks the platform's published protocol on a plain socket, so that it can break off, answer
 //! twice or stay silent at any byte.
 
+use super::fatal::CallContent;
+use super::fatal::FatalBook;
 use httparse::EMPTY_HEADER;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -18,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 use zinniahatch_base::prelude::*;
 
 /// Headers of a request at most.
@@ -81,16 +84,17 @@
     /// Where it listens.
     pub address: SocketAddrV4,
     state: Arc<Mutex<ReplicaState>>,
+    ended: CancellationToken,
     task: JoinHandle<()>,
 }
 
 impl StandReplica {
-    /// Starts a replica on a free port.
+    /// Starts a replica on a free port; it ends when it begins a fatal request.
     ///
     /// # Panics
     ///
     /// Where no port is free.
-    pub async fn start(id: &str, shape: StreamShape) -> Self {
+    pub async fn start(id: &str, shape: StreamShape, fatal: &FatalBook) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a port is free");
@@ -102,21 +106,40 @@
             id: id.into(),
             shape,
             state: Arc::clone(&state),
+            fatal: fatal.clone(),
+            ended: CancellationToken::new(),
         };
+        let ended = serving.ended.clone();
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serving.clone().run(stream));
-            }
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let serving = serving.clone();
+                    let ended = serving.ended.clone();
+                    tokio::spawn(ended.run_until_cancelled_owned(serving.run(stream)));
+                }
+            };
+            serving.ended.run_until_cancelled(accept).await;
         });
         Self {
             id: id.into(),
             born: unix_millis(),
             address,
             state,
+            ended,
             task,
         }
     }
 
+    /// Ends it as a crash does: connections end in the middle of answers, new ones are refused.
+    pub fn crash(&self) {
+        self.ended.cancel();
+    }
+
+    /// Gives what is cancelled when it ends.
+    pub fn ended(&self) -> &CancellationToken {
+        &self.ended
+    }
+
     /// Switches its behaviour.
     pub fn behave(&self, behaviour: ReplicaBehaviour) {
         lock(&self.state).behaviour = behaviour;
@@ -161,11 +184,13 @@
     id: Box<str>,
     shape: StreamShape,
     state: Arc<Mutex<ReplicaState>>,
+    fatal: FatalBook,
+    ended: CancellationToken,
 }
 
 /// A request as the replica reads it.
 struct ReplicaCall {
-    path: Box<str>,
+    content: CallContent,
     attempt: Box<str>,
     expected: Option<Box<str>>,
     last_event: u32,
@@ -183,7 +208,7 @@
 
     /// Answers a request; tells whether the channel goes on.
     async fn answer(&self, stream: &mut TcpStream, call: &ReplicaCall) -> bool {
-        if &*call.path == "/health" {
+        if &*call.content.path == "/health" {
             let head = format!(
                 "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
                 self.id
@@ -210,10 +235,15 @@
             *state.sight.runs.entry(call.attempt.clone()).or_default() += 1;
             state.sight.last_run = Some(Instant::now());
         }
+        if self.fatal.note_begun(&call.content) {
+            return self.end_under(stream, call).await;
+        }
         match behaviour {
             ReplicaBehaviour::LoseAnswer => false,
             ReplicaBehaviour::Fail => self.plain(stream, call, "500 Internal Error").await,
-            _ if call.path.contains("/stream/") => self.events(stream, call, behaviour).await,
+            _ if call.content.path.contains("/stream/") => {
+                self.events(stream, call, behaviour).await
+            }
             _ => self.plain(stream, call, "200 OK").await,
         }
     }
@@ -245,6 +275,20 @@
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
+    /// Begins a stream and ends in the middle of it, with all others that run.
+    async fn end_under(&self, stream: &mut TcpStream, call: &ReplicaCall) -> bool {
+        let head = format!(
+            "{}X-Server-Seal: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
+            Self::head(call, "200 OK"),
+            self.id
+        );
+        // The end follows in any case.
+        let _ = stream.write_all(head.as_bytes()).await;
+        sleep(self.shape.pause).await;
+        self.ended.cancel();
+        false
+    }
+
     async fn events(
         &self,
         stream: &mut TcpStream,
@@ -294,10 +338,11 @@
 
 async fn read_call(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReplicaCall> {
     loop {
-        if let Some((call, used, body)) = parse_call(buffer) {
+        if let Some((mut call, used, body)) = parse_call(buffer) {
             while buffer.len() < used + body {
                 read_some(stream, buffer).await?;
             }
+            call.content.body = buffer[used..used + body].to_vec();
             buffer.drain(..used + body);
             return Some(call);
         }
@@ -329,7 +374,11 @@
     };
     let number = |name: &str| text(name).and_then(|value| value.parse::<u32>().ok());
     let call = ReplicaCall {
-        path: request.path.unwrap_or_default().into(),
+        content: CallContent {
+            path: request.path.unwrap_or_default().into(),
+            caller: text("authorization").unwrap_or_default(),
+            body: Vec::new(),
+        },
         attempt: text("x-attempt-id").unwrap_or_default(),
         expected: text("x-expect-instance"),
         last_event: number("last-event-id").unwrap_or(0),
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -6,13 +6,14 @@
 use zinniahatch_lab::soak::run_seed;
 
 /// Plays a seed for so many seconds with so many entry VMs a region and callers.
-async fn check_seed(seed: u64, seconds: u64, entries: usize, callers: usize) {
+async fn check_seed(seed: u64, seconds: u64, entries: usize, callers: usize, fatal: bool) {
     let soak = SoakRun {
         seed,
         seeds: 1,
         time: Duration::from_secs(seconds),
         entries,
         callers,
+        fatal,
     };
     let broken = run_seed(&soak, seed).await;
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
@@ -24,7 +25,16 @@
 #[test_case(3; "planned")]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_in_a_soak(seed: u64) {
-    check_seed(seed, 8, 1, 8).await;
+    check_seed(seed, 8, 1, 8, false).await;
+}
+
+/// A caller's request ends each replica that begins it, and it comes again at any node while other faults
+/// go on; in the end every node knows it, without many replicas more.
+#[test_case(4; "any")]
+#[test_case(6; "replicas")]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_beside_a_fatal_request(seed: u64) {
+    check_seed(seed, 8, 2, 8, true).await;
 }
 
 /// In 122, two losses of one link overlapped, and the relay of the lab delivered a stream with a hole in the
@@ -36,5 +46,5 @@
 #[test_case(131; "replicas_start_again_under_their_ids")]
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_that_failed(seed: u64) {
-    check_seed(seed, 10, 2, 12).await;
+    check_seed(seed, 10, 2, 12, false).await;
 }
