Hold requests under which three replicas ended, at every node

Cause: what a node knew of a failed request was bound to one attempt. A caller's repeat has a new id, and mostly another node, so each was served like a fresh request and ended up to two replicas more (route's attempts), by resume also in other regions. Ruled out: one attempt sent on beyond its attempts (two at most), cold replicas given too much.

Now: nodes note the digest of path, caller and body of what they had on a replica that refuses connections after a break, tell all nodes on the event, and hold a content with three ends and no whole answer since: it is refused at once with 429 and the time until the hold lapses. Kept in the store for nodes that start.

--- a/crates/zinniahatch_base/src/result_code.rs
+++ b/crates/zinniahatch_base/src/result_code.rs
@@ -77,6 +77,7 @@
     NodeStarting = 225, 503, NotRun, "This entry VM does not hold the configuration yet.";
     OverRate = 226, 429, NotRun, "The account is over its limit of requests in progress.";
     BackendRefused = 227, 503, NotRun, "The backend server refused the request before running it.";
+    RequestQuarantined = 228, 429, NotRun, "Several backend servers ended while they ran this request; it is not sent to more for now.";
     StillRunning = 230, 409, Unknown, "The request under this key is still running; collect its answer later.";
     OutcomeUnknown = 300, 502, Unknown, "The connection broke after the request was sent; whether it ran is not known.";
     KeyOwnerGone = 301, 502, Unknown, "The entry VM that owned this key is gone; whether the request ran is not known.";
--- a/crates/zinniahatch_entry/src/answering.rs
+++ b/crates/zinniahatch_entry/src/answering.rs
@@ -8,9 +8,11 @@
 use crate::plan::CallCount;
 use crate::plan::CallCourse;
 use crate::plan::CallPlan;
+use crate::quarantine::note_answered;
 use crate::received::ReceivedCall;
 use crate::refusal::own_answer;
 use crate::relay::StreamRelay;
+use crate::replica_check::note_break;
 use http::Response;
 use http::StatusCode;
 use std::rc::Rc;
@@ -73,7 +75,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             open.fail();
-            open.log_break(call, &error.to_string());
+            note_break(core, call, &open, &error.to_string()).await;
             return Err(error.to_string().into());
         }
         Err(_) => return Err("no whole answer in time".into()),
@@ -81,6 +83,7 @@
     let failed = head.status.is_server_error();
     let at = open.replica().cloned();
     open.finish(!failed);
+    note_answered(core, call);
     let took = call.arrived.elapsed();
     core.metrics.note_first_event(&plan.service, took);
     let result = if failed {
--- a/crates/zinniahatch_entry/src/call.rs
+++ b/crates/zinniahatch_entry/src/call.rs
@@ -6,10 +6,13 @@
 use crate::open_call::ReplicaNote;
 use crate::plan::CallPlan;
 use crate::pool::PoolError;
+use crate::quarantine::await_hold;
+use crate::quarantine::hold_left;
 use crate::received::ReceivedCall;
-use crate::refusal::is_own;
+use crate::refusal::own_code;
 use crate::refusal::retry_hint;
 use crate::refusal::says_not_run;
+use crate::replica_check::note_break;
 use http::StatusCode;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
@@ -39,6 +42,8 @@
     NotRun(Option<Duration>),
     /// Another replica answers at the address; it did not run the request.
     WrongReplica,
+    /// Replicas ended under it, so that it was not sent; it is held for so long.
+    Quarantined(Duration),
     /// It may have run.
     Unknown(Box<str>),
 }
@@ -117,14 +122,27 @@
     );
     let used = channel.was_used();
     open.channel = Some(channel);
-    match open.exchange(call, &head).await {
+    // It may have waited for the connection while the news came.
+    if let Some(left) = hold_left(core, call) {
+        return Err(SendFailure::Quarantined(left));
+    }
+    let exchanged = tokio::select! {
+        biased;
+        exchanged = open.exchange(call, &head) => exchanged,
+        // It waits in the replica's queue; begun there, it would end one replica more. Replicas drop what
+        // waits when its channel closes.
+        () = await_hold(core, call) => {
+            return Err(SendFailure::Unknown("held while it waited".into()));
+        }
+    };
+    match exchanged {
         Ok(head) => sort_answer(core, choice, head, open),
         Err(error) => {
             // A kept channel that breaks says little of the replica; it may have closed it.
             if !used {
                 open.fail();
             }
-            open.log_break(call, &error.to_string());
+            note_break(core, call, &open, &error.to_string()).await;
             core.pool.purge(address);
             Err(SendFailure::Unknown(error.to_string().into()))
         }
@@ -274,7 +292,7 @@
             return Err(SendFailure::Unknown(error.to_string().into()));
         }
     };
-    if !is_own(&head.headers) {
+    if own_code(&head.headers).is_none() {
         return Ok((head, open));
     }
     let hint = retry_hint(&head.headers);
@@ -283,6 +301,9 @@
     if open.read_whole().await.is_ok() {
         open.finish(true);
     }
+    if not_run && own_code(&head.headers) == Some(ResultCode::RequestQuarantined.number()) {
+        return Err(SendFailure::Quarantined(hint.unwrap_or_default()));
+    }
     if not_run {
         return Err(SendFailure::NotRun(hint));
     }
--- a/crates/zinniahatch_entry/src/channel.rs
+++ b/crates/zinniahatch_entry/src/channel.rs
@@ -44,6 +44,9 @@
     /// No connection was made, so nothing was sent.
     #[error("no connection: {0}")]
     Connect(Box<str>),
+    /// Nobody listens at the address, so nothing was sent.
+    #[error("no connection: refused")]
+    Refused,
     /// The channel broke after something may have been sent.
     #[error("the channel broke: {0}")]
     Broken(Box<str>),
@@ -96,7 +99,10 @@
         let stream = timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| ChannelError::Connect("timed out".into()))?
-            .map_err(|error| ChannelError::Connect(error.to_string().into()))?;
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => ChannelError::Refused,
+                _ => ChannelError::Connect(error.to_string().into()),
+            })?;
         let tuned = stream.set_nodelay(true).and_then(|()| {
             socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIME))
         });
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -7,6 +7,7 @@
 use crate::news::READERS;
 use crate::news::has_duty;
 use crate::pool::ChannelPool;
+use crate::replica_check::EndChecks;
 use crate::replica_news::ReplicaNews;
 use crate::watch_topic::WatchTopic;
 use std::cell::Cell;
@@ -34,6 +35,7 @@
 use zinniahatch_route::RouteTable;
 use zinniahatch_route::ServiceDigest;
 use zinniahatch_route::ServingPreset;
+use zinniahatch_route::SuspectTable;
 
 /// How far a process is with stopping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,6 +64,13 @@
     /// Whether requests to other regions arrive there.
     pub(crate) ways: RefCell<RegionWays>,
     pub(crate) gate: RefCell<ColdGate>,
+    /// Requests under which replicas ended.
+    pub(crate) suspects: RefCell<SuspectTable>,
+    /// Told when one of them began or ceased to be held.
+    pub(crate) quarantined: watch::Sender<()>,
+    /// Those whose key in the store is to be removed.
+    pub(crate) released: RefCell<Vec<ContentDigest>>,
+    pub(crate) end_checks: EndChecks,
     pub(crate) budgets: RefCell<BTreeMap<ServiceId, RepeatBudget>>,
     /// Where other nodes may listen, from the store and from other nodes.
     pub(crate) contacts: RefCell<ContactBook>,
@@ -116,6 +125,10 @@
             members: RefCell::default(),
             ways: RefCell::default(),
             gate: RefCell::default(),
+            suspects: RefCell::default(),
+            quarantined: watch::Sender::new(()),
+            released: RefCell::default(),
+            end_checks: EndChecks::default(),
             budgets: RefCell::default(),
             contacts: RefCell::new(contacts),
             accounts: AccountDesk::default(),
--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -4,6 +4,8 @@
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
 use crate::news::take_replica_news;
+use crate::quarantine::NewsSource;
+use crate::quarantine::hear_suspects;
 use crate::replica_news::ReplicaNews;
 use crate::work_teller::WorkGram;
 use crate::work_teller::WorkTeller;
@@ -19,6 +21,7 @@
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::MemberCard;
+use zinniahatch_route::SuspectNews;
 
 /// Pause between cards; three are lost before a node counts as silent.
 const CARD_PAUSE: Duration = Duration::from_millis(500);
@@ -29,6 +32,8 @@
 const LARGEST: usize = 8 << 10;
 /// News in a datagram at most: about 60 bytes each, within one packet.
 const MOST_NEWS: usize = 16;
+/// Requests under which replicas ended in a datagram at most: about 50 bytes each, within one packet.
+const MOST_SUSPECTS: usize = 24;
 /// Other nodes named in a datagram, so that a fresh node finds all from one.
 const MOST_HINTS: usize = 3;
 
@@ -41,6 +46,8 @@
     Work(WorkGram),
     /// What a node of the region read of replicas in the store.
     News(ReplicaNews),
+    /// Requests under which replicas ended.
+    Suspects(Vec<SuspectNews>),
 }
 
 /// Who a node is.
@@ -56,6 +63,8 @@
     asks: bool,
     /// Where some other nodes listen, and their regions.
     hints: Vec<(SocketAddrV4, RegionId)>,
+    /// Digest of the requests under which several replicas ended.
+    suspects: u64,
 }
 
 /// The last clock heard of each node, and when.
@@ -74,7 +83,11 @@
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, SocketAddr::V4(from))) = received {
-                    hear(&core, &mut teller, &mut echoes, &buffer[..length], from, start);
+                    let differs =
+                        hear(&core, &mut teller, &mut echoes, &buffer[..length], from, start);
+                    if differs {
+                        tell_known_suspects(&core, &socket, from).await;
+                    }
                 }
             }
             () = core.work_changed.notified() => teller.note_changed(Instant::now()),
@@ -85,6 +98,7 @@
                 tell_cards(&core, &socket, &echoes, start).await;
                 teller.refresh(&core, &socket).await;
                 tell_news(&core, &socket).await;
+                tell_suspects(&core, &socket, true).await;
                 if cards.period() != CARD_PAUSE && core.started.elapsed() >= ACQUAINT_TIME {
                     cards = interval(CARD_PAUSE);
                     cards.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -106,20 +120,58 @@
     }
 }
 
+/// Tells all nodes that this one knows what it learned of requests under which replicas ended; `again` tells
+/// once more what was told a moment ago, since datagrams are lost.
+pub(crate) async fn tell_suspects(core: &EntryCore, socket: &UdpSocket, again: bool) {
+    let now = Instant::now();
+    let news = core
+        .suspects
+        .borrow_mut()
+        .take_news(again, MOST_SUSPECTS, now);
+    if !news.is_empty() {
+        tell_where(core, socket, &NodeGram::Suspects(news), |_| true).await;
+    }
+}
+
+/// Tells a node which requests are known here, because it knows others. A node that was cut off, or has just
+/// started, learns them so with the first cards.
+async fn tell_known_suspects(core: &EntryCore, socket: &UdpSocket, to: SocketAddrV4) {
+    let now = Instant::now();
+    let draw = rand::random();
+    let news = core.suspects.borrow().known_news(draw, MOST_SUSPECTS, now);
+    if news.is_empty() {
+        return;
+    }
+    if let Ok(bytes) = postcard::to_allocvec(&NodeGram::Suspects(news)) {
+        // A datagram that cannot be sent is as good as lost; the next card shows the difference again.
+        let _ = socket.send_to(&bytes, to).await;
+    }
+}
+
 /// Sends a datagram to all nodes of the region.
 pub(crate) async fn tell_near(core: &EntryCore, socket: &UdpSocket, gram: &NodeGram) {
+    tell_where(core, socket, gram, |region| *region == core.settings.region).await;
+}
+
+/// Sends a datagram to all nodes that are known in some regions.
+async fn tell_where(
+    core: &EntryCore,
+    socket: &UdpSocket,
+    gram: &NodeGram,
+    meant: impl Fn(&RegionId) -> bool,
+) {
     let Ok(bytes) = postcard::to_allocvec(gram) else {
         return;
     };
-    let near: Vec<SocketAddrV4> = {
+    let addresses: Vec<SocketAddrV4> = {
         let members = core.members.borrow();
         members
             .known()
-            .filter(|card| card.region == core.settings.region)
+            .filter(|card| meant(&card.region))
             .map(|card| card.peer)
             .collect()
     };
-    for address in near {
+    for address in addresses {
         // A datagram that cannot be sent is as good as lost; the next one follows.
         let _ = socket.send_to(&bytes, address).await;
     }
@@ -138,6 +190,7 @@
         echo: None,
         asks: false,
         hints: hints(core),
+        suspects: core.suspects.borrow().known_digest(),
     };
     for (address, asks) in receivers(core, now) {
         let node = core.members.borrow().at_address(address).cloned();
@@ -185,6 +238,7 @@
     found
 }
 
+/// Takes a datagram; tells whether its sender knows other suspects than this node.
 fn hear(
     core: &EntryCore,
     teller: &mut WorkTeller,
@@ -192,9 +246,14 @@
     bytes: &[u8],
     from: SocketAddrV4,
     start: Instant,
-) {
+) -> bool {
     match postcard::from_bytes(bytes) {
-        Ok(NodeGram::Card(gram)) => hear_card(core, echoes, gram, start),
+        Ok(NodeGram::Card(gram)) => {
+            let differs = gram.suspects != core.suspects.borrow().known_digest();
+            hear_card(core, echoes, gram, start);
+            return differs;
+        }
+        Ok(NodeGram::Suspects(news)) => hear_suspects(core, &news, source_of(core, from)),
         Ok(NodeGram::Work(gram)) => teller.hear(core, gram, from),
         Ok(NodeGram::News(news)) => take_replica_news(core, news, Instant::now()),
         Err(_) => core.log.write(
@@ -202,6 +261,21 @@
             serde_json::json!({"bytes": bytes.len(), "from": from.to_string()}),
         ),
     }
+    false
+}
+
+/// Tells whether a node of this region speaks from an address. One that is not known yet is taken for one of
+/// another region, so that what it says is passed on.
+fn source_of(core: &EntryCore, from: SocketAddrV4) -> NewsSource {
+    let members = core.members.borrow();
+    let near = members
+        .at_address(from)
+        .is_some_and(|card| card.region == core.settings.region);
+    if near {
+        NewsSource::Near
+    } else {
+        NewsSource::Far
+    }
 }
 
 fn hear_card(core: &EntryCore, echoes: &mut EchoTable, gram: CardGram, start: Instant) {
--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -21,6 +22,9 @@
     away: IntCounterVec,
     platform: IntCounterVec,
     first_event: HistogramVec,
+    replica_ends: IntCounter,
+    suspects: IntCounterVec,
+    quarantined: IntGauge,
     channels: IntGauge,
     dropped_sheets: IntGauge,
 }
@@ -58,6 +62,21 @@
             "Calls to the platform's store, by call and outcome.",
             &["call", "outcome"],
         )?;
+        let suspects = counter(
+            "zinniahatch_suspects_total",
+            "What was learned of requests under which replicas ended, by event.",
+            &["event"],
+        )?;
+        let replica_ends = IntCounter::new(
+            "zinniahatch_replica_ends_total",
+            "Replicas that ended while this node had requests there.",
+        )?;
+        registry.register(Box::new(replica_ends.clone()))?;
+        let quarantined = IntGauge::new(
+            "zinniahatch_quarantined_requests",
+            "Contents of requests that are held because replicas ended under them.",
+        )?;
+        registry.register(Box::new(quarantined.clone()))?;
         let first_event = HistogramVec::new(
             HistogramOpts::new(
                 "zinniahatch_first_event_seconds",
@@ -84,6 +103,9 @@
             away,
             platform,
             first_event,
+            replica_ends,
+            suspects,
+            quarantined,
             channels,
             dropped_sheets,
         })
@@ -109,6 +131,21 @@
         self.platform.with_label_values(&[call, outcome]).inc();
     }
 
+    /// Counts a replica that has ended.
+    pub(crate) fn note_replica_end(&self) {
+        self.replica_ends.inc();
+    }
+
+    /// Counts what was learned of a request under which a replica ended.
+    pub(crate) fn note_suspect(&self, event: &str) {
+        self.suspects.with_label_values(&[event]).inc();
+    }
+
+    /// Sets how many contents are held.
+    pub(crate) fn set_quarantined(&self, count: usize) {
+        self.quarantined.set(count as i64);
+    }
+
     /// Notes the time to a first event.
     pub(crate) fn note_first_event(&self, service: &str, took: Duration) {
         self.first_event
--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -8,6 +8,7 @@
 use crate::open_call::OpenCall;
 use crate::plan::CallCourse;
 use crate::plan::CallPlan;
+use crate::quarantine::hold_left;
 use crate::received::ReceivedCall;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
@@ -54,6 +55,9 @@
     course: &CallCourse,
     judged: bool,
 ) -> NextPlace {
+    if let Some(left) = hold_left(core, call) {
+        return NextPlace::Refuse(ResultCode::RequestQuarantined, left);
+    }
     let now = Instant::now();
     let preset = core.preset.borrow().clone();
     let rule = admission_rule(call, plan, &preset, now);
--- /dev/null
+++ b/crates/zinniahatch_entry/src/quarantine_keys.rs
@@ -0,0 +1,155 @@
+//! Keys of quarantined requests in the platform's store.
+//!
+//! Failure: all nodes lose power, and with them what they know; the request that had ended replicas ends
+//! three more. Each node that saw one of the ends keeps the content in the store, under a lease that lapses with
+//! the quarantine, and every node reads these keys when it starts. While nodes live they tell each other;
+//! nobody watches the keys.
+
+use crate::core::EntryCore;
+use crate::quarantine::NewsSource;
+use crate::quarantine::content_text;
+use crate::quarantine::hear_suspects;
+use crate::watch::wait_for_store;
+use serde::Deserialize;
+use serde::Serialize;
+use std::rc::Rc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+use tokio::time::sleep;
+use zinniahatch_base::prelude::*;
+use zinniahatch_platform::CommitOutcome;
+use zinniahatch_platform::KvError;
+use zinniahatch_platform::StoreCommit;
+use zinniahatch_route::SuspectNews;
+
+/// Start of the keys.
+const PREFIX: &str = "zinniahatch/quarantine/";
+/// Time for a listing of these keys.
+const LIST_TIME: Duration = Duration::from_millis(1_500);
+/// Pause after a failed call.
+const RETRY_TIME: Duration = Duration::from_millis(900);
+/// Longest lease that the store gives.
+const LONGEST_LEASE: Duration = Duration::from_secs(600);
+
+/// What a key says.
+#[derive(Debug, Serialize, Deserialize)]
+struct KeptSuspect {
+    content: ContentDigest,
+    /// The replicas that ended, by the tags of their lives, and when, in Unix milliseconds.
+    ends: Vec<(ShortTag, u64)>,
+}
+
+/// Reads the keys once, then keeps what this node holds, until the process ends.
+pub(crate) async fn run_quarantine_keys(core: Rc<EntryCore>) {
+    let mut changes = core.quarantined.subscribe();
+    while let Err(error) = read_keys(&core).await {
+        pause_after(&core, &error).await;
+    }
+    loop {
+        // The sender lives as long as the process.
+        let _ = changes.changed().await;
+        while let Err(error) = write_keys(&core).await {
+            pause_after(&core, &error).await;
+        }
+    }
+}
+
+async fn pause_after(core: &EntryCore, error: &KvError) {
+    core.metrics.note_store("quarantine", "failed");
+    core.log.write(
+        "quarantine-not-kept",
+        serde_json::json!({"error": error.to_string()}),
+    );
+    sleep(RETRY_TIME).await;
+    wait_for_store(core).await;
+}
+
+async fn read_keys(core: &EntryCore) -> Result<(), KvError> {
+    let listing = core.store.items(PREFIX, LIST_TIME).await?;
+    core.metrics.note_store("quarantine", "listed");
+    let now = unix_millis();
+    let mut news = Vec::new();
+    for item in listing.items {
+        match serde_json::from_slice::<KeptSuspect>(&item.value) {
+            Ok(kept) => news.push(kept.news(now)),
+            Err(error) => {
+                core.metrics.note_store("value", "rejected");
+                core.log.write(
+                    "value-rejected",
+                    serde_json::json!({"problem": format!("key `{}`: {error}", item.key)}),
+                );
+            }
+        }
+    }
+    hear_suspects(core, &news, NewsSource::Store);
+    Ok(())
+}
+
+async fn write_keys(core: &EntryCore) -> Result<(), KvError> {
+    loop {
+        let released = core.released.borrow().last().copied();
+        if let Some(content) = released {
+            let commit = StoreCommit::new().remove(&key_of(content));
+            core.store.commit(&commit).await?;
+            core.metrics.note_store("quarantine", "removed");
+            core.released.borrow_mut().retain(|other| *other != content);
+            continue;
+        }
+        let unkept = core.suspects.borrow().unkept(Instant::now());
+        let Some((news, left)) = unkept else {
+            return Ok(());
+        };
+        keep(core, &news, left).await?;
+    }
+}
+
+async fn keep(core: &EntryCore, news: &SuspectNews, left: Duration) -> Result<(), KvError> {
+    let time = left.min(LONGEST_LEASE).max(core.settings.lease_least);
+    let lease = core.store.grant(time).await?;
+    let kept = KeptSuspect::of(news, unix_millis());
+    let value = serde_json::to_vec(&kept).unwrap_or_default();
+    let commit = StoreCommit::new().set(&key_of(news.content), &value, Some(lease));
+    if core.store.commit(&commit).await? == CommitOutcome::NoLease {
+        return Err(KvError::NotDone("the lease has lapsed".into()));
+    }
+    core.metrics.note_store("quarantine", "kept");
+    core.suspects.borrow_mut().note_kept(news.content);
+    core.log.write(
+        "quarantine-kept",
+        serde_json::json!({"content": content_text(news.content),
+            "for_ms": time.as_millis() as u64}),
+    );
+    Ok(())
+}
+
+impl KeptSuspect {
+    fn of(news: &SuspectNews, now: u64) -> Self {
+        let ends = news.ends.iter();
+        Self {
+            content: news.content,
+            ends: ends
+                .map(|(replica, age)| (*replica, now.saturating_sub(u64::from(*age))))
+                .collect(),
+        }
+    }
+
+    /// Gives it as news. Where the time of day stepped back meanwhile the ends count as of now.
+    fn news(&self, now: u64) -> SuspectNews {
+        let age = |at: u64| u32::try_from(now.saturating_sub(at)).unwrap_or(u32::MAX);
+        let ends = self.ends.iter();
+        SuspectNews {
+            content: self.content,
+            ends: ends.map(|(replica, at)| (*replica, age(*at))).collect(),
+            cleared: None,
+        }
+    }
+}
+
+fn key_of(content: ContentDigest) -> String {
+    format!("{PREFIX}{}", content_text(content))
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/zinniahatch_entry/src/received.rs
+++ b/crates/zinniahatch_entry/src/received.rs
@@ -1,5 +1,6 @@
 //! One typed request, whichever interface it came by.
 
+use crate::quarantine::content_text;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -67,8 +68,8 @@
     }
 
     /// Gives the digest of its content as log lines and counters show it.
-    pub(crate) fn content_text(&self) -> String {
-        format!("{:016x}", self.content)
+    pub(crate) fn content_text(&self) -> Box<str> {
+        content_text(self.content)
     }
 
     /// Tells whether it may be forwarded.
--- a/crates/zinniahatch_entry/src/refusal.rs
+++ b/crates/zinniahatch_entry/src/refusal.rs
@@ -55,9 +55,16 @@
         .is_some_and(|value| value.as_bytes() == Execution::NotRun.word().as_bytes())
 }
 
-/// Tells whether an answer is another node's own, and not a replica's.
-pub(crate) fn is_own(headers: &http::HeaderMap) -> bool {
-    headers.contains_key(CODE)
+/// Gives the result code of an answer that is another node's own; none of a replica's.
+pub(crate) fn own_code(headers: &http::HeaderMap) -> Option<u16> {
+    let code = headers.get(CODE)?;
+    // Only nodes set this header, and only to a code.
+    Some(
+        code.to_str()
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0),
+    )
 }
 
 /// Gives the retry hint of an answer.
--- a/crates/zinniahatch_entry/src/relay.rs
+++ b/crates/zinniahatch_entry/src/relay.rs
@@ -8,7 +8,9 @@
 use crate::plan::CallCount;
 use crate::plan::CallCourse;
 use crate::plan::CallPlan;
+use crate::quarantine::note_answered;
 use crate::received::ReceivedCall;
+use crate::replica_check::note_break;
 use crate::resume::resume;
 use bytes::Bytes;
 use std::rc::Rc;
@@ -48,8 +50,10 @@
     CallerGone,
     /// Its time is over.
     Deadline,
-    /// The replica broke off, or went silent.
+    /// The replica broke off.
     Broken(Box<str>),
+    /// The replica went silent.
+    Silent,
 }
 
 impl StreamRelay {
@@ -58,16 +62,19 @@
         let mut splitter = EventSplitter::after(self.call.last_event.clone());
         let end = loop {
             let end = self.pass(&mut open, &mut splitter).await;
-            let RelayEnd::Broken(reason) = &end else {
-                break end;
+            let reason: Box<str> = match &end {
+                RelayEnd::Broken(reason) => reason.clone(),
+                RelayEnd::Silent => "the replica is silent".into(),
+                _ => break end,
             };
             open.fail();
-            open.log_break(&self.call, reason);
+            if end != RelayEnd::Silent {
+                note_break(&self.core, &self.call, &open, &reason).await;
+            }
             if !self.plan.route.resumable {
                 break end;
             }
             splitter.drop_torn();
-            let reason = reason.clone();
             // The old run must stop before another goes on: its channel is closed first.
             drop(open);
             let resumed = resume(
@@ -87,6 +94,7 @@
         };
         if end == RelayEnd::Whole {
             self.note_length();
+            note_answered(&self.core, &self.call);
             open.finish(true);
         } else {
             drop(open);
@@ -99,7 +107,7 @@
             RelayEnd::Whole => ResultCode::Answered,
             RelayEnd::CallerGone => ResultCode::CallerGone,
             RelayEnd::Deadline => ResultCode::DeadlineRunning,
-            RelayEnd::Broken(_) => ResultCode::AnswerCutOff,
+            RelayEnd::Broken(_) | RelayEnd::Silent => ResultCode::AnswerCutOff,
         };
         self.core
             .metrics
@@ -161,7 +169,7 @@
                 () = sleep_until(look.into()), if resumable => {
                     look = Instant::now() + LOOK_TIME;
                     if open.is_suspect() {
-                        return RelayEnd::Broken("the replica is silent".into());
+                        return RelayEnd::Silent;
                     }
                     continue;
                 }
--- /dev/null
+++ b/crates/zinniahatch_entry/src/replica_check.rs
@@ -0,0 +1,94 @@
+//! Finding out whether a replica has ended when a channel to it breaks off.
+//!
+//! A channel breaks for many reasons: a replica that fails some requests resets them, links lose packets,
+//! leaving replicas close what is idle. Only a machine without a listener refuses a connection, so that alone
+//! counts as the end of the replica. Loss of power refuses nothing.
+
+use crate::channel::BackendChannel;
+use crate::channel::ChannelError;
+use crate::core::EntryCore;
+use crate::open_call::OpenCall;
+use crate::quarantine::note_replica_end;
+use crate::received::ReceivedCall;
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use tokio::sync::OnceCell;
+use zinniahatch_base::prelude::*;
+
+/// Time for the connection; the refusal of a machine in the same region takes a millisecond, and streams
+/// that broke off wait for it before they go on elsewhere.
+const CHECK_TIME: Duration = Duration::from_millis(60);
+/// Time for which the outcome of a check counts: when a replica ends, all that a node had there breaks off
+/// within a few ms, and one connection tells it for all.
+const REUSE_TIME: Duration = Duration::from_millis(400);
+
+/// One check, shared by all requests that broke off with it.
+#[derive(Clone, Debug)]
+struct EndCheck {
+    began: Instant,
+    refused: Rc<OnceCell<bool>>,
+}
+
+/// The last check of each address.
+#[derive(Debug, Default)]
+pub(crate) struct EndChecks {
+    rows: RefCell<BTreeMap<SocketAddrV4, EndCheck>>,
+}
+
+impl EndChecks {
+    fn check(&self, address: SocketAddrV4, now: Instant) -> Rc<OnceCell<bool>> {
+        let mut rows = self.rows.borrow_mut();
+        rows.retain(|_, check| now.saturating_duration_since(check.began) <= REUSE_TIME);
+        let check = rows.entry(address).or_insert_with(|| EndCheck {
+            began: now,
+            refused: Rc::default(),
+        });
+        Rc::clone(&check.refused)
+    }
+}
+
+/// Notes that a channel broke off under a request; where its replica has ended, the request is suspected.
+pub(crate) async fn note_break(
+    core: &Rc<EntryCore>,
+    call: &ReceivedCall,
+    open: &OpenCall,
+    reason: &str,
+) {
+    let Some(replica) = open.replica() else {
+        return;
+    };
+    open.log_break(call, reason);
+    let life = {
+        let replicas = core.replicas.borrow();
+        // One that said that it leaves may end under its requests, none of which is the cause.
+        let belief = replicas
+            .get(replica)
+            .filter(|belief| belief.leaving.is_none());
+        belief.map(|belief| (belief.tag, belief.entry.address))
+    };
+    let Some((tag, address)) = life else {
+        return;
+    };
+    let check = core.end_checks.check(address, Instant::now());
+    let refused = *check.get_or_init(|| is_refused(core, address)).await;
+    if !refused {
+        return;
+    }
+    open.with_replica(|belief| belief.health.note_unreachable(Instant::now()));
+    note_replica_end(core, call, replica, tag);
+}
+
+async fn is_refused(core: &Rc<EntryCore>, address: SocketAddrV4) -> bool {
+    let connected = BackendChannel::connect(address, CHECK_TIME).await;
+    let refused = matches!(connected, Err(ChannelError::Refused));
+    if refused {
+        core.pool.purge(address);
+        core.metrics.note_replica_end();
+        core.log.write(
+            "replica-ended",
+            serde_json::json!({"address": address.to_string()}),
+        );
+    }
+    refused
+}
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -13,6 +13,8 @@
 use crate::membership::run_membership;
 use crate::metrics::EntryMetrics;
 use crate::probe::run_probes;
+use crate::quarantine::review;
+use crate::quarantine_keys::run_quarantine_keys;
 use crate::services::ListenerDuty;
 use crate::services::bind;
 use crate::services::run_listener;
@@ -134,6 +136,7 @@
     }
     tokio::task::spawn_local(run_catch_up(Rc::clone(&core)));
     tokio::task::spawn_local(run_membership(Rc::clone(&core)));
+    tokio::task::spawn_local(run_quarantine_keys(Rc::clone(&core)));
     tokio::task::spawn_local(run_probes(Rc::clone(&core)));
     tokio::task::spawn_local(run_ticks(Rc::clone(&core)));
     tokio::task::spawn_local(run_sealing(Rc::clone(&core)));
@@ -167,6 +170,8 @@
             note_death(&core, &card.node, card.incarnation);
         }
         core.pool.tick(now);
+        core.suspects.borrow_mut().tick(now);
+        review(&core, now);
     }
 }
 
--- a/crates/zinniahatch_entry/src/serve.rs
+++ b/crates/zinniahatch_entry/src/serve.rs
@@ -121,8 +121,7 @@
                 continue;
             }
             if let NextPlace::Refuse(code, after) = place {
-                let hint = self.course.retry_hint.unwrap_or(after);
-                return self.give_up((code, Some(self.plan.cap_retry(hint))));
+                return self.give_up(self.refusal(code, after));
             }
             note_tried(core, call, &self.plan, &mut self.course, &place);
             let failure = match self.try_once(&place, &mut guard).await {
@@ -136,6 +135,16 @@
         }
     }
 
+    /// Gives a refusal with the time to come back.
+    fn refusal(&self, code: ResultCode, after: Duration) -> GivenUp {
+        if code == ResultCode::RequestQuarantined {
+            // Coming back within the caller's own time would be in vain, so that it hears the whole.
+            return (code, Some(after));
+        }
+        let hint = self.course.retry_hint.unwrap_or(after);
+        (code, Some(self.plan.cap_retry(hint)))
+    }
+
     /// Ends with a replica's own failure where there is one, else with ours.
     fn give_up(&mut self, given_up: GivenUp) -> Result<Response<AnswerBody>, GivenUp> {
         self.spare.take().ok_or(given_up)
@@ -207,6 +216,9 @@
         }
         match failure {
             SendFailure::NotSent(_) => self.take_miss(true),
+            SendFailure::Quarantined(left) => {
+                Err(self.refusal(ResultCode::RequestQuarantined, left))
+            }
             SendFailure::WrongReplica => {
                 // It arrived somewhere, so another try is a repeat: where many addresses are used
                 // again at once, free tries would pass the bound of all nodes.
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -247,7 +247,7 @@
 }
 
 /// Waits until the scout found the store serving; each further call to a store that is away has its price.
-async fn wait_for_store(core: &EntryCore) {
+pub(crate) async fn wait_for_store(core: &EntryCore) {
     let mut serves = core.store_serves.subscribe();
     // The sender lives as long as the process, so that there is no other end of this wait.
     let _ = serves.wait_for(|serves| *serves).await;
--- a/crates/zinniahatch_entry/src/work_teller.rs
+++ b/crates/zinniahatch_entry/src/work_teller.rs
@@ -4,6 +4,7 @@
 use crate::gossip::NodeGram;
 use crate::gossip::tell_near;
 use crate::gossip::tell_news;
+use crate::gossip::tell_suspects;
 use serde::Deserialize;
 use serde::Serialize;
 use std::net::SocketAddrV4;
@@ -88,6 +89,7 @@
             self.changes_due = None;
             self.tell_changes(core, socket, now).await;
             tell_news(core, socket).await;
+            tell_suspects(core, socket, false).await;
         }
         if self.gathered_due.is_some_and(|due| due <= now) {
             self.gathered_due = None;
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -25,6 +25,7 @@
 mod replica_work;
 mod replicas;
 mod spread;
+mod suspects;
 mod table;
 mod work_news;
 
@@ -80,6 +81,10 @@
 pub use replicas::EntryChange;
 pub use replicas::ReplicaTable;
 pub use spread::away_share;
+pub use suspects::NewsEffect;
+pub use suspects::QuarantineChange;
+pub use suspects::SuspectNews;
+pub use suspects::SuspectTable;
 pub use table::RouteTable;
 pub use work_news::WorkGatherer;
 pub use work_news::WorkPart;
--- /dev/null
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -0,0 +1,408 @@
+//! Requests that are suspected of ending the replicas which run them.
+//!
+//! Failure: a request makes each replica crash that begins it. Its caller comes again under a new id, mostly at
+//! another node; taken for a fresh request each time, it ends replica after replica, and everything that runs
+//! there breaks off with it.
+//!
+//! Guard: what repeats have in common is the digest of their content. Each node notes which contents it had
+//! on a replica that ended, and all nodes tell each other. A content under which three replicas ended, without one
+//! whole answer since, is quarantined: refused at once, at every node, until that lapses.
+//!
+//! Requests that ran beside it stay out of this in three ways: a whole answer clears a content and keeps it
+//! clear for a while; the end of a replica counts only against those on it that have most ends, since these
+//! explain it; and nothing counts but ends, so that broken channels, silence and loss of power do not.
+
+use std::collections::VecDeque;
+use zinniahatch_base::prelude::*;
+
+/// Ends of replicas under one content after which it is quarantined. Two happen to bystanders: the first
+/// replica's streams are resumed together on the next one.
+const KNOWN_ENDS: usize = 3;
+/// Ends that are remembered of one content; each beyond the third doubles its quarantine, to 80 minutes.
+const MOST_ENDS: usize = 6;
+/// Time from the last end for which a content is quarantined first. A caller who repeats by program comes
+/// many times in it; whoever is wrongly held, or has had the replicas mended, is free soon.
+const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// Time between two ends of one replica's life that are one end, seen by several nodes. A replica that
+/// starts again under its id is away for seconds.
+const SAME_END: Duration = Duration::from_secs(1);
+/// Contents that are remembered at most, some 200 KB. The loss of a region with 400 replicas suspects more
+/// of them than that; those with fewest ends go first.
+const MOST_ROWS: usize = 2_048;
+/// Time for which a whole answer speaks for a content. Replicas that serve a request many callers make were
+/// all lost at once: it stood on each of them, and had been answered by each a moment before.
+const ANSWERED_TIME: Duration = Duration::from_secs(30);
+/// Contents whose whole answers are remembered at most, some 200 KB; 64 requests/s a node for 30 s.
+const MOST_ANSWERED: usize = 2_048;
+/// Times that news are told: two of three datagrams may be lost.
+const TELLS: u8 = 3;
+/// Contents with untold news at most; a node that loses more at once leaves the rest to the other nodes.
+const MOST_FRESH: usize = 256;
+
+/// The end of a replica's life under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReplicaEnd {
+    replica: ShortTag,
+    at: Instant,
+}
+
+impl ReplicaEnd {
+    fn is_same(&self, other: &Self) -> bool {
+        let apart = self.at.max(other.at).duration_since(self.at.min(other.at));
+        self.replica == other.replica && apart < SAME_END
+    }
+}
+
+/// What is known of one content.
+#[derive(Clone, Debug, Default)]
+struct SuspectRow {
+    /// The last ends under it, the oldest first.
+    ends: Vec<ReplicaEnd>,
+    /// When it was last answered whole; ends up to then do not count.
+    cleared: Option<Instant>,
+    /// Whether this node saw one of the ends.
+    own: bool,
+    /// Whether the platform's store keeps it.
+    kept: bool,
+}
+
+impl SuspectRow {
+    /// Adds an end; tells whether it is new.
+    fn add(&mut self, end: ReplicaEnd) -> bool {
+        let old = self.cleared.is_some_and(|cleared| end.at <= cleared);
+        if old || self.ends.iter().any(|known| known.is_same(&end)) {
+            return false;
+        }
+        self.ends.push(end);
+        self.ends.sort_by_key(|known| known.at);
+        if self.ends.len() > MOST_ENDS {
+            self.ends.remove(0);
+        }
+        true
+    }
+
+    /// Notes a whole answer; tells whether that is newer than what is known.
+    fn clear(&mut self, at: Instant) -> bool {
+        if self.cleared.is_some_and(|cleared| at <= cleared) {
+            return false;
+        }
+        self.cleared = Some(at);
+        let before = self.ends.len();
+        self.ends.retain(|end| end.at > at);
+        self.ends.len() < before
+    }
+
+    fn is_known(&self) -> bool {
+        self.ends.len() >= KNOWN_ENDS
+    }
+
+    /// Gives the time from the last end for which it is held.
+    fn span(&self) -> Duration {
+        let beyond = self.ends.len().saturating_sub(KNOWN_ENDS) as u32;
+        QUARANTINE_TIME * 2_u32.pow(beyond)
+    }
+
+    /// Gives when anything was last learned of it.
+    fn last(&self) -> Option<Instant> {
+        self.ends.last().map(|end| end.at).max(self.cleared)
+    }
+
+    /// Tells whether it is of use yet. One that was held is remembered for as long again, so that a single
+    /// end holds it anew.
+    fn is_current(&self, now: Instant) -> bool {
+        let most = if self.is_known() {
+            self.span() * 2
+        } else {
+            QUARANTINE_TIME
+        };
+        self.last()
+            .is_some_and(|at| now.saturating_duration_since(at) <= most)
+    }
+}
+
+domain! {
+    /// What one node tells another of a content. Times are told as ages, since clocks differ.
+    pub struct SuspectNews {
+        /// The content.
+        pub content: ContentDigest,
+        /// The replicas that ended under it, by the tags of their lives, and how long ago, in ms.
+        pub ends: Vec<(ShortTag, u32)>,
+        /// How long ago it was answered whole, in ms.
+        pub cleared: Option<u32>,
+    }
+}
+
+/// What news changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewsEffect {
+    /// Nothing.
+    Known,
+    /// Something was learned.
+    Learned,
+    /// Its teller has not heard yet that the content was answered whole.
+    Outdated,
+}
+
+/// A content that began or ceased to be held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuarantineChange {
+    /// The content.
+    pub content: ContentDigest,
+    /// Ends of replicas under it.
+    pub ends: usize,
+    /// How much longer it is held; none where it no longer is.
+    pub left: Option<Duration>,
+    /// Whether the platform's store keeps it though it is no longer held.
+    pub kept: bool,
+}
+
+/// All contents under which replicas ended.
+#[derive(Clone, Debug, Default)]
+pub struct SuspectTable {
+    rows: BTreeMap<ContentDigest, SuspectRow>,
+    /// The contents that were held at the last review.
+    held: BTreeSet<ContentDigest>,
+    /// Contents with news that are to be told, and how often yet.
+    fresh: BTreeMap<ContentDigest, u8>,
+    /// When contents were last answered whole.
+    answered: BTreeMap<ContentDigest, Instant>,
+    /// The same in the order of time, to forget them by.
+    answers: VecDeque<(Instant, ContentDigest)>,
+}
+
+impl SuspectTable {
+    /// Notes that a replica has ended while this node had a request of the content there; tells whether it
+    /// counts.
+    pub fn note_end(&mut self, content: ContentDigest, replica: ShortTag, now: Instant) -> bool {
+        if self.was_answered(content, now) {
+            return false;
+        }
+        let row = self.rows.entry(content).or_default();
+        let counts = row.add(ReplicaEnd { replica, at: now });
+        row.own = true;
+        if counts {
+            self.note_fresh(content);
+            self.bound();
+        }
+        counts
+    }
+
+    /// Notes a whole answer; tells whether it cleared the content of a suspicion.
+    pub fn note_answered(&mut self, content: ContentDigest, now: Instant) -> bool {
+        if self.answered.insert(content, now).is_none() {
+            self.answers.push_back((now, content));
+        }
+        self.forget_answers(now);
+        let row = self.rows.get_mut(&content);
+        let cleared = row.is_some_and(|row| row.clear(now));
+        if cleared {
+            self.note_fresh(content);
+        }
+        cleared
+    }
+
+    /// Takes news of another node or of the store; `tell` says whether to pass on what is new.
+    pub fn hear(&mut self, news: &SuspectNews, tell: bool, now: Instant) -> NewsEffect {
+        let at = |age: u32| {
+            let age = Duration::from_millis(u64::from(age));
+            now.checked_sub(age).unwrap_or(now)
+        };
+        let row = self.rows.entry(news.content).or_default();
+        let mut learned = news.cleared.is_some_and(|age| row.clear(at(age)));
+        for (replica, age) in &news.ends {
+            learned |= row.add(ReplicaEnd {
+                replica: *replica,
+                at: at(*age),
+            });
+        }
+        let outdated = !learned && row.ends.is_empty() && !news.ends.is_empty();
+        if outdated || (learned && tell) {
+            self.note_fresh(news.content);
+        }
+        self.bound();
+        match (learned, outdated) {
+            (true, _) => NewsEffect::Learned,
+            (_, true) => NewsEffect::Outdated,
+            _ => NewsEffect::Known,
+        }
+    }
+
+    /// Gives how much longer a content is held; none where it may run.
+    pub fn hold_left(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
+        let row = self.rows.get(&content).filter(|row| row.is_known())?;
+        if self.was_answered(content, now) {
+            return None;
+        }
+        let own = row.ends.iter().filter(|end| !self.is_explained(row, end));
+        if own.count() < KNOWN_ENDS {
+            return None;
+        }
+        let until = row.ends.last()?.at + row.span();
+        until
+            .checked_duration_since(now)
+            .filter(|left| !left.is_zero())
+    }
+
+    /// Tells whether another content explains an end: one with more ends was on the replica too.
+    fn is_explained(&self, row: &SuspectRow, end: &ReplicaEnd) -> bool {
+        self.rows.values().any(|other| {
+            other.ends.len() > row.ends.len() && other.ends.iter().any(|known| known.is_same(end))
+        })
+    }
+
+    fn was_answered(&self, content: ContentDigest, now: Instant) -> bool {
+        self.answered
+            .get(&content)
+            .is_some_and(|at| now.saturating_duration_since(*at) <= ANSWERED_TIME)
+    }
+
+    /// Gives the contents that began or ceased to be held since the last review.
+    pub fn review(&mut self, now: Instant) -> Vec<QuarantineChange> {
+        let known = self.rows.iter().filter(|(_, row)| row.is_known());
+        let contents: BTreeSet<ContentDigest> = known
+            .map(|(content, _)| *content)
+            .chain(self.held.iter().copied())
+            .collect();
+        let mut changes = Vec::new();
+        for content in contents {
+            let left = self.hold_left(content, now);
+            let changed = if left.is_some() {
+                self.held.insert(content)
+            } else {
+                self.held.remove(&content)
+            };
+            if !changed {
+                continue;
+            }
+            let row = self.rows.get_mut(&content);
+            let ends = row.as_ref().map_or(0, |row| row.ends.len());
+            let kept = left.is_none() && row.is_some_and(|row| std::mem::take(&mut row.kept));
+            changes.push(QuarantineChange {
+                content,
+                ends,
+                left,
+                kept,
+            });
+        }
+        changes
+    }
+
+    /// Gives how many contents were held at the last review.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Gives a content that is held on the word of this node and that the store does not keep yet.
+    pub fn unkept(&self, now: Instant) -> Option<(SuspectNews, Duration)> {
+        let row = self.held.iter().find_map(|content| {
+            let row = self.rows.get(content)?;
+            (row.own && !row.kept).then_some(*content)
+        })?;
+        let left = self.hold_left(row, now)?;
+        Some((self.news_of(row, now)?, left))
+    }
+
+    /// Notes that the store keeps a content.
+    pub fn note_kept(&mut self, content: ContentDigest) {
+        if let Some(row) = self.rows.get_mut(&content) {
+            row.kept = true;
+        }
+    }
+
+    /// Takes up to so many news: those never told, and with `again` those that were told too seldom.
+    pub fn take_news(&mut self, again: bool, most: usize, now: Instant) -> Vec<SuspectNews> {
+        let due = self
+            .fresh
+            .iter()
+            .filter(|(_, left)| again || **left == TELLS);
+        let due: Vec<ContentDigest> = due.map(|(content, _)| *content).take(most).collect();
+        for content in &due {
+            let left = self.fresh.remove(content).unwrap_or(0).saturating_sub(1);
+            if left > 0 {
+                self.fresh.insert(*content, left);
+            }
+        }
+        let news = due.into_iter();
+        news.filter_map(|content| self.news_of(content, now))
+            .collect()
+    }
+
+    /// Gives a digest of the contents that have ends enough to be held; nodes whose digests differ tell each
+    /// other theirs.
+    pub fn known_digest(&self) -> u64 {
+        let known = self.rows.iter().filter(|(_, row)| row.is_known());
+        known.fold(0, |digest, (content, _)| digest ^ content)
+    }
+
+    /// Gives the news of up to so many contents that have ends enough to be held, from a drawn one on.
+    pub fn known_news(&self, draw: ContentDigest, most: usize, now: Instant) -> Vec<SuspectNews> {
+        let rows = self.rows.range(draw..).chain(self.rows.range(..draw));
+        rows.filter(|(_, row)| row.is_known())
+            .take(most)
+            .filter_map(|(content, _)| self.news_of(*content, now))
+            .collect()
+    }
+
+    fn news_of(&self, content: ContentDigest, now: Instant) -> Option<SuspectNews> {
+        let row = self.rows.get(&content)?;
+        let age = |at: Instant| {
+            let age = now.saturating_duration_since(at).as_millis();
+            u32::try_from(age).unwrap_or(u32::MAX)
+        };
+        Some(SuspectNews {
+            content,
+            ends: row
+                .ends
+                .iter()
+                .map(|end| (end.replica, age(end.at)))
+                .collect(),
+            cleared: row.cleared.map(age),
+        })
+    }
+
+    /// Runs once a tick: forgets what is of no use any more.
+    pub fn tick(&mut self, now: Instant) {
+        self.rows.retain(|_, row| row.is_current(now));
+        let rows = &self.rows;
+        self.fresh.retain(|content, _| rows.contains_key(content));
+        self.forget_answers(now);
+    }
+
+    fn note_fresh(&mut self, content: ContentDigest) {
+        if self.fresh.len() < MOST_FRESH || self.fresh.contains_key(&content) {
+            self.fresh.insert(content, TELLS);
+        }
+    }
+
+    fn forget_answers(&mut self, now: Instant) {
+        while let Some((at, content)) = self.answers.front().copied() {
+            let many = self.answers.len() > MOST_ANSWERED;
+            if !many && now.saturating_duration_since(at) <= ANSWERED_TIME {
+                return;
+            }
+            self.answers.pop_front();
+            let last = self.answered.get(&content).copied();
+            match last {
+                // Answered again meanwhile: it goes to the end, under its newer time.
+                Some(last) if last > at && !many => self.answers.push_back((last, content)),
+                _ => {
+                    self.answered.remove(&content);
+                }
+            }
+        }
+    }
+
+    /// Drops the row with fewest ends, of these the oldest, where there are too many.
+    fn bound(&mut self) {
+        if self.rows.len() <= MOST_ROWS {
+            return;
+        }
+        let least = self
+            .rows
+            .iter()
+            .min_by_key(|(_, row)| (row.ends.len(), row.last()));
+        if let Some(content) = least.map(|(content, _)| *content) {
+            self.rows.remove(&content);
+        }
+    }
+}
