--- a/crates/zinniahatch_lab/tests/crashing_request.rs
+++ b/crates/zinniahatch_lab/tests/crashing_request.rs
@@ -82,6 +82,142 @@
     }
 }
 
+/// Sends a request to nodes in turn until the first of them tells that it is held.
+async fn make_held(site: &mut SiteCluster, content: &CallContent, nodes: &[usize]) {
+    site.fatal.add(content.clone());
+    let mut repeat = 0;
+    loop {
+        let node = nodes[repeat % nodes.len()];
+        wait_serves(site, node, &format!("look-{repeat}")).await;
+        let attempt = format!("fatal-{repeat}");
+        let status = send(site, node, &content.path, &attempt).await;
+        if status == Some(StatusCode::TOO_MANY_REQUESTS) {
+            return;
+        }
+        site.replace_crashed().await;
+        repeat += 1;
+    }
+}
+
+/// Waits until a node believes that some request is held, from the line on which a start of its begins.
+async fn wait_believes(site: &SiteCluster, node: usize, from: usize) {
+    wait_until("the node knows the request", async || {
+        let log = site.log(node);
+        let lines = log.lines().skip(from);
+        lines
+            .into_iter()
+            .any(|line| line.contains("\"quarantined\""))
+    })
+    .await;
+}
+
+/// Checks that a node tells at once that a request is held, and for how long, and that no replica ends.
+async fn check_held(site: &SiteCluster, node: usize, content: &CallContent) {
+    let before = site.fatal.ends(content);
+    let attempt = format!("held-{node}");
+    let answer = site
+        .call(node, &content.path, &attempt)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::TOO_MANY_REQUESTS);
+    assert_eq!(answer.headers()["x-zinnia-code"], "228");
+    assert_eq!(answer.headers()["x-zinnia-execution"], "not-run");
+    let after = answer.headers()["retry-after"].to_str().unwrap();
+    let seconds: f64 = after.parse().unwrap();
+    assert!(
+        seconds > 60.0,
+        "a caller is told to come back after {after} s"
+    );
+    assert_eq!(site.fatal.ends(content), before);
+    assert_eq!(site.runs(&attempt), 0);
+}
+
+/// All nodes lost power after a request had ended three replicas, and with them what they knew of it. The
+/// caller came again, and three more replicas would have ended. The store keeps what must last.
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_outlives_all_nodes() {
+    let mut site = start_site().await;
+    let fatal = CallContent::of_path("/stream/fatal");
+    make_held(&mut site, &fatal, &[0, 2]).await;
+    wait_until("the store keeps the request", async || {
+        (0..site.entries.len()).any(|node| site.log(node).contains("quarantine-kept"))
+    })
+    .await;
+    let nodes = site.entries.len();
+    let lines: Vec<usize> = (0..nodes)
+        .map(|node| {
+            site.kill(node);
+            site.log(node).lines().count()
+        })
+        .collect();
+    for node in 0..nodes {
+        site.spawn(node);
+    }
+    for (node, from) in lines.into_iter().enumerate() {
+        site.wait_ready(node).await;
+        wait_believes(&site, node, from).await;
+        check_held(&site, node, &fatal).await;
+    }
+}
+
+/// A node slept while the others learned of a request that ends replicas; no datagram reached it. Its
+/// neighbours' cards tell that they know something else.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_slept_learns_of_the_hold() {
+    const SLEEPER: usize = 5;
+    let mut site = start_site().await;
+    let fatal = CallContent::of_path("/stream/fatal");
+    site.signal(SLEEPER, "-STOP");
+    make_held(&mut site, &fatal, &[0, 1, 2]).await;
+    site.signal(SLEEPER, "-CONT");
+    wait_believes(&site, SLEEPER, 0).await;
+    check_held(&site, SLEEPER, &fatal).await;
+    let other = site
+        .call(SLEEPER, "/stream/other", "other")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(other.status(), StatusCode::OK);
+}
+
+/// A region without replicas hands every request to others. The node that serves sees the replica end, and
+/// the node that the caller asks hands the request on to the next region.
+#[tokio::test(flavor = "multi_thread")]
+async fn fatal_request_is_held_where_it_is_handed_over() {
+    let regions = [("north", 2), ("south", 0), ("west", 2)].map(|(name, replicas)| SiteRegion {
+        name,
+        entries: 2,
+        replicas,
+    });
+    let mut site = SiteCluster::start(&regions, SHAPE).await;
+    let fatal = CallContent::of_path("/stream/fatal");
+    make_held(&mut site, &fatal, &[2, 3]).await;
+    let ends = site.fatal.ends(&fatal);
+    assert!(ends <= MOST_ENDS, "{ends} replicas ended under one request");
+    for node in 0..site.entries.len() {
+        wait_believes(&site, node, 0).await;
+        check_held(&site, node, &fatal).await;
+    }
+}
+
+/// Two callers send the same body to the same path, and it ends replicas for one of them alone, as when an
+/// engine fails on what it keeps of the one's session. The other is served.
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_is_of_one_caller() {
+    let mut site = start_site().await;
+    let fatal = CallContent::of_path("/stream/same");
+    make_held(&mut site, &fatal, &[0, 2, 4]).await;
+    let call = site.call(0, "/stream/same", "other-caller");
+    let answer = call
+        .header("authorization", "Token other")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    check_held(&site, 0, &fatal).await;
+}
+
 /// A region lost all its replicas at once, four times. Callers' requests were on them each time, and one
 /// that all callers make stood on every one of them; all were served as soon as replicas were back. None of
 /// them was the cause, and none may be taken for it.
--- /dev/null
+++ b/crates/zinniahatch_route/tests/suspects.rs
@@ -0,0 +1,269 @@
+//! Requests under which replicas ended: who is held, who is not, and what nodes tell each other.
+
+use proptest::prelude::*;
+use std::time::Duration;
+use std::time::Instant;
+use test_case::test_case;
+use zinniahatch_route::NewsEffect;
+use zinniahatch_route::SuspectNews;
+use zinniahatch_route::SuspectTable;
+
+const FATAL: u64 = 7;
+const BESIDE: u64 = 8;
+const MOST: usize = 1_000;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+/// Makes a table in which replicas ended under a content, one a second.
+fn ended(content: u64, replicas: std::ops::Range<u32>, start: Instant) -> (SuspectTable, Instant) {
+    let mut table = SuspectTable::default();
+    let mut now = start;
+    for replica in replicas {
+        now += seconds(1);
+        assert!(table.note_end(content, replica, now));
+    }
+    (table, now)
+}
+
+fn ids(news: &[SuspectNews]) -> Vec<u64> {
+    news.iter().map(|one| one.content).collect()
+}
+
+#[test_case(0, false; "none")]
+#[test_case(2, false; "two_happen_to_bystanders")]
+#[test_case(3, true; "three")]
+#[test_case(9, true; "many")]
+fn hold_after(ends: u32, held: bool) {
+    let (table, now) = ended(FATAL, 0..ends, Instant::now());
+    assert_eq!(table.hold_left(FATAL, now).is_some(), held);
+    assert_eq!(table.hold_left(BESIDE, now), None);
+}
+
+/// Seven nodes had a request each on the replica that ended, or one node had the same content there thrice.
+/// It is one end all the same, told by each of them.
+#[test]
+fn hold_needs_different_ends() {
+    let start = Instant::now();
+    let mut table = SuspectTable::default();
+    for node in 0..7 {
+        table.note_end(FATAL, 1, start + Duration::from_millis(node * 20));
+    }
+    assert_eq!(table.hold_left(FATAL, start + seconds(1)), None);
+}
+
+/// A replica starts again under its id, some seconds later, and ends again under the same content.
+#[test]
+fn hold_counts_ends_of_one_id() {
+    let start = Instant::now();
+    let mut table = SuspectTable::default();
+    for life in 0..3 {
+        table.note_end(FATAL, 1, start + seconds(life * 4));
+    }
+    assert!(table.hold_left(FATAL, start + seconds(8)).is_some());
+}
+
+/// Streams that ran beside the fatal request were resumed with it on the next replica and the one after, and
+/// stood on three crashes like itself. It ended one more, on which they were not: that explains the first
+/// three, and they are free.
+#[test]
+fn hold_spares_who_ran_beside() {
+    let (mut table, now) = ended(FATAL, 0..3, Instant::now());
+    for replica in 0..3 {
+        table.note_end(BESIDE, replica, now - seconds(2 - u64::from(replica)));
+    }
+    assert!(table.hold_left(BESIDE, now).is_some());
+    table.note_end(FATAL, 3, now + seconds(1));
+    assert_eq!(table.hold_left(BESIDE, now + seconds(1)), None);
+    assert!(table.hold_left(FATAL, now + seconds(1)).is_some());
+}
+
+/// A request was on three replicas that were killed one after the other, and was answered whole by the
+/// fourth. What is answered ends no replicas.
+#[test]
+fn answer_clears() {
+    let (mut table, now) = ended(BESIDE, 0..3, Instant::now());
+    assert_eq!(table.review(now).len(), 1);
+    assert!(table.note_answered(BESIDE, now + seconds(1)));
+    assert_eq!(table.hold_left(BESIDE, now + seconds(1)), None);
+    let changes = table.review(now + seconds(1));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].left, None);
+    assert_eq!(table.held(), 0);
+}
+
+/// A look-up that all callers make stood on every replica of a region when it lost power for a moment. It
+/// had been answered by each of them just before.
+#[test]
+fn loss_of_all_replicas_holds_nobody() {
+    let start = Instant::now();
+    let mut table = SuspectTable::default();
+    table.note_answered(BESIDE, start);
+    for replica in 0..40 {
+        assert!(!table.note_end(BESIDE, replica, start + seconds(1)));
+        table.note_end(1_000 + u64::from(replica), replica, start + seconds(1));
+    }
+    assert!(table.review(start + seconds(1)).is_empty());
+    assert_eq!(table.hold_left(BESIDE, start + seconds(1)), None);
+}
+
+/// Another node, which had just started, took the look-up for a suspect and told so. This one has seen
+/// it answered, serves it on, and with the next answer tells the other.
+#[test]
+fn news_do_not_hold_what_was_answered() {
+    let start = Instant::now();
+    let (mut other, now) = ended(BESIDE, 0..3, start);
+    let mut table = SuspectTable::default();
+    table.note_answered(BESIDE, start);
+    for news in other.take_news(false, MOST, now) {
+        assert_eq!(table.hear(&news, false, now), NewsEffect::Learned);
+    }
+    assert_eq!(table.hold_left(BESIDE, now), None);
+    assert!(table.note_answered(BESIDE, now));
+    for news in table.take_news(false, MOST, now) {
+        other.hear(&news, false, now);
+    }
+    assert_eq!(other.hold_left(BESIDE, now), None);
+}
+
+/// The news that a content was answered was lost on the way to a node, which tells what it still
+/// believes: it is put right.
+#[test]
+fn outdated_news_are_answered() {
+    let (other, now) = ended(BESIDE, 0..3, Instant::now());
+    let (mut table, _) = ended(BESIDE, 0..3, now - seconds(3));
+    table.note_answered(BESIDE, now + seconds(1));
+    while !table.take_news(true, MOST, now).is_empty() {}
+    let later = now + seconds(2);
+    let told = other.known_news(0, MOST, later);
+    assert_eq!(ids(&told), [BESIDE]);
+    assert_eq!(table.hear(&told[0], false, later), NewsEffect::Outdated);
+    assert_eq!(ids(&table.take_news(false, MOST, later)), [BESIDE]);
+}
+
+/// The caller of a fatal request comes for hours. Each time that the hold lapses one replica ends, no more,
+/// and the next hold is twice as long.
+#[test]
+fn hold_lapses_and_doubles() {
+    let (mut table, mut now) = ended(FATAL, 0..3, Instant::now());
+    let mut before = Duration::ZERO;
+    for replica in 10..13 {
+        let left = table.hold_left(FATAL, now).expect("it is held");
+        assert!(left >= before * 2 && left <= seconds(4 * 3_600));
+        before = left;
+        table.tick(now + left / 2);
+        assert!(table.hold_left(FATAL, now + left / 2).is_some());
+        now += left + seconds(1);
+        table.tick(now);
+        assert_eq!(table.hold_left(FATAL, now), None);
+        table.note_end(FATAL, replica, now);
+    }
+    table.tick(now + seconds(24 * 3_600));
+    assert_eq!(table.known_digest(), 0);
+}
+
+/// A region with 400 replicas is lost with 30 requests on each. What is remembered and told stays bounded, and
+/// the content that was known stays known.
+#[test]
+fn suspects_are_bounded() {
+    let (mut table, now) = ended(FATAL, 0..3, Instant::now());
+    for content in 0..12_000 {
+        table.note_end(1_000 + content, 500 + (content / 30) as u32, now);
+    }
+    assert!(table.hold_left(FATAL, now).is_some());
+    let mut told = 0;
+    while told < MOST {
+        let news = table.take_news(false, 24, now);
+        if news.is_empty() {
+            break;
+        }
+        told += news.len();
+    }
+    assert!(told <= 256, "{told} contents are told");
+}
+
+/// News are told to all as soon as there are some, and twice more, since datagrams are lost.
+#[test]
+fn news_are_told_three_times() {
+    let (mut table, now) = ended(FATAL, 0..1, Instant::now());
+    assert_eq!(ids(&table.take_news(false, MOST, now)), [FATAL]);
+    assert!(table.take_news(false, MOST, now).is_empty());
+    assert_eq!(ids(&table.take_news(true, MOST, now)), [FATAL]);
+    assert_eq!(ids(&table.take_news(true, MOST, now)), [FATAL]);
+    assert!(table.take_news(true, MOST, now).is_empty());
+}
+
+/// Two parts of the fleet were cut off from each other and saw two ends and one. Their digests differ until
+/// each has told the other what it knows; then both hold the content.
+#[test]
+fn parts_of_the_fleet_agree_when_links_heal() {
+    let start = Instant::now();
+    let (mut one, now) = ended(FATAL, 0..3, start);
+    let mut two = SuspectTable::default();
+    two.note_end(FATAL, 9, now);
+    assert_ne!(one.known_digest(), two.known_digest());
+    for news in one.known_news(99, MOST, now) {
+        two.hear(&news, false, now);
+    }
+    for news in two.known_news(99, MOST, now) {
+        one.hear(&news, false, now);
+    }
+    assert_eq!(one.known_digest(), two.known_digest());
+    assert_eq!(one.hold_left(FATAL, now), two.hold_left(FATAL, now));
+}
+
+/// One thing that a node learns.
+#[derive(Clone, Debug)]
+enum Event {
+    End(u64, u32),
+    Answer(u64),
+}
+
+fn events() -> impl Strategy<Value = Vec<(Event, usize)>> {
+    let event = prop_oneof![
+        4 => (0..4_u64, 0..8_u32).prop_map(|(content, replica)| Event::End(content, replica)),
+        1 => (0..4_u64).prop_map(Event::Answer),
+    ];
+    prop::collection::vec((event, 0..3_usize), 0..24)
+}
+
+proptest! {
+    /// Three nodes see different things, tell each other in any order and more than once, and believe the same
+    /// in the end. What a node has seen answered itself it serves in any case.
+    #[test]
+    fn nodes_agree_in_any_order(seen in events(), order in prop::collection::vec(0..3_usize, 6)) {
+        let mut now = Instant::now();
+        let mut nodes = vec![SuspectTable::default(); 3];
+        for (event, node) in seen {
+            now += seconds(2);
+            match event {
+                Event::End(content, replica) => {
+                    nodes[node].note_end(content, replica, now);
+                }
+                Event::Answer(content) => {
+                    nodes[node].note_answered(content, now);
+                }
+            }
+            // Everything is told at once, to nodes that may have it already.
+            for teller in order.iter().copied().chain([node]) {
+                for news in nodes[teller].take_news(true, MOST, now) {
+                    for hearer in 0..3 {
+                        if hearer != teller {
+                            nodes[hearer].hear(&news, true, now);
+                        }
+                    }
+                }
+            }
+        }
+        // Own answers have lapsed by then, the suspicions have not.
+        now += seconds(40);
+        for content in 0..4 {
+            let left: Vec<_> = nodes.iter().map(|node| node.hold_left(content, now)).collect();
+            prop_assert_eq!(left[0].is_some(), left[1].is_some());
+            prop_assert_eq!(left[1].is_some(), left[2].is_some());
+        }
+        prop_assert_eq!(nodes[0].known_digest(), nodes[1].known_digest());
+        prop_assert_eq!(nodes[1].known_digest(), nodes[2].known_digest());
+    }
+}
