Tell suspicions by their weight; cut the circles of the entry

News of a request that stood on one replica go to the own region and one node of each other; from the second end on to all nodes at once and twice more. Told to all by all, the loss of 23 of 154 replicas would have made some 15,000 datagrams a node within a second at 195 nodes (computed from the fan-out, not measured).

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -2,12 +2,9 @@
 
 use crate::account_desk::AccountDesk;
 use crate::decision_log::DecisionLog;
+use crate::end_checks::EndChecks;
 use crate::metrics::EntryMetrics;
-use crate::news::READER_DUTY;
-use crate::news::READERS;
-use crate::news::has_duty;
 use crate::pool::ChannelPool;
-use crate::replica_check::EndChecks;
 use crate::replica_news::ReplicaNews;
 use crate::watch_topic::WatchTopic;
 use std::cell::Cell;
@@ -21,19 +18,15 @@
 use zinniahatch_platform::KvClient;
 use zinniahatch_route::ColdGate;
 use zinniahatch_route::ContactBook;
-use zinniahatch_route::CoverState;
 use zinniahatch_route::DesiredService;
 use zinniahatch_route::DesiredState;
-use zinniahatch_route::MemberCard;
 use zinniahatch_route::MemberStage;
 use zinniahatch_route::MemberTable;
-use zinniahatch_route::ReadDigest;
 use zinniahatch_route::ReaderCover;
 use zinniahatch_route::RegionWays;
 use zinniahatch_route::RepeatBudget;
 use zinniahatch_route::ReplicaTable;
 use zinniahatch_route::RouteTable;
-use zinniahatch_route::ServiceDigest;
 use zinniahatch_route::ServingPreset;
 use zinniahatch_route::SuspectTable;
 
@@ -78,7 +71,7 @@
     /// News of replicas that the other nodes of the region have not been told.
     pub(crate) replica_news: RefCell<ReplicaNews>,
     /// How what this node knows of each topic compares with what the readers of its region say.
-    covers: RefCell<BTreeMap<WatchTopic, ReaderCover>>,
+    pub(crate) covers: RefCell<BTreeMap<WatchTopic, ReaderCover>>,
     /// Whether this node leaves the reading of the desired state to others.
     pub(crate) rests: Cell<bool>,
     pub(crate) pool: ChannelPool,
@@ -289,69 +282,6 @@
         let nodes = peers.len().max(1) + 1;
         ((f64::from(most) * CHANNEL_PART / nodes as f64) as usize).max(1)
     }
-
-    /// Tells whether this node reads for its region what the store says.
-    fn reads_for_all(&self, now: Instant) -> bool {
-        let served = !self.replicas.borrow().in_trouble(now);
-        served && self.knows() && has_duty(self, READER_DUTY, READERS)
-    }
-
-    fn read_digest(&self) -> ReadDigest {
-        let replicas = self.replicas.borrow();
-        let settings = &self.settings;
-        ReadDigest {
-            replicas: replicas.entries_digest(&settings.regions, &settings.region),
-            rules: replicas.rules_digest(self.version()),
-        }
-    }
-
-    /// Gives whether this node may leave the reading of a topic to the readers of its region.
-    pub(crate) fn reader_cover(&self, topic: WatchTopic, now: Instant) -> CoverState {
-        let Some(part) = topic.digest() else {
-            return CoverState::Alone;
-        };
-        let own = part(&self.read_digest());
-        let members = self.members.borrow();
-        let told = members.live_in(&self.settings.region, now);
-        let told = told
-            .into_iter()
-            .filter_map(|card| card.read.as_ref().map(part));
-        let mut covers = self.covers.borrow_mut();
-        covers.entry(topic).or_default().judge(own, told, now)
-    }
-
-    /// Gives what this node tells the others of itself.
-    pub(crate) fn card(&self, now: Instant) -> MemberCard {
-        let replicas = self.replicas.borrow();
-        let names: BTreeSet<&ServiceId> = replicas
-            .rows()
-            .map(|belief| &belief.entry.service)
-            .collect();
-        let region = &self.settings.region;
-        let services = names
-            .into_iter()
-            .map(|name| {
-                let digest =
-                    ServiceDigest::of(&replicas, &self.settings.regions, name, region, now);
-                (tag_of(name), digest)
-            })
-            .collect();
-        MemberCard {
-            node: self.settings.name.clone(),
-            incarnation: self.incarnation,
-            region: region.clone(),
-            data_centre: self.settings.data_centre.clone(),
-            strength: self.settings.strength,
-            front: self.settings.listen.front,
-            peer: self.settings.listen.peer,
-            stage: self.stage(),
-            version: self.version(),
-            preset: self.preset.borrow().revision,
-            sighted: !replicas.in_trouble(now),
-            read: self.reads_for_all(now).then(|| self.read_digest()),
-            services,
-        }
-    }
 }
 
 /// Time in which a fresh node gets to know the others; cards come every half second.
--- /dev/null
+++ b/crates/zinniahatch_entry/src/duty.rs
@@ -0,0 +1,27 @@
+//! Duties that fall to the first few nodes of a region by rank.
+
+use crate::core::ACQUAINT_TIME;
+use crate::core::EntryCore;
+use zinniahatch_base::prelude::*;
+use zinniahatch_base::rank_member;
+
+/// Nodes of a region that read the news of replicas soon and tell the others; two may die at once.
+pub(crate) const READERS: usize = 3;
+/// The duty by which these are ranked.
+pub(crate) const READER_DUTY: &str = "replicas";
+
+/// Tells whether this node has a duty that falls to the first few of its region by rank. One that has
+/// just started has none, since it does not know the others yet and all would take it.
+pub(crate) fn has_duty(core: &EntryCore, duty: &str, nodes: usize) -> bool {
+    if core.started.elapsed() < ACQUAINT_TIME {
+        return false;
+    }
+    let own = rank_member(duty, &core.settings.name);
+    let members = core.members.borrow();
+    let near = members.live_in(&core.settings.region, Instant::now());
+    let above = near
+        .iter()
+        .filter(|card| rank_member(duty, &card.node) > own)
+        .count();
+    above < nodes
+}
--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -4,14 +4,16 @@
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
 use crate::news::take_replica_news;
+use crate::news_teller::tell_known_suspects;
+use crate::news_teller::tell_news;
+use crate::news_teller::tell_suspects;
+use crate::node_gram::CardGram;
+use crate::node_gram::NodeGram;
+use crate::own_card::own_card;
 use crate::quarantine::NewsSource;
 use crate::quarantine::hear_suspects;
-use crate::replica_news::ReplicaNews;
-use crate::work_teller::WorkGram;
 use crate::work_teller::WorkTeller;
 use rand::seq::IndexedRandom;
-use serde::Deserialize;
-use serde::Serialize;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -20,8 +22,6 @@
 use tokio::time::interval;
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
-use zinniahatch_route::MemberCard;
-use zinniahatch_route::SuspectNews;
 
 /// Pause between cards; three are lost before a node counts as silent.
 const CARD_PAUSE: Duration = Duration::from_millis(500);
@@ -30,43 +30,9 @@
 const START_PAUSE: Duration = Duration::from_millis(100);
 /// Largest datagram that is read.
 const LARGEST: usize = 8 << 10;
-/// News in a datagram at most: about 60 bytes each, within one packet.
-const MOST_NEWS: usize = 16;
-/// Requests under which replicas ended in a datagram at most: about 50 bytes each, within one packet.
-const MOST_SUSPECTS: usize = 24;
 /// Other nodes named in a datagram, so that a fresh node finds all from one.
 const MOST_HINTS: usize = 3;
 
-/// A datagram.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) enum NodeGram {
-    /// Who a node is and what its region can take.
-    Card(CardGram),
-    /// What a node of the region has open and had read.
-    Work(WorkGram),
-    /// What a node of the region read of replicas in the store.
-    News(ReplicaNews),
-    /// Requests under which replicas ended.
-    Suspects(Vec<SuspectNews>),
-}
-
-/// Who a node is.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct CardGram {
-    /// Who sends.
-    card: MemberCard,
-    /// Its clock, to measure the way there and back.
-    stamp: u64,
-    /// The receiver's last clock and how long it was held.
-    echo: Option<(u64, u64)>,
-    /// Whether the receiver should send its own card back.
-    asks: bool,
-    /// Where some other nodes listen, and their regions.
-    hints: Vec<(SocketAddrV4, RegionId)>,
-    /// Digest of the requests under which several replicas ended.
-    suspects: u64,
-}
-
 /// The last clock heard of each node, and when.
 type EchoTable = BTreeMap<NodeId, (u64, Instant)>;
 
@@ -109,74 +75,6 @@
     }
 }
 
-/// Tells the nodes of the region what this one read of replicas, a few at a time.
-pub(crate) async fn tell_news(core: &EntryCore, socket: &UdpSocket) {
-    loop {
-        let part = core.replica_news.borrow_mut().take_part(MOST_NEWS);
-        if part == ReplicaNews::default() {
-            return;
-        }
-        tell_near(core, socket, &NodeGram::News(part)).await;
-    }
-}
-
-/// Tells all nodes that this one knows what it learned of requests under which replicas ended; `again` tells
-/// once more what was told a moment ago, since datagrams are lost.
-pub(crate) async fn tell_suspects(core: &EntryCore, socket: &UdpSocket, again: bool) {
-    let now = Instant::now();
-    let news = core
-        .suspects
-        .borrow_mut()
-        .take_news(again, MOST_SUSPECTS, now);
-    if !news.is_empty() {
-        tell_where(core, socket, &NodeGram::Suspects(news), |_| true).await;
-    }
-}
-
-/// Tells a node which requests are known here, because it knows others. A node that was cut off, or has just
-/// started, learns them so with the first cards.
-async fn tell_known_suspects(core: &EntryCore, socket: &UdpSocket, to: SocketAddrV4) {
-    let now = Instant::now();
-    let draw = rand::random();
-    let news = core.suspects.borrow().known_news(draw, MOST_SUSPECTS, now);
-    if news.is_empty() {
-        return;
-    }
-    if let Ok(bytes) = postcard::to_allocvec(&NodeGram::Suspects(news)) {
-        // A datagram that cannot be sent is as good as lost; the next card shows the difference again.
-        let _ = socket.send_to(&bytes, to).await;
-    }
-}
-
-/// Sends a datagram to all nodes of the region.
-pub(crate) async fn tell_near(core: &EntryCore, socket: &UdpSocket, gram: &NodeGram) {
-    tell_where(core, socket, gram, |region| *region == core.settings.region).await;
-}
-
-/// Sends a datagram to all nodes that are known in some regions.
-async fn tell_where(
-    core: &EntryCore,
-    socket: &UdpSocket,
-    gram: &NodeGram,
-    meant: impl Fn(&RegionId) -> bool,
-) {
-    let Ok(bytes) = postcard::to_allocvec(gram) else {
-        return;
-    };
-    let addresses: Vec<SocketAddrV4> = {
-        let members = core.members.borrow();
-        members
-            .known()
-            .filter(|card| meant(&card.region))
-            .map(|card| card.peer)
-            .collect()
-    };
-    for address in addresses {
-        // A datagram that cannot be sent is as good as lost; the next one follows.
-        let _ = socket.send_to(&bytes, address).await;
-    }
-}
-
 /// Tells the nodes at once what this one is, when it leaves.
 pub(crate) async fn tell_all(core: &Rc<EntryCore>, socket: &UdpSocket) {
     tell_cards(core, socket, &EchoTable::new(), Instant::now()).await;
@@ -185,7 +83,7 @@
 async fn tell_cards(core: &Rc<EntryCore>, socket: &UdpSocket, echoes: &EchoTable, start: Instant) {
     let now = Instant::now();
     let mut gram = CardGram {
-        card: core.card(now),
+        card: own_card(core, now),
         stamp: now.saturating_duration_since(start).as_micros() as u64,
         echo: None,
         asks: false,
--- a/crates/zinniahatch_entry/src/news.rs
+++ b/crates/zinniahatch_entry/src/news.rs
@@ -1,12 +1,13 @@
 //! Taking over what the store tells: desired state, evacuations, replicas, the preset.
 
-use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
+use crate::duty::READER_DUTY;
+use crate::duty::READERS;
+use crate::duty::has_duty;
 use crate::replica_news::ReplicaNews;
 use crate::watch_topic::WatchTopic;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
-use zinniahatch_base::rank_member;
 use zinniahatch_config::PRESET_KEY;
 use zinniahatch_config::parse_serving_preset;
 use zinniahatch_platform::KeySubject;
@@ -19,27 +20,6 @@
 use zinniahatch_route::EntryChange;
 use zinniahatch_route::ReplicaEntry;
 
-/// Nodes of a region that read the news of replicas soon and tell the others; two may die at once.
-pub(crate) const READERS: usize = 3;
-/// The duty by which these are ranked.
-pub(crate) const READER_DUTY: &str = "replicas";
-
-/// Tells whether this node has a duty that falls to the first few of its region by rank. One that has
-/// just started has none, since it does not know the others yet and all would take it.
-pub(crate) fn has_duty(core: &EntryCore, duty: &str, nodes: usize) -> bool {
-    if core.started.elapsed() < ACQUAINT_TIME {
-        return false;
-    }
-    let own = rank_member(duty, &core.settings.name);
-    let members = core.members.borrow();
-    let near = members.live_in(&core.settings.region, Instant::now());
-    let above = near
-        .iter()
-        .filter(|card| rank_member(duty, &card.node) > own)
-        .count();
-    above < nodes
-}
-
 /// Takes a whole listing of a topic's keys; gives the revision to watch from.
 pub(crate) fn take_listing(core: &Rc<EntryCore>, topic: WatchTopic, listing: StoreListing) -> u64 {
     let StoreListing { items, revision } = listing;
--- /dev/null
+++ b/crates/zinniahatch_entry/src/news_teller.rs
@@ -0,0 +1,64 @@
+//! Telling the other nodes what this one learned: of replicas, and of requests under which they ended.
+
+use crate::core::EntryCore;
+use crate::datagrams::tell_near;
+use crate::datagrams::tell_where;
+use crate::node_gram::NodeGram;
+use crate::replica_news::ReplicaNews;
+use std::net::SocketAddrV4;
+use tokio::net::UdpSocket;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::MemberCard;
+
+/// News in a datagram at most: about 60 bytes each, within one packet.
+const MOST_NEWS: usize = 16;
+/// Requests under which replicas ended in a datagram at most: about 50 bytes each, within one packet.
+const MOST_SUSPECTS: usize = 24;
+
+/// Tells the nodes of the region what this one read of replicas, a few at a time.
+pub(crate) async fn tell_news(core: &EntryCore, socket: &UdpSocket) {
+    loop {
+        let part = core.replica_news.borrow_mut().take_part(MOST_NEWS);
+        if part == ReplicaNews::default() {
+            return;
+        }
+        tell_near(core, socket, &NodeGram::News(part)).await;
+    }
+}
+
+/// Tells what this node learned of requests under which replicas ended; `again` tells once more what all
+/// nodes were told a moment ago, since datagrams are lost.
+pub(crate) async fn tell_suspects(core: &EntryCore, socket: &UdpSocket, again: bool) {
+    let now = Instant::now();
+    let batch = core
+        .suspects
+        .borrow_mut()
+        .take_news(again, MOST_SUSPECTS, now);
+    let near = |card: &MemberCard| card.region == core.settings.region;
+    if !batch.wide.is_empty() {
+        tell_where(core, socket, &NodeGram::Suspects(batch.wide), |_| true).await;
+    }
+    if !batch.own.is_empty() {
+        let passers = core.members.borrow().one_each(&core.settings.name, now);
+        let meant = |card: &MemberCard| near(card) || passers.contains(&card.peer);
+        tell_where(core, socket, &NodeGram::Suspects(batch.own), meant).await;
+    }
+    if !batch.passed.is_empty() {
+        tell_where(core, socket, &NodeGram::Suspects(batch.passed), near).await;
+    }
+}
+
+/// Tells a node which requests are known here, because it knows others. A node that was cut off, or has just
+/// started, learns them so with the first cards.
+pub(crate) async fn tell_known_suspects(core: &EntryCore, socket: &UdpSocket, to: SocketAddrV4) {
+    let now = Instant::now();
+    let draw = rand::random();
+    let news = core.suspects.borrow().known_news(draw, MOST_SUSPECTS, now);
+    if news.is_empty() {
+        return;
+    }
+    if let Ok(bytes) = postcard::to_allocvec(&NodeGram::Suspects(news)) {
+        // A datagram that cannot be sent is as good as lost; the next card shows the difference again.
+        let _ = socket.send_to(&bytes, to).await;
+    }
+}
--- /dev/null
+++ b/crates/zinniahatch_entry/src/node_gram.rs
@@ -0,0 +1,59 @@
+//! Datagrams between nodes.
+
+use crate::replica_news::ReplicaNews;
+use serde::Deserialize;
+use serde::Serialize;
+use std::net::SocketAddrV4;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::MemberCard;
+use zinniahatch_route::SuspectNews;
+use zinniahatch_route::WorkPart;
+
+/// A datagram.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum NodeGram {
+    /// Who a node is and what its region can take.
+    Card(CardGram),
+    /// What a node of the region has open and had read.
+    Work(WorkGram),
+    /// What a node of the region read of replicas in the store.
+    News(ReplicaNews),
+    /// Requests under which replicas ended.
+    Suspects(Vec<SuspectNews>),
+}
+
+/// Who a node is.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct CardGram {
+    /// Who sends.
+    pub(crate) card: MemberCard,
+    /// Its clock, to measure the way there and back.
+    pub(crate) stamp: u64,
+    /// The receiver's last clock and how long it was held.
+    pub(crate) echo: Option<(u64, u64)>,
+    /// Whether the receiver should send its own card back.
+    pub(crate) asks: bool,
+    /// Where some other nodes listen, and their regions.
+    pub(crate) hints: Vec<(SocketAddrV4, RegionId)>,
+    /// Digest of the requests under which several replicas ended.
+    pub(crate) suspects: u64,
+}
+
+/// News of open work.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WorkGram {
+    /// The news, by process.
+    pub(crate) parts: Vec<WorkPart>,
+    /// Whether the receiver should tell them to all nodes of the region.
+    pub(crate) gather: bool,
+}
+
+impl WorkGram {
+    /// Makes the datagram of one process's news.
+    pub(crate) fn of(part: WorkPart, gather: bool) -> NodeGram {
+        NodeGram::Work(Self {
+            parts: vec![part],
+            gather,
+        })
+    }
+}
--- a/crates/zinniahatch_entry/src/quarantine.rs
+++ b/crates/zinniahatch_entry/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use crate::core::EntryCore;
 use crate::received::ReceivedCall;
+use crate::received::content_text;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::NewsEffect;
 use zinniahatch_route::QuarantineChange;
@@ -28,11 +29,6 @@
     }
 }
 
-/// Gives a content as log lines and keys show it.
-pub(crate) fn content_text(content: ContentDigest) -> Box<str> {
-    format!("{content:016x}").into()
-}
-
 /// Notes that a replica has ended under a request of this node.
 pub(crate) fn note_replica_end(
     core: &EntryCore,
--- a/crates/zinniahatch_entry/src/quarantine_keys.rs
+++ b/crates/zinniahatch_entry/src/quarantine_keys.rs
@@ -7,8 +7,8 @@
 
 use crate::core::EntryCore;
 use crate::quarantine::NewsSource;
-use crate::quarantine::content_text;
 use crate::quarantine::hear_suspects;
+use crate::received::content_text;
 use crate::watch::wait_for_store;
 use serde::Deserialize;
 use serde::Serialize;
--- a/crates/zinniahatch_entry/src/received.rs
+++ b/crates/zinniahatch_entry/src/received.rs
@@ -1,6 +1,5 @@
 //! One typed request, whichever interface it came by.
 
-use crate::quarantine::content_text;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -77,3 +76,8 @@
         self.hop == RequestHop::Direct
     }
 }
+
+/// Gives a content as log lines and keys show it.
+pub(crate) fn content_text(content: ContentDigest) -> Box<str> {
+    format!("{content:016x}").into()
+}
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -2,11 +2,12 @@
 
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
-use crate::news::READER_DUTY;
-use crate::news::READERS;
-use crate::news::has_duty;
+use crate::duty::READER_DUTY;
+use crate::duty::READERS;
+use crate::duty::has_duty;
 use crate::news::take_event;
 use crate::news::take_listing;
+use crate::own_card::reader_cover;
 use crate::watch_topic::WatchTopic;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -182,7 +183,7 @@
     let most = core.settings.store_history.mul_f64(LOOK_PART);
     let mut end = RestEnd::NoRest;
     while since.elapsed() < most {
-        match core.reader_cover(topic, Instant::now()) {
+        match reader_cover(core, topic, Instant::now()) {
             CoverState::Alone => return RestEnd::NoRest,
             CoverState::Behind => return RestEnd::Behind,
             CoverState::Covered => {}
--- a/crates/zinniahatch_entry/src/work_teller.rs
+++ b/crates/zinniahatch_entry/src/work_teller.rs
@@ -1,12 +1,11 @@
 //! Telling the nodes of the region what this one has open, and gathering what others tell.
 
 use crate::core::EntryCore;
-use crate::gossip::NodeGram;
-use crate::gossip::tell_near;
-use crate::gossip::tell_news;
-use crate::gossip::tell_suspects;
-use serde::Deserialize;
-use serde::Serialize;
+use crate::datagrams::tell_near;
+use crate::news_teller::tell_news;
+use crate::news_teller::tell_suspects;
+use crate::node_gram::NodeGram;
+use crate::node_gram::WorkGram;
 use std::net::SocketAddrV4;
 use tokio::net::UdpSocket;
 use zinniahatch_base::prelude::*;
@@ -23,25 +22,6 @@
 /// Bytes of gathered news in a datagram, within one packet.
 const MOST_BYTES: usize = 1_200;
 
-/// News of open work.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct WorkGram {
-    /// The news, by process.
-    parts: Vec<WorkPart>,
-    /// Whether the receiver should tell them to all nodes of the region.
-    gather: bool,
-}
-
-impl WorkGram {
-    /// Makes the datagram of one process's news.
-    fn of(part: WorkPart, gather: bool) -> NodeGram {
-        NodeGram::Work(Self {
-            parts: vec![part],
-            gather,
-        })
-    }
-}
-
 /// Tells of this node's work, and of that of others where it gathers.
 pub(crate) struct WorkTeller {
     origin: ShortTag,
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -81,6 +81,7 @@
 pub use replicas::EntryChange;
 pub use replicas::ReplicaTable;
 pub use spread::away_share;
+pub use suspects::NewsBatch;
 pub use suspects::NewsEffect;
 pub use suspects::QuarantineChange;
 pub use suspects::SuspectNews;
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use zinniahatch_base::prelude::*;
+use zinniahatch_base::rank_member;
 
 /// Silence after which a node counts as not living. Cards come every 200 to 500 ms; three lost
 /// ones in a row are rare even on a link that loses one packet in thirty.
@@ -165,6 +166,21 @@
             .map(|row| row.card.peer)
     }
 
+    /// Gives the address of one living node of each region, of those the first by rank for a node. All nodes of a
+    /// region together ask different ones.
+    pub fn one_each(&self, node: &NodeId, now: Instant) -> BTreeSet<SocketAddrV4> {
+        let mut first: BTreeMap<&RegionId, (u64, SocketAddrV4)> = BTreeMap::new();
+        for row in self.rows.values() {
+            if now.saturating_duration_since(row.heard) > SILENCE {
+                continue;
+            }
+            let ranked = (rank_member(node, &row.card.node), row.card.peer);
+            let known = first.entry(&row.card.region).or_insert(ranked);
+            *known = ranked.max(*known);
+        }
+        first.into_values().map(|(_, peer)| peer).collect()
+    }
+
     /// Notes a measured round trip.
     pub fn note_trip(&mut self, node: &str, trip: Duration) {
         let Some(row) = self.rows.get_mut(node) else {
--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -34,7 +34,10 @@
 const ANSWERED_TIME: Duration = Duration::from_secs(30);
 /// Contents whose whole answers are remembered at most, some 200 KB; 64 requests/s a node for 30 s.
 const MOST_ANSWERED: usize = 2_048;
-/// Times that news are told: two of three datagrams may be lost.
+/// Ends after which news of a content go to all nodes at once and again: one more node that learns late may
+/// cost one more replica.
+const WIDE_ENDS: usize = 2;
+/// Times that such news are told: two of three datagrams may be lost.
 const TELLS: u8 = 3;
 /// Contents with untold news at most; a node that loses more at once leaves the rest to the other nodes.
 const MOST_FRESH: usize = 256;
@@ -62,6 +65,8 @@
     cleared: Option<Instant>,
     /// Whether this node saw one of the ends.
     own: bool,
+    /// Whether so many ends were known of it that all nodes are told at once.
+    wide: bool,
     /// Whether the platform's store keeps it.
     kept: bool,
 }
@@ -78,6 +83,7 @@
         if self.ends.len() > MOST_ENDS {
             self.ends.remove(0);
         }
+        self.wide |= self.ends.len() >= WIDE_ENDS;
         true
     }
 
@@ -132,6 +138,20 @@
     }
 }
 
+/// News that are to be told now, by whom they are for.
+///
+/// Most requests that stood on a replica that ended are no cause of it, and the loss of a region suspects
+/// thousands; told to all nodes by all, these would take more of the links than the cards do.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct NewsBatch {
+    /// For all nodes that this one knows.
+    pub wide: Vec<SuspectNews>,
+    /// For the own region, and one node of each other.
+    pub own: Vec<SuspectNews>,
+    /// For the own region: another one told them here.
+    pub passed: Vec<SuspectNews>,
+}
+
 /// What news changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NewsEffect {
@@ -310,21 +330,33 @@
     }
 
     /// Takes up to so many news: those never told, and with `again` those that were told too seldom.
-    pub fn take_news(&mut self, again: bool, most: usize, now: Instant) -> Vec<SuspectNews> {
+    pub fn take_news(&mut self, again: bool, most: usize, now: Instant) -> NewsBatch {
         let due = self
             .fresh
             .iter()
             .filter(|(_, left)| again || **left == TELLS);
         let due: Vec<ContentDigest> = due.map(|(content, _)| *content).take(most).collect();
-        for content in &due {
-            let left = self.fresh.remove(content).unwrap_or(0).saturating_sub(1);
+        let mut batch = NewsBatch::default();
+        for content in due {
+            let left = self.fresh.remove(&content).unwrap_or(0).saturating_sub(1);
+            let Some((row, news)) = self.rows.get(&content).zip(self.news_of(content, now)) else {
+                continue;
+            };
+            if !row.wide {
+                let part = if row.own {
+                    &mut batch.own
+                } else {
+                    &mut batch.passed
+                };
+                part.push(news);
+                continue;
+            }
+            batch.wide.push(news);
             if left > 0 {
-                self.fresh.insert(*content, left);
+                self.fresh.insert(content, left);
             }
         }
-        let news = due.into_iter();
-        news.filter_map(|content| self.news_of(content, now))
-            .collect()
+        batch
     }
 
     /// Gives a digest of the contents that have ends enough to be held; nodes whose digests differ tell each
