--- a/crates/zinniahatch_lab/src/experiments/faults.rs
+++ b/crates/zinniahatch_lab/src/experiments/faults.rs
@@ -313,8 +313,10 @@
     const TURNS: usize = 40;
     let mut last = (0, 0);
     let mut same = 0;
+    let mut looks = Vec::new();
     for _ in 0..TURNS {
         if let Some(report) = crate::demo::fetch_report(cluster, "account").await {
+            looks.push(report.total.requests);
             same = if report.total.requests == last.0 {
                 same + 1
             } else {
@@ -328,6 +330,7 @@
         }
         sleep(Duration::from_millis(1_200)).await;
     }
+    println!("requests in the reports, look by look, of {expected}: {looks:?}");
     last
 }
 
