--- a/crates/zinniahatch_route/tests/suspects.rs
+++ b/crates/zinniahatch_route/tests/suspects.rs
@@ -93,11 +93,16 @@
 fn answer_clears() {
     let (mut table, now) = ended(BESIDE, 0..3, Instant::now());
     assert_eq!(table.review(now).len(), 1);
+    let (news, _) = table.unkept(now).expect("this node saw the ends");
+    assert_eq!(news.content, BESIDE);
+    table.note_kept(BESIDE);
+    assert!(table.unkept(now).is_none());
     assert!(table.note_answered(BESIDE, now + seconds(1)));
     assert_eq!(table.hold_left(BESIDE, now + seconds(1)), None);
     let changes = table.review(now + seconds(1));
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].left, None);
+    assert!(changes[0].kept, "its key is to be removed");
     assert_eq!(table.held(), 0);
 }
 
