--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -37,6 +37,15 @@
     check_seed(seed, 8, 2, 8, true).await;
 }
 
+/// A request that all callers make had not been answered yet when another one ended the three replicas of a
+/// region within half a second. It stood on all three of them, and was held beside the one that had ended them:
+/// `quarantined ... ends=3` for both contents at the same millisecond, though the one had run for 558, 374 and
+/// 268 ms there and the other for 40.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_everybody_asks_is_not_held_beside_a_fatal_request() {
+    check_seed(511, 10, 3, 20, true).await;
+}
+
 /// In 122, two losses of one link overlapped, and the relay of the lab delivered a stream with a hole in the
 /// middle, which no connection does: events 1 to 3, then 8 to 20.
 ///
