Tell bystanders from the request that ends replicas by how long they ran, and wait for the region's news

Cause: what everybody asks stood on all three replicas that a fatal request ended, with nobody answered yet: as many ends, hence as guilty. Second: a content with three ends waits until the last is 100 ms old, in which neither runs. Ruled out: clearing by progress instead of whole answers (a fatal request may begin an answer too).

The keys are read after what a node needs to serve, with a read that does not count towards the store's rate.

--- a/crates/zinniahatch_entry/src/open_call.rs
+++ b/crates/zinniahatch_entry/src/open_call.rs
@@ -181,6 +181,11 @@
             .is_none_or(|belief| belief.health.is_suspect(Instant::now()))
     }
 
+    /// Gives how long the request has been where it was sent.
+    pub(crate) fn ran(&self) -> Duration {
+        self.sent_at.elapsed()
+    }
+
     /// Logs that the channel broke off under the request, and what this node had on the replica.
     pub(crate) fn log_break(&self, call: &ReceivedCall, reason: &str) {
         let Some(note) = &self.note else {
@@ -194,7 +199,7 @@
             "channel-broke",
             serde_json::json!({"request": call.attempt, "content": call.content_text(),
                 "replica": note.replica, "reason": reason, "began": note.first_seen,
-                "ran_ms": self.sent_at.elapsed().as_millis() as u64,
+                "ran_ms": self.ran().as_millis() as u64,
                 "own_requests": own.map(|work| work.requests)}),
         );
     }
--- a/crates/zinniahatch_entry/src/quarantine.rs
+++ b/crates/zinniahatch_entry/src/quarantine.rs
@@ -3,6 +3,7 @@
 use crate::core::EntryCore;
 use crate::received::ReceivedCall;
 use crate::received::content_text;
+use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::NewsEffect;
 use zinniahatch_route::QuarantineChange;
@@ -35,15 +36,19 @@
     call: &ReceivedCall,
     replica: &ReplicaId,
     tag: ShortTag,
+    ran: Duration,
 ) {
     let now = Instant::now();
-    let counts = core.suspects.borrow_mut().note_end(call.content, tag, now);
+    let counts = core
+        .suspects
+        .borrow_mut()
+        .note_end(call.content, tag, ran, now);
     core.metrics
         .note_suspect(if counts { "noted" } else { "clear" });
     core.log.write(
         "suspect",
         serde_json::json!({"content": content_text(call.content), "request": call.attempt,
-            "replica": replica, "counts": counts}),
+            "replica": replica, "ran_ms": ran.as_millis() as u64, "counts": counts}),
     );
     if counts {
         review(core, now);
@@ -87,7 +92,7 @@
         core.log.write(
             "suspect-heard",
             serde_json::json!({"content": content_text(one.content), "ends": one.ends.len(),
-                "age_ms": one.ends.iter().map(|(_, age)| age).min(), "cleared_ms": one.cleared,
+                "age_ms": one.ends.iter().map(|end| end.age_ms).min(), "cleared_ms": one.cleared,
                 "source": source.word(), "outcome": outcome}),
         );
     }
@@ -131,6 +136,20 @@
     suspects.hold_left(call.content, Instant::now())
 }
 
+/// Waits until it can be judged whether a request is held.
+pub(crate) async fn await_verdict(core: &EntryCore, call: &ReceivedCall) {
+    loop {
+        let due = core
+            .suspects
+            .borrow()
+            .verdict_due(call.content, Instant::now());
+        let Some(due) = due else {
+            return;
+        };
+        sleep(due).await;
+    }
+}
+
 /// Waits until a request is held.
 pub(crate) async fn await_hold(core: &EntryCore, call: &ReceivedCall) {
     let mut changes = core.quarantined.subscribe();
--- a/crates/zinniahatch_entry/src/quarantine_keys.rs
+++ b/crates/zinniahatch_entry/src/quarantine_keys.rs
@@ -10,6 +10,7 @@
 use crate::quarantine::hear_suspects;
 use crate::received::content_text;
 use crate::watch::wait_for_store;
+use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
 use std::rc::Rc;
@@ -21,11 +22,15 @@
 use zinniahatch_platform::KvError;
 use zinniahatch_platform::StoreCommit;
 use zinniahatch_route::SuspectNews;
+use zinniahatch_route::ToldEnd;
 
 /// Start of the keys.
 const PREFIX: &str = "zinniahatch/quarantine/";
 /// Time for a listing of these keys.
 const LIST_TIME: Duration = Duration::from_millis(1_500);
+/// Longest pause of a node that knows enough to serve before it reads them. Where all nodes start at once, what
+/// they need to serve goes first; nothing that the keys name is missed within this time.
+const READ_PAUSE: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const RETRY_TIME: Duration = Duration::from_millis(900);
 /// Longest lease that the store gives.
@@ -35,13 +40,27 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct KeptSuspect {
     content: ContentDigest,
-    /// The replicas that ended, by the tags of their lives, and when, in Unix milliseconds.
-    ends: Vec<(ShortTag, u64)>,
+    ends: Vec<KeptEnd>,
+}
+
+/// The end of a replica as a key says it.
+#[derive(Debug, Serialize, Deserialize)]
+struct KeptEnd {
+    /// The tag of the replica's life.
+    replica: ShortTag,
+    /// When it ended, in Unix milliseconds.
+    at_ms: u64,
+    /// How long the first request of the content had been there.
+    ran_ms: u32,
 }
 
 /// Reads the keys once, then keeps what this node holds, until the process ends.
 pub(crate) async fn run_quarantine_keys(core: Rc<EntryCore>) {
     let mut changes = core.quarantined.subscribe();
+    while !core.knows() {
+        core.learned.notified().await;
+    }
+    sleep(READ_PAUSE.mul_f64(rand::rng().random())).await;
     while let Err(error) = read_keys(&core).await {
         pause_after(&core, &error).await;
     }
@@ -65,7 +84,8 @@
 }
 
 async fn read_keys(core: &EntryCore) -> Result<(), KvError> {
-    let listing = core.store.items(PREFIX, LIST_TIME).await?;
+    // A read that may be seconds old costs a tenth and does not count towards the store's rate.
+    let listing = core.store.old_items(PREFIX, LIST_TIME).await?;
     core.metrics.note_store("quarantine", "listed");
     let now = unix_millis();
     let mut news = Vec::new();
@@ -124,22 +144,27 @@
 
 impl KeptSuspect {
     fn of(news: &SuspectNews, now: u64) -> Self {
-        let ends = news.ends.iter();
+        let ends = news.ends.iter().map(|end| KeptEnd {
+            replica: end.replica,
+            at_ms: now.saturating_sub(u64::from(end.age_ms)),
+            ran_ms: end.ran_ms,
+        });
         Self {
             content: news.content,
-            ends: ends
-                .map(|(replica, age)| (*replica, now.saturating_sub(u64::from(*age))))
-                .collect(),
+            ends: ends.collect(),
         }
     }
 
     /// Gives it as news. Where the time of day stepped back meanwhile the ends count as of now.
     fn news(&self, now: u64) -> SuspectNews {
-        let age = |at: u64| u32::try_from(now.saturating_sub(at)).unwrap_or(u32::MAX);
-        let ends = self.ends.iter();
+        let ends = self.ends.iter().map(|end| ToldEnd {
+            replica: end.replica,
+            age_ms: u32::try_from(now.saturating_sub(end.at_ms)).unwrap_or(u32::MAX),
+            ran_ms: end.ran_ms,
+        });
         SuspectNews {
             content: self.content,
-            ends: ends.map(|(replica, at)| (*replica, age(*at))).collect(),
+            ends: ends.collect(),
             cleared: None,
         }
     }
--- a/crates/zinniahatch_entry/src/replica_check.rs
+++ b/crates/zinniahatch_entry/src/replica_check.rs
@@ -27,6 +27,7 @@
     let Some(replica) = open.replica() else {
         return;
     };
+    let ran = open.ran();
     open.log_break(call, reason);
     let life = {
         let replicas = core.replicas.borrow();
@@ -45,7 +46,7 @@
         return;
     }
     open.with_replica(|belief| belief.health.note_unreachable(Instant::now()));
-    note_replica_end(core, call, replica, tag);
+    note_replica_end(core, call, replica, tag, ran);
 }
 
 async fn is_refused(core: &Rc<EntryCore>, address: SocketAddrV4) -> bool {
--- a/crates/zinniahatch_entry/src/resume.rs
+++ b/crates/zinniahatch_entry/src/resume.rs
@@ -11,6 +11,7 @@
 use crate::plan::CallCourse;
 use crate::plan::CallPlan;
 use crate::plan::MOST_CONNECTS;
+use crate::quarantine::await_verdict;
 use crate::received::ReceivedCall;
 use std::rc::Rc;
 use tokio::time::timeout_at;
@@ -29,6 +30,7 @@
         if Instant::now() >= plan.deadline || course.connects >= MOST_CONNECTS {
             return None;
         }
+        await_verdict(core, call).await;
         let place = next_place(core, call, plan, course, false);
         let refused = matches!(place, NextPlace::Refuse(..));
         if refused || !plan.may_go_on(core, course, "resumed") {
--- a/crates/zinniahatch_entry/src/serve.rs
+++ b/crates/zinniahatch_entry/src/serve.rs
@@ -18,6 +18,7 @@
 use crate::plan::CallCourse;
 use crate::plan::CallPlan;
 use crate::plan::MOST_CONNECTS;
+use crate::quarantine::await_verdict;
 use crate::received::ReceivedCall;
 use crate::refusal::own_answer;
 use crate::starting::await_members;
@@ -112,6 +113,7 @@
         let mut guard = Some(guard);
         loop {
             let (core, call) = (self.core, &self.call);
+            await_verdict(core, call).await;
             let first = self.course.sends == 0;
             let place = next_place(core, call, &self.plan, &self.course, first);
             if matches!(place, NextPlace::Refuse(ResultCode::NoBackend, _))
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -86,6 +86,7 @@
 pub use suspects::QuarantineChange;
 pub use suspects::SuspectNews;
 pub use suspects::SuspectTable;
+pub use suspects::ToldEnd;
 pub use table::RouteTable;
 pub use work_news::WorkGatherer;
 pub use work_news::WorkPart;
--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -9,9 +9,10 @@
 //! whole answer since, is quarantined: refused at once, at every node, until that lapses.
 //!
 //! Requests that ran beside it stay out of this in three ways: a whole answer clears a content and keeps it
-//! clear for a while; the end of a replica counts only against those on it that have most ends, since these
-//! explain it; and nothing counts but ends, so that broken channels, silence and loss of power do not.
+//! clear for a while; the end of a replica counts only against those on it that have most ends, among equals
+//! against the one that had run the shortest time there, since these explain it; and nothing counts but ends, so that broken channels, silence and loss of power do not.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use zinniahatch_base::prelude::*;
 
@@ -23,6 +24,10 @@
 /// Time from the last end for which a content is quarantined first. A caller who repeats by program comes
 /// many times in it; whoever is wrongly held, or has had the replicas mended, is free soon.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// Time after the last end in which the nodes of a region tell each other whom they had on the replica: 5 ms as a
+/// rule, some tens where a node has a tenth of a core. A content with enough ends waits for it; judged at once,
+/// what everybody asks was held for 5 ms, until the news of the one that had ended the replicas came.
+const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Time between two ends of one replica's life that are one end, seen by several nodes. A replica that
 /// starts again under its id is away for seconds.
 const SAME_END: Duration = Duration::from_secs(1);
@@ -47,6 +52,8 @@
 struct ReplicaEnd {
     replica: ShortTag,
     at: Instant,
+    /// How long the first request of the content had been there.
+    ran: Duration,
 }
 
 impl ReplicaEnd {
@@ -72,12 +79,16 @@
 }
 
 impl SuspectRow {
-    /// Adds an end; tells whether it is new.
+    /// Adds an end; tells whether it is new, or a request of the content had been there for longer than known.
     fn add(&mut self, end: ReplicaEnd) -> bool {
-        let old = self.cleared.is_some_and(|cleared| end.at <= cleared);
-        if old || self.ends.iter().any(|known| known.is_same(&end)) {
+        if self.cleared.is_some_and(|cleared| end.at <= cleared) {
             return false;
         }
+        if let Some(known) = self.ends.iter_mut().find(|known| known.is_same(&end)) {
+            let longer = end.ran > known.ran;
+            known.ran = known.ran.max(end.ran);
+            return longer;
+        }
         self.ends.push(end);
         self.ends.sort_by_key(|known| known.at);
         if self.ends.len() > MOST_ENDS {
@@ -98,6 +109,11 @@
         self.ends.len() < before
     }
 
+    /// Gives how long requests of the content had been on the replicas that ended.
+    fn ran(&self) -> Duration {
+        self.ends.iter().map(|end| end.ran).sum()
+    }
+
     fn is_known(&self) -> bool {
         self.ends.len() >= KNOWN_ENDS
     }
@@ -127,12 +143,23 @@
 }
 
 domain! {
-    /// What one node tells another of a content. Times are told as ages, since clocks differ.
+    /// The end of a replica as one node tells another. Times are told as ages, since clocks differ.
+    #[derive(Copy, Eq)]
+    pub struct ToldEnd {
+        /// The tag of the replica's life.
+        pub replica: ShortTag,
+        /// How long ago it ended, in ms.
+        pub age_ms: u32,
+        /// How long the first request of the content had been there, in ms.
+        pub ran_ms: u32,
+    }
+
+    /// What one node tells another of a content.
     pub struct SuspectNews {
         /// The content.
         pub content: ContentDigest,
-        /// The replicas that ended under it, by the tags of their lives, and how long ago, in ms.
-        pub ends: Vec<(ShortTag, u32)>,
+        /// The replicas that ended under it.
+        pub ends: Vec<ToldEnd>,
         /// How long ago it was answered whole, in ms.
         pub cleared: Option<u32>,
     }
@@ -191,14 +218,26 @@
 }
 
 impl SuspectTable {
-    /// Notes that a replica has ended while this node had a request of the content there; tells whether it
-    /// counts.
-    pub fn note_end(&mut self, content: ContentDigest, replica: ShortTag, now: Instant) -> bool {
+    /// Notes that a replica has ended on which this node had had a request of the content for so long; tells
+    /// whether it counts.
+    pub fn note_end(
+        &mut self,
+        content: ContentDigest,
+        replica: ShortTag,
+        ran: Duration,
+        now: Instant,
+    ) -> bool {
         if self.was_answered(content, now) {
             return false;
         }
         let row = self.rows.entry(content).or_default();
-        let counts = row.add(ReplicaEnd { replica, at: now });
+        // As coarse as it is told, so that all nodes compare the same.
+        let ran = Duration::from_millis(u64::from(millis(ran)));
+        let counts = row.add(ReplicaEnd {
+            replica,
+            at: now,
+            ran,
+        });
         row.own = true;
         if counts {
             self.note_fresh(content);
@@ -229,10 +268,11 @@
         };
         let row = self.rows.entry(news.content).or_default();
         let mut learned = news.cleared.is_some_and(|age| row.clear(at(age)));
-        for (replica, age) in &news.ends {
+        for end in &news.ends {
             learned |= row.add(ReplicaEnd {
-                replica: *replica,
-                at: at(*age),
+                replica: end.replica,
+                at: at(end.age_ms),
+                ran: Duration::from_millis(u64::from(end.ran_ms)),
             });
         }
         let outdated = !learned && row.ends.is_empty() && !news.ends.is_empty();
@@ -247,8 +287,21 @@
         }
     }
 
+    /// Gives how long a content waits until it can be judged; none where it can be.
+    pub fn verdict_due(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
+        let row = self.rows.get(&content).filter(|row| row.is_known())?;
+        let due = row.ends.last()?.at + SETTLE_TIME;
+        let left = due
+            .checked_duration_since(now)
+            .filter(|left| !left.is_zero())?;
+        (!self.was_answered(content, now)).then_some(left)
+    }
+
     /// Gives how much longer a content is held; none where it may run.
     pub fn hold_left(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
+        if self.verdict_due(content, now).is_some() {
+            return None;
+        }
         let row = self.rows.get(&content).filter(|row| row.is_known())?;
         if self.was_answered(content, now) {
             return None;
@@ -263,10 +316,16 @@
             .filter(|left| !left.is_zero())
     }
 
-    /// Tells whether another content explains an end: one with more ends was on the replica too.
+    /// Tells whether another content explains an end: one that was on the replica too and has more ends, or as
+    /// many and was on those replicas for a shorter time.
+    ///
+    /// What ends the replicas that begin it never runs for long. Contents that were there for longer had the
+    /// same ends where nothing else had been answered yet: what all callers ask stood on every replica.
     fn is_explained(&self, row: &SuspectRow, end: &ReplicaEnd) -> bool {
+        let own = (row.ends.len(), Reverse(row.ran()));
         self.rows.values().any(|other| {
-            other.ends.len() > row.ends.len() && other.ends.iter().any(|known| known.is_same(end))
+            (other.ends.len(), Reverse(other.ran())) > own
+                && other.ends.iter().any(|known| known.is_same(end))
         })
     }
 
@@ -377,17 +436,15 @@
 
     fn news_of(&self, content: ContentDigest, now: Instant) -> Option<SuspectNews> {
         let row = self.rows.get(&content)?;
-        let age = |at: Instant| {
-            let age = now.saturating_duration_since(at).as_millis();
-            u32::try_from(age).unwrap_or(u32::MAX)
-        };
+        let age = |at: Instant| millis(now.saturating_duration_since(at));
+        let ends = row.ends.iter().map(|end| ToldEnd {
+            replica: end.replica,
+            age_ms: age(end.at),
+            ran_ms: millis(end.ran),
+        });
         Some(SuspectNews {
             content,
-            ends: row
-                .ends
-                .iter()
-                .map(|end| (end.replica, age(end.at)))
-                .collect(),
+            ends: ends.collect(),
             cleared: row.cleared.map(age),
         })
     }
@@ -438,3 +495,7 @@
         }
     }
 }
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/zinniahatch_route/tests/suspects.rs
+++ b/crates/zinniahatch_route/tests/suspects.rs
@@ -12,6 +12,19 @@
 const FATAL: u64 = 7;
 const BESIDE: u64 = 8;
 const MOST: usize = 1_000;
+/// Time after which a content is judged.
+const SETTLED: Duration = Duration::from_millis(150);
+/// How long a fatal request is on a replica.
+const SHORT: Duration = Duration::from_millis(40);
+
+/// Gives whether a content is held once all nodes have told what they know.
+fn held(table: &SuspectTable, content: u64, now: Instant) -> bool {
+    hold(table, content, now).is_some()
+}
+
+fn hold(table: &SuspectTable, content: u64, now: Instant) -> Option<Duration> {
+    table.hold_left(content, now + SETTLED)
+}
 
 fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
@@ -23,7 +36,7 @@
     let mut now = start;
     for replica in replicas {
         now += seconds(1);
-        assert!(table.note_end(content, replica, now));
+        assert!(table.note_end(content, replica, SHORT, now));
     }
     (table, now)
 }
@@ -42,10 +55,35 @@
 #[test_case(2, false; "two_happen_to_bystanders")]
 #[test_case(3, true; "three")]
 #[test_case(9, true; "many")]
-fn hold_after(ends: u32, held: bool) {
+fn hold_after(ends: u32, expected: bool) {
     let (table, now) = ended(FATAL, 0..ends, Instant::now());
-    assert_eq!(table.hold_left(FATAL, now).is_some(), held);
+    assert_eq!(held(&table, FATAL, now), expected);
+    assert!(!held(&table, BESIDE, now));
+}
+
+/// One node hears of the third end of a bystander before that of the request that ended the replicas, which
+/// another node had there. It waits for a moment, in which neither runs, and then holds the right one.
+#[test]
+fn verdict_waits_for_news_of_the_last_end() {
+    let start = Instant::now();
+    let (fatal, now) = ended(FATAL, 0..3, start);
+    let mut table = SuspectTable::default();
+    for replica in 0..3 {
+        table.note_end(
+            BESIDE,
+            replica,
+            SHORT * 9,
+            start + seconds(1 + u64::from(replica)),
+        );
+    }
     assert_eq!(table.hold_left(BESIDE, now), None);
+    let wait = table.verdict_due(BESIDE, now).expect("it waits");
+    for news in fatal.known_news(0, MOST, now + SHORT) {
+        table.hear(&news, false, now + SHORT);
+    }
+    assert_eq!(table.verdict_due(BESIDE, now + wait), None);
+    assert_eq!(table.hold_left(BESIDE, now + wait), None);
+    assert!(held(&table, FATAL, now));
 }
 
 /// Seven nodes had a request each on the replica that ended, or one node had the same content there thrice.
@@ -55,9 +93,9 @@
     let start = Instant::now();
     let mut table = SuspectTable::default();
     for node in 0..7 {
-        table.note_end(FATAL, 1, start + Duration::from_millis(node * 20));
+        table.note_end(FATAL, 1, SHORT, start + Duration::from_millis(node * 20));
     }
-    assert_eq!(table.hold_left(FATAL, start + seconds(1)), None);
+    assert!(!held(&table, FATAL, start + seconds(1)));
 }
 
 /// A replica starts again under its id, some seconds later, and ends again under the same content.
@@ -66,9 +104,9 @@
     let start = Instant::now();
     let mut table = SuspectTable::default();
     for life in 0..3 {
-        table.note_end(FATAL, 1, start + seconds(life * 4));
+        table.note_end(FATAL, 1, SHORT, start + seconds(life * 4));
     }
-    assert!(table.hold_left(FATAL, start + seconds(8)).is_some());
+    assert!(held(&table, FATAL, start + seconds(8)));
 }
 
 /// Streams that ran beside the fatal request were resumed with it on the next replica and the one after, and
@@ -79,12 +117,60 @@
     let start = Instant::now();
     let (mut table, now) = ended(FATAL, 0..3, start);
     for replica in 0..3 {
-        table.note_end(BESIDE, replica, start + seconds(1 + u64::from(replica)));
+        table.note_end(
+            BESIDE,
+            replica,
+            SHORT,
+            start + seconds(1 + u64::from(replica)),
+        );
+    }
+    assert!(held(&table, BESIDE, now));
+    table.note_end(FATAL, 3, SHORT, now + seconds(1));
+    assert!(!held(&table, BESIDE, now + seconds(1)));
+    assert!(held(&table, FATAL, now + seconds(1)));
+}
+
+/// What all callers ask stood on the three replicas of a region that a fatal request ended, and nobody had been
+/// answered yet. Its first request had been on each for longer than the fatal one.
+#[test]
+fn hold_is_of_who_ran_shortest() {
+    let start = Instant::now();
+    let (mut table, now) = ended(FATAL, 0..3, start);
+    for replica in 0..3 {
+        let at = start + seconds(1 + u64::from(replica));
+        table.note_end(BESIDE, replica, SHORT * 7, at);
+        // Another request of it had just begun there, on this node or another.
+        table.note_end(BESIDE, replica, SHORT / 4, at);
     }
-    assert!(table.hold_left(BESIDE, now).is_some());
-    table.note_end(FATAL, 3, now + seconds(1));
-    assert_eq!(table.hold_left(BESIDE, now + seconds(1)), None);
-    assert!(table.hold_left(FATAL, now + seconds(1)).is_some());
+    assert!(held(&table, FATAL, now));
+    assert!(!held(&table, BESIDE, now));
+    let mut other = SuspectTable::default();
+    for news in take(&mut table, true, now) {
+        other.hear(&news, false, now);
+    }
+    assert!(held(&other, FATAL, now));
+    assert!(!held(&other, BESIDE, now));
+}
+
+/// A request that began just after the fatal one on each of three replicas is taken for it. The fatal one ends a
+/// fourth, and is the one that is held from then on.
+#[test]
+fn hold_moves_on_to_who_ends_a_fourth() {
+    let start = Instant::now();
+    let (mut table, now) = ended(FATAL, 0..3, start);
+    for replica in 0..3 {
+        table.note_end(
+            BESIDE,
+            replica,
+            SHORT / 2,
+            start + seconds(1 + u64::from(replica)),
+        );
+    }
+    assert!(held(&table, BESIDE, now));
+    assert!(!held(&table, FATAL, now));
+    table.note_end(FATAL, 3, SHORT, now);
+    assert!(!held(&table, BESIDE, now));
+    assert!(held(&table, FATAL, now));
 }
 
 /// A request was on three replicas that were killed one after the other, and was answered whole by the
@@ -92,13 +178,13 @@
 #[test]
 fn answer_clears() {
     let (mut table, now) = ended(BESIDE, 0..3, Instant::now());
-    assert_eq!(table.review(now).len(), 1);
-    let (news, _) = table.unkept(now).expect("this node saw the ends");
+    assert_eq!(table.review(now + SETTLED).len(), 1);
+    let (news, _) = table.unkept(now + SETTLED).expect("this node saw the ends");
     assert_eq!(news.content, BESIDE);
     table.note_kept(BESIDE);
-    assert!(table.unkept(now).is_none());
+    assert!(table.unkept(now + SETTLED).is_none());
     assert!(table.note_answered(BESIDE, now + seconds(1)));
-    assert_eq!(table.hold_left(BESIDE, now + seconds(1)), None);
+    assert!(!held(&table, BESIDE, now + seconds(1)));
     let changes = table.review(now + seconds(1));
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].left, None);
@@ -114,11 +200,16 @@
     let mut table = SuspectTable::default();
     table.note_answered(BESIDE, start);
     for replica in 0..40 {
-        assert!(!table.note_end(BESIDE, replica, start + seconds(1)));
-        table.note_end(1_000 + u64::from(replica), replica, start + seconds(1));
+        assert!(!table.note_end(BESIDE, replica, SHORT, start + seconds(1)));
+        table.note_end(
+            1_000 + u64::from(replica),
+            replica,
+            SHORT,
+            start + seconds(1),
+        );
     }
-    assert!(table.review(start + seconds(1)).is_empty());
-    assert_eq!(table.hold_left(BESIDE, start + seconds(1)), None);
+    assert!(table.review(start + seconds(2)).is_empty());
+    assert!(!held(&table, BESIDE, start + seconds(1)));
 }
 
 /// Another node, which had just started, took the look-up for a suspect and told so. This one has seen
@@ -132,12 +223,12 @@
     for news in take(&mut other, false, now) {
         assert_eq!(table.hear(&news, false, now), NewsEffect::Learned);
     }
-    assert_eq!(table.hold_left(BESIDE, now), None);
+    assert!(!held(&table, BESIDE, now));
     assert!(table.note_answered(BESIDE, now));
     for news in take(&mut table, false, now) {
         other.hear(&news, false, now);
     }
-    assert_eq!(other.hold_left(BESIDE, now), None);
+    assert!(!held(&other, BESIDE, now));
 }
 
 /// The news that a content was answered was lost on the way to a node, which tells what it still
@@ -163,15 +254,15 @@
     let (mut table, mut now) = ended(FATAL, 0..3, Instant::now());
     let mut before = Duration::ZERO;
     for replica in 10..13 {
-        let left = table.hold_left(FATAL, now).expect("it is held");
+        let left = hold(&table, FATAL, now).expect("it is held");
         assert!(left >= before * 2 && left <= seconds(4 * 3_600));
         before = left;
         table.tick(now + left / 2);
-        assert!(table.hold_left(FATAL, now + left / 2).is_some());
+        assert!(held(&table, FATAL, now + left / 2));
         now += left + seconds(1);
         table.tick(now);
-        assert_eq!(table.hold_left(FATAL, now), None);
-        table.note_end(FATAL, replica, now);
+        assert!(!held(&table, FATAL, now));
+        table.note_end(FATAL, replica, SHORT, now);
     }
     table.tick(now + seconds(24 * 3_600));
     assert_eq!(table.known_digest(), 0);
@@ -183,9 +274,9 @@
 fn suspects_are_bounded() {
     let (mut table, now) = ended(FATAL, 0..3, Instant::now());
     for content in 0..12_000 {
-        table.note_end(1_000 + content, 500 + (content / 30) as u32, now);
+        table.note_end(1_000 + content, 500 + (content / 30) as u32, SHORT, now);
     }
-    assert!(table.hold_left(FATAL, now).is_some());
+    assert!(held(&table, FATAL, now));
     let mut told = 0;
     while told < MOST {
         let news = table.take_news(false, 24, now).own;
@@ -208,7 +299,7 @@
     let mut other = SuspectTable::default();
     other.hear(&batch.own[0], true, now);
     assert_eq!(ids(&other.take_news(false, MOST, now).passed), [FATAL]);
-    table.note_end(FATAL, 1, now);
+    table.note_end(FATAL, 1, SHORT, now);
     assert_eq!(ids(&table.take_news(false, MOST, now).wide), [FATAL]);
     assert!(take(&mut table, false, now).is_empty());
     assert_eq!(ids(&table.take_news(true, MOST, now).wide), [FATAL]);
@@ -223,7 +314,7 @@
     let start = Instant::now();
     let (mut one, now) = ended(FATAL, 0..3, start);
     let mut two = SuspectTable::default();
-    two.note_end(FATAL, 9, now);
+    two.note_end(FATAL, 9, SHORT, now);
     assert_ne!(one.known_digest(), two.known_digest());
     for news in one.known_news(99, MOST, now) {
         two.hear(&news, false, now);
@@ -232,19 +323,19 @@
         one.hear(&news, false, now);
     }
     assert_eq!(one.known_digest(), two.known_digest());
-    assert_eq!(one.hold_left(FATAL, now), two.hold_left(FATAL, now));
+    assert_eq!(hold(&one, FATAL, now), hold(&two, FATAL, now));
 }
 
 /// One thing that a node learns.
 #[derive(Clone, Debug)]
 enum Event {
-    End(u64, u32),
+    End(u64, u32, u64),
     Answer(u64),
 }
 
 fn events() -> impl Strategy<Value = Vec<(Event, usize)>> {
     let event = prop_oneof![
-        4 => (0..4_u64, 0..8_u32).prop_map(|(content, replica)| Event::End(content, replica)),
+        4 => (0..4_u64, 0..8_u32, 1..50_u64).prop_map(|(content, replica, ran)| Event::End(content, replica, ran)),
         1 => (0..4_u64).prop_map(Event::Answer),
     ];
     prop::collection::vec((event, 0..3_usize), 0..24)
@@ -260,8 +351,8 @@
         for (event, node) in seen {
             now += seconds(2);
             match event {
-                Event::End(content, replica) => {
-                    nodes[node].note_end(content, replica, now);
+                Event::End(content, replica, ran) => {
+                    nodes[node].note_end(content, replica, SHORT * ran as u32, now);
                 }
                 Event::Answer(content) => {
                     nodes[node].note_answered(content, now);
