Put the teller of outdated suspicions right wherever it is; read the change once more

A node that still held a content which another region had seen answered was told so only where its news were wide; it would have been held there until it lapsed, and told again with each card.

--- a/crates/zinniahatch_entry/src/answering.rs
+++ b/crates/zinniahatch_entry/src/answering.rs
@@ -43,9 +43,8 @@
     count(core, call, plan, &core.settings.region, code, None);
     core.log.write(
         "refused",
-        serde_json::json!({"request": call.attempt,
-            "content": call.content_text(), "direct": call.is_direct(),
-            "route": plan.route.name, "tokens_in": call.size.tokens_in,
+        serde_json::json!({"request": call.attempt, "content": call.content_text(),
+            "direct": call.is_direct(), "route": plan.route.name, "tokens_in": call.size.tokens_in,
             "service": plan.service, "result": code.number(), "sends": course.sends,
             "connects": course.connects, "retry_ms": retry.map(|after| after.as_millis() as u64),
             "age_ms": call.arrived.elapsed().as_millis() as u64, "version": plan.version}),
@@ -95,9 +94,8 @@
     count(core, call, plan, &course.served(core), result, Some(took));
     core.log.write(
         "answered",
-        serde_json::json!({"request": call.attempt,
-            "content": call.content_text(), "direct": call.is_direct(),
-            "route": plan.route.name, "status": head.status.as_u16(), "replica": at,
+        serde_json::json!({"request": call.attempt, "content": call.content_text(),
+            "direct": call.is_direct(), "route": plan.route.name, "status": head.status.as_u16(), "replica": at,
             "took_ms": took.as_millis() as u64, "goal_ms": plan.route.goal.as_millis() as u64}),
     );
     let again = failed && plan.route.may_repeat() && head.status != StatusCode::GATEWAY_TIMEOUT;
--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/placing.rs
@@ -248,9 +248,8 @@
             course.region = None;
             core.log.write(
                 "placed",
-                serde_json::json!({"request": call.attempt,
-            "content": call.content_text(), "direct": call.is_direct(),
-                    "route": plan.route.name, "tokens_in": call.size.tokens_in,
+                serde_json::json!({"request": call.attempt, "content": call.content_text(),
+                    "direct": call.is_direct(), "route": plan.route.name, "tokens_in": call.size.tokens_in,
                     "service": plan.service, "replica": choice.replica, "version": plan.version,
                     "expected_ms": choice.expected.as_millis() as u64,
                     "answer_ms": choice.answer.as_millis() as u64,
@@ -264,9 +263,8 @@
             course.region = Some(choice.region.clone());
             core.log.write(
                 "away",
-                serde_json::json!({"request": call.attempt,
-            "content": call.content_text(), "direct": call.is_direct(),
-                    "route": plan.route.name, "tokens_in": call.size.tokens_in,
+                serde_json::json!({"request": call.attempt, "content": call.content_text(),
+                    "direct": call.is_direct(), "route": plan.route.name, "tokens_in": call.size.tokens_in,
                     "service": plan.service, "to": choice.node, "region": choice.region,
                     "expected_ms": choice.expected.as_millis() as u64,
                     "answer_ms": choice.answer.as_millis() as u64,
--- a/crates/zinniahatch_entry/src/quarantine.rs
+++ b/crates/zinniahatch_entry/src/quarantine.rs
@@ -44,7 +44,7 @@
         .borrow_mut()
         .note_end(call.content, tag, ran, now);
     core.metrics
-        .note_suspect(if counts { "noted" } else { "clear" });
+        .note_suspect(if counts { "noted" } else { "uncounted" });
     core.log.write(
         "suspect",
         serde_json::json!({"content": content_text(call.content), "request": call.attempt,
--- a/crates/zinniahatch_entry/src/replica_check.rs
+++ b/crates/zinniahatch_entry/src/replica_check.rs
@@ -17,6 +17,7 @@
 /// Time for the connection; the refusal of a machine in the same region takes a millisecond, and streams
 /// that broke off wait for it before they go on elsewhere.
 const CHECK_TIME: Duration = Duration::from_millis(60);
+
 /// Notes that a channel broke off under a request; where its replica has ended, the request is suspected.
 pub(crate) async fn note_break(
     core: &Rc<EntryCore>,
--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -276,6 +276,8 @@
             });
         }
         let outdated = !learned && row.ends.is_empty() && !news.ends.is_empty();
+        // Its teller may be in another region, and would go on telling with each card.
+        row.wide |= outdated;
         if outdated || (learned && tell) {
             self.note_fresh(news.content);
         }
--- a/crates/zinniahatch_route/tests/suspects.rs
+++ b/crates/zinniahatch_route/tests/suspects.rs
@@ -244,7 +244,13 @@
     let told = other.known_news(0, MOST, later);
     assert_eq!(ids(&told), [BESIDE]);
     assert_eq!(table.hear(&told[0], false, later), NewsEffect::Outdated);
-    assert_eq!(ids(&take(&mut table, false, later)), [BESIDE]);
+    assert_eq!(ids(&table.take_news(false, MOST, later).wide), [BESIDE]);
+    // A node that knew nothing else of it puts the teller right, too.
+    let mut third = SuspectTable::default();
+    third.note_answered(BESIDE, start);
+    third.hear(&told[0], false, later);
+    third.note_answered(BESIDE, later + seconds(1));
+    assert_eq!(ids(&third.take_news(false, MOST, later).wide), [BESIDE]);
 }
 
 /// The caller of a fatal request comes for hours. Each time that the hold lapses one replica ends, no more,
