--- a/crates/zinniahatch_entry/src/quarantine_keys.rs
+++ b/crates/zinniahatch_entry/src/quarantine_keys.rs
@@ -28,9 +28,8 @@
 const PREFIX: &str = "zinniahatch/quarantine/";
 /// Time for a listing of these keys.
 const LIST_TIME: Duration = Duration::from_millis(1_500);
-/// Nodes of a region that read the keys when they start; the others hear of them by their cards. Where all 302
-/// nodes of a site started at once and each read them, it served again after 8.5 and 9.0 s, and after
-/// 1.0 s where none did (one sweep each): the readings that nodes need to serve came later.
+/// Nodes of a region that read the keys when they start; one of them may die before it does. The others hear of
+/// them by the cards, within half a second, and each call to the store has its price.
 const KEY_READERS: usize = 2;
 /// The duty by which these are ranked.
 const KEY_DUTY: &str = "quarantine";
