--- a/crates/zinniahatch_entry/src/channel.rs
+++ b/crates/zinniahatch_entry/src/channel.rs
@@ -118,6 +118,24 @@
         })
     }
 
+    /// Waits for so long whether the other side ends a channel on which nothing was sent.
+    pub(crate) async fn ends_within(&self, limit: Duration) -> bool {
+        let ended = async {
+            let mut byte = [0_u8; 1];
+            loop {
+                if self.stream.readable().await.is_err() {
+                    return true;
+                }
+                match self.stream.try_read(&mut byte) {
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    Ok(count) => return count == 0,
+                    Err(_) => return true,
+                }
+            }
+        };
+        timeout(limit, ended).await.unwrap_or(false)
+    }
+
     /// Tells whether the channel carried a request before.
     pub fn was_used(&self) -> bool {
         self.used
--- a/crates/zinniahatch_entry/src/replica_check.rs
+++ b/crates/zinniahatch_entry/src/replica_check.rs
@@ -17,6 +17,9 @@
 /// Time for the connection; the refusal of a machine in the same region takes a millisecond, and streams
 /// that broke off wait for it before they go on elsewhere.
 const CHECK_TIME: Duration = Duration::from_millis(60);
+/// Time for which a connection that was made is watched. A process that is about to end may still take one after
+/// it has closed the others; the request that ended it went uncounted then, and what ran beside it was held.
+const WATCH_TIME: Duration = Duration::from_millis(20);
 
 /// Notes that a channel broke off under a request; where its replica has ended, the request is suspected.
 pub(crate) async fn note_break(
@@ -50,9 +53,20 @@
     note_replica_end(core, call, replica, tag, ran);
 }
 
+/// Tells whether nobody listens at an address, by a second connection where the first one ends at once.
+async fn has_no_listener(address: SocketAddrV4) -> bool {
+    match BackendChannel::connect(address, CHECK_TIME).await {
+        Err(error) => error == ChannelError::Refused,
+        Ok(channel) if !channel.ends_within(WATCH_TIME).await => false,
+        Ok(_) => {
+            let again = BackendChannel::connect(address, CHECK_TIME).await;
+            again.is_err_and(|error| error == ChannelError::Refused)
+        }
+    }
+}
+
 async fn is_refused(core: &Rc<EntryCore>, address: SocketAddrV4) -> bool {
-    let connected = BackendChannel::connect(address, CHECK_TIME).await;
-    let refused = matches!(connected, Err(ChannelError::Refused));
+    let refused = has_no_listener(address).await;
     if refused {
         core.pool.purge(address);
         core.metrics.note_replica_end();
