--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -10,7 +10,8 @@
 //!
 //! Requests that ran beside it stay out of this in three ways: a whole answer clears a content and keeps it
 //! clear for a while; the end of a replica counts only against those on it that have most ends, among equals
-//! against the one that had run the shortest time there, since these explain it; and nothing counts but ends, so that broken channels, silence and loss of power do not.
+//! against the one that had run the shortest time there, since these explain it; and nothing counts but ends,
+//! so that broken channels, silence and loss of power do not.
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
