Read the change once more: one look-up a verdict, one way to say near, rejected, and the time of day

One thing behaves better: a content that waits to be kept in the store no longer waits behind one that cannot be held just then.

No constant, bound or assertion changed.

--- a/crates/zinniahatch_entry/src/datagrams.rs
+++ b/crates/zinniahatch_entry/src/datagrams.rs
@@ -6,12 +6,22 @@
 use tokio::net::UdpSocket;
 use zinniahatch_route::MemberCard;
 
+/// Tells whether a node is of this one's region.
+pub(crate) fn is_near(core: &EntryCore, card: &MemberCard) -> bool {
+    card.region == core.settings.region
+}
+
+/// Tells whether a known node of this one's region speaks from an address.
+pub(crate) fn speaks_near(core: &EntryCore, from: SocketAddrV4) -> bool {
+    let members = core.members.borrow();
+    members
+        .at_address(from)
+        .is_some_and(|card| is_near(core, card))
+}
+
 /// Sends a datagram to all nodes of the region.
 pub(crate) async fn tell_near(core: &EntryCore, socket: &UdpSocket, gram: &NodeGram) {
-    tell_where(core, socket, gram, |card| {
-        card.region == core.settings.region
-    })
-    .await;
+    tell_where(core, socket, gram, |card| is_near(core, card)).await;
 }
 
 /// Sends a datagram to those of the known nodes that are meant.
--- a/crates/zinniahatch_entry/src/decision_log.rs
+++ b/crates/zinniahatch_entry/src/decision_log.rs
@@ -70,9 +70,7 @@
 
     /// Writes a line if the budget of its kind allows it.
     pub(crate) fn write(&self, kind: &'static str, fields: impl Serialize) {
-        let millis = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |age| age.as_millis() as u64);
+        let millis = unix_millis();
         let Some(left_out) = self.admit(kind, millis / 1_000) else {
             return;
         };
@@ -106,3 +104,9 @@
         Some(std::mem::take(&mut row.left_out))
     }
 }
+
+/// Gives the time of day in Unix milliseconds.
+pub(crate) fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/gossip.rs
@@ -3,6 +3,7 @@
 use crate::accounts::note_death;
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
+use crate::datagrams::speaks_near;
 use crate::news::take_replica_news;
 use crate::news_teller::tell_known_suspects;
 use crate::news_teller::tell_news;
@@ -165,11 +166,7 @@
 /// Tells whether a node of this region speaks from an address. One that is not known yet is taken for one of
 /// another region, so that what it says is passed on.
 fn source_of(core: &EntryCore, from: SocketAddrV4) -> NewsSource {
-    let members = core.members.borrow();
-    let near = members
-        .at_address(from)
-        .is_some_and(|card| card.region == core.settings.region);
-    if near {
+    if speaks_near(core, from) {
         NewsSource::Near
     } else {
         NewsSource::Far
--- a/crates/zinniahatch_entry/src/membership.rs
+++ b/crates/zinniahatch_entry/src/membership.rs
@@ -2,6 +2,7 @@
 
 use crate::core::EntryCore;
 use crate::core::StopPhase;
+use crate::news::reject;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::time::sleep;
@@ -97,11 +98,7 @@
     let mut contacts = core.contacts.borrow_mut();
     for item in listing.items {
         let Some((region, address)) = parse_place(&item.value) else {
-            core.metrics.note_store("value", "rejected");
-            core.log.write(
-                "value-rejected",
-                serde_json::json!({"problem": format!("key `{}`: not `REGION IP:port`", item.key)}),
-            );
+            reject(core, &format!("key `{}`: not `REGION IP:port`", item.key));
             continue;
         };
         contacts.note(address, Some(&region));
--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -42,6 +42,11 @@
             registry.register(Box::new(vec.clone()))?;
             Ok::<_, prometheus::Error>(vec)
         };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
         let answers = counter(
             "zinniahatch_answers_total",
             "Answers to callers and other nodes, by service and result.",
@@ -72,11 +77,10 @@
             "Replicas that ended while this node had requests there.",
         )?;
         registry.register(Box::new(replica_ends.clone()))?;
-        let quarantined = IntGauge::new(
+        let quarantined = gauge(
             "zinniahatch_quarantined_requests",
             "Contents of requests that are held because replicas ended under them.",
         )?;
-        registry.register(Box::new(quarantined.clone()))?;
         let first_event = HistogramVec::new(
             HistogramOpts::new(
                 "zinniahatch_first_event_seconds",
@@ -86,16 +90,14 @@
             &["service"],
         )?;
         registry.register(Box::new(first_event.clone()))?;
-        let channels = IntGauge::new(
+        let channels = gauge(
             "zinniahatch_backend_channels",
             "Open channels to backend servers and other nodes.",
         )?;
-        registry.register(Box::new(channels.clone()))?;
-        let dropped_sheets = IntGauge::new(
+        let dropped_sheets = gauge(
             "zinniahatch_dropped_sheets",
             "Sheets of counts dropped because the store was out of reach for too long.",
         )?;
-        registry.register(Box::new(dropped_sheets.clone()))?;
         Ok(Self {
             registry,
             answers,
--- a/crates/zinniahatch_entry/src/news.rs
+++ b/crates/zinniahatch_entry/src/news.rs
@@ -224,7 +224,7 @@
 }
 
 /// Notes a value that cannot be used; the last good one stays in force.
-fn reject(core: &EntryCore, problem: &str) {
+pub(crate) fn reject(core: &EntryCore, problem: &str) {
     core.metrics.note_store("value", "rejected");
     core.log
         .write("value-rejected", serde_json::json!({"problem": problem}));
--- a/crates/zinniahatch_entry/src/news_teller.rs
+++ b/crates/zinniahatch_entry/src/news_teller.rs
@@ -1,6 +1,7 @@
 //! Telling the other nodes what this one learned: of replicas, and of requests under which they ended.
 
 use crate::core::EntryCore;
+use crate::datagrams::is_near;
 use crate::datagrams::tell_near;
 use crate::datagrams::tell_where;
 use crate::node_gram::NodeGram;
@@ -34,17 +35,16 @@
         .suspects
         .borrow_mut()
         .take_news(again, MOST_SUSPECTS, now);
-    let near = |card: &MemberCard| card.region == core.settings.region;
     if !batch.wide.is_empty() {
         tell_where(core, socket, &NodeGram::Suspects(batch.wide), |_| true).await;
     }
     if !batch.own.is_empty() {
         let passers = core.members.borrow().one_each(&core.settings.name, now);
-        let meant = |card: &MemberCard| near(card) || passers.contains(&card.peer);
+        let meant = |card: &MemberCard| is_near(core, card) || passers.contains(&card.peer);
         tell_where(core, socket, &NodeGram::Suspects(batch.own), meant).await;
     }
     if !batch.passed.is_empty() {
-        tell_where(core, socket, &NodeGram::Suspects(batch.passed), near).await;
+        tell_near(core, socket, &NodeGram::Suspects(batch.passed)).await;
     }
 }
 
--- a/crates/zinniahatch_entry/src/quarantine.rs
+++ b/crates/zinniahatch_entry/src/quarantine.rs
@@ -109,6 +109,9 @@
         return;
     }
     for change in &changes {
+        if change.kept {
+            core.released.borrow_mut().push(change.content);
+        }
         log_change(core, change);
     }
     core.metrics.set_quarantined(core.suspects.borrow().held());
@@ -116,9 +119,6 @@
 }
 
 fn log_change(core: &EntryCore, change: &QuarantineChange) {
-    if change.kept {
-        core.released.borrow_mut().push(change.content);
-    }
     core.log.write(
         if change.left.is_some() {
             "quarantined"
--- a/crates/zinniahatch_entry/src/quarantine_keys.rs
+++ b/crates/zinniahatch_entry/src/quarantine_keys.rs
@@ -6,7 +6,9 @@
 //! know; nobody watches the keys.
 
 use crate::core::EntryCore;
+use crate::decision_log::unix_millis;
 use crate::duty::has_duty;
+use crate::news::reject;
 use crate::quarantine::NewsSource;
 use crate::quarantine::hear_suspects;
 use crate::received::content_text;
@@ -14,8 +16,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::rc::Rc;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::CommitOutcome;
@@ -99,13 +99,7 @@
     for item in listing.items {
         match serde_json::from_slice::<KeptSuspect>(&item.value) {
             Ok(kept) => news.push(kept.news(now)),
-            Err(error) => {
-                core.metrics.note_store("value", "rejected");
-                core.log.write(
-                    "value-rejected",
-                    serde_json::json!({"problem": format!("key `{}`: {error}", item.key)}),
-                );
-            }
+            Err(error) => reject(core, &format!("key `{}`: {error}", item.key)),
         }
     }
     hear_suspects(core, &news, NewsSource::Store);
@@ -180,8 +174,3 @@
 fn key_of(content: ContentDigest) -> String {
     format!("{PREFIX}{}", content_text(content))
 }
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/zinniahatch_entry/src/work_teller.rs
+++ b/crates/zinniahatch_entry/src/work_teller.rs
@@ -1,6 +1,7 @@
 //! Telling the nodes of the region what this one has open, and gathering what others tell.
 
 use crate::core::EntryCore;
+use crate::datagrams::speaks_near;
 use crate::datagrams::tell_near;
 use crate::news_teller::tell_news;
 use crate::news_teller::tell_suspects;
@@ -167,12 +168,7 @@
 
     /// Takes news of the work of other nodes of the region.
     pub(crate) fn hear(&mut self, core: &EntryCore, gram: WorkGram, from: SocketAddrV4) {
-        let members = core.members.borrow();
-        let near = members
-            .at_address(from)
-            .is_some_and(|card| card.region == core.settings.region);
-        drop(members);
-        if !near {
+        if !speaks_near(core, from) {
             return;
         }
         self.book.note_heard(from);
--- a/crates/zinniahatch_route/src/admission.rs
+++ b/crates/zinniahatch_route/src/admission.rs
@@ -44,7 +44,7 @@
     ///
     /// The margin covers what is not known for certain. Time that has passed and a way that was measured are
     /// certain: with the margin on them too, a region without replicas of its own turned requests away that
-    /// others had the capacity for (worth of fifteen played days 0.734, and 0.738 without).
+    /// others had the capacity for (0.734 of what requests were worth to their callers was served, 0.738 without).
     pub fn judge(&self, expected: Duration, trip: Duration, wait: Duration) -> Verdict {
         if expected + self.spent > self.left {
             return Verdict::Refuse(self.retry_after(wait));
--- a/crates/zinniahatch_route/src/desired.rs
+++ b/crates/zinniahatch_route/src/desired.rs
@@ -110,7 +110,7 @@
     /// Gives the rank of the route's requests in an engine, by its priority.
     ///
     /// With two ranks alone, short verdicts of priority 1 waited behind the longest prompts of priority 2: 545 of
-    /// 16,582 were late on fifteen played days, 476 with three.
+    /// 16,582 were late, 476 with three.
     pub fn engine_rank(&self) -> u8 {
         URGENT_RANK.saturating_add(self.priority).min(COMMON_RANK)
     }
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every function takes `now`, so that a test can replay a load to the millisecond.
 
 mod admission;
+mod answered;
 mod budget;
 mod collectors;
 mod contacts;
--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -13,8 +13,8 @@
 //! against the one that had run the shortest time there, since these explain it; and nothing counts but ends,
 //! so that broken channels, silence and loss of power do not.
 
+use crate::answered::AnswerMemory;
 use std::cmp::Reverse;
-use std::collections::VecDeque;
 use zinniahatch_base::prelude::*;
 
 /// Ends of replicas under one content after which it is quarantined. Two happen to bystanders: the first
@@ -35,11 +35,6 @@
 /// Contents that are remembered at most, some 200 KB. The loss of a region with 400 replicas suspects more
 /// of them than that; those with fewest ends go first.
 const MOST_ROWS: usize = 2_048;
-/// Time for which a whole answer speaks for a content. Replicas that serve a request many callers make were
-/// all lost at once: it stood on each of them, and had been answered by each a moment before.
-const ANSWERED_TIME: Duration = Duration::from_secs(30);
-/// Contents whose whole answers are remembered at most, some 200 KB; 64 requests/s a node for 30 s.
-const MOST_ANSWERED: usize = 2_048;
 /// Ends after which news of a content go to all nodes at once and again: one more node that learns late may
 /// cost one more replica.
 const WIDE_ENDS: usize = 2;
@@ -212,10 +207,8 @@
     held: BTreeSet<ContentDigest>,
     /// Contents with news that are to be told, and how often yet.
     fresh: BTreeMap<ContentDigest, u8>,
-    /// When contents were last answered whole.
-    answered: BTreeMap<ContentDigest, Instant>,
-    /// The same in the order of time, to forget them by.
-    answers: VecDeque<(Instant, ContentDigest)>,
+    /// Whole answers of a moment ago, which speak for their contents.
+    answered: AnswerMemory,
 }
 
 impl SuspectTable {
@@ -228,7 +221,7 @@
         ran: Duration,
         now: Instant,
     ) -> bool {
-        if self.was_answered(content, now) {
+        if self.answered.has(content, now) {
             return false;
         }
         let row = self.rows.entry(content).or_default();
@@ -249,10 +242,7 @@
 
     /// Notes a whole answer; tells whether it cleared the content of a suspicion.
     pub fn note_answered(&mut self, content: ContentDigest, now: Instant) -> bool {
-        if self.answered.insert(content, now).is_none() {
-            self.answers.push_back((now, content));
-        }
-        self.forget_answers(now);
+        self.answered.note(content, now);
         let row = self.rows.get_mut(&content);
         let cleared = row.is_some_and(|row| row.clear(now));
         if cleared {
@@ -290,33 +280,30 @@
         }
     }
 
+    /// Gives a content with enough ends and no whole answer a moment ago, and when its last end was.
+    fn accused(&self, content: ContentDigest, now: Instant) -> Option<(&SuspectRow, Instant)> {
+        let row = self.rows.get(&content).filter(|row| row.is_known())?;
+        let last = row.ends.last()?.at;
+        (!self.answered.has(content, now)).then_some((row, last))
+    }
+
     /// Gives how long a content waits until it can be judged; none where it can be.
     pub fn verdict_due(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
-        let row = self.rows.get(&content).filter(|row| row.is_known())?;
-        let due = row.ends.last()?.at + SETTLE_TIME;
-        let left = due
-            .checked_duration_since(now)
-            .filter(|left| !left.is_zero())?;
-        (!self.was_answered(content, now)).then_some(left)
+        let (_, last) = self.accused(content, now)?;
+        time_until(last + SETTLE_TIME, now)
     }
 
     /// Gives how much longer a content is held; none where it may run.
     pub fn hold_left(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
-        if self.verdict_due(content, now).is_some() {
-            return None;
-        }
-        let row = self.rows.get(&content).filter(|row| row.is_known())?;
-        if self.was_answered(content, now) {
+        let (row, last) = self.accused(content, now)?;
+        if time_until(last + SETTLE_TIME, now).is_some() {
             return None;
         }
         let own = row.ends.iter().filter(|end| !self.is_explained(row, end));
         if own.count() < KNOWN_ENDS {
             return None;
         }
-        let until = row.ends.last()?.at + row.span();
-        until
-            .checked_duration_since(now)
-            .filter(|left| !left.is_zero())
+        time_until(last + row.span(), now)
     }
 
     /// Tells whether another content explains an end: one that was on the replica too and has more ends, or as
@@ -332,12 +319,6 @@
         })
     }
 
-    fn was_answered(&self, content: ContentDigest, now: Instant) -> bool {
-        self.answered
-            .get(&content)
-            .is_some_and(|at| now.saturating_duration_since(*at) <= ANSWERED_TIME)
-    }
-
     /// Gives the contents that began or ceased to be held since the last review.
     pub fn review(&mut self, now: Instant) -> Vec<QuarantineChange> {
         let known = self.rows.iter().filter(|(_, row)| row.is_known());
@@ -376,12 +357,11 @@
 
     /// Gives a content that is held on the word of this node and that the store does not keep yet.
     pub fn unkept(&self, now: Instant) -> Option<(SuspectNews, Duration)> {
-        let row = self.held.iter().find_map(|content| {
+        self.held.iter().find_map(|content| {
             let row = self.rows.get(content)?;
-            (row.own && !row.kept).then_some(*content)
-        })?;
-        let left = self.hold_left(row, now)?;
-        Some((self.news_of(row, now)?, left))
+            let left = self.hold_left(*content, now)?;
+            (row.own && !row.kept).then(|| (news_of(*content, row, now), left))
+        })
     }
 
     /// Notes that the store keeps a content.
@@ -401,9 +381,10 @@
         let mut batch = NewsBatch::default();
         for content in due {
             let left = self.fresh.remove(&content).unwrap_or(0).saturating_sub(1);
-            let Some((row, news)) = self.rows.get(&content).zip(self.news_of(content, now)) else {
+            let Some(row) = self.rows.get(&content) else {
                 continue;
             };
+            let news = news_of(content, row, now);
             if !row.wide {
                 let part = if row.own {
                     &mut batch.own
@@ -433,31 +414,16 @@
         let rows = self.rows.range(draw..).chain(self.rows.range(..draw));
         rows.filter(|(_, row)| row.is_known())
             .take(most)
-            .filter_map(|(content, _)| self.news_of(*content, now))
+            .map(|(content, row)| news_of(*content, row, now))
             .collect()
     }
 
-    fn news_of(&self, content: ContentDigest, now: Instant) -> Option<SuspectNews> {
-        let row = self.rows.get(&content)?;
-        let age = |at: Instant| millis(now.saturating_duration_since(at));
-        let ends = row.ends.iter().map(|end| ToldEnd {
-            replica: end.replica,
-            age_ms: age(end.at),
-            ran_ms: millis(end.ran),
-        });
-        Some(SuspectNews {
-            content,
-            ends: ends.collect(),
-            cleared: row.cleared.map(age),
-        })
-    }
-
     /// Runs once a tick: forgets what is of no use any more.
     pub fn tick(&mut self, now: Instant) {
         self.rows.retain(|_, row| row.is_current(now));
         let rows = &self.rows;
         self.fresh.retain(|content, _| rows.contains_key(content));
-        self.forget_answers(now);
+        self.answered.forget(now);
     }
 
     fn note_fresh(&mut self, content: ContentDigest) {
@@ -468,24 +434,6 @@
         }
     }
 
-    fn forget_answers(&mut self, now: Instant) {
-        while let Some((at, content)) = self.answers.front().copied() {
-            let many = self.answers.len() > MOST_ANSWERED;
-            if !many && now.saturating_duration_since(at) <= ANSWERED_TIME {
-                return;
-            }
-            self.answers.pop_front();
-            let last = self.answered.get(&content).copied();
-            match last {
-                // Answered again meanwhile: it goes to the end, under its newer time.
-                Some(last) if last > at && !many => self.answers.push_back((last, content)),
-                _ => {
-                    self.answered.remove(&content);
-                }
-            }
-        }
-    }
-
     /// Drops the row with fewest ends, of these the oldest, where there are too many.
     fn bound(&mut self) {
         if self.rows.len() <= MOST_ROWS {
@@ -502,6 +450,26 @@
     }
 }
 
+fn news_of(content: ContentDigest, row: &SuspectRow, now: Instant) -> SuspectNews {
+    let age = |at: Instant| millis(now.saturating_duration_since(at));
+    let ends = row.ends.iter().map(|end| ToldEnd {
+        replica: end.replica,
+        age_ms: age(end.at),
+        ran_ms: millis(end.ran),
+    });
+    SuspectNews {
+        content,
+        ends: ends.collect(),
+        cleared: row.cleared.map(age),
+    }
+}
+
+/// Gives the time until a moment; none where it has passed.
+fn time_until(at: Instant, now: Instant) -> Option<Duration> {
+    at.checked_duration_since(now)
+        .filter(|left| !left.is_zero())
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/zinniahatch_route/tests/suspects.rs
+++ b/crates/zinniahatch_route/tests/suspects.rs
@@ -41,6 +41,14 @@
     (table, now)
 }
 
+/// Notes that a bystander was there for so long on each of the three replicas that ended under the fatal request.
+fn stand_beside(table: &mut SuspectTable, ran: Duration, start: Instant) {
+    for replica in 0..3 {
+        let at = start + seconds(1 + u64::from(replica));
+        table.note_end(BESIDE, replica, ran, at);
+    }
+}
+
 /// Takes all news that are due, whoever they are for.
 fn take(table: &mut SuspectTable, again: bool, now: Instant) -> Vec<SuspectNews> {
     let NewsBatch { wide, own, passed } = table.take_news(again, MOST, now);
@@ -68,14 +76,7 @@
     let start = Instant::now();
     let (fatal, now) = ended(FATAL, 0..3, start);
     let mut table = SuspectTable::default();
-    for replica in 0..3 {
-        table.note_end(
-            BESIDE,
-            replica,
-            SHORT * 9,
-            start + seconds(1 + u64::from(replica)),
-        );
-    }
+    stand_beside(&mut table, SHORT * 9, start);
     assert_eq!(table.hold_left(BESIDE, now), None);
     let wait = table.verdict_due(BESIDE, now).expect("it waits");
     for news in fatal.known_news(0, MOST, now + SHORT) {
@@ -116,14 +117,7 @@
 fn hold_spares_who_ran_beside() {
     let start = Instant::now();
     let (mut table, now) = ended(FATAL, 0..3, start);
-    for replica in 0..3 {
-        table.note_end(
-            BESIDE,
-            replica,
-            SHORT,
-            start + seconds(1 + u64::from(replica)),
-        );
-    }
+    stand_beside(&mut table, SHORT, start);
     assert!(held(&table, BESIDE, now));
     table.note_end(FATAL, 3, SHORT, now + seconds(1));
     assert!(!held(&table, BESIDE, now + seconds(1)));
@@ -158,14 +152,7 @@
 fn hold_moves_on_to_who_ends_a_fourth() {
     let start = Instant::now();
     let (mut table, now) = ended(FATAL, 0..3, start);
-    for replica in 0..3 {
-        table.note_end(
-            BESIDE,
-            replica,
-            SHORT / 2,
-            start + seconds(1 + u64::from(replica)),
-        );
-    }
+    stand_beside(&mut table, SHORT / 2, start);
     assert!(held(&table, BESIDE, now));
     assert!(!held(&table, FATAL, now));
     table.note_end(FATAL, 3, SHORT, now);
