Order what the store says by era and revision, and write again what it lost

Cause: the store may come back from a copy some seconds old and gives its revisions out again (Store-Era). A watch waited for a number that comes again; entries, evacuations and removals with lower numbers were dropped as old news; a condition or a lease of before could meet somebody else's; an evacuation, the preset, counts and kept contents written after the copy were gone for good.

Built: StoreRevision, an era with a number, in place of bare numbers on the platform's path (packed for the first gateway's u64); an answer of an earlier era is dropped, a watch, condition or lease of one has lapsed; a replica's life that had ended is believed again only once it writes itself; evacuations outlive the copy for 6 s, then the operators' keys are listed again; nodes write again, over 2 s, their key, kept contents, the preset in force and the counts of the last minute, which are merged once by their marks.

Weighed for the desired state: to wait for the operators' write, or to carry the newest known version over by peers; the second was there (a version never goes back, nodes that start learn it from cards) and is kept: in the first, keys that were taken away run at nodes that start meanwhile.

Tests fail on the code before (it does not know eras): three of the client against the stand-in store, five of the tables and books.

--- a/crates/zinniahatch_base/src/prelude.rs
+++ b/crates/zinniahatch_base/src/prelude.rs
@@ -20,6 +20,7 @@
 pub use crate::Revision;
 pub use crate::ServiceId;
 pub use crate::ShortTag;
+pub use crate::StoreRevision;
 pub use crate::domain;
 pub use crate::tag_of;
 pub use crate::word_enum;
--- a/crates/zinniahatch_daemon/src/counts.rs
+++ b/crates/zinniahatch_daemon/src/counts.rs
@@ -53,7 +53,7 @@
         }
         for (shard, incarnation, numbers) in output.merged {
             if incarnation == core.identity.incarnation {
-                core.book().merged(shard, &numbers);
+                core.book().merged(shard, &numbers, Instant::now());
             }
         }
         for (node, incarnation) in output.returns {
--- a/crates/zinniahatch_entry/src/accounts.rs
+++ b/crates/zinniahatch_entry/src/accounts.rs
@@ -169,7 +169,7 @@
         postcard::from_bytes(&answer).unwrap_or_default()
     };
     let mut book = core.accounts.book.borrow_mut();
-    book.merged(SHARD, &merged);
+    book.merged(SHARD, &merged, Instant::now());
     core.metrics.set_dropped_sheets(book.dropped());
 }
 
@@ -223,7 +223,7 @@
         for (node, incarnation, numbers) in done {
             if node == core.settings.name && incarnation == core.incarnation {
                 let mut book = core.accounts.book.borrow_mut();
-                book.merged(SHARD, &numbers);
+                book.merged(SHARD, &numbers, Instant::now());
                 continue;
             }
             told.entry((node, incarnation)).or_default().extend(numbers);
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -62,7 +62,7 @@
     pub(crate) proofs: RefCell<ProofBook>,
     pub(crate) clock: BootClock,
     /// The store's revision up to which this node has seen what the operators wrote.
-    pub(crate) operator_revision: Cell<Option<u64>>,
+    pub(crate) operator_revision: Cell<Option<StoreRevision>>,
     /// What the accounts may still use.
     pub(crate) quotas: RefCell<QuotaBook>,
     pub(crate) preset: RefCell<ServingPreset>,
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -48,6 +48,7 @@
 mod services;
 mod snapshot;
 mod starting;
+mod store_return;
 mod watch;
 mod watch_topic;
 mod work_teller;
--- a/crates/zinniahatch_entry/src/membership.rs
+++ b/crates/zinniahatch_entry/src/membership.rs
@@ -10,6 +10,7 @@
 use zinniahatch_platform::CommitOutcome;
 use zinniahatch_platform::KvError;
 use zinniahatch_platform::StoreCommit;
+use zinniahatch_platform::StoreLeaseId;
 
 /// Start of the keys under which nodes register, each with its region and address.
 const NODE_PREFIX: &str = "zinniahatch/nodes/";
@@ -45,7 +46,7 @@
                 core.store_lost.notify_waiters();
                 core.log.write(
                     "lease-failed",
-                    serde_json::json!({"lease": lease, "error": error.to_string()}),
+                    serde_json::json!({"lease": lease.map(|lease| lease.number), "error": error.to_string()}),
                 );
                 RETRY_TIME
             }
@@ -60,20 +61,23 @@
     {
         core.log.write(
             "lease-failed",
-            serde_json::json!({"lease": lease, "error": error.to_string()}),
+            serde_json::json!({"lease": lease.number, "error": error.to_string()}),
         );
     }
 }
 
 /// Renews the lease, or takes one and binds the key to it; none where it has to be tried again.
-async fn renew(core: &Rc<EntryCore>, lease: Option<u64>) -> Result<Option<u64>, KvError> {
+async fn renew(
+    core: &Rc<EntryCore>,
+    lease: Option<StoreLeaseId>,
+) -> Result<Option<StoreLeaseId>, KvError> {
     if let Some(lease) = lease {
         core.metrics.note_store("renew", "done");
         if core.store.keep(lease).await? {
             return Ok(Some(lease));
         }
         core.log
-            .write("lease-lapsed", serde_json::json!({"lease": lease}));
+            .write("lease-lapsed", serde_json::json!({"lease": lease.number}));
     }
     let time = KEY_TIME.max(core.settings.lease_least);
     let granted = core.store.grant(time).await?;
--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -28,6 +28,7 @@
     refused_keys: IntCounterVec,
     over_allowance: IntCounter,
     proof_age: IntGauge,
+    store_returns: IntCounter,
     channels: IntGauge,
     dropped_sheets: IntGauge,
 }
@@ -107,6 +108,11 @@
             "zinniahatch_proof_age_milliseconds",
             "Age of the newest proof that this node knows of all keys that were taken away; -1 where it has none.",
         )?;
+        let store_returns = IntCounter::new(
+            "zinniahatch_store_returns_total",
+            "Times that the platform's store came back from an older copy.",
+        )?;
+        registry.register(Box::new(store_returns.clone()))?;
         let channels = gauge(
             "zinniahatch_backend_channels",
             "Open channels to backend servers and other nodes.",
@@ -128,6 +134,7 @@
             refused_keys,
             over_allowance,
             proof_age,
+            store_returns,
             channels,
             dropped_sheets,
         })
@@ -185,6 +192,11 @@
         self.over_allowance.inc();
     }
 
+    /// Counts a return of the store from an older copy.
+    pub(crate) fn note_store_return(&self) {
+        self.store_returns.inc();
+    }
+
     /// Sets the age of the newest proof.
     pub(crate) fn set_proof_age(&self, age: Option<Duration>) {
         let millis = age.map_or(-1, |age| age.as_millis() as i64);
--- a/crates/zinniahatch_entry/src/news.rs
+++ b/crates/zinniahatch_entry/src/news.rs
@@ -22,7 +22,11 @@
 use zinniahatch_route::ReplicaEntry;
 
 /// Takes a whole listing of a topic's keys; gives the revision to watch from.
-pub(crate) fn take_listing(core: &Rc<EntryCore>, topic: WatchTopic, listing: StoreListing) -> u64 {
+pub(crate) fn take_listing(
+    core: &Rc<EntryCore>,
+    topic: WatchTopic,
+    listing: StoreListing,
+) -> StoreRevision {
     let StoreListing { items, revision } = listing;
     core.metrics.note_store("list", "done");
     let now = Instant::now();
@@ -93,7 +97,7 @@
     }
 }
 
-fn removed(core: &Rc<EntryCore>, key: &str, revision: Revision, now: Instant) {
+fn removed(core: &Rc<EntryCore>, key: &str, revision: StoreRevision, now: Instant) {
     match subject_of(key) {
         KeySubject::Evacuation(place) => read_evacuation(core, place, false, revision),
         KeySubject::Backend(id) => forget_backend(core, id, revision, now),
@@ -103,7 +107,7 @@
 }
 
 /// Takes the news that a key names no replica any more, and tells the region.
-fn forget_backend(core: &EntryCore, id: &str, revision: Revision, now: Instant) {
+fn forget_backend(core: &EntryCore, id: &str, revision: StoreRevision, now: Instant) {
     let replicas = core.replicas.borrow();
     let place = replicas
         .get(id)
@@ -142,7 +146,7 @@
     );
 }
 
-fn take_removal(core: &EntryCore, id: &str, revision: Revision, now: Instant) {
+fn take_removal(core: &EntryCore, id: &str, revision: StoreRevision, now: Instant) {
     let mut replicas = core.replicas.borrow_mut();
     if replicas.get(id).is_none() {
         return;
@@ -178,9 +182,9 @@
 }
 
 /// Takes all evacuations that the store shows as of a revision.
-fn take_evacuations(core: &EntryCore, evacuated: &BTreeSet<DataCentreId>, revision: Revision) {
+fn take_evacuations(core: &EntryCore, evacuated: &BTreeSet<DataCentreId>, revision: StoreRevision) {
     let mut replicas = core.replicas.borrow_mut();
-    let changed = replicas.set_evacuated(evacuated, revision);
+    let changed = replicas.set_evacuated(evacuated, revision, Instant::now());
     drop(replicas);
     for place in changed {
         log_evacuation(core, &place, evacuated.contains(&place));
@@ -188,7 +192,7 @@
 }
 
 /// Takes what this node read of an evacuation, and tells its region where it reads for all.
-fn read_evacuation(core: &EntryCore, place: &str, on: bool, revision: Revision) {
+fn read_evacuation(core: &EntryCore, place: &str, on: bool, revision: StoreRevision) {
     let place: DataCentreId = place.into();
     if has_duty(core, READER_DUTY, READERS) {
         let mut news = core.replica_news.borrow_mut();
@@ -199,7 +203,7 @@
     note_evacuation(core, &place, on, revision);
 }
 
-fn note_evacuation(core: &EntryCore, place: &DataCentreId, on: bool, revision: Revision) {
+fn note_evacuation(core: &EntryCore, place: &DataCentreId, on: bool, revision: StoreRevision) {
     let mut replicas = core.replicas.borrow_mut();
     let changed = replicas.note_evacuation(place, on, revision);
     drop(replicas);
--- a/crates/zinniahatch_entry/src/replica_news.rs
+++ b/crates/zinniahatch_entry/src/replica_news.rs
@@ -11,9 +11,9 @@
     /// Entries that were written.
     pub(crate) written: Vec<ReplicaEntry>,
     /// Entries that were removed, with the store's revision then.
-    pub(crate) removed: Vec<(ReplicaId, Revision)>,
+    pub(crate) removed: Vec<(ReplicaId, StoreRevision)>,
     /// Data centres that are evacuated or taken back, with the store's revision then.
-    pub(crate) evacuations: Vec<(DataCentreId, bool, Revision)>,
+    pub(crate) evacuations: Vec<(DataCentreId, bool, StoreRevision)>,
 }
 
 impl ReplicaNews {
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -21,6 +21,7 @@
 use crate::services::ListenerDuty;
 use crate::services::bind;
 use crate::services::run_listener;
+use crate::store_return::run_returns;
 use crate::watch::run_watch;
 use crate::watch_topic::WatchTopic;
 use rand::RngExt;
@@ -149,6 +150,7 @@
     tokio::task::spawn_local(run_key_writer(Rc::clone(&core)));
     tokio::task::spawn_local(run_probes(Rc::clone(&core)));
     tokio::task::spawn_local(run_prover(Rc::clone(&core)));
+    tokio::task::spawn_local(run_returns(Rc::clone(&core)));
     tokio::task::spawn_local(run_ticks(Rc::clone(&core)));
     tokio::task::spawn_local(run_sealing(Rc::clone(&core)));
     tokio::task::spawn_local(run_merging(Rc::clone(&core)));
--- a/crates/zinniahatch_entry/src/snapshot.rs
+++ b/crates/zinniahatch_entry/src/snapshot.rs
@@ -79,7 +79,7 @@
     replicas.learn(snapshot.replicas, &snapshot.gone, now);
     if first {
         // News of the store that this node reads or hears itself goes before those of a peer.
-        replicas.set_evacuated(&snapshot.evacuated, 0);
+        replicas.set_evacuated(&snapshot.evacuated, StoreRevision::default(), now);
     }
     let any = replicas.rows().next().is_some();
     drop(replicas);
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/watch.rs
@@ -81,7 +81,7 @@
     core: Rc<EntryCore>,
     topic: WatchTopic,
     /// The revision up to which the topic is known; none where it has to be listed.
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
     /// Whether the last call was answered.
     fine: bool,
     /// Pause after the next failure.
@@ -90,7 +90,7 @@
 
 impl TopicWatcher {
     /// Lists the topic or waits for changes; gives the revision reached.
-    async fn ask(&self) -> Result<u64, KvError> {
+    async fn ask(&self) -> Result<StoreRevision, KvError> {
         let Some(after) = self.revision else {
             if self.topic != WatchTopic::SCOUT {
                 wait_for_store(&self.core).await;
@@ -120,7 +120,7 @@
             .write(kind, serde_json::json!({"topic": topic, key: value}));
     }
 
-    fn note_answer(&mut self, next: u64) {
+    fn note_answer(&mut self, next: StoreRevision) {
         if !self.fine {
             self.log("store-back", "revision", next);
         }
@@ -208,7 +208,7 @@
 
 /// Looks at a topic that others read, at a tenth of the price of a call. What it shows may be seconds old;
 /// what this node knows of later revisions stays as it is.
-async fn look(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<u64, KvError> {
+async fn look(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<StoreRevision, KvError> {
     let listing = core.store.old_items(topic.prefix(), LIST_TIME).await?;
     Ok(take_listing(core, topic, listing))
 }
@@ -228,7 +228,7 @@
 ///
 /// All topics ask at once when the process starts, since the store may be 160 ms away; while it hangs
 /// the scout alone goes on asking, and the others ask again when it was answered.
-async fn list_soon(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<u64, KvError> {
+async fn list_soon(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<StoreRevision, KvError> {
     let ask = || async {
         let sent = core.clock.now();
         let listing = core.store.items(topic.prefix(), LIST_TIME).await?;
@@ -276,9 +276,9 @@
 async fn follow(
     core: &Rc<EntryCore>,
     topic: WatchTopic,
-    after: u64,
+    after: StoreRevision,
     wait: Duration,
-) -> Result<u64, KvError> {
+) -> Result<StoreRevision, KvError> {
     let sent = core.clock.now();
     // A store that turns this node away, or hangs, leaves a waiting watch without an answer, and this
     // node would send to replicas that have left until the wait is over.
--- a/crates/zinniahatch_lab/src/stand/store.rs
+++ b/crates/zinniahatch_lab/src/stand/store.rs
@@ -56,8 +56,10 @@
     value: Option<StandValue>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct StandData {
+    /// How often it has come back from a copy.
+    era: u64,
     revision: u64,
     values: BTreeMap<Box<str>, StandValue>,
     leases: BTreeMap<u64, (Instant, Duration)>,
@@ -101,6 +103,10 @@
     }
 }
 
+/// A copy of the whole store, from which it may come back.
+#[derive(Clone, Debug)]
+pub struct StandCopy(StandData);
+
 /// The store's state, shared by its fronts.
 #[derive(Clone, Default)]
 pub struct StandStore {
@@ -176,6 +182,32 @@
         self.lock().values.get(key).map(|value| value.value.clone())
     }
 
+    /// Makes a copy, from which the store may come back later.
+    pub fn copy(&self) -> StandCopy {
+        self.drop_lapsed();
+        StandCopy(self.lock().clone())
+    }
+
+    /// Comes back from a copy: what was written since is gone, leases too, and revisions go back. The leases of the
+    /// copy run anew.
+    pub fn come_back(&self, copy: &StandCopy) {
+        let mut data = self.lock();
+        let era = data.era + 1;
+        *data = copy.0.clone();
+        data.era = era;
+        let now = Instant::now();
+        for (renewed, _) in data.leases.values_mut() {
+            *renewed = now;
+        }
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    /// Gives how often the store has come back from a copy.
+    pub fn era(&self) -> u64 {
+        self.lock().era
+    }
+
     /// Gives a copy of the values, to be restored later.
     pub fn copy_values(&self) -> BTreeMap<Box<str>, Box<str>> {
         self.lock()
@@ -226,7 +258,7 @@
     /// Gives the changes below a prefix after a revision; none where they were dropped.
     fn events(&self, prefix: &str, after: u64) -> Option<EventsBody> {
         let data = self.lock();
-        if after < data.forgotten {
+        if after < data.forgotten || after > data.revision {
             return None;
         }
         let events = data
--- a/crates/zinniahatch_lab/src/stand/store/front.rs
+++ b/crates/zinniahatch_lab/src/stand/store/front.rs
@@ -25,6 +25,8 @@
 
 /// Largest body: a value as text, and what stands around it.
 const BODY_LIMIT: usize = 2 << 20;
+/// Header by which each answer says how often the store has come back from a copy.
+const ERA: &str = "store-era";
 /// Items of one page; few, so that tests meet more than one.
 const PAGE_ITEMS: usize = 50;
 
@@ -42,6 +44,9 @@
             .writes
             .fetch_add(u64::from(write), Ordering::Relaxed);
         let fate = self.switch.fate(write).await;
+        let era = self.store.era().to_string();
+        // A number always is a header's value.
+        let _ = response.add_header(ERA, era, true);
         if fate == CallFate::Refuse {
             response.status_code(StatusCode::SERVICE_UNAVAILABLE);
             return None;
--- /dev/null
+++ b/crates/zinniahatch_lab/tests/store_returns.rs
@@ -0,0 +1,108 @@
+//! The store comes back from an older copy: what the client makes of its answers, and what nodes write again.
+
+use std::time::Duration;
+use test_case::test_case;
+use zinniahatch_base::StoreRevision;
+use zinniahatch_lab::stand::faults::FaultSwitch;
+use zinniahatch_lab::stand::serve::StandServer;
+use zinniahatch_lab::stand::store::StandStore;
+use zinniahatch_platform::CommitOutcome;
+use zinniahatch_platform::KvClient;
+use zinniahatch_platform::KvError;
+use zinniahatch_platform::StoreCommit;
+
+const LIMIT: Duration = Duration::from_secs(2);
+/// Wait of a watch that a return must end.
+const LONG_WAIT: Duration = Duration::from_secs(20);
+
+async fn open_store() -> (StandStore, StandServer, KvClient) {
+    let store = StandStore::default();
+    let front = store.front(FaultSwitch::default()).await;
+    let client = KvClient::new(&front.url());
+    (store, front, client)
+}
+
+/// A watch waits for what follows revision 5. The store comes back at revision 3 and counts up again, past 5. The watch
+/// would have slept through 4 and 5 of the new era, in which an operator took a key away.
+#[test_case(false; "while_it_waits")]
+#[test_case(true; "before_it_asks")]
+#[tokio::test]
+async fn watch_ends_when_revisions_go_back(before: bool) {
+    let (store, _front, client) = open_store().await;
+    for number in 0..3 {
+        store.write("op/config", &number.to_string());
+    }
+    let copy = store.copy();
+    store.write("op/a", "1");
+    store.write("op/b", "1");
+    let listing = client.items("op/", LIMIT).await.expect("it answers");
+    assert_eq!(listing.revision, StoreRevision { era: 0, number: 5 });
+    if before {
+        store.come_back(&copy);
+        for _ in 0..4 {
+            store.write("op/config", "new");
+        }
+    }
+    let watch = client.changes("op/", listing.revision, LONG_WAIT);
+    let other = async {
+        if !before {
+            store.come_back(&copy);
+            for _ in 0..4 {
+                store.write("op/config", "new");
+            }
+            // Another call of the same process meets the store first.
+            client.items("other/", LIMIT).await.expect("it answers");
+        }
+    };
+    let (changes, ()) = tokio::join!(watch, other);
+    assert_eq!(changes, Err(KvError::Compacted));
+    let again = client.items("op/", LIMIT).await.expect("it answers");
+    assert!(again.revision > listing.revision, "{again:?}");
+    assert_eq!(again.revision, StoreRevision { era: 1, number: 7 });
+}
+
+/// A node read a value at revision 4 and writes it under that condition. The store has come back meanwhile, and its
+/// revision 4 is somebody else's write, which the condition would let pass.
+#[tokio::test]
+async fn condition_of_an_era_that_is_over_does_not_hold() {
+    let (store, _front, client) = open_store().await;
+    store.write("k", "1");
+    let copy = store.copy();
+    store.write("k", "old");
+    let read = client
+        .item("k")
+        .await
+        .expect("it answers")
+        .expect("it is there");
+    store.come_back(&copy);
+    store.write("k", "another's");
+    client.items("other/", LIMIT).await.expect("it answers");
+    let commit = StoreCommit::new()
+        .expect("k", read.revision)
+        .set("k", b"mine", None);
+    assert_eq!(client.commit(&commit).await, Ok(CommitOutcome::Conflict));
+    assert_eq!(store.read("k").as_deref(), Some("another's"));
+}
+
+/// A node's lease was given after the copy was made; its number goes to another node after the return. Renewed as its
+/// own, it would keep the other's key alive, and its own would never come back.
+#[tokio::test]
+async fn lease_of_an_era_that_is_over_has_lapsed() {
+    let (store, front, client) = open_store().await;
+    store.write("k", "1");
+    let copy = store.copy();
+    let mine = client
+        .grant(Duration::from_secs(9))
+        .await
+        .expect("it answers");
+    store.come_back(&copy);
+    let other = KvClient::new(&front.url());
+    let theirs = other
+        .grant(Duration::from_secs(9))
+        .await
+        .expect("it answers");
+    assert_eq!(mine.number, theirs.number);
+    client.items("other/", LIMIT).await.expect("it answers");
+    assert_eq!(client.keep(mine).await, Ok(false));
+    assert_eq!(other.keep(theirs).await, Ok(true));
+}
--- a/crates/zinniahatch_report/src/book.rs
+++ b/crates/zinniahatch_report/src/book.rs
@@ -10,6 +10,10 @@
 /// Sealed sheets of a shard that wait for the store; at one in ten seconds, an hour.
 pub const KEPT_SHEETS: usize = 360;
 
+/// Age of the oldest copy from which the store may come back; copies are some seconds old. Sheets of a minute are six
+/// at most, a few kilobytes.
+const COPY_TIME: Duration = Duration::from_secs(60);
+
 /// A sheet that takes no more counts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SealedSheet {
@@ -20,6 +24,16 @@
     /// The counts.
     pub sheet: CountSheet,
     sent: Option<(NodeId, Instant)>,
+    /// When the merger said that it is in the store.
+    merged: Option<Instant>,
+}
+
+impl SealedSheet {
+    /// Tells whether no copy of the store can be older than the sheet's place in it.
+    fn is_safe(&self, now: Instant) -> bool {
+        self.merged
+            .is_some_and(|at| now.saturating_duration_since(at) > COPY_TIME)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -29,6 +43,14 @@
     sealed: BTreeMap<u64, SealedSheet>,
 }
 
+impl ShardBook {
+    /// Gives the sheets that are not in the store yet.
+    fn waiting(&self) -> impl Iterator<Item = &SealedSheet> {
+        let sealed = self.sealed.values();
+        sealed.filter(|sealed| sealed.merged.is_none())
+    }
+}
+
 /// The counts of one node, by shard.
 ///
 /// A sheet stays here until its merger says that it is in the store. Meanwhile the merger has a
@@ -61,7 +83,7 @@
     pub fn is_settled(&self) -> bool {
         self.shards
             .iter()
-            .all(|shard| shard.open.is_empty() && shard.sealed.is_empty())
+            .all(|shard| shard.open.is_empty() && shard.waiting().next().is_none())
     }
 
     /// Counts one request.
@@ -83,6 +105,7 @@
                 minute,
                 sheet,
                 sent: None,
+                merged: None,
             };
             shard.sealed.insert(shard.number, sealed);
             if shard.sealed.len() > KEPT_SHEETS {
@@ -108,7 +131,8 @@
             let Some(owner) = merger(index as u16) else {
                 continue;
             };
-            for sealed in shard.sealed.values_mut() {
+            let waiting = shard.sealed.values_mut();
+            for sealed in waiting.filter(|sealed| sealed.merged.is_none()) {
                 let held = sealed
                     .sent
                     .as_ref()
@@ -123,10 +147,31 @@
         due
     }
 
-    /// Forgets the sheets of a shard that are in the store.
-    pub fn merged(&mut self, shard: u16, numbers: &[u64]) {
-        if let Some(book) = self.shards.get_mut(usize::from(shard)) {
-            book.sealed.retain(|sealed, _| !numbers.contains(sealed));
+    /// Notes that sheets of a shard are in the store, and forgets those that have been there for longer than any
+    /// copy from which the store may come back is old.
+    pub fn merged(&mut self, shard: u16, numbers: &[u64], now: Instant) {
+        let Some(book) = self.shards.get_mut(usize::from(shard)) else {
+            return;
+        };
+        for number in numbers {
+            if let Some(sealed) = book.sealed.get_mut(number) {
+                sealed.merged.get_or_insert(now);
+            }
+        }
+        book.sealed.retain(|_, sealed| !sealed.is_safe(now));
+    }
+
+    /// Hands over once more what the store may have lost when it came back from an older copy; gives how many
+    /// sheets. Those that the copy has are known by their marks and are not counted twice.
+    pub fn reopen(&mut self, now: Instant) -> usize {
+        let mut count = 0;
+        for shard in &mut self.shards {
+            shard.sealed.retain(|_, sealed| !sealed.is_safe(now));
+            for sealed in shard.sealed.values_mut() {
+                count += usize::from(sealed.merged.take().is_some());
+                sealed.sent = None;
+            }
         }
+        count
     }
 }
--- a/crates/zinniahatch_report/tests/counts.rs
+++ b/crates/zinniahatch_report/tests/counts.rs
@@ -137,10 +137,36 @@
     );
     let due = book.due(now, again, |_| Some("m2".into()));
     assert_eq!(due.len(), 1, "a new merger gets it");
-    book.merged(due[0].0, &[due[0].2.number]);
+    book.merged(due[0].0, &[due[0].2.number], now);
     assert!(book.is_settled());
 }
 
+/// Counts were in the store, and the store came back from a copy that was older. They are handed over once more, and
+/// those that are older than any copy are not kept for ever.
+#[test]
+fn book_reopens_what_the_store_may_have_lost() {
+    let now = Instant::now();
+    let mut book = CountBook::with_shards(1);
+    let again = Duration::from_secs(90);
+    for minute in 0..2 {
+        let row = CountRow {
+            requests: 1,
+            ..CountRow::default()
+        };
+        book.add(key("a", "r", ResultCode::Answered), &row);
+        book.seal(minute);
+        let at = now + Duration::from_secs(90) * minute as u32;
+        let due = book.due(at, again, |_| Some("m".into()));
+        book.merged(0, &[due[0].2.number], at);
+    }
+    let later = now + Duration::from_secs(100);
+    assert!(book.is_settled());
+    assert!(book.due(later, again, |_| Some("m".into())).is_empty());
+    assert_eq!(book.reopen(later), 1);
+    assert!(!book.is_settled());
+    assert_eq!(book.due(later, again, |_| Some("m".into())).len(), 1);
+}
+
 /// A report looks complete although a node died with counts that nobody has. The minutes since
 /// its last copy are named; if it was alive after all, its counts take the note away.
 #[test]
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -95,6 +95,7 @@
 pub use replica_entry::ReplicaLife;
 pub use replica_work::REFRESH_TIME;
 pub use replicas::EntryChange;
+pub use replicas::RETURN_HOLD;
 pub use replicas::ReplicaTable;
 pub use spend_news::RegionSpends;
 pub use spend_news::SpendNews;
--- a/crates/zinniahatch_route/src/replica_belief.rs
+++ b/crates/zinniahatch_route/src/replica_belief.rs
@@ -44,7 +44,7 @@
     /// When its entry vanished, while that may be a mere lapse.
     pub lapsed: Option<Instant>,
     /// The store's revision when its entry vanished; older news of it does not count.
-    pub vanished: Revision,
+    pub vanished: StoreRevision,
     /// Work of this node.
     pub own: OpenWork,
     /// Work of this node as the other nodes were told, and when.
@@ -73,7 +73,7 @@
             leaving: None,
             gone_at: None,
             lapsed: None,
-            vanished: 0,
+            vanished: StoreRevision::default(),
             tag: entry.life().tag(),
             own: OpenWork::default(),
             told: (OpenWork::default(), now),
@@ -96,7 +96,7 @@
     /// time for which it says that the replica is cold began when it was written, not now.
     pub fn update(&mut self, entry: ReplicaEntry, now: Instant) {
         self.lapsed = None;
-        let known = entry.revision != 0 && entry.revision == self.entry.revision;
+        let known = entry.revision.number != 0 && entry.revision == self.entry.revision;
         if entry.leaving {
             self.leaving = Some(LeaveReason::Draining);
             if !known || self.gone_at.is_none() {
--- a/crates/zinniahatch_route/src/replica_entry.rs
+++ b/crates/zinniahatch_route/src/replica_entry.rs
@@ -45,7 +45,7 @@
         /// How much longer it is cold.
         pub cold_for: Duration,
         /// The store's revision of this entry.
-        pub revision: u64,
+        pub revision: StoreRevision,
     }
 }
 
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -20,6 +20,9 @@
 /// How long a replica that has left is remembered, so that no other node's older news brings it back;
 /// far longer than any node stays cut off and still serves.
 const GONE_TIME: Duration = Duration::from_secs(300);
+/// Time after the return of the store from an older copy in which the operators write again what it lacks. Until it
+/// is over, no evacuation that was in force ends because the copy does not name it.
+pub const RETURN_HOLD: Duration = Duration::from_secs(6);
 /// Prior time to the answer of a service, in ms, until answers show it.
 const PRIOR_BASE_MS: f64 = 40.0;
 
@@ -30,7 +33,24 @@
     /// When it was dropped.
     at: Instant,
     /// The store's revision when its entry vanished.
-    vanished: Revision,
+    vanished: StoreRevision,
+    /// The first entry of it that was seen in a later era of the store.
+    sighted: Option<StoreRevision>,
+}
+
+impl EndedLife {
+    /// Tells whether an entry shows that the life goes on after all; one that is older does not, nor does one that
+    /// a store which came back from a copy still had. A replica that lives writes it again within seconds.
+    fn is_revived_by(&mut self, entry: &ReplicaEntry) -> bool {
+        if entry.revision < self.vanished {
+            return false;
+        }
+        if entry.born != self.born || entry.revision.era == self.vanished.era {
+            return true;
+        }
+        let first = *self.sighted.get_or_insert(entry.revision);
+        entry.revision > first
+    }
 }
 
 /// What an entry changed.
@@ -55,11 +75,13 @@
     streams: BTreeMap<ServiceId, StreamModel>,
     evacuated: BTreeSet<DataCentreId>,
     /// The store's revision of the last news of each data centre's evacuation.
-    evacuation_revisions: BTreeMap<DataCentreId, Revision>,
+    evacuation_revisions: BTreeMap<DataCentreId, StoreRevision>,
     pub(crate) news: WorkNews,
     /// The lives that have ended, by the replica's id.
     gone: BTreeMap<ReplicaId, EndedLife>,
     store_trouble: Option<Instant>,
+    /// When the store came back from an older copy.
+    returned: Option<Instant>,
 }
 
 impl ReplicaTable {
@@ -69,8 +91,8 @@
     /// never used again after it had said that it leaves, was thought to keep prompts that it had lost,
     /// and its old failures and open work counted against it.
     pub fn upsert(&mut self, entry: ReplicaEntry, now: Instant) -> EntryChange {
-        let left = self.gone.get(&entry.id);
-        if left.is_some_and(|ended| entry.revision < ended.vanished) {
+        let left = self.gone.get_mut(&entry.id);
+        if left.is_some_and(|ended| !ended.is_revived_by(&entry)) {
             return EntryChange::None;
         }
         self.gone.remove(&entry.id);
@@ -147,7 +169,7 @@
     /// for good when they do not come back.
     ///
     /// `revision` is the store's at the removal; an entry that was written later is not gone.
-    pub fn vanish(&mut self, id: &str, revision: Revision, now: Instant) {
+    pub fn vanish(&mut self, id: &str, revision: StoreRevision, now: Instant) {
         let trouble = self.in_trouble(now);
         let Some(belief) = self.rows.get_mut(id) else {
             return;
@@ -168,7 +190,7 @@
     pub fn relist(
         &mut self,
         entries: Vec<ReplicaEntry>,
-        revision: Revision,
+        revision: StoreRevision,
         now: Instant,
     ) -> Vec<(ReplicaEntry, EntryChange)> {
         let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id.clone()).collect();
@@ -191,6 +213,11 @@
         reborn
     }
 
+    /// Notes that the store came back from an older copy.
+    pub fn note_return(&mut self, now: Instant) {
+        self.returned = Some(now);
+    }
+
     /// Notes that a call to the store failed.
     pub fn note_store_trouble(&mut self, now: Instant) {
         self.store_trouble = Some(now);
@@ -201,12 +228,20 @@
     pub fn set_evacuated(
         &mut self,
         evacuated: &BTreeSet<DataCentreId>,
-        revision: Revision,
+        revision: StoreRevision,
+        now: Instant,
     ) -> Vec<DataCentreId> {
+        let held = self
+            .returned
+            .is_some_and(|at| now.saturating_duration_since(at) < RETURN_HOLD);
         let places: Vec<DataCentreId> = self.evacuated.union(evacuated).cloned().collect();
         let mut changed = Vec::new();
         for place in places {
             let on = evacuated.contains(&place);
+            // The copy may be older than the evacuation, which the operators have not written again yet.
+            if held && !on {
+                continue;
+            }
             if self.note_evacuation(&place, on, revision) {
                 changed.push(place);
             }
@@ -219,7 +254,12 @@
     ///
     /// Nodes tell each other of it a second apart, and listings may be old: one that overtook the news that a
     /// data centre is evacuated would send requests there again.
-    pub fn note_evacuation(&mut self, place: &DataCentreId, on: bool, revision: Revision) -> bool {
+    pub fn note_evacuation(
+        &mut self,
+        place: &DataCentreId,
+        on: bool,
+        revision: StoreRevision,
+    ) -> bool {
         let known = self.evacuation_revisions.get(place).copied();
         if known.is_some_and(|known| revision < known) {
             return false;
@@ -275,6 +315,7 @@
                 born: belief.entry.born,
                 at: now,
                 vanished: belief.vanished,
+                sighted: None,
             };
             self.gone.insert(id.clone(), ended);
         }
--- a/crates/zinniahatch_route/tests/beliefs.rs
+++ b/crates/zinniahatch_route/tests/beliefs.rs
@@ -18,7 +18,7 @@
     let now = Instant::now();
     let mut table = table(&["r1"], now);
     table.note_store_trouble(now);
-    table.vanish("r1", 0, now + Duration::from_secs(1));
+    table.vanish("r1", 0.into(), now + Duration::from_secs(1));
     assert_eq!(table.get("r1").unwrap().leaving, None);
     table.tick(now + Duration::from_secs(3));
     assert!(table.get("r1").is_some(), "within the grace");
@@ -31,7 +31,7 @@
     let now = Instant::now();
     let mut table = table(&["r1"], now);
     table.note_store_trouble(now);
-    table.vanish("r1", 0, now);
+    table.vanish("r1", 0.into(), now);
     let change = table.upsert(entry("r1", "a"), now + Duration::from_secs(2));
     assert_eq!(change, EntryChange::Belief);
     table.tick(now + Duration::from_secs(9));
@@ -42,7 +42,7 @@
 fn vanish_on_a_calm_day() {
     let now = Instant::now();
     let mut table = table(&["r1"], now);
-    table.vanish("r1", 0, now);
+    table.vanish("r1", 0.into(), now);
     assert!(table.get("r1").unwrap().leaving.is_some());
 }
 
@@ -65,7 +65,7 @@
 fn learn_does_not_revive_what_left() {
     let now = Instant::now();
     let mut table = table(&["r1", "r2"], now);
-    table.vanish("r1", 0, now);
+    table.vanish("r1", 0.into(), now);
     table.tick(now);
     assert!(table.get("r1").is_none());
     table.note_store_trouble(now);
@@ -150,14 +150,14 @@
 fn upsert_ignores_what_is_older_than_a_removal() {
     let now = Instant::now();
     let mut table = table(&["r1"], now);
-    table.vanish("r1", 9, now);
+    table.vanish("r1", 9.into(), now);
     let mut old = entry("r1", "a");
-    old.revision = 5;
+    old.revision = 5.into();
     assert_eq!(table.upsert(old.clone(), now), EntryChange::None);
     table.tick(now);
     assert_eq!(table.upsert(old.clone(), now), EntryChange::None);
     assert!(table.get("r1").is_none());
-    old.revision = 10;
+    old.revision = 10.into();
     assert_eq!(table.upsert(old, now), EntryChange::Belief);
 }
 
@@ -168,7 +168,7 @@
     let now = Instant::now();
     let mut table = table(&["r1"], now);
     let mut cold = entry("r1", "a");
-    cold.revision = 5;
+    cold.revision = 5.into();
     cold.cold_for = Duration::from_secs(2);
     table.upsert(cold.clone(), now);
     let later = now + Duration::from_millis(1_900);
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -74,7 +74,7 @@
         leaving: false,
         gone_in: None,
         cold_for: Duration::ZERO,
-        revision: 0,
+        revision: StoreRevision::from(0),
     }
 }
 
--- a/crates/zinniahatch_route/tests/lives.rs
+++ b/crates/zinniahatch_route/tests/lives.rs
@@ -9,6 +9,7 @@
 use zinniahatch_route::LeaveReason;
 use zinniahatch_route::OpenWork;
 use zinniahatch_route::PromptRead;
+use zinniahatch_route::RETURN_HOLD;
 use zinniahatch_route::ReplicaEntry;
 use zinniahatch_route::ReplicaLife;
 use zinniahatch_route::ReplicaTable;
@@ -24,7 +25,7 @@
 fn life(born: u64, revision: Revision) -> ReplicaEntry {
     ReplicaEntry {
         born,
-        revision,
+        revision: revision.into(),
         ..entry("r", "a")
     }
 }
@@ -91,7 +92,7 @@
     let mut table = ReplicaTable::default();
     table.upsert(life(1, 10), now);
     table.upsert(life(2, 12), now);
-    table.vanish("r", 11, now);
+    table.vanish("r", 11.into(), now);
     assert_eq!(table.upsert(life(1, 10), now), EntryChange::None);
     let belief = table.get("r").expect("the replica is known");
     assert_eq!((belief.entry.born, belief.leaving), (2, None));
@@ -121,7 +122,7 @@
     let now = Instant::now();
     let mut table = ReplicaTable::default();
     table.upsert(life(1, 10), now);
-    table.vanish("r", 11, now);
+    table.vanish("r", 11.into(), now);
     table.tick(now);
     table.note_store_trouble(now);
     table.learn(vec![life(1, 10)], &[], now);
@@ -151,3 +152,92 @@
     table.note_probe(&life(2, 12).life(), true, now);
     assert_eq!(suspect(&table), Some(false));
 }
+
+fn written(born: u64, era: u64, number: u64) -> ReplicaEntry {
+    ReplicaEntry {
+        revision: StoreRevision { era, number },
+        ..life(born, number)
+    }
+}
+
+/// The store came back from a copy, at lower revisions. A replica writes its entry again, with one that is lower than
+/// all that were seen before; it was dropped as old news, and a sound replica got no requests.
+#[test]
+fn upsert_believes_a_later_era() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(written(1, 0, 500), now);
+    let mut leaves = written(1, 1, 20);
+    leaves.leaving = true;
+    table.upsert(leaves, now);
+    let belief = table.get("r").expect("it is known");
+    assert!(belief.leaving.is_some());
+    // What a node tells that has not met the store since.
+    table.vanish(
+        "r",
+        StoreRevision {
+            era: 0,
+            number: 600,
+        },
+        now,
+    );
+    assert_eq!(table.get("r").map(|belief| belief.vanished.era), Some(0));
+    table.upsert(written(2, 0, 700), now);
+    assert_eq!(table.get("r").map(|belief| belief.entry.born), Some(1));
+}
+
+/// A replica had ended, and the copy still names it. It writes nothing, and must not get requests; one that lives
+/// writes its entry again.
+#[test]
+fn upsert_takes_no_dead_replica_from_a_copy() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(written(1, 0, 10), now);
+    table.vanish("r", StoreRevision { era: 0, number: 12 }, now);
+    table.tick(now);
+    assert!(table.get("r").is_none());
+    table.relist(
+        vec![written(1, 1, 9)],
+        StoreRevision { era: 1, number: 9 },
+        now,
+    );
+    table.relist(
+        vec![written(1, 1, 9)],
+        StoreRevision { era: 1, number: 11 },
+        now,
+    );
+    assert!(table.get("r").is_none());
+    table.upsert(written(1, 1, 13), now);
+    assert!(table.get("r").is_some());
+}
+
+/// A data centre is evacuated, and the store comes back from a copy that is older than the request. Until the
+/// operators have had time to write it again, nothing is sent there; then what the store says counts.
+#[test]
+fn evacuation_outlives_an_older_copy() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    let (none, place) = (BTreeSet::new(), "west-a".into());
+    table.note_evacuation(&place, true, StoreRevision { era: 0, number: 40 });
+    table.note_return(now);
+    let copy = StoreRevision { era: 1, number: 30 };
+    assert!(table.set_evacuated(&none, copy, now).is_empty());
+    assert!(table.evacuated().contains("west-a"));
+    let later = now + RETURN_HOLD;
+    assert_eq!(table.set_evacuated(&none, copy, later), [place]);
+    assert!(table.evacuated().is_empty());
+}
+
+/// The operators take a data centre back just after the return; its end is believed at once, though its revision is
+/// lower than that of the request.
+#[test]
+fn evacuation_ends_in_a_later_era() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    let place = "west-a".into();
+    table.note_evacuation(&place, true, StoreRevision { era: 0, number: 40 });
+    table.note_return(now);
+    assert!(table.note_evacuation(&place, false, StoreRevision { era: 1, number: 31 }));
+    assert!(!table.note_evacuation(&place, true, StoreRevision { era: 0, number: 50 }));
+    assert!(table.evacuated().is_empty());
+}
--- a/crates/zinniahatch_route/tests/placement.rs
+++ b/crates/zinniahatch_route/tests/placement.rs
@@ -140,7 +140,7 @@
     assert!(choose(&leaving, &parts, now).is_none());
 
     let mut evacuated = table(&["r1"], now);
-    evacuated.set_evacuated(&["a".into()].into(), 1);
+    evacuated.set_evacuated(&["a".into()].into(), 1.into(), now);
     assert!(choose(&evacuated, &parts, now).is_none());
 
     let mut unreached = table(&["r1"], now);
