--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -13,6 +13,7 @@
 use crate::stand::store::StandStore;
 use reqwest::Client;
 use reqwest::RequestBuilder;
+use serde_json::Value;
 use std::fs::File;
 use std::path::Path;
 use std::path::PathBuf;
@@ -21,6 +22,8 @@
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
 
+/// The operators' key of the desired state.
+const DESIRED_KEY: &str = "op/config";
 /// The host of every route.
 pub const HOST: &str = "desk.test";
 /// Pause between looks at a condition.
@@ -75,6 +78,8 @@
     /// What replicas saw that have ended.
     retired: Vec<(&'static str, ReplicaSight)>,
     shape: StreamShape,
+    /// Whether keys that were taken away must run nowhere a while later.
+    guarded: bool,
     server: StandServer,
     regions: Vec<SiteRegion>,
     folder: PathBuf,
@@ -89,14 +94,35 @@
     /// Where a process cannot be started.
     pub async fn start(regions: &[SiteRegion], shape: StreamShape) -> Self {
         let mut cluster = Self::prepare(regions, shape).await;
-        for index in 0..cluster.entries.len() {
-            cluster.spawn(index);
+        cluster.start_entries().await;
+        cluster
+    }
+
+    /// Starts a site whose callers have to say who they are, and waits until every entry VM is ready.
+    ///
+    /// # Panics
+    ///
+    /// Where a process cannot be started.
+    pub async fn start_guarded(
+        regions: &[SiteRegion],
+        shape: StreamShape,
+        accounts: &Value,
+    ) -> Self {
+        let mut cluster = Self::prepare(regions, shape).await;
+        cluster.guarded = true;
+        cluster.configure_accounts(2, accounts);
+        cluster.start_entries().await;
+        cluster
+    }
+
+    async fn start_entries(&mut self) {
+        for index in 0..self.entries.len() {
+            self.spawn(index);
         }
-        for index in 0..cluster.entries.len() {
-            cluster.wait_ready(index).await;
+        for index in 0..self.entries.len() {
+            self.wait_ready(index).await;
         }
-        cluster.wait_acquainted().await;
-        cluster
+        self.wait_acquainted().await;
     }
 
     /// Makes everything but starts no entry VM.
@@ -146,6 +172,7 @@
             store_links,
             retired: Vec::new(),
             shape,
+            guarded: false,
             server,
             regions: regions.to_vec(),
             folder,
@@ -160,27 +187,15 @@
 
     /// Writes a desired state, as the operator does; `more` names further plain routes.
     pub fn configure(&self, version: u64, more: &[&str]) {
-        let route = |name: &str, kind: &str, attempts: u32, resumable: bool, homes: &[&str]| {
-            serde_json::json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"),
-                "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 5_000, "priority": 1,
-                "service": "desk", "max_attempts": attempts, "affinity": false,
-                "resumable": resumable, "gap_target_ms": 300, "home_regions": homes})
-        };
-        let mut routes = vec![
-            route("plain", "idempotent", 2, false, &[]),
-            route("once", "non_idempotent", 1, false, &[]),
-            route("stream", "streaming", 2, true, &[]),
-            route("bound", "idempotent", 2, false, &["north"]),
-        ];
-        for name in more {
-            routes.push(route(name, "idempotent", 2, false, &[]));
-        }
-        let state = serde_json::json!({"version": version, "routes": routes,
-            "services": [{"name": "desk", "health_path": "/health", "max_conns": 400,
-                "warmup_s": 0, "cold_per_s": 0}],
-            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}});
-        self.store.write("op/config", &state.to_string());
+        let state = desired_state(version, more);
+        self.store.write(DESIRED_KEY, &state.to_string());
+    }
+
+    /// Writes a desired state with client accounts.
+    pub fn configure_accounts(&self, version: u64, accounts: &Value) {
+        let mut state = desired_state(version, &[]);
+        state["tenants"] = accounts.clone();
+        self.store.write(DESIRED_KEY, &state.to_string());
     }
 
     /// Writes the entry of a replica.
@@ -277,8 +292,9 @@
         for region in &self.regions {
             text += &format!("{}-a = {}\n", region.name, region.name);
         }
+        let revoke = if self.guarded { "revoke = 5s\n" } else { "" };
         text += &format!(
-            "\n[store]\naddress = {}\n\n[bounds]\nrepeat_slack = 540\ngrace = {GRACE_SECONDS}s\n\
+            "\n[store]\naddress = {}\n\n[bounds]\nrepeat_slack = 540\ngrace = {GRACE_SECONDS}s\n{revoke}\
              \n[log]\nlines_per_second = 1000\n",
             self.store_links[entry.region].1.address
         );
@@ -476,6 +492,30 @@
     }
 }
 
+/// Gives a desired state without accounts; `more` names further plain routes.
+fn desired_state(version: u64, more: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, attempts: u32, resumable: bool, homes: &[&str]| {
+        serde_json::json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 5_000, "priority": 1,
+            "service": "desk", "max_attempts": attempts, "affinity": false,
+            "resumable": resumable, "gap_target_ms": 300, "home_regions": homes})
+    };
+    let mut routes = vec![
+        route("plain", "idempotent", 2, false, &[]),
+        route("once", "non_idempotent", 1, false, &[]),
+        route("stream", "streaming", 2, true, &[]),
+        route("bound", "idempotent", 2, false, &["north"]),
+    ];
+    for name in more {
+        routes.push(route(name, "idempotent", 2, false, &[]));
+    }
+    serde_json::json!({"version": version, "routes": routes,
+        "services": [{"name": "desk", "health_path": "/health", "max_conns": 400,
+            "warmup_s": 0, "cold_per_s": 0}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}})
+}
+
 /// Gives the path of the operators' command-line tool, which is built beside the daemon.
 pub fn tool_path() -> PathBuf {
     daemon_path().with_file_name("zinniactl")
--- a/crates/zinniahatch_lab/src/stand/replica.rs
+++ b/crates/zinniahatch_lab/src/stand/replica.rs
@@ -51,6 +51,10 @@
 pub struct ReplicaSight {
     /// Runs of each attempt.
     pub runs: BTreeMap<Box<str>, u32>,
+    /// The account that each attempt was run for, where one was named.
+    pub accounts: BTreeMap<Box<str>, Box<str>>,
+    /// Requests that bore a caller's credential.
+    pub credentials: u32,
     /// When it last began to run a request.
     pub last_run: Option<Instant>,
     /// Streams whose caller's side closed the channel before the end.
@@ -192,6 +196,8 @@
 struct ReplicaCall {
     content: CallContent,
     attempt: Box<str>,
+    /// The account that asks, as the entry VM names it.
+    account: Option<Box<str>>,
     expected: Option<Box<str>>,
     last_event: u32,
 }
@@ -234,6 +240,11 @@
             let mut state = lock(&self.state);
             *state.sight.runs.entry(call.attempt.clone()).or_default() += 1;
             state.sight.last_run = Some(Instant::now());
+            state.sight.credentials += u32::from(!call.content.caller.is_empty());
+            if let Some(account) = &call.account {
+                let accounts = &mut state.sight.accounts;
+                accounts.insert(call.attempt.clone(), account.clone());
+            }
         }
         if self.fatal.note_begun(&call.content) {
             return self.end_under(stream, call).await;
@@ -380,6 +391,7 @@
             body: Vec::new(),
         },
         attempt: text("x-attempt-id").unwrap_or_default(),
+        account: text("x-tenant"),
         expected: text("x-expect-instance"),
         last_event: number("last-event-id").unwrap_or(0),
     };
