--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -1,14 +1,14 @@
 //! What the tasks of one process share.
 
-use crate::account_desk::AccountDesk;
-use crate::allowances::limits_of;
-use crate::boot_clock::BootClock;
+use crate::counts::count_desk::CountDesk;
 use crate::decision_log::DecisionLog;
-use crate::end_checks::EndChecks;
 use crate::metrics::EntryMetrics;
-use crate::pool::ChannelPool;
-use crate::replica_news::ReplicaNews;
-use crate::watch_topic::WatchTopic;
+use crate::nodes::replica_news::ReplicaNews;
+use crate::replicas::end_checks::EndChecks;
+use crate::request::pool::ChannelPool;
+use crate::store::watch_topic::WatchTopic;
+use crate::who::allowances::limits_of;
+use crate::who::boot_clock::BootClock;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
@@ -81,7 +81,7 @@
     pub(crate) budgets: RefCell<BTreeMap<ServiceId, RepeatBudget>>,
     /// Where other nodes may listen, from the store and from other nodes.
     pub(crate) contacts: RefCell<ContactBook>,
-    pub(crate) accounts: AccountDesk,
+    pub(crate) counts: CountDesk,
     /// News of replicas that the other nodes of the region have not been told.
     pub(crate) replica_news: RefCell<ReplicaNews>,
     /// How what this node knows of each topic compares with what the readers of its region say.
@@ -150,7 +150,7 @@
             end_checks: EndChecks::default(),
             budgets: RefCell::default(),
             contacts: RefCell::new(contacts),
-            accounts: AccountDesk::default(),
+            counts: CountDesk::default(),
             replica_news: RefCell::default(),
             covers: RefCell::default(),
             rests: Cell::new(false),
--- a/crates/zinniahatch_entry/src/account_desk.rs
+++ b/crates/zinniahatch_entry/src/counts/count_desk.rs
@@ -7,7 +7,7 @@
 
 /// The counts of this node and, where it merges, of others.
 #[derive(Debug)]
-pub(crate) struct AccountDesk {
+pub(crate) struct CountDesk {
     /// What this node has counted.
     pub(crate) book: RefCell<CountBook>,
     /// What it merges for its region.
@@ -16,7 +16,7 @@
     pub(crate) told: RefCell<BTreeMap<(NodeId, Incarnation), Vec<u64>>>,
 }
 
-impl Default for AccountDesk {
+impl Default for CountDesk {
     fn default() -> Self {
         Self {
             book: RefCell::new(CountBook::with_shards(1)),
--- a/crates/zinniahatch_entry/src/accounts.rs
+++ b/crates/zinniahatch_entry/src/counts/counting.rs
@@ -5,9 +5,9 @@
 //! loses what it had not yet sealed, and the fleet asks the store for a few writes a minute.
 
 use crate::core::EntryCore;
-use crate::plan::CallPlan;
-use crate::received::ReceivedCall;
-use crate::snapshot::ask_peer;
+use crate::nodes::snapshot::ask_peer;
+use crate::request::plan::CallPlan;
+use crate::request::received::ReceivedCall;
 use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
@@ -102,7 +102,7 @@
         row.first_byte.record(first);
     }
     row.whole.record(call.arrived.elapsed());
-    core.accounts.book.borrow_mut().add(key, &row);
+    core.counts.book.borrow_mut().add(key, &row);
 }
 
 /// Gives the node that merges the counts of this region, and where it listens.
@@ -139,11 +139,11 @@
 pub(crate) async fn hand_over(core: &Rc<EntryCore>, last: bool) {
     let (node, address) = merger(core);
     let due = {
-        let mut book = core.accounts.book.borrow_mut();
+        let mut book = core.counts.book.borrow_mut();
         book.seal(epoch_minute());
         book.due(Instant::now(), AGAIN_TIME, |_| Some(node.clone()))
     };
-    if due.is_empty() && (!last || core.accounts.book.borrow().is_settled()) {
+    if due.is_empty() && (!last || core.counts.book.borrow().is_settled()) {
         return;
     }
     let post = CountsPost {
@@ -168,7 +168,7 @@
         };
         postcard::from_bytes(&answer).unwrap_or_default()
     };
-    let mut book = core.accounts.book.borrow_mut();
+    let mut book = core.counts.book.borrow_mut();
     book.merged(SHARD, &merged, Instant::now());
     core.metrics.set_dropped_sheets(book.dropped());
 }
@@ -181,7 +181,7 @@
 
 /// Takes counts; gives the numbers of earlier ones that are in the store.
 fn take(core: &EntryCore, post: CountsPost) -> Vec<u64> {
-    let mut desk = core.accounts.merging.borrow_mut();
+    let mut desk = core.counts.merging.borrow_mut();
     for (number, minute, sheet) in post.sheets {
         desk.take(
             SHARD,
@@ -195,7 +195,7 @@
             },
         );
     }
-    let mut told = core.accounts.told.borrow_mut();
+    let mut told = core.counts.told.borrow_mut();
     told.remove(&(post.node, post.incarnation))
         .unwrap_or_default()
 }
@@ -205,24 +205,24 @@
     if merger(core).0 != core.settings.name {
         return;
     }
-    let mut desk = core.accounts.merging.borrow_mut();
+    let mut desk = core.counts.merging.borrow_mut();
     desk.note_death(node, incarnation, epoch_minute());
 }
 
 /// Writes all that was received to the store.
 pub(crate) async fn merge_all(core: &Rc<EntryCore>) {
-    let tasks = core.accounts.merging.borrow().tasks();
+    let tasks = core.counts.merging.borrow().tasks();
     for task in tasks {
         if !merge_task(core, &task).await {
             core.log
                 .write("counts-not-merged", serde_json::json!({"hour": task.hour}));
             continue;
         }
-        let done = core.accounts.merging.borrow_mut().done(&task);
-        let mut told = core.accounts.told.borrow_mut();
+        let done = core.counts.merging.borrow_mut().done(&task);
+        let mut told = core.counts.told.borrow_mut();
         for (node, incarnation, numbers) in done {
             if node == core.settings.name && incarnation == core.incarnation {
-                let mut book = core.accounts.book.borrow_mut();
+                let mut book = core.counts.book.borrow_mut();
                 book.merged(SHARD, &numbers, Instant::now());
                 continue;
             }
--- a/crates/zinniahatch_entry/src/catch_up.rs
+++ b/crates/zinniahatch_entry/src/nodes/catch_up.rs
@@ -4,7 +4,7 @@
 //! One whose watch is merely a little behind waits for it, since a snapshot has tens of kilobytes.
 
 use crate::core::EntryCore;
-use crate::snapshot::fetch_snapshot;
+use crate::nodes::snapshot::fetch_snapshot;
 use rand::RngExt;
 use std::rc::Rc;
 use tokio::time::sleep;
--- a/crates/zinniahatch_entry/src/datagrams.rs
+++ b/crates/zinniahatch_entry/src/nodes/datagrams.rs
@@ -1,7 +1,7 @@
 //! Sending datagrams to the nodes that this one knows.
 
 use crate::core::EntryCore;
-use crate::node_gram::NodeGram;
+use crate::nodes::node_gram::NodeGram;
 use std::net::SocketAddrV4;
 use tokio::net::UdpSocket;
 use zinniahatch_route::MemberCard;
--- a/crates/zinniahatch_entry/src/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -1,20 +1,20 @@
 //! Datagrams between nodes: who lives, what each region can take, and who has work where.
 
-use crate::accounts::note_death;
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
-use crate::datagrams::speaks_near;
-use crate::news::take_replica_news;
-use crate::news_teller::tell_known_suspects;
-use crate::news_teller::tell_news;
-use crate::news_teller::tell_suspects;
-use crate::node_gram::CardGram;
-use crate::node_gram::NodeGram;
-use crate::own_card::own_card;
-use crate::proofs::hear_proof;
-use crate::quarantine::NewsSource;
-use crate::quarantine::hear_suspects;
-use crate::work_teller::WorkTeller;
+use crate::counts::counting::note_death;
+use crate::nodes::datagrams::speaks_near;
+use crate::nodes::news_teller::tell_known_suspects;
+use crate::nodes::news_teller::tell_news;
+use crate::nodes::news_teller::tell_suspects;
+use crate::nodes::node_gram::CardGram;
+use crate::nodes::node_gram::NodeGram;
+use crate::nodes::own_card::own_card;
+use crate::nodes::work_teller::WorkTeller;
+use crate::replicas::quarantine::NewsSource;
+use crate::replicas::quarantine::hear_suspects;
+use crate::store::news::take_replica_news;
+use crate::who::proofs::hear_proof;
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
--- a/crates/zinniahatch_entry/src/news_teller.rs
+++ b/crates/zinniahatch_entry/src/nodes/news_teller.rs
@@ -1,11 +1,11 @@
 //! Telling the other nodes what this one learned: of replicas, and of requests under which they ended.
 
 use crate::core::EntryCore;
-use crate::datagrams::is_near;
-use crate::datagrams::tell_near;
-use crate::datagrams::tell_where;
-use crate::node_gram::NodeGram;
-use crate::replica_news::ReplicaNews;
+use crate::nodes::datagrams::is_near;
+use crate::nodes::datagrams::tell_near;
+use crate::nodes::datagrams::tell_where;
+use crate::nodes::node_gram::NodeGram;
+use crate::nodes::replica_news::ReplicaNews;
 use std::net::SocketAddrV4;
 use tokio::net::UdpSocket;
 use zinniahatch_base::prelude::*;
--- a/crates/zinniahatch_entry/src/node_gram.rs
+++ b/crates/zinniahatch_entry/src/nodes/node_gram.rs
@@ -1,6 +1,6 @@
 //! Datagrams between nodes.
 
-use crate::replica_news::ReplicaNews;
+use crate::nodes::replica_news::ReplicaNews;
 use serde::Deserialize;
 use serde::Serialize;
 use std::net::SocketAddrV4;
--- a/crates/zinniahatch_entry/src/own_card.rs
+++ b/crates/zinniahatch_entry/src/nodes/own_card.rs
@@ -1,10 +1,10 @@
 //! What this node tells the others of itself, and how it compares with what the readers of its region tell.
 
 use crate::core::EntryCore;
-use crate::duty::READER_DUTY;
-use crate::duty::READERS;
-use crate::duty::has_duty;
-use crate::watch_topic::WatchTopic;
+use crate::nodes::duty::READER_DUTY;
+use crate::nodes::duty::READERS;
+use crate::nodes::duty::has_duty;
+use crate::store::watch_topic::WatchTopic;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::CoverState;
 use zinniahatch_route::MemberCard;
--- a/crates/zinniahatch_entry/src/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -1,7 +1,7 @@
 //! What a node hands to another that the store does not serve.
 
 use crate::core::EntryCore;
-use crate::proofs::hear_proof;
+use crate::who::proofs::hear_proof;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
--- a/crates/zinniahatch_entry/src/work_teller.rs
+++ b/crates/zinniahatch_entry/src/nodes/work_teller.rs
@@ -1,13 +1,13 @@
 //! Telling the nodes of the region what this one has open, and gathering what others tell.
 
 use crate::core::EntryCore;
-use crate::datagrams::speaks_near;
-use crate::datagrams::tell_near;
-use crate::duty::has_duty;
-use crate::news_teller::tell_news;
-use crate::news_teller::tell_suspects;
-use crate::node_gram::NodeGram;
-use crate::node_gram::WorkGram;
+use crate::nodes::datagrams::speaks_near;
+use crate::nodes::datagrams::tell_near;
+use crate::nodes::duty::has_duty;
+use crate::nodes::news_teller::tell_news;
+use crate::nodes::news_teller::tell_suspects;
+use crate::nodes::node_gram::NodeGram;
+use crate::nodes::node_gram::WorkGram;
 use std::net::SocketAddrV4;
 use tokio::net::UdpSocket;
 use zinniahatch_base::prelude::*;
--- a/crates/zinniahatch_entry/src/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -1,7 +1,7 @@
 //! Probing the replicas that are suspected, and only those: each probe has its price.
 
-use crate::channel::BackendChannel;
 use crate::core::EntryCore;
+use crate::request::channel::BackendChannel;
 use http::Method;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
--- a/crates/zinniahatch_entry/src/quarantine.rs
+++ b/crates/zinniahatch_entry/src/replicas/quarantine.rs
@@ -1,8 +1,8 @@
 //! Requests under which replicas end, as this node believes and tells of them.
 
 use crate::core::EntryCore;
-use crate::received::ReceivedCall;
-use crate::received::content_text;
+use crate::request::received::ReceivedCall;
+use crate::request::received::content_text;
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::NewsEffect;
--- a/crates/zinniahatch_entry/src/replica_check.rs
+++ b/crates/zinniahatch_entry/src/replicas/replica_check.rs
@@ -4,12 +4,12 @@
 //! leaving replicas close what is idle. Only a machine without a listener refuses a connection, so that alone
 //! counts as the end of the replica. Loss of power refuses nothing.
 
-use crate::channel::BackendChannel;
-use crate::channel::ChannelError;
 use crate::core::EntryCore;
-use crate::open_call::OpenCall;
-use crate::quarantine::note_replica_end;
-use crate::received::ReceivedCall;
+use crate::replicas::quarantine::note_replica_end;
+use crate::request::channel::BackendChannel;
+use crate::request::channel::ChannelError;
+use crate::request::open_call::OpenCall;
+use crate::request::received::ReceivedCall;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
--- a/crates/zinniahatch_entry/src/answering.rs
+++ b/crates/zinniahatch_entry/src/request/answering.rs
@@ -1,18 +1,18 @@
 //! Answers to callers: a replica's whole answer, a stream that begins, or a refusal.
 
-use crate::accounts::count;
-use crate::answer::AnswerBody;
-use crate::channel::AnswerHead;
 use crate::core::EntryCore;
-use crate::open_call::OpenCall;
-use crate::plan::CallCount;
-use crate::plan::CallCourse;
-use crate::plan::CallPlan;
-use crate::quarantine::note_answered;
-use crate::received::ReceivedCall;
-use crate::refusal::own_answer;
-use crate::relay::StreamRelay;
-use crate::replica_check::note_break;
+use crate::counts::counting::count;
+use crate::replicas::quarantine::note_answered;
+use crate::replicas::replica_check::note_break;
+use crate::request::answer::AnswerBody;
+use crate::request::channel::AnswerHead;
+use crate::request::open_call::OpenCall;
+use crate::request::plan::CallCount;
+use crate::request::plan::CallCourse;
+use crate::request::plan::CallPlan;
+use crate::request::received::ReceivedCall;
+use crate::request::refusal::own_answer;
+use crate::request::relay::StreamRelay;
 use http::Response;
 use http::StatusCode;
 use std::rc::Rc;
--- a/crates/zinniahatch_entry/src/call.rs
+++ b/crates/zinniahatch_entry/src/request/call.rs
@@ -1,19 +1,19 @@
 //! Sending one request to one replica or one other node.
 
-use crate::channel::AnswerHead;
 use crate::core::EntryCore;
-use crate::identity::still_counts;
-use crate::open_call::OpenCall;
-use crate::open_call::ReplicaNote;
-use crate::plan::CallPlan;
-use crate::pool::PoolError;
-use crate::quarantine::await_hold;
-use crate::quarantine::hold_left;
-use crate::received::ReceivedCall;
-use crate::refusal::own_code;
-use crate::refusal::retry_hint;
-use crate::refusal::says_not_run;
-use crate::replica_check::note_break;
+use crate::replicas::quarantine::await_hold;
+use crate::replicas::quarantine::hold_left;
+use crate::replicas::replica_check::note_break;
+use crate::request::channel::AnswerHead;
+use crate::request::open_call::OpenCall;
+use crate::request::open_call::ReplicaNote;
+use crate::request::plan::CallPlan;
+use crate::request::pool::PoolError;
+use crate::request::received::ReceivedCall;
+use crate::request::refusal::own_code;
+use crate::request::refusal::retry_hint;
+use crate::request::refusal::says_not_run;
+use crate::who::identity::still_counts;
 use http::StatusCode;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
--- a/crates/zinniahatch_entry/src/channel.rs
+++ b/crates/zinniahatch_entry/src/request/channel.rs
@@ -4,8 +4,8 @@
 //! answer arrives, and whether bytes are left over. An HTTP client library hides all three, so
 //! only its parser is used here.
 
-use crate::chunks::ChunkState;
-use crate::chunks::ChunkStep;
+use crate::request::chunks::ChunkState;
+use crate::request::chunks::ChunkStep;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::HeaderMap;
--- a/crates/zinniahatch_entry/src/open_call.rs
+++ b/crates/zinniahatch_entry/src/request/open_call.rs
@@ -1,10 +1,10 @@
 //! A request on its way: its channel, and the books that are kept of it.
 
-use crate::channel::AnswerHead;
-use crate::channel::BackendChannel;
-use crate::channel::ChannelError;
 use crate::core::EntryCore;
-use crate::received::ReceivedCall;
+use crate::request::channel::AnswerHead;
+use crate::request::channel::BackendChannel;
+use crate::request::channel::ChannelError;
+use crate::request::received::ReceivedCall;
 use bytes::Bytes;
 use bytes::BytesMut;
 use std::net::SocketAddrV4;
--- a/crates/zinniahatch_entry/src/placing.rs
+++ b/crates/zinniahatch_entry/src/request/placing.rs
@@ -1,15 +1,15 @@
 //! Where the next try of a request goes, and sending it there.
 
-use crate::call::SendFailure;
-use crate::call::send_away;
-use crate::call::send_local;
-use crate::channel::AnswerHead;
 use crate::core::EntryCore;
-use crate::open_call::OpenCall;
-use crate::plan::CallCourse;
-use crate::plan::CallPlan;
-use crate::quarantine::hold_left;
-use crate::received::ReceivedCall;
+use crate::replicas::quarantine::hold_left;
+use crate::request::call::SendFailure;
+use crate::request::call::send_away;
+use crate::request::call::send_local;
+use crate::request::channel::AnswerHead;
+use crate::request::open_call::OpenCall;
+use crate::request::plan::CallCourse;
+use crate::request::plan::CallPlan;
+use crate::request::received::ReceivedCall;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::AdmissionRule;
--- a/crates/zinniahatch_entry/src/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -2,10 +2,10 @@
 
 use crate::core::EntryCore;
 use crate::core::StopPhase;
-use crate::identity::CallIdentity;
-use crate::identity::identify;
-use crate::received::ReceivedCall;
-use crate::received::RequestHop;
+use crate::request::received::ReceivedCall;
+use crate::request::received::RequestHop;
+use crate::who::identity::CallIdentity;
+use crate::who::identity::identify;
 use http::HeaderMap;
 use http::header;
 use std::borrow::Cow;
--- a/crates/zinniahatch_entry/src/pool.rs
+++ b/crates/zinniahatch_entry/src/request/pool.rs
@@ -3,8 +3,8 @@
 //! A replica accepts a bounded number of channels from all callers together and resets those
 //! beyond it, so each node keeps to its part of that bound without asking the others.
 
-use crate::channel::BackendChannel;
-use crate::channel::ChannelError;
+use crate::request::channel::BackendChannel;
+use crate::request::channel::ChannelError;
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use zinniahatch_base::prelude::*;
--- a/crates/zinniahatch_entry/src/refusal.rs
+++ b/crates/zinniahatch_entry/src/request/refusal.rs
@@ -1,6 +1,6 @@
 //! Answers of our own: refusals and failures.
 
-use crate::answer::AnswerBody;
+use crate::request::answer::AnswerBody;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
--- a/crates/zinniahatch_entry/src/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -1,17 +1,17 @@
 //! Passing a stream on as it arrives, and resuming it at another replica where that is allowed.
 
-use crate::accounts::count;
-use crate::answer::CutOff;
 use crate::core::EntryCore;
-use crate::events::EventSplitter;
-use crate::open_call::OpenCall;
-use crate::plan::CallCount;
-use crate::plan::CallCourse;
-use crate::plan::CallPlan;
-use crate::quarantine::note_answered;
-use crate::received::ReceivedCall;
-use crate::replica_check::note_break;
-use crate::resume::resume;
+use crate::counts::counting::count;
+use crate::replicas::quarantine::note_answered;
+use crate::replicas::replica_check::note_break;
+use crate::request::answer::CutOff;
+use crate::request::events::EventSplitter;
+use crate::request::open_call::OpenCall;
+use crate::request::plan::CallCount;
+use crate::request::plan::CallCourse;
+use crate::request::plan::CallPlan;
+use crate::request::received::ReceivedCall;
+use crate::request::resume::resume;
 use bytes::Bytes;
 use std::rc::Rc;
 use tokio::sync::mpsc::Sender;
--- a/crates/zinniahatch_entry/src/resume.rs
+++ b/crates/zinniahatch_entry/src/request/resume.rs
@@ -1,18 +1,18 @@
 //! Going on with a broken stream at another replica.
 
-use crate::call::SendFailure;
 use crate::core::EntryCore;
-use crate::open_call::OpenCall;
-use crate::placing::NextPlace;
-use crate::placing::next_place;
-use crate::placing::note_failure;
-use crate::placing::note_tried;
-use crate::placing::send_to;
-use crate::plan::CallCourse;
-use crate::plan::CallPlan;
-use crate::plan::MOST_CONNECTS;
-use crate::quarantine::await_verdict;
-use crate::received::ReceivedCall;
+use crate::replicas::quarantine::await_verdict;
+use crate::request::call::SendFailure;
+use crate::request::open_call::OpenCall;
+use crate::request::placing::NextPlace;
+use crate::request::placing::next_place;
+use crate::request::placing::note_failure;
+use crate::request::placing::note_tried;
+use crate::request::placing::send_to;
+use crate::request::plan::CallCourse;
+use crate::request::plan::CallPlan;
+use crate::request::plan::MOST_CONNECTS;
+use crate::request::received::ReceivedCall;
 use std::rc::Rc;
 use tokio::time::timeout_at;
 use zinniahatch_base::prelude::*;
--- a/crates/zinniahatch_entry/src/starting.rs
+++ b/crates/zinniahatch_entry/src/request/starting.rs
@@ -6,7 +6,7 @@
 
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
-use crate::received::ReceivedCall;
+use crate::request::received::ReceivedCall;
 use tokio::time::timeout_at;
 use zinniahatch_base::prelude::*;
 
--- a/crates/zinniahatch_entry/src/services.rs
+++ b/crates/zinniahatch_entry/src/services.rs
@@ -1,12 +1,12 @@
 //! The listeners: callers, other nodes, directory, readiness, control.
 
-use crate::answer::AnswerBody;
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
 use crate::core::StopPhase;
-use crate::ingress::CallerSide;
-use crate::ingress::answer;
-use crate::ingress::limits;
+use crate::request::answer::AnswerBody;
+use crate::request::ingress::CallerSide;
+use crate::request::ingress::answer;
+use crate::request::ingress::limits;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
--- a/crates/zinniahatch_entry/src/membership.rs
+++ b/crates/zinniahatch_entry/src/store/membership.rs
@@ -2,7 +2,7 @@
 
 use crate::core::EntryCore;
 use crate::core::StopPhase;
-use crate::news::reject;
+use crate::store::news::reject;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::time::sleep;
--- a/crates/zinniahatch_entry/src/news.rs
+++ b/crates/zinniahatch_entry/src/store/news.rs
@@ -1,11 +1,11 @@
 //! Taking over what the store tells: desired state, evacuations, replicas, the preset.
 
 use crate::core::EntryCore;
-use crate::duty::READER_DUTY;
-use crate::duty::READERS;
-use crate::duty::has_duty;
-use crate::replica_news::ReplicaNews;
-use crate::watch_topic::WatchTopic;
+use crate::nodes::duty::READER_DUTY;
+use crate::nodes::duty::READERS;
+use crate::nodes::duty::has_duty;
+use crate::nodes::replica_news::ReplicaNews;
+use crate::store::watch_topic::WatchTopic;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
 use zinniahatch_config::PRESET_KEY;
--- a/crates/zinniahatch_entry/src/quarantine_keys.rs
+++ b/crates/zinniahatch_entry/src/store/quarantine_keys.rs
@@ -7,12 +7,12 @@
 
 use crate::core::EntryCore;
 use crate::decision_log::unix_millis;
-use crate::duty::has_duty;
-use crate::news::reject;
-use crate::quarantine::NewsSource;
-use crate::quarantine::hear_suspects;
-use crate::received::content_text;
-use crate::watch::wait_for_store;
+use crate::nodes::duty::has_duty;
+use crate::replicas::quarantine::NewsSource;
+use crate::replicas::quarantine::hear_suspects;
+use crate::request::received::content_text;
+use crate::store::news::reject;
+use crate::store::watch::wait_for_store;
 use serde::Deserialize;
 use serde::Serialize;
 use std::rc::Rc;
--- a/crates/zinniahatch_entry/src/store_return.rs
+++ b/crates/zinniahatch_entry/src/store/store_return.rs
@@ -9,11 +9,11 @@
 //! wrote is in force until they have had time to write it again.
 
 use crate::core::EntryCore;
-use crate::duty::READER_DUTY;
-use crate::duty::READERS;
-use crate::duty::has_duty;
-use crate::news::take_listing;
-use crate::watch_topic::WatchTopic;
+use crate::nodes::duty::READER_DUTY;
+use crate::nodes::duty::READERS;
+use crate::nodes::duty::has_duty;
+use crate::store::news::take_listing;
+use crate::store::watch_topic::WatchTopic;
 use rand::RngExt;
 use std::rc::Rc;
 use tokio::time::sleep;
@@ -54,7 +54,7 @@
 async fn take_return(core: &Rc<EntryCore>, before: u64, after: u64) {
     let now = Instant::now();
     core.metrics.note_store_return();
-    let sheets = core.accounts.book.borrow_mut().reopen(now);
+    let sheets = core.counts.book.borrow_mut().reopen(now);
     let suspects = core.suspects.borrow_mut().forget_kept();
     core.log.write(
         "store-returned",
--- a/crates/zinniahatch_entry/src/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -2,14 +2,14 @@
 
 use crate::core::ACQUAINT_TIME;
 use crate::core::EntryCore;
-use crate::duty::READER_DUTY;
-use crate::duty::READERS;
-use crate::duty::has_duty;
-use crate::news::take_event;
-use crate::news::take_listing;
-use crate::own_card::reader_cover;
-use crate::proofs::note_proof;
-use crate::watch_topic::WatchTopic;
+use crate::nodes::duty::READER_DUTY;
+use crate::nodes::duty::READERS;
+use crate::nodes::duty::has_duty;
+use crate::nodes::own_card::reader_cover;
+use crate::store::news::take_event;
+use crate::store::news::take_listing;
+use crate::store::watch_topic::WatchTopic;
+use crate::who::proofs::note_proof;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rand::RngExt;
--- a/crates/zinniahatch_entry/src/allowances.rs
+++ b/crates/zinniahatch_entry/src/who/allowances.rs
@@ -1,8 +1,8 @@
 //! Allowances of client accounts on the way of a request.
 
 use crate::core::EntryCore;
-use crate::plan::CallPlan;
-use crate::received::ReceivedCall;
+use crate::request::plan::CallPlan;
+use crate::request::received::ReceivedCall;
 use std::rc::Rc;
 use zinniahatch_base::account_tag;
 use zinniahatch_base::prelude::*;
--- a/crates/zinniahatch_entry/src/identity.rs
+++ b/crates/zinniahatch_entry/src/who/identity.rs
@@ -1,9 +1,9 @@
 //! Who asks: the client account of a request, and whether its key still counts.
 
 use crate::core::EntryCore;
-use crate::received::AccountNote;
-use crate::received::ReceivedCall;
-use crate::received::RequestHop;
+use crate::request::received::AccountNote;
+use crate::request::received::ReceivedCall;
+use crate::request::received::RequestHop;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::Credential;
--- a/crates/zinniahatch_entry/src/proofs.rs
+++ b/crates/zinniahatch_entry/src/who/proofs.rs
@@ -5,10 +5,10 @@
 //! little longer than the one before: the death of the first costs a fraction of a second and no agreement.
 
 use crate::core::EntryCore;
-use crate::news::take_event;
-use crate::news::take_listing;
-use crate::watch::wait_for_store;
-use crate::watch_topic::WatchTopic;
+use crate::store::news::take_event;
+use crate::store::news::take_listing;
+use crate::store::watch::wait_for_store;
+use crate::store::watch_topic::WatchTopic;
 use rand::RngExt;
 use std::rc::Rc;
 use tokio::time::sleep;
