Wait for a fourth end where three do not tell a bystander from a fatal request

Cause: after three ends of as many replicas the content that had been there for the shorter time was held; a few tens of milliseconds between two contents are no evidence, since nodes learn of an end that far apart.

With less than 100 ms between them neither is held until a fourth end, which tells them apart. Weighed: to hold both (callers who did nothing are refused), to let both wait (nothing that ends a replica comes meanwhile, so that nothing is learned). The price is one replica more where the two are alike.

--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -29,6 +29,10 @@
 /// rule, some tens where a node has a tenth of a core. A content with enough ends waits for it; judged at once,
 /// what everybody asks was held for 5 ms, until the news of the one that had ended the replicas came.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
+/// Difference of the times that two contents were on the replicas up to which these do not tell them apart: nodes
+/// learn of an end some tens of milliseconds apart. One that began just after a fatal request on three replicas
+/// was held in its place; where three ends leave that open, a fourth is waited for.
+const ALIKE_TIME: Duration = Duration::from_millis(100);
 /// Time between two ends of one replica's life that are one end, seen by several nodes. A replica that
 /// starts again under its id is away for seconds.
 const SAME_END: Duration = Duration::from_secs(1);
@@ -312,9 +316,15 @@
     /// What ends the replicas that begin it never runs for long. Contents that were there for longer had the
     /// same ends where nothing else had been answered yet: what all callers ask stood on every replica.
     fn is_explained(&self, row: &SuspectRow, end: &ReplicaEnd) -> bool {
-        let own = (row.ends.len(), Reverse(row.ran()));
+        let unsure = if row.ends.len() == KNOWN_ENDS {
+            ALIKE_TIME
+        } else {
+            Duration::ZERO
+        };
+        let own = (row.ends.len(), Reverse(row.ran() + unsure));
         self.rows.values().any(|other| {
-            (other.ends.len(), Reverse(other.ran())) > own
+            !std::ptr::eq(other, row)
+                && (other.ends.len(), Reverse(other.ran())) > own
                 && other.ends.iter().any(|known| known.is_same(end))
         })
     }
@@ -371,6 +381,15 @@
         }
     }
 
+    /// Forgets what the store keeps, since it may have lost it; gives how many contents were kept.
+    pub fn forget_kept(&mut self) -> usize {
+        let mut count = 0;
+        for row in self.rows.values_mut() {
+            count += usize::from(std::mem::take(&mut row.kept));
+        }
+        count
+    }
+
     /// Takes up to so many news: those never told, and with `again` those that were told too seldom.
     pub fn take_news(&mut self, again: bool, most: usize, now: Instant) -> NewsBatch {
         let due = self
