Ask for proofs less often, and log the priorities of accounts

Cause: the node ranked second asked for a proof 150 ms after the first, before that one's cards had told what it learned, so that twice as many calls were made as meant. The first asks after 1.25 s now, each next one 0.6 s later.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -232,10 +232,13 @@
         if self.desired.borrow().is_some() && state.version <= self.version() {
             return false;
         }
+        let accounts = state.accounts.iter();
+        let priorities: BTreeSet<u8> = accounts.filter_map(|account| account.priority).collect();
         self.log.write(
             "version",
             serde_json::json!({"from": self.version(), "to": state.version, "source": source,
-                "routes": state.routes.len(), "accounts": state.accounts.len()}),
+                "routes": state.routes.len(), "accounts": state.accounts.len(),
+                "priorities": priorities}),
         );
         let identities = AccountTable::new(&state, &self.identities.borrow());
         *self.identities.borrow_mut() = Rc::new(identities);
--- a/crates/zinniahatch_entry/src/who/proofs.rs
+++ b/crates/zinniahatch_entry/src/who/proofs.rs
@@ -19,12 +19,14 @@
 
 /// Pause between looks at the age of the proof.
 const LOOK_TIME: Duration = Duration::from_millis(100);
-/// Age of a proof, as a part of the time for which it counts, at which the first node asks for another: of a bound
-/// of 5 s, a second.
-const ASK_PART: f64 = 0.2;
-/// The same that each node waits longer than the one ranked before it, and the longest age at which any asks.
-const RANK_PART: f64 = 0.03;
-const LAST_PART: f64 = 0.5;
+/// Age of a proof, as a part of the operators' bound, at which the first node asks for another: of 5 s, 1.25 s.
+const ASK_PART: f64 = 0.25;
+/// The same that each node waits longer than the one ranked before it, of 5 s 0.6 s: it has to hear first what that
+/// one was told, and cards come every 0.5 s. And the longest age at which any asks.
+const RANK_PART: f64 = 0.12;
+const LAST_PART: f64 = 0.55;
+/// The same over which the nodes that are ranked last are spread.
+const LAST_SPREAD: f64 = 0.1;
 /// The duty by which the nodes of a region are ranked.
 const PROVER_DUTY: &str = "keys";
 /// Limit of a call; a store that is merely slow answers within it.
@@ -81,7 +83,9 @@
         .filter(|card| rank_member(PROVER_DUTY, &card.node) > own)
         .count();
     let part = (ASK_PART + RANK_PART * above as f64).min(LAST_PART);
-    age >= bound.mul_f64(part)
+    // Where all that are ranked first are cut off, the others do not ask in one moment.
+    let apart = LAST_SPREAD * above as f64 / near.len().max(1) as f64;
+    age >= bound.mul_f64(part + apart)
 }
 
 /// Asks the store what changed of the operators' keys.
--- a/crates/zinniahatch_route/src/account.rs
+++ b/crates/zinniahatch_route/src/account.rs
@@ -35,7 +35,7 @@
         pub name: AccountId,
         /// The digests of its keys.
         pub keys: BTreeSet<KeyDigest>,
-        /// Rank among the accounts; 0 is the most urgent. None leaves the order to the routes.
+        /// Its rank in place of that of its routes; 0 is the most urgent. None leaves the order to the routes.
         pub priority: Option<u8>,
         /// Regions that may serve its requests and keep what they bring; empty allows all.
         pub homes: BTreeSet<RegionId>,
