--- a/crates/zinniahatch_entry/src/nodes/duty.rs
+++ b/crates/zinniahatch_entry/src/nodes/duty.rs
@@ -16,12 +16,16 @@
     if core.started.elapsed() < ACQUAINT_TIME {
         return false;
     }
+    ranked_above(core, duty) < nodes
+}
+
+/// Gives how many living nodes of the region rank before this one for a duty.
+pub(crate) fn ranked_above(core: &EntryCore, duty: &str) -> usize {
     let own = rank_member(duty, &core.settings.name);
     let members = core.members.borrow();
     let near = members.live_in(&core.settings.region, Instant::now());
-    let above = near
-        .iter()
+    let above = near.iter();
+    above
         .filter(|card| rank_member(duty, &card.node) > own)
-        .count();
-    above < nodes
+        .count()
 }
--- a/crates/zinniahatch_entry/src/who/proofs.rs
+++ b/crates/zinniahatch_entry/src/who/proofs.rs
@@ -5,6 +5,7 @@
 //! little longer than the one before: the death of the first costs a fraction of a second and no agreement.
 
 use crate::core::EntryCore;
+use crate::nodes::duty::ranked_above;
 use crate::store::news::take_event;
 use crate::store::news::take_listing;
 use crate::store::watch::wait_for_store;
@@ -13,7 +14,6 @@
 use std::rc::Rc;
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
-use zinniahatch_base::rank_member;
 use zinniahatch_platform::KvError;
 use zinniahatch_route::ToldProof;
 
@@ -75,16 +75,11 @@
     let Some(age) = core.proofs.borrow().age(core.clock.now()) else {
         return true;
     };
-    let own = rank_member(PROVER_DUTY, &core.settings.name);
-    let members = core.members.borrow();
-    let near = members.live_in(&core.settings.region, Instant::now());
-    let above = near
-        .iter()
-        .filter(|card| rank_member(PROVER_DUTY, &card.node) > own)
-        .count();
-    let part = (ASK_PART + RANK_PART * above as f64).min(LAST_PART);
+    let above = ranked_above(core, PROVER_DUTY) as f64;
+    let others = core.members.borrow().names_in(&core.settings.region).len();
+    let part = (ASK_PART + RANK_PART * above).min(LAST_PART);
     // Where all that are ranked first are cut off, the others do not ask in one moment.
-    let apart = LAST_SPREAD * above as f64 / near.len().max(1) as f64;
+    let apart = LAST_SPREAD * above / others.max(1) as f64;
     age >= bound.mul_f64(part + apart)
 }
 
--- /dev/null
+++ b/crates/zinniahatch_route/src/quota_row.rs
@@ -0,0 +1,229 @@
+//! The bucket of one account as a node sees it: what is used, what silent regions may use, and the debt.
+
+use zinniahatch_base::prelude::*;
+
+/// Silence of a region after which it may be cut off. Tellers speak every 200 ms, two of each region.
+pub(crate) const SILENCE: Duration = Duration::from_millis(700);
+/// Times over which the use of an account by a region is averaged: to go on from what was heard last, and to share
+/// the allowance when regions lose each other, by what all of them know alike.
+const LATE_TIME: Duration = Duration::from_secs(1);
+const LONG_TIME: Duration = Duration::from_secs(5);
+/// Time after a region's return in which its totals are compared with what was taken off for it.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+/// Part of an allowance that is shared evenly between the regions when they lose each other, so that one whose
+/// hour has just come is not held to nothing.
+const EVEN_PART: f64 = 0.5;
+/// Part of a burst with which a node starts: what its predecessors let pass a moment ago is not known to it.
+const FIRST_LEVEL: f64 = 0.1;
+/// Time over which a debt is forgotten. Nodes that could not hear each other see different debts; while the account
+/// goes on asking, a region that saw more of it than the others would be refused everything for good.
+const DEBT_TIME: Duration = Duration::from_secs(20);
+/// Part of a region's even share that it may use whatever its debt, and the time for which that is saved up.
+const FLOOR_PART: f64 = 0.4;
+const FLOOR_TIME: Duration = Duration::from_millis(500);
+/// Shortest and longest time that a caller is told to wait for room.
+const LEAST_RETRY: Duration = Duration::from_millis(50);
+const MOST_RETRY: Duration = Duration::from_secs(60);
+
+/// What an account may use: a bucket that fills up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaLimit {
+    /// Units a second.
+    pub rate: f64,
+    /// Units that it holds.
+    pub burst: f64,
+}
+
+/// How much of an account a region uses, on average and lately.
+#[derive(Clone, Copy, Debug)]
+struct UseMeter {
+    late: f64,
+    long: f64,
+    at: Instant,
+}
+
+impl UseMeter {
+    fn new(now: Instant) -> Self {
+        Self {
+            late: 0.0,
+            long: 0.0,
+            at: now,
+        }
+    }
+
+    fn add(&mut self, units: f64, now: Instant) {
+        let passed = now.saturating_duration_since(self.at);
+        let mean = |rate: f64, time: Duration| {
+            let kept = (-passed.as_secs_f64() / time.as_secs_f64()).exp();
+            rate * kept + units / time.as_secs_f64()
+        };
+        self.late = mean(self.late, LATE_TIME);
+        self.long = mean(self.long, LONG_TIME);
+        self.at = now;
+    }
+}
+
+impl UseMeter {
+    /// Gives the rate at which it probably goes on.
+    fn going_on(&self) -> f64 {
+        self.late.max(self.long)
+    }
+}
+
+/// What was taken off for a region while it was silent.
+#[derive(Clone, Copy, Debug)]
+struct TakenOff {
+    units: f64,
+    /// When some was taken off last.
+    at: Instant,
+}
+
+/// The bucket of one account as this node sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct QuotaRow {
+    pub(crate) limit: QuotaLimit,
+    pub(crate) level: f64,
+    /// What the region may use whatever its debt.
+    floor: f64,
+    at: Instant,
+    /// By the tag of the region.
+    uses: BTreeMap<ShortTag, UseMeter>,
+    /// Shares of the regions as they were when one of them fell silent; empty while all are heard.
+    shares: BTreeMap<ShortTag, f64>,
+    taken_off: BTreeMap<ShortTag, TakenOff>,
+}
+
+impl QuotaRow {
+    /// Starts the bucket of an account on a process that has just started.
+    pub(crate) fn new(limit: QuotaLimit, now: Instant) -> Self {
+        Self {
+            limit,
+            level: limit.burst * FIRST_LEVEL,
+            floor: 0.0,
+            at: now,
+            uses: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            taken_off: BTreeMap::new(),
+        }
+    }
+
+    /// Shares the allowance between the regions: in part evenly, in part by what they used.
+    fn shares_of(&self, regions: &BTreeMap<ShortTag, Instant>) -> BTreeMap<ShortTag, f64> {
+        let even = 1.0 / regions.len().max(1) as f64;
+        let used = |region: &ShortTag| self.uses.get(region).map_or(0.0, |meter| meter.long);
+        let all: f64 = regions.keys().map(used).sum();
+        let share = |region: &ShortTag| {
+            if all > 0.0 {
+                EVEN_PART * even + (1.0 - EVEN_PART) * used(region) / all
+            } else {
+                even
+            }
+        };
+        let regions = regions.keys();
+        regions.map(|region| (*region, share(region))).collect()
+    }
+
+    /// Gives the part of the rate that falls to the processes that are heard, this one among them; `silent` has the
+    /// silent regions, each with the part of its share that is not this process's to use.
+    fn heard_part(&self, silent: &BTreeMap<ShortTag, f64>) -> f64 {
+        let lost = silent
+            .iter()
+            .map(|(region, part)| part * self.shares.get(region).unwrap_or(&0.0));
+        1.0 - lost.sum::<f64>()
+    }
+
+    /// Keeps the shares as they were when the first region fell silent: what each part uses from then on is not
+    /// known to the others, and shares that followed it would add up to more than the allowance.
+    fn keep_shares(&mut self, regions: &BTreeMap<ShortTag, Instant>, silent: bool) {
+        if !silent {
+            self.shares.clear();
+        } else if self.shares.is_empty() {
+            self.shares = self.shares_of(regions);
+        }
+    }
+
+    /// Fills the bucket up to now.
+    pub(crate) fn advance(
+        &mut self,
+        regions: &BTreeMap<ShortTag, Instant>,
+        silent: &BTreeMap<ShortTag, f64>,
+        now: Instant,
+    ) {
+        self.keep_shares(regions, !silent.is_empty());
+        let part = self.heard_part(silent);
+        let passed = now.saturating_duration_since(self.at);
+        self.at = self.at.max(now);
+        for (region, others) in silent {
+            self.take_off(*region, *others, passed, now);
+        }
+        self.taken_off
+            .retain(|_, taken| now.saturating_duration_since(taken.at) <= RETURN_TIME);
+        let floor_rate = self.limit.rate * FLOOR_PART / regions.len().max(1) as f64;
+        let most = floor_rate * FLOOR_TIME.as_secs_f64();
+        self.floor = (self.floor + floor_rate * passed.as_secs_f64()).clamp(-most, most);
+        if self.level < 0.0 {
+            self.level *= (-passed.as_secs_f64() / DEBT_TIME.as_secs_f64()).exp();
+        }
+        // Whoever is not heard has the rest of what had been saved.
+        let most = self.limit.burst * part;
+        let level = self.level.min(most);
+        self.level = (level + self.limit.rate * part * passed.as_secs_f64()).min(most);
+    }
+
+    /// Notes what a silent region may have used in the time that passed.
+    fn take_off(&mut self, region: ShortTag, others: f64, passed: Duration, now: Instant) {
+        let share = others * self.shares.get(&region).unwrap_or(&0.0);
+        let taken = self.taken_off.entry(region).or_insert_with(|| {
+            // What it probably used before its silence showed.
+            let before = self.uses.get(&region).map_or(0.0, UseMeter::going_on);
+            let units = others * before * SILENCE.as_secs_f64();
+            self.level -= units;
+            TakenOff { units, at: now }
+        });
+        taken.units += self.limit.rate * share * passed.as_secs_f64();
+        taken.at = now;
+    }
+
+    /// Estimates what a region used since it was heard.
+    pub(crate) fn unheard(&self, region: ShortTag, heard: Instant, now: Instant) -> f64 {
+        let since = now.saturating_duration_since(heard).as_secs_f64();
+        let meter = self.uses.get(&region);
+        meter.map_or(0.0, |meter| meter.going_on() * since)
+    }
+
+    /// Tells whether the region may go on whatever its debt. A part that hears not all has its share, which is more.
+    pub(crate) fn is_spared(&self) -> bool {
+        self.floor > 0.0 && self.shares.is_empty()
+    }
+
+    /// Gives the time in which a debt is filled up.
+    pub(crate) fn wait_for(&self, debt: f64, silent: &BTreeMap<ShortTag, f64>) -> Duration {
+        let part = self.heard_part(silent).max(f64::MIN_POSITIVE);
+        let wait = Duration::try_from_secs_f64(debt / (self.limit.rate * part));
+        wait.unwrap_or(MOST_RETRY).clamp(LEAST_RETRY, MOST_RETRY)
+    }
+
+    /// Takes off what a region used; `own` tells whether it is this one, and `spans` whether a silence lay between
+    /// these news and the ones before.
+    pub(crate) fn charge(
+        &mut self,
+        region: ShortTag,
+        units: f64,
+        own: bool,
+        spans: bool,
+        now: Instant,
+    ) {
+        let meter = self.uses.entry(region).or_insert(UseMeter::new(now));
+        meter.add(units.max(0.0), now);
+        if own {
+            self.floor -= units;
+        }
+        let taken_off = self.taken_off.get_mut(&region).filter(|_| spans);
+        let known = taken_off.map_or(0.0, |taken| {
+            let known = taken.units.min(units).max(0.0);
+            taken.units -= known;
+            known
+        });
+        self.level = (self.level - units + known).min(self.limit.burst);
+    }
+}
