Trust no keys at a node that has just started and may be behind; let the store come back older in the soak

For its first 2 s a node trusts keys only once it has heard of a node that follows a version, and of none that follows a newer one; requests wait for that as they wait for the desired state.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -256,8 +256,22 @@
         let Some(bound) = self.settings.bounds.revoke else {
             return true;
         };
-        let guarded = self.identities.borrow().is_guarded();
-        !guarded || self.proofs.borrow().is_fresh(bound, self.clock.now())
+        if !self.identities.borrow().is_guarded() {
+            return true;
+        }
+        !self.may_be_behind() && self.proofs.borrow().is_fresh(bound, self.clock.now())
+    }
+
+    /// Tells whether this node has just started and has not heard yet that no other follows a newer version.
+    ///
+    /// Failure: the store comes back from an older copy, in which a key stands that was taken away. A node that starts
+    /// just then reads it there and serves it until it hears of the others, a tenth of a second later.
+    pub(crate) fn may_be_behind(&self) -> bool {
+        if self.started.elapsed() >= ACQUAINT_TIME || self.contacts.borrow().is_empty() {
+            return false;
+        }
+        let newest = self.members.borrow().newest_version(Instant::now());
+        newest == 0 || newest > self.version()
     }
 
     /// Gives the time for which proofs count, where callers have to say who they are.
--- a/crates/zinniahatch_entry/src/request/starting.rs
+++ b/crates/zinniahatch_entry/src/request/starting.rs
@@ -16,9 +16,14 @@
 /// should hear that soon.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
-/// Waits until the desired state and the replicas are known, or until the request has waited its part.
+/// Waits until the desired state and the replicas are known, and where callers need keys, that it is not an old one;
+/// or until the request has waited its part.
 pub(crate) async fn await_rules(core: &EntryCore, call: &ReceivedCall) {
-    while !core.knows() && learn_more(core, call).await {}
+    while !knows_rules(core) && learn_more(core, call).await {}
+}
+
+fn knows_rules(core: &EntryCore) -> bool {
+    core.knows() && (core.key_bound().is_none() || !core.may_be_behind())
 }
 
 /// Waits for any news on a node that has just started; tells whether some came in time.
--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -48,6 +48,9 @@
     /// one more caller comes with a request that ends each replica which begins it
     #[argh(switch)]
     fatal: bool,
+    /// let the store come back from an older copy
+    #[argh(switch)]
+    returns: bool,
 }
 
 /// run a small site on the platform's protocol, with a kill and a planned stop
@@ -159,6 +162,7 @@
                 entries: args.entries,
                 callers: args.callers,
                 fatal: args.fatal,
+                returns: args.returns,
             };
             zinniahatch_lab::soak::run(&run).await
         }
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -46,6 +46,17 @@
     pub replicas: usize,
 }
 
+impl SiteRegion {
+    /// Makes a region with so many entry VMs and replicas.
+    pub const fn new(name: &'static str, entries: usize, replicas: usize) -> Self {
+        Self {
+            name,
+            entries,
+            replicas,
+        }
+    }
+}
+
 /// One entry VM.
 #[derive(Debug)]
 pub struct SiteEntry {
@@ -208,6 +219,24 @@
         self.store.write(&key, &entry);
     }
 
+    /// Writes the entries of all replicas again, as after the return of the store from a copy, and removes those of
+    /// replicas that have ended; `state` gives what each says, none where it has no entry.
+    pub fn register_again(&self, state: impl Fn(usize) -> Option<&'static str>) {
+        for key in self.store.keys("servers/") {
+            let lives =
+                |(replica, _): &(StandReplica, _)| key.ends_with(&format!("/{}", replica.id));
+            if !self.replicas.iter().any(lives) {
+                self.store.remove(&key);
+            }
+        }
+        for index in 0..self.replicas.len() {
+            match state(index) {
+                Some(state) => self.register(index, state),
+                None => self.unregister(index),
+            }
+        }
+    }
+
     /// Removes the entry of a replica, as when it has left or its lease lapsed.
     pub fn unregister(&self, index: usize) {
         let id = &self.replicas[index].0.id;
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -42,6 +42,8 @@
     pub callers: usize,
     /// Whether one more caller comes with a request that ends each replica which begins it.
     pub fatal: bool,
+    /// Whether the store comes back from an older copy.
+    pub returns: bool,
 }
 
 /// Runs seed after seed; gives how many promises broke.
@@ -69,7 +71,10 @@
         replicas,
     });
     let mut site = SiteCluster::start(&regions, SHAPE).await;
-    let plan = SoakPlan::draw(seed, soak.time, &site);
+    let mut plan = SoakPlan::draw(seed, soak.time, &site);
+    if soak.returns {
+        plan = plan.with_return(seed, soak.time);
+    }
     let book = Arc::new(PromiseBook::default());
     let crowd = CallerCrowd::start(seed, soak.callers, &site, &book);
     let fatal = soak.fatal.then(|| FatalCaller::start(seed, &site));
--- a/crates/zinniahatch_lab/src/soak/faults.rs
+++ b/crates/zinniahatch_lab/src/soak/faults.rs
@@ -9,6 +9,7 @@
 use crate::site::wait_until;
 use crate::stand::faults::ServiceMode;
 use crate::stand::replica::ReplicaBehaviour;
+use crate::stand::store::StandCopy;
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
 
@@ -37,6 +38,10 @@
     leaving: BTreeMap<usize, Instant>,
     /// Entry VMs that were asked to stop.
     stopping: BTreeSet<usize>,
+    /// The copies from which the store comes back, by the time of their making.
+    copies: Vec<StandCopy>,
+    /// Data centres that the operator has evacuated.
+    evacuated: BTreeSet<&'static str>,
     /// How many faults hold each thing, so that the first to end does not mend it for the others.
     holds: BTreeMap<String, u32>,
 }
@@ -61,6 +66,8 @@
             added: Vec::new(),
             leaving: BTreeMap::new(),
             stopping: BTreeSet::new(),
+            copies: Vec::new(),
+            evacuated: BTreeSet::new(),
             holds: BTreeMap::new(),
         }
     }
@@ -154,6 +161,7 @@
             SoakFault::StoreLosesAnswers(count) => site.switch.lose_answers(count),
             SoakFault::LeasesLapse => site.store.lapse_leases(),
             SoakFault::HistoryGone => site.store.forget_history(),
+            SoakFault::StoreReturns => self.copies.push(site.store.copy()),
             SoakFault::StoreCut(region) => site.store_link(region).lose(LinkWay::There),
             SoakFault::StoreMute(region) => site.store_link(region).silence_open(),
             SoakFault::LinkSlow(index, millis) => {
@@ -178,6 +186,7 @@
             SoakFault::ReplicaIll(index, illness) => site.replicas[index].0.behave(illness),
             SoakFault::AddRoute => self.add_route(site),
             SoakFault::Evacuate(region) => {
+                self.evacuated.insert(region);
                 site.store.write(&format!("op/evacuate/{region}-a"), "{}");
             }
         }
@@ -212,7 +221,11 @@
             SoakFault::ReplicaIll(index, _) => {
                 site.replicas[index].0.behave(ReplicaBehaviour::Serve);
             }
-            SoakFault::Evacuate(region) => site.store.remove(&format!("op/evacuate/{region}-a")),
+            SoakFault::Evacuate(region) => {
+                self.evacuated.remove(region);
+                site.store.remove(&format!("op/evacuate/{region}-a"));
+            }
+            SoakFault::StoreReturns => self.bring_back(site),
             SoakFault::StoreLosesAnswers(_)
             | SoakFault::LeasesLapse
             | SoakFault::HistoryGone
@@ -224,6 +237,38 @@
         }
     }
 
+    /// Brings the store back from its copy. What the operator and the replicas wrote since is written again; entries
+    /// of replicas that have ended are gone, as they are once these were silent.
+    fn bring_back(&mut self, site: &SiteCluster) {
+        if let Some(copy) = self.copies.pop() {
+            site.store.come_back(&copy);
+        }
+        site.configure(self.version, &self.added());
+        for (_, region) in &site.replicas {
+            let key = format!("op/evacuate/{region}-a");
+            if self.evacuated.contains(region) {
+                site.store.write(&key, "{}");
+            } else {
+                site.store.remove(&key);
+            }
+        }
+        site.register_again(|index| self.entry_state(index));
+    }
+
+    /// Gives what the entry of a replica says now; none where it has none.
+    fn entry_state(&self, index: usize) -> Option<&'static str> {
+        let holds = |fault| {
+            self.holds
+                .get(&held_by(fault))
+                .is_some_and(|count| *count > 0)
+        };
+        if !self.leaving.contains_key(&index) {
+            return Some("ready");
+        }
+        // Either fault holds the entry; a replica that drains says so for as long as it runs.
+        holds(SoakFault::ReplicaDrains(index)).then_some("draining")
+    }
+
     fn add_route(&mut self, site: &SiteCluster) {
         self.version += 3;
         self.added.push(format!("added-{}", self.version));
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -14,6 +14,8 @@
 const FAULT_MILLIS: std::ops::Range<u64> = 300..4_000;
 /// How long a replica that leaves goes on serving before it is gone.
 const DRAIN_TIME: Duration = Duration::from_secs(7);
+/// Age of the copy from which the store comes back.
+const RETURN_MILLIS: std::ops::Range<u64> = 1_500..5_000;
 /// Added delay of a slow link.
 const SLOW_MILLIS: std::ops::Range<u64> = 50..600;
 
@@ -40,6 +42,8 @@
     LeasesLapse,
     /// The store forgets its history.
     HistoryGone,
+    /// The store is away and comes back from a copy that was made when it went.
+    StoreReturns,
     /// A region's link to the store loses what nodes send.
     StoreCut(&'static str),
     /// A region's connections to the store go silent for good.
@@ -83,6 +87,7 @@
                 | Self::StoreLosesAnswers(_)
                 | Self::LeasesLapse
                 | Self::HistoryGone
+                | Self::StoreReturns
                 | Self::StoreCut(_)
                 | Self::StoreMute(_)
         )
@@ -97,6 +102,7 @@
                 | Self::StoreSlow(_)
                 | Self::StoreLosesAnswers(_)
                 | Self::LeasesLapse
+                | Self::StoreReturns
                 | Self::StoreCut(_)
                 | Self::StoreMute(_)
         )
@@ -168,6 +174,20 @@
 }
 
 impl SoakPlan {
+    /// Adds a return of the store from an older copy. It is drawn apart, so that the other faults of a seed stay.
+    pub(crate) fn with_return(mut self, seed: u64, time: Duration) -> Self {
+        let mut random = StdRng::seed_from_u64(!seed);
+        let at = time.mul_f64(random.random_range(0.1..0.6));
+        // The copy is made at the beginning; what follows is lost, until the store is away.
+        let lasting = Duration::from_millis(random.random_range(RETURN_MILLIS));
+        self.faults.push(PlannedFault {
+            at,
+            until: at + lasting,
+            fault: SoakFault::StoreReturns,
+        });
+        self
+    }
+
     /// Draws the faults of a seed.
     pub(crate) fn draw(seed: u64, time: Duration, site: &SiteCluster) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
--- a/crates/zinniahatch_lab/src/stand/store.rs
+++ b/crates/zinniahatch_lab/src/stand/store.rs
@@ -203,6 +203,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Gives the keys below a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<Box<str>> {
+        let data = self.lock();
+        let keys = data.values.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
     /// Gives how often the store has come back from a copy.
     pub fn era(&self) -> u64 {
         self.lock().era
--- a/crates/zinniahatch_lab/tests/accounts.rs
+++ b/crates/zinniahatch_lab/tests/accounts.rs
@@ -25,14 +25,6 @@
     pause: Duration::from_millis(50),
 };
 
-fn region(name: &'static str, entries: usize, replicas: usize) -> SiteRegion {
-    SiteRegion {
-        name,
-        entries,
-        replicas,
-    }
-}
-
 fn account(name: &str, keys: &[&str]) -> Value {
     json!({"name": name, "api_keys": keys, "priority": 1})
 }
@@ -66,7 +58,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn replicas_are_told_the_account_of_the_key() {
     let accounts = json!([account("acme", &["k1", "k2"]), account("other", &["k3"])]);
-    let regions = [region("north", 2, 2), region("south", 1, 0)];
+    let regions = [
+        SiteRegion::new("north", 2, 2),
+        SiteRegion::new("south", 1, 0),
+    ];
     let site = SiteCluster::start_guarded(&regions, SHORT, &accounts).await;
     for (node, attempt) in [(0, "a0"), (1, "a1"), (2, "a2")] {
         let call = site
@@ -97,7 +92,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_keys_are_refused(credential: Option<&str>) {
     let accounts = json!([account("acme", &["k1"])]);
-    let site = SiteCluster::start_guarded(&[region("north", 1, 1)], SHORT, &accounts).await;
+    let site =
+        SiteCluster::start_guarded(&[SiteRegion::new("north", 1, 1)], SHORT, &accounts).await;
     let mut call = site.call(0, "/once/x", "w");
     if let Some(credential) = credential {
         call = call.header("authorization", credential);
@@ -118,7 +114,10 @@
 async fn homes_of_the_account_bind() {
     let mut homed = account("acme", &["k1"]);
     homed["home_regions"] = json!(["south"]);
-    let regions = [region("north", 1, 1), region("south", 1, 1)];
+    let regions = [
+        SiteRegion::new("north", 1, 1),
+        SiteRegion::new("south", 1, 1),
+    ];
     let site = SiteCluster::start_guarded(&regions, SHORT, &json!([homed])).await;
     for node in 0..2 {
         let attempt = format!("p{node}");
@@ -143,7 +142,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn key_taken_away_resumes_nothing() {
     let accounts = json!([account("acme", &["k1", "k2"])]);
-    let site = SiteCluster::start_guarded(&[region("north", 2, 2)], LONG, &accounts).await;
+    let site = SiteCluster::start_guarded(&[SiteRegion::new("north", 2, 2)], LONG, &accounts).await;
     let answer = send(&site, 0, "/stream/x", "s", "k1").await;
     assert_eq!(answer.status(), StatusCode::OK);
     site.configure_accounts(3, &json!([account("acme", &["k2"])]));
@@ -172,7 +171,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_store_ends_the_trust_in_keys() {
     let accounts = json!([account("acme", &["k1"])]);
-    let regions = [region("north", 2, 1), region("south", 1, 1)];
+    let regions = [
+        SiteRegion::new("north", 2, 1),
+        SiteRegion::new("south", 1, 1),
+    ];
     let site = SiteCluster::start_guarded(&regions, SHORT, &accounts).await;
     site.switch.set(ServiceMode::Silent);
     let since = Instant::now();
@@ -208,7 +210,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn region_without_the_store_lives_on_proofs_of_others() {
     let accounts = json!([account("acme", &["k1", "k2"])]);
-    let regions = [region("north", 2, 1), region("south", 2, 1)];
+    let regions = [
+        SiteRegion::new("north", 2, 1),
+        SiteRegion::new("south", 2, 1),
+    ];
     let site = SiteCluster::start_guarded(&regions, SHORT, &accounts).await;
     site.store_link("north").cut();
     let cut = Instant::now();
@@ -240,7 +245,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn node_that_wakes_does_not_trust_what_it_knew() {
     let accounts = json!([account("acme", &["k1", "k2"])]);
-    let site = SiteCluster::start_guarded(&[region("north", 2, 1)], SHORT, &accounts).await;
+    let site =
+        SiteCluster::start_guarded(&[SiteRegion::new("north", 2, 1)], SHORT, &accounts).await;
     assert_eq!(
         send(&site, 0, "/plain/x", "a", "k1").await.status(),
         StatusCode::OK
@@ -270,7 +276,10 @@
     limited["rate_per_s"] = json!(RATE);
     limited["burst_size"] = json!(RATE);
     let accounts = json!([limited, account("other", &["k2"])]);
-    let regions = [region("north", 3, 1), region("south", 2, 1)];
+    let regions = [
+        SiteRegion::new("north", 3, 1),
+        SiteRegion::new("south", 2, 1),
+    ];
     let site = SiteCluster::start_guarded(&regions, SHORT, &accounts).await;
     let since = Instant::now();
     let mut passed = 0;
--- a/crates/zinniahatch_lab/tests/site.rs
+++ b/crates/zinniahatch_lab/tests/site.rs
@@ -22,14 +22,6 @@
     pause: Duration::from_millis(50),
 };
 
-fn region(name: &'static str, entries: usize, replicas: usize) -> SiteRegion {
-    SiteRegion {
-        name,
-        entries,
-        replicas,
-    }
-}
-
 /// Gives the ids of the events in a stream's text, checking that none is torn.
 fn event_ids(text: &str) -> Vec<u32> {
     text.split_terminator("\n\n")
@@ -45,7 +37,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn serve_on_a_calm_day() {
-    let site = SiteCluster::start(&[region("north", 2, 2), region("south", 1, 1)], SHORT).await;
+    let site = SiteCluster::start(
+        &[
+            SiteRegion::new("north", 2, 2),
+            SiteRegion::new("south", 1, 1),
+        ],
+        SHORT,
+    )
+    .await;
     for index in 0..3 {
         let attempt = format!("plain-{index}");
         let answer = site.call(index, "/plain/x", &attempt).send().await.unwrap();
@@ -92,9 +91,9 @@
 async fn serve_away_when_home_has_no_replica() {
     let site = SiteCluster::start(
         &[
-            region("north", 1, 1),
-            region("south", 1, 0),
-            region("west", 1, 1),
+            SiteRegion::new("north", 1, 1),
+            SiteRegion::new("south", 1, 0),
+            SiteRegion::new("west", 1, 1),
         ],
         SHORT,
     )
@@ -118,7 +117,7 @@
 async fn misdirected_requests_draw_on_the_budget() {
     const FORMER: usize = 120;
     const CALLS: u32 = 30;
-    let site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHORT).await;
     for number in 0..FORMER {
         site.register_former(0, &format!("a-former-{number}"));
     }
@@ -142,7 +141,14 @@
 /// it was handed to tried as often as the first one could. All its tries count together.
 #[tokio::test(flavor = "multi_thread")]
 async fn handed_over_request_keeps_its_attempts() {
-    let site = SiteCluster::start(&[region("north", 2, 3), region("south", 1, 0)], SHORT).await;
+    let site = SiteCluster::start(
+        &[
+            SiteRegion::new("north", 2, 3),
+            SiteRegion::new("south", 1, 0),
+        ],
+        SHORT,
+    )
+    .await;
     for (replica, _) in &site.replicas {
         replica.behave(ReplicaBehaviour::Fail);
     }
@@ -159,7 +165,14 @@
 /// at once, as not run, with a time to come back.
 #[tokio::test(flavor = "multi_thread")]
 async fn refuse_bound_requests_without_their_home() {
-    let site = SiteCluster::start(&[region("north", 1, 0), region("south", 1, 1)], SHORT).await;
+    let site = SiteCluster::start(
+        &[
+            SiteRegion::new("north", 1, 0),
+            SiteRegion::new("south", 1, 1),
+        ],
+        SHORT,
+    )
+    .await;
     for index in 0..2 {
         let answer = site.call(index, "/bound/x", "b1").send().await.unwrap();
         assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
@@ -173,7 +186,7 @@
 /// twice, or nothing more. It must see every event once, the rest from another replica.
 #[tokio::test(flavor = "multi_thread")]
 async fn resume_a_broken_stream() {
-    let site = SiteCluster::start(&[region("north", 1, 2)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 2)], SHORT).await;
     let mut resumed = 0;
     for number in 0..6 {
         for (replica, _) in &site.replicas {
@@ -194,7 +207,7 @@
 /// it stood twice. The answer must say that the outcome is not known, and no second run follows.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answer_of_what_may_run_once() {
-    let site = SiteCluster::start(&[region("north", 1, 2)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 2)], SHORT).await;
     for (replica, _) in &site.replicas {
         replica.behave(ReplicaBehaviour::LoseAnswer);
     }
@@ -211,7 +224,7 @@
 /// would enter it again; whether it ran is not known, and the answer must say so.
 #[tokio::test(flavor = "multi_thread")]
 async fn deadline_while_a_replica_is_silent() {
-    let site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHORT).await;
     site.replicas[0].0.behave(ReplicaBehaviour::Mute);
     let patience = Duration::from_millis(400);
     let call = site.call_within(0, "/once/x", "q1", patience);
@@ -223,7 +236,7 @@
 /// A replica that is full refuses without running; the caller is told so and when to come back.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusal_of_a_full_replica_is_passed_on() {
-    let site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHORT).await;
     site.replicas[0].0.behave(ReplicaBehaviour::Shed);
     let answer = site.call(0, "/once/x", "f1").send().await.unwrap();
     assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
@@ -235,7 +248,7 @@
 /// sent to another one; what the replica said is passed on unchanged where there is none.
 #[tokio::test(flavor = "multi_thread")]
 async fn repeat_a_failed_answer_elsewhere() {
-    let site = SiteCluster::start(&[region("north", 1, 2)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 2)], SHORT).await;
     site.replicas[0].0.behave(ReplicaBehaviour::Fail);
     for number in 0..6 {
         let attempt = format!("r{number}");
@@ -252,7 +265,7 @@
 /// for nobody. It is told by the closing of its channel.
 #[tokio::test(flavor = "multi_thread")]
 async fn cancel_when_the_caller_leaves() {
-    let site = SiteCluster::start(&[region("north", 1, 1)], LONG).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], LONG).await;
     let mut answer = site.call(0, "/stream/x", "c1").send().await.unwrap();
     assert!(answer.chunk().await.unwrap().is_some());
     drop(answer);
@@ -266,7 +279,7 @@
 /// names the node, and the process ends by itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_cuts_off_nothing() {
-    let mut site = SiteCluster::start(&[region("north", 2, 1)], LONG).await;
+    let mut site = SiteCluster::start(&[SiteRegion::new("north", 2, 1)], LONG).await;
     let mut answer = site.call(0, "/stream/x", "t1").send().await.unwrap();
     let mut text = answer.chunk().await.unwrap().unwrap_or_default().to_vec();
     site.terminate(0);
@@ -288,7 +301,7 @@
 /// over what its peers know, and until then it says 503.
 #[tokio::test(flavor = "multi_thread")]
 async fn start_while_the_store_is_down() {
-    let mut site = SiteCluster::start(&[region("north", 2, 1)], SHORT).await;
+    let mut site = SiteCluster::start(&[SiteRegion::new("north", 2, 1)], SHORT).await;
     site.kill(0);
     site.switch.set(ServiceMode::Down);
     site.spawn(0);
@@ -309,7 +322,7 @@
 /// served throughout.
 #[tokio::test(flavor = "multi_thread")]
 async fn serve_while_the_store_is_away() {
-    let site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHORT).await;
     site.switch.set(ServiceMode::Down);
     wait_until("the node notices the outage", async || {
         site.log(0).contains("store-lost")
@@ -330,7 +343,7 @@
 /// A replica that said it is leaving got new work, and lost it when it went.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_replica_gets_no_new_work() {
-    let site = SiteCluster::start(&[region("north", 1, 2)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 2)], SHORT).await;
     site.register(0, "draining");
     wait_until("the node knows", async || {
         site.log(0).contains("\"leaving\":true")
@@ -349,7 +362,7 @@
 /// never heard. It lists anew; and an older state that is written late does not come back.
 #[tokio::test(flavor = "multi_thread")]
 async fn desired_state_survives_forgotten_history() {
-    let site = SiteCluster::start(&[region("north", 2, 1)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 2, 1)], SHORT).await;
     site.configure(5, &["fresh"]);
     site.store.forget_history();
     for index in 0..2 {
@@ -373,7 +386,7 @@
 /// An operator wrote a state that cannot be understood. The last good one stays in force.
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_desired_state_changes_nothing() {
-    let site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHORT).await;
     site.store
         .write("op/config", "{\"version\": 9, \"routes\": 3}");
     site.store.write("servers/odd", "[]");
@@ -389,7 +402,7 @@
 /// planned are all in the store; those of one that died are a named gap.
 #[tokio::test(flavor = "multi_thread")]
 async fn counts_reach_the_store() {
-    let mut site = SiteCluster::start(&[region("north", 2, 1)], SHORT).await;
+    let mut site = SiteCluster::start(&[SiteRegion::new("north", 2, 1)], SHORT).await;
     for number in 0..10 {
         let index = number % 2;
         let attempt = format!("m{number}");
@@ -417,7 +430,7 @@
 /// Input that is wrong or hostile: refused with the reason, and the node lives on.
 #[tokio::test(flavor = "multi_thread")]
 async fn refuse_bad_input() {
-    let site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHORT).await;
     let url = format!("http://{}/plain/x", site.entries[0].addresses[0]);
     let client = reqwest::Client::new();
     let nameless = client.get(&url).header("host", HOST).send().await.unwrap();
@@ -440,7 +453,7 @@
 /// fresh node never knows its routes when the first caller comes; of three starts one at least serves that one.
 #[tokio::test(flavor = "multi_thread")]
 async fn serve_the_first_caller_of_a_start() {
-    let mut site = SiteCluster::start(&[region("north", 1, 1)], SHORT).await;
+    let mut site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHORT).await;
     site.switch
         .set(ServiceMode::Slow(Duration::from_millis(150)));
     let mut served = 0;
@@ -464,7 +477,7 @@
 /// to its end, the node stays ready, and its log says that nothing is new.
 #[tokio::test(flavor = "multi_thread")]
 async fn reload_without_a_change_disturbs_nobody() {
-    let site = SiteCluster::start(&[region("north", 1, 1)], LONG).await;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], LONG).await;
     let mut answer = site.call(0, "/stream/x", "h1").send().await.unwrap();
     let mut text = answer.chunk().await.unwrap().unwrap_or_default().to_vec();
     for _ in 0..3 {
@@ -497,7 +510,7 @@
 /// knew what they had placed. They notice that it passes nothing on, and agree on another.
 #[tokio::test(flavor = "multi_thread")]
 async fn collector_that_died_is_left() {
-    let mut site = SiteCluster::start(&[region("north", 10, 2)], SHORT).await;
+    let mut site = SiteCluster::start(&[SiteRegion::new("north", 10, 2)], SHORT).await;
     let collector_of = |site: &SiteCluster, index: usize| {
         let path = work_path(site, index);
         let gathers = |entry: &SiteEntry| path.contains(&*entry.addresses[4]);
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -5,15 +5,27 @@
 use zinniahatch_lab::soak::SoakRun;
 use zinniahatch_lab::soak::run_seed;
 
+/// What goes on beside the faults that a seed draws.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Beside {
+    /// Nothing.
+    Nothing,
+    /// A request that ends each replica which begins it.
+    Fatal,
+    /// The store comes back from an older copy.
+    Return,
+}
+
 /// Plays a seed for so many seconds with so many entry VMs a region and callers.
-async fn check_seed(seed: u64, seconds: u64, entries: usize, callers: usize, fatal: bool) {
+async fn check_seed(seed: u64, seconds: u64, entries: usize, callers: usize, with: Beside) {
     let soak = SoakRun {
         seed,
         seeds: 1,
         time: Duration::from_secs(seconds),
         entries,
         callers,
-        fatal,
+        fatal: with == Beside::Fatal,
+        returns: with == Beside::Return,
     };
     let broken = run_seed(&soak, seed).await;
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
@@ -25,7 +37,16 @@
 #[test_case(3; "planned")]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_in_a_soak(seed: u64) {
-    check_seed(seed, 8, 1, 8, false).await;
+    check_seed(seed, 8, 1, 8, Beside::Nothing).await;
+}
+
+/// The store comes back from a copy some seconds old while other faults go on: what was written since is gone, leases
+/// too, and revisions are given out again. Every promise holds, and what the operator writes again is in force.
+#[test_case(8; "any")]
+#[test_case(7; "planned")]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_when_the_store_comes_back_older(seed: u64) {
+    check_seed(seed, 8, 2, 8, Beside::Return).await;
 }
 
 /// A caller's request ends each replica that begins it, and it comes again at any node while other faults
@@ -34,7 +55,7 @@
 #[test_case(6; "replicas")]
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_beside_a_fatal_request(seed: u64) {
-    check_seed(seed, 8, 2, 8, true).await;
+    check_seed(seed, 8, 2, 8, Beside::Fatal).await;
 }
 
 /// A request that all callers make had not been answered yet when another one ended the three replicas of a
@@ -53,7 +74,7 @@
 #[test_case(704; "began_just_after")]
 #[tokio::test(flavor = "multi_thread")]
 async fn what_everybody_asks_is_not_held_beside_a_fatal_request(seed: u64) {
-    check_seed(seed, 10, 3, 20, true).await;
+    check_seed(seed, 10, 3, 20, Beside::Fatal).await;
 }
 
 /// In 122, two losses of one link overlapped, and the relay of the lab delivered a stream with a hole in the
@@ -65,5 +86,5 @@
 #[test_case(131; "replicas_start_again_under_their_ids")]
 #[tokio::test(flavor = "multi_thread")]
 async fn seeds_that_failed(seed: u64) {
-    check_seed(seed, 10, 2, 12, false).await;
+    check_seed(seed, 10, 2, 12, Beside::Nothing).await;
 }
--- a/crates/zinniahatch_lab/tests/store_returns.rs
+++ b/crates/zinniahatch_lab/tests/store_returns.rs
@@ -3,18 +3,31 @@
 use std::time::Duration;
 use test_case::test_case;
 use zinniahatch_base::StoreRevision;
+use zinniahatch_config::PRESET_KEY;
+use zinniahatch_config::format_serving_preset;
+use zinniahatch_config::parse_serving_preset;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::stand::faults::FaultSwitch;
+use zinniahatch_lab::stand::replica::StreamShape;
 use zinniahatch_lab::stand::serve::StandServer;
 use zinniahatch_lab::stand::store::StandStore;
 use zinniahatch_platform::CommitOutcome;
 use zinniahatch_platform::KvClient;
 use zinniahatch_platform::KvError;
 use zinniahatch_platform::StoreCommit;
+use zinniahatch_route::ServingPreset;
 
 const LIMIT: Duration = Duration::from_secs(2);
 /// Wait of a watch that a return must end.
 const LONG_WAIT: Duration = Duration::from_secs(20);
 
+const SHAPE: StreamShape = StreamShape {
+    events: 3,
+    pause: Duration::from_millis(5),
+};
+
 async fn open_store() -> (StandStore, StandServer, KvClient) {
     let store = StandStore::default();
     let front = store.front(FaultSwitch::default()).await;
@@ -106,3 +119,77 @@
     assert_eq!(client.keep(mine).await, Ok(false));
     assert_eq!(other.keep(theirs).await, Ok(true));
 }
+
+fn accounts(keys: &[&str]) -> serde_json::Value {
+    serde_json::json!([{"name": "acme", "api_keys": keys}])
+}
+
+/// Gives the status that a node answers with; 0 where it does not listen yet.
+async fn code_of(site: &SiteCluster, node: usize, key: &str) -> u16 {
+    let call = site.call(node, "/plain/x", "a");
+    let call = call.header("authorization", format!("Token {key}"));
+    let answer = call.send().await;
+    answer.map_or(0, |answer| answer.status().as_u16())
+}
+
+/// A key is taken away, and the store comes back from a copy that still has it. A node that starts just then finds it
+/// there, and must not serve it: the others follow the newer version, and say so.
+#[tokio::test(flavor = "multi_thread")]
+async fn key_taken_away_stays_so_at_nodes_that_start() {
+    let regions = [SiteRegion::new("north", 3, 2)];
+    let mut site = SiteCluster::start_guarded(&regions, SHAPE, &accounts(&["k1", "k2"])).await;
+    let copy = site.store.copy();
+    site.configure_accounts(5, &accounts(&["k2"]));
+    for node in 0..3 {
+        wait_until("the key is refused", async || {
+            code_of(&site, node, "k1").await == 401
+        })
+        .await;
+    }
+    site.store.come_back(&copy);
+    site.kill(0);
+    site.spawn(0);
+    wait_until("the node serves the other key", async || {
+        for node in 0..3 {
+            assert_ne!(code_of(&site, node, "k1").await, 200);
+        }
+        code_of(&site, 0, "k2").await == 200
+    })
+    .await;
+    site.configure_accounts(5, &accounts(&["k2"]));
+    for node in 0..3 {
+        wait_until("all serve", async || {
+            code_of(&site, node, "k2").await == 200
+        })
+        .await;
+        assert_eq!(code_of(&site, node, "k1").await, 401);
+    }
+}
+
+/// An operator's switch was acknowledged and in force, and the store comes back from a copy without it. It stays in
+/// force, and the nodes write it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn preset_in_force_is_written_again() {
+    let site = SiteCluster::start(&[SiteRegion::new("north", 2, 1)], SHAPE).await;
+    let copy = site.store.copy();
+    let preset = ServingPreset {
+        name: "peak".into(),
+        revision: 7,
+        ..ServingPreset::default()
+    };
+    site.store
+        .write(PRESET_KEY, &format_serving_preset(&preset));
+    for node in 0..2 {
+        wait_until("the preset is in force", async || {
+            site.log(node).contains("\"to\":\"peak\"")
+        })
+        .await;
+    }
+    site.store.come_back(&copy);
+    assert_eq!(site.store.read(PRESET_KEY), None);
+    wait_until("the preset is written again", async || {
+        let text = site.store.read(PRESET_KEY).unwrap_or_default();
+        parse_serving_preset(PRESET_KEY, &text).is_ok_and(|kept| kept == preset)
+    })
+    .await;
+}
