--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -1,5 +1,8 @@
 //! A small system on the users' platform: the real daemon as processes, stand-ins around it.
 
+mod calls;
+mod desired;
+
 use crate::cluster::daemon_path;
 use crate::cluster::free_addresses;
 use crate::relay::LinkState;
@@ -11,8 +14,8 @@
 use crate::stand::replica::StreamShape;
 use crate::stand::serve::StandServer;
 use crate::stand::store::StandStore;
+use desired::desired_state;
 use reqwest::Client;
-use reqwest::RequestBuilder;
 use serde_json::Value;
 use std::fs::File;
 use std::path::Path;
@@ -436,76 +439,6 @@
             }
         }
     }
-
-    /// Asks an entry VM's directory for the addresses for a region.
-    pub async fn resolve(&self, index: usize, region: &str) -> BTreeSet<Box<str>> {
-        let address = &self.entries[index].addresses[3];
-        let url = format!("http://{address}/resolve?name={HOST}&region={region}&zone={region}-a");
-        let Ok(answer) = Client::new().get(url).send().await else {
-            return BTreeSet::new();
-        };
-        let body: serde_json::Value = answer.json().await.unwrap_or_default();
-        let list = body["addresses"].as_array().cloned().unwrap_or_default();
-        list.iter()
-            .filter_map(|address| address.as_str().map(Into::into))
-            .collect()
-    }
-
-    /// Begins a call to an entry VM, of a caller who waits long.
-    pub fn call(&self, index: usize, path: &str, attempt: &str) -> RequestBuilder {
-        self.call_within(index, path, attempt, PATIENCE)
-    }
-
-    /// Begins a call to an entry VM, of a caller who waits for so long.
-    pub fn call_within(
-        &self,
-        index: usize,
-        path: &str,
-        attempt: &str,
-        patience: Duration,
-    ) -> RequestBuilder {
-        let url = format!("http://{}{path}", self.entries[index].addresses[0]);
-        Client::new()
-            .get(url)
-            .header("host", HOST)
-            .header("x-attempt-id", attempt)
-            .header("x-time-remaining", patience.as_millis().to_string())
-    }
-
-    /// Gives how often an attempt ran, over all replicas.
-    pub fn runs(&self, attempt: &str) -> u32 {
-        let living = self.replicas.iter().map(|(replica, _)| replica.sight());
-        living
-            .chain(self.retired.iter().map(|(_, sight)| sight.clone()))
-            .filter_map(|sight| sight.runs.get(attempt).copied())
-            .sum()
-    }
-
-    /// Gives the attempts that ran on a replica outside a region.
-    pub fn runs_outside(&self, region: &str) -> BTreeSet<Box<str>> {
-        let living = self
-            .replicas
-            .iter()
-            .map(|(replica, place)| (*place, replica.sight()));
-        let retired = self.retired.iter().cloned();
-        living
-            .chain(retired)
-            .filter(|(place, _)| *place != region)
-            .flat_map(|(_, sight)| sight.runs.into_keys())
-            .collect()
-    }
-
-    /// Gives the runs of every attempt, over all replicas that there were.
-    pub fn all_runs(&self) -> BTreeMap<Box<str>, u32> {
-        let mut sum = BTreeMap::new();
-        let living = self.replicas.iter().map(|(replica, _)| replica.sight());
-        for sight in living.chain(self.retired.iter().map(|(_, sight)| sight.clone())) {
-            for (attempt, runs) in sight.runs {
-                *sum.entry(attempt).or_default() += runs;
-            }
-        }
-        sum
-    }
 }
 
 impl Drop for SiteCluster {
@@ -521,30 +454,6 @@
     }
 }
 
-/// Gives a desired state without accounts; `more` names further plain routes.
-fn desired_state(version: u64, more: &[&str]) -> Value {
-    let route = |name: &str, kind: &str, attempts: u32, resumable: bool, homes: &[&str]| {
-        serde_json::json!({"name": name, "host": HOST, "path_prefix": format!("/{name}/"),
-            "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 5_000, "priority": 1,
-            "service": "desk", "max_attempts": attempts, "affinity": false,
-            "resumable": resumable, "gap_target_ms": 300, "home_regions": homes})
-    };
-    let mut routes = vec![
-        route("plain", "idempotent", 2, false, &[]),
-        route("once", "non_idempotent", 1, false, &[]),
-        route("stream", "streaming", 2, true, &[]),
-        route("bound", "idempotent", 2, false, &["north"]),
-    ];
-    for name in more {
-        routes.push(route(name, "idempotent", 2, false, &[]));
-    }
-    serde_json::json!({"version": version, "routes": routes,
-        "services": [{"name": "desk", "health_path": "/health", "max_conns": 400,
-            "warmup_s": 0, "cold_per_s": 0}],
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}})
-}
-
 /// Gives the path of the operators' command-line tool, which is built beside the daemon.
 pub fn tool_path() -> PathBuf {
     daemon_path().with_file_name("zinniactl")
--- /dev/null
+++ b/crates/zinniahatch_lab/src/site/calls.rs
@@ -0,0 +1,80 @@
+//! Calls to the entry VMs of a site, and what its replicas saw of them.
+
+use super::HOST;
+use super::PATIENCE;
+use super::SiteCluster;
+use reqwest::Client;
+use reqwest::RequestBuilder;
+use zinniahatch_base::prelude::*;
+
+impl SiteCluster {
+    /// Asks an entry VM's directory for the addresses for a region.
+    pub async fn resolve(&self, index: usize, region: &str) -> BTreeSet<Box<str>> {
+        let address = &self.entries[index].addresses[3];
+        let url = format!("http://{address}/resolve?name={HOST}&region={region}&zone={region}-a");
+        let Ok(answer) = Client::new().get(url).send().await else {
+            return BTreeSet::new();
+        };
+        let body: serde_json::Value = answer.json().await.unwrap_or_default();
+        let list = body["addresses"].as_array().cloned().unwrap_or_default();
+        list.iter()
+            .filter_map(|address| address.as_str().map(Into::into))
+            .collect()
+    }
+
+    /// Begins a call to an entry VM, of a caller who waits long.
+    pub fn call(&self, index: usize, path: &str, attempt: &str) -> RequestBuilder {
+        self.call_within(index, path, attempt, PATIENCE)
+    }
+
+    /// Begins a call to an entry VM, of a caller who waits for so long.
+    pub fn call_within(
+        &self,
+        index: usize,
+        path: &str,
+        attempt: &str,
+        patience: Duration,
+    ) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.entries[index].addresses[0]);
+        Client::new()
+            .get(url)
+            .header("host", HOST)
+            .header("x-attempt-id", attempt)
+            .header("x-time-remaining", patience.as_millis().to_string())
+    }
+
+    /// Gives how often an attempt ran, over all replicas.
+    pub fn runs(&self, attempt: &str) -> u32 {
+        let living = self.replicas.iter().map(|(replica, _)| replica.sight());
+        living
+            .chain(self.retired.iter().map(|(_, sight)| sight.clone()))
+            .filter_map(|sight| sight.runs.get(attempt).copied())
+            .sum()
+    }
+
+    /// Gives the attempts that ran on a replica outside a region.
+    pub fn runs_outside(&self, region: &str) -> BTreeSet<Box<str>> {
+        let living = self
+            .replicas
+            .iter()
+            .map(|(replica, place)| (*place, replica.sight()));
+        let retired = self.retired.iter().cloned();
+        living
+            .chain(retired)
+            .filter(|(place, _)| *place != region)
+            .flat_map(|(_, sight)| sight.runs.into_keys())
+            .collect()
+    }
+
+    /// Gives the runs of every attempt, over all replicas that there were.
+    pub fn all_runs(&self) -> BTreeMap<Box<str>, u32> {
+        let mut sum = BTreeMap::new();
+        let living = self.replicas.iter().map(|(replica, _)| replica.sight());
+        for sight in living.chain(self.retired.iter().map(|(_, sight)| sight.clone())) {
+            for (attempt, runs) in sight.runs {
+                *sum.entry(attempt).or_default() += runs;
+            }
+        }
+        sum
+    }
+}
