--- a/crates/zinniahatch_base/src/lib.rs
+++ b/crates/zinniahatch_base/src/lib.rs
@@ -5,7 +5,7 @@
 mod ids;
 pub mod prelude;
 mod result_code;
-mod store_revision;
+mod revision;
 
 pub use digest::KeyDigest;
 pub use digest::account_tag;
@@ -32,4 +32,4 @@
 pub use ids::ShortTag;
 pub use result_code::Execution;
 pub use result_code::ResultCode;
-pub use store_revision::StoreRevision;
+pub use revision::StoreRevision;
--- a/crates/zinniahatch_route/src/account.rs
+++ b/crates/zinniahatch_route/src/account.rs
@@ -122,11 +122,6 @@
     pub fn named(&self, name: &str) -> Option<&Rc<DesiredAccount>> {
         self.accounts.get(name)
     }
-
-    /// Gives all accounts.
-    pub fn rows(&self) -> impl Iterator<Item = &DesiredAccount> {
-        self.accounts.values().map(Rc::as_ref)
-    }
 }
 
 /// Gives the regions that may serve a route for an account; empty allows all, and none is that there is no such
--- a/crates/zinniahatch_route/src/quota.rs
+++ b/crates/zinniahatch_route/src/quota.rs
@@ -23,7 +23,6 @@
 /// What one process has used, as it told.
 #[derive(Clone, Debug)]
 struct OriginRow {
-    region: ShortTag,
     at: Instant,
     /// With the time of the last news of each.
     counts: BTreeMap<AccountTag, (SpentCount, Instant)>,
@@ -202,7 +201,6 @@
             return;
         }
         let origin = self.origins.entry(self.own).or_insert_with(|| OriginRow {
-            region,
             at: now,
             counts: BTreeMap::new(),
         });
@@ -250,7 +248,6 @@
                 .origins
                 .entry(news.origin)
                 .or_insert_with(|| OriginRow {
-                    region: spends.region,
                     at: now,
                     counts: BTreeMap::new(),
                 });
@@ -320,10 +317,4 @@
         self.origins
             .retain(|_, row| now.saturating_duration_since(row.at) <= FORGET);
     }
-
-    /// Gives the processes that are remembered, by region.
-    pub fn origins_in(&self, region: ShortTag) -> usize {
-        let rows = self.origins.values();
-        rows.filter(|row| row.region == region).count()
-    }
 }
