Look in the store who else there is before taking oneself for alone; serve open routes without a proof

It is alone now once it has listed the nodes' keys and found none.

Found while reading: a route that needs no key was refused without a proof of keys (test added: it is served while the store is silent), and a node that did not know accounts yet named none to the replica for a request that was forwarded with one.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -99,6 +99,8 @@
     pub(crate) phase: watch::Sender<StopPhase>,
     /// Whether the replicas have been listed, from the store or a peer.
     listed: Cell<bool>,
+    /// Whether this node has looked in the store who else there is.
+    looked: Cell<bool>,
     /// Told when the open work of this node changed, or there is news of replicas for its region.
     pub(crate) work_changed: Notify,
     /// Told when this node learned the desired state, the replicas, or of another node.
@@ -162,6 +164,7 @@
             metrics,
             phase: watch::Sender::new(StopPhase::Serving),
             listed: Cell::new(false),
+            looked: Cell::new(false),
             work_changed: Notify::new(),
             learned: Notify::new(),
             open_calls: Cell::new(0),
@@ -208,6 +211,12 @@
         self.learned.notify_waiters();
     }
 
+    /// Notes that this node has looked in the store who else there is.
+    pub(crate) fn note_looked(&self) {
+        self.looked.set(true);
+        self.learned.notify_waiters();
+    }
+
     /// Tells how far this node is between its start and its end, as the others are told.
     pub(crate) fn stage(&self) -> MemberStage {
         match self.phase() {
@@ -267,7 +276,8 @@
     /// Failure: the store comes back from an older copy, in which a key stands that was taken away. A node that starts
     /// just then reads it there and serves it until it hears of the others, a tenth of a second later.
     pub(crate) fn may_be_behind(&self) -> bool {
-        if self.started.elapsed() >= ACQUAINT_TIME || self.contacts.borrow().is_empty() {
+        let alone = self.looked.get() && self.contacts.borrow().is_empty();
+        if self.started.elapsed() >= ACQUAINT_TIME || alone {
             return false;
         }
         let newest = self.members.borrow().newest_version(Instant::now());
--- a/crates/zinniahatch_entry/src/store/membership.rs
+++ b/crates/zinniahatch_entry/src/store/membership.rs
@@ -107,6 +107,8 @@
         };
         contacts.note(address, Some(&region));
     }
+    drop(contacts);
+    core.note_looked();
     Ok(())
 }
 
--- a/crates/zinniahatch_entry/src/who/identity.rs
+++ b/crates/zinniahatch_entry/src/who/identity.rs
@@ -26,16 +26,19 @@
     route: &DesiredRoute,
 ) -> Result<Option<CallIdentity>, ResultCode> {
     let table = core.identities.borrow().clone();
+    if let RequestHop::Forwarded(note) = &call.hop {
+        if let Some(account) = &note.account {
+            return identify_forwarded(core, account, note.version, &table).map(Some);
+        }
+        // Nobody was asked for there; a node that is ahead may know better.
+        if note.version >= core.version() {
+            return Ok(None);
+        }
+    }
     if !table.is_guarded() {
         return Ok(None);
     }
-    match &call.hop {
-        RequestHop::Direct => identify_caller(core, call, route, &table),
-        RequestHop::Forwarded(note) => match &note.account {
-            Some(account) => identify_forwarded(core, account, note.version, &table).map(Some),
-            None => Ok(None),
-        },
-    }
+    identify_caller(core, call, route, &table)
 }
 
 fn identify_caller(
@@ -44,8 +47,10 @@
     route: &DesiredRoute,
     table: &AccountTable,
 ) -> Result<Option<CallIdentity>, ResultCode> {
+    if route.open && call.credential == Credential::Missing {
+        return Ok(None);
+    }
     if !core.trusts_keys() {
-        // Whether the key is good cannot be told here; nor whether the route still asks for one.
         core.metrics.note_key("unproven");
         return Err(ResultCode::KeysUnproven);
     }
--- a/crates/zinniahatch_lab/src/site/desired.rs
+++ b/crates/zinniahatch_lab/src/site/desired.rs
@@ -17,6 +17,9 @@
         route("stream", "streaming", 2, true, &[]),
         route("bound", "idempotent", 2, false, &["north"]),
     ];
+    let mut open = route("open", "idempotent", 2, false, &[]);
+    open["anonymous"] = Value::Bool(true);
+    routes.push(open);
     for name in more {
         routes.push(route(name, "idempotent", 2, false, &[]));
     }
--- a/crates/zinniahatch_lab/tests/accounts.rs
+++ b/crates/zinniahatch_lab/tests/accounts.rs
@@ -196,6 +196,13 @@
     })
     .await;
     assert!(last_served < REVOKE, "{last_served:?}");
+    // A route that needs no key is served all the same.
+    let open = site
+        .call(0, "/open/x", "o")
+        .send()
+        .await
+        .expect("the node answers");
+    assert_eq!(open.status(), StatusCode::OK);
     site.switch.set(ServiceMode::Up);
     for node in 0..3 {
         wait_until("the node serves again", async || {
