Join the two halves of the use meter

The methods of UseMeter stood in two blocks, left so when the bucket was split from the book. A move alone; formatter, linter and the 147 tests of the route crate pass.

--- a/crates/zinniahatch_route/src/quota_row.rs
+++ b/crates/zinniahatch_route/src/quota_row.rs
@@ -61,9 +61,7 @@
         self.long = mean(self.long, LONG_TIME);
         self.at = now;
     }
-}
 
-impl UseMeter {
     /// Gives the rate at which it probably goes on.
     fn going_on(&self) -> f64 {
         self.late.max(self.long)
