Log the rate limit that a replica names, and what it named where a request is placed

Cause of the change: the logs of the incident cannot tell whether nodes read a replica's limit, keep it each alone, or keep it on some ways only. The header is decoded at the platform's boundary; a line says what changed, and a placement bears what the replica named last. No decision reads it yet.

--- a/crates/zinniahatch_base/src/ids.rs
+++ b/crates/zinniahatch_base/src/ids.rs
@@ -34,3 +34,5 @@
 pub type PartHash = Box<str>;
 /// A short hash of a name, used in messages where the full name would cost too much.
 pub type ShortTag = u32;
+/// Requests a second.
+pub type RequestRate = f64;
--- a/crates/zinniahatch_base/src/lib.rs
+++ b/crates/zinniahatch_base/src/lib.rs
@@ -27,6 +27,7 @@
 pub use ids::RegionId;
 pub use ids::ReplicaId;
 pub use ids::RequestId;
+pub use ids::RequestRate;
 pub use ids::Revision;
 pub use ids::ServiceId;
 pub use ids::ShortTag;
--- a/crates/zinniahatch_base/src/prelude.rs
+++ b/crates/zinniahatch_base/src/prelude.rs
@@ -16,6 +16,7 @@
 pub use crate::RegionId;
 pub use crate::ReplicaId;
 pub use crate::RequestId;
+pub use crate::RequestRate;
 pub use crate::ResultCode;
 pub use crate::Revision;
 pub use crate::ServiceId;
--- a/crates/zinniahatch_entry/src/request/call.rs
+++ b/crates/zinniahatch_entry/src/request/call.rs
@@ -23,6 +23,7 @@
 use zinniahatch_route::AwayChoice;
 use zinniahatch_route::LeaveReason;
 use zinniahatch_route::LocalChoice;
+use zinniahatch_route::NamedLimit;
 use zinniahatch_route::OpenWork;
 
 /// Header by which a node tells another the version of the desired state it chose by.
@@ -148,7 +149,7 @@
         }
     };
     match exchanged {
-        Ok(head) => sort_answer(core, choice, head, open),
+        Ok(head) => sort_answer(core, call, choice, head, open),
         Err(error) => {
             // A kept channel that breaks says little of the replica; it may have closed it.
             if !used {
@@ -221,6 +222,7 @@
 /// Sorts an answer's head: what promises that the request did not run, and the rest.
 fn sort_answer(
     core: &Rc<EntryCore>,
+    call: &ReceivedCall,
     choice: &LocalChoice,
     head: AnswerHead,
     open: OpenCall,
@@ -240,6 +242,7 @@
             belief.reported = Some((running, waiting, now));
         }
     });
+    note_limit(core, call, &open, head.marks.rate_limit);
     if head.marks.not_run {
         let hint = retry_hint(&head.headers);
         if head.status == StatusCode::BAD_REQUEST {
@@ -250,6 +253,21 @@
     Ok((head, open))
 }
 
+/// Logs what an answer says of its replica's rate limit, where that differs from the answer before.
+fn note_limit(core: &EntryCore, call: &ReceivedCall, open: &OpenCall, named: NamedLimit) {
+    let mut before = named;
+    open.with_replica(|belief| before = std::mem::replace(&mut belief.named_limit, named));
+    if before == named {
+        return;
+    }
+    core.log.write(
+        "rate-limit",
+        serde_json::json!({"replica": open.replica(), "request": call.attempt,
+            "direct": call.is_direct(), "per_second": named.rate(), "before": before.rate(),
+            "malformed": named == NamedLimit::Malformed}),
+    );
+}
+
 /// Forwards a request to a node of another region and reads the head of its answer.
 pub(crate) async fn send_away(
     core: &Rc<EntryCore>,
--- a/crates/zinniahatch_entry/src/request/placing.rs
+++ b/crates/zinniahatch_entry/src/request/placing.rs
@@ -234,6 +234,13 @@
     }
 }
 
+fn named_limit(core: &EntryCore, replica: &str) -> Option<RequestRate> {
+    let replicas = core.replicas.borrow();
+    replicas
+        .get(replica)
+        .and_then(|belief| belief.named_limit.rate())
+}
+
 /// Notes and logs where a request is sent.
 pub(crate) fn note_tried(
     core: &EntryCore,
@@ -244,6 +251,7 @@
 ) {
     match place {
         NextPlace::Local(choice) => {
+            let limit = named_limit(core, &choice.replica);
             course.tried.insert(choice.replica.clone());
             course.region = None;
             core.log.write(
@@ -255,7 +263,7 @@
                     "answer_ms": choice.answer.as_millis() as u64,
                     "wait_ms": choice.wait.as_millis() as u64, "costs_ms": choice.cost.named_ms(),
                     "tokens": choice.tokens, "copy_from": choice.copy_from,
-                    "cold": choice.cold, "sends": course.sends}),
+                    "cold": choice.cold, "limit_per_second": limit, "sends": course.sends}),
             );
         }
         NextPlace::Away(choice) => {
