--- a/crates/zinniahatch_lab/src/stand.rs
+++ b/crates/zinniahatch_lab/src/stand.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod fatal;
 pub mod faults;
+pub mod limit_record;
 pub mod plain;
 pub mod replica;
 pub mod serve;
--- /dev/null
+++ b/crates/zinniahatch_lab/src/stand/limit_record.rs
@@ -0,0 +1,111 @@
+//! The rate limits that a replica named, and whether what reached it kept to them.
+
+use zinniahatch_base::prelude::*;
+
+/// The span in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Times that what the limit allows in a window.
+const OVERRUN: f64 = 1.5;
+/// Requests beyond that.
+const SLACK: f64 = 5.0;
+
+/// A window with more requests than the limit allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BrokenWindow {
+    /// When it ended, after the limit was first named.
+    pub ended: Duration,
+    /// Requests in it.
+    pub requests: usize,
+    /// Requests that the limit allows.
+    pub allowed: f64,
+}
+
+/// The rate limits that a replica named, and the arrivals of requests.
+#[derive(Clone, Debug, Default)]
+pub struct LimitRecord {
+    /// Each change, with its time.
+    named: Vec<(Instant, Option<RequestRate>)>,
+    arrivals: Vec<Instant>,
+}
+
+impl LimitRecord {
+    /// Notes that a limit is named from now on, or none.
+    pub fn note_named(&mut self, rate: Option<RequestRate>, now: Instant) {
+        self.named.push((now, rate));
+    }
+
+    /// Notes a request.
+    pub fn note_arrival(&mut self, now: Instant) {
+        self.arrivals.push(now);
+    }
+
+    /// Gives the limit that is named now.
+    pub fn rate(&self) -> Option<RequestRate> {
+        self.named.last().and_then(|(_, rate)| *rate)
+    }
+
+    /// Gives the requests that arrived since a moment.
+    pub fn arrivals_since(&self, from: Instant) -> usize {
+        self.arrivals.iter().filter(|at| **at >= from).count()
+    }
+
+    /// Finds the first window that has more requests than the limit allows, of those that end later than `grace`
+    /// after the limit was first named and before it is lifted.
+    pub fn broken_window(&self, grace: Duration) -> Option<BrokenWindow> {
+        let mut since: Option<Instant> = None;
+        for (index, (from, rate)) in self.named.iter().enumerate() {
+            if rate.is_none() {
+                since = None;
+                continue;
+            }
+            let first = *since.get_or_insert(*from);
+            let until = self.named.get(index + 1).map(|(at, _)| *at);
+            let found = self.broken_between(first, first + grace, *from, until);
+            if found.is_some() {
+                return found;
+            }
+        }
+        None
+    }
+
+    /// Looks at the windows that end at `begin` or later, in a span in which one limit was named.
+    fn broken_between(
+        &self,
+        first: Instant,
+        begin: Instant,
+        from: Instant,
+        until: Option<Instant>,
+    ) -> Option<BrokenWindow> {
+        for (index, end) in self.arrivals.iter().enumerate() {
+            if *end < from.max(begin) || until.is_some_and(|until| *end >= until) {
+                continue;
+            }
+            let start = end.checked_sub(WINDOW).unwrap_or(*end);
+            let before = self.arrivals[..index].iter().rev();
+            let requests = 1 + before.take_while(|at| **at > start).count();
+            let allowed = OVERRUN * self.allowed(start, *end) + SLACK;
+            if requests as f64 > allowed {
+                return Some(BrokenWindow {
+                    ended: end.saturating_duration_since(first),
+                    requests,
+                    allowed,
+                });
+            }
+        }
+        None
+    }
+
+    /// Sums up what the limits that were named allow between two moments.
+    fn allowed(&self, start: Instant, end: Instant) -> f64 {
+        let mut sum = 0.0;
+        for (index, (from, rate)) in self.named.iter().enumerate() {
+            let Some(rate) = rate else {
+                continue;
+            };
+            let until = self.named.get(index + 1).map_or(end, |(at, _)| *at);
+            let span = until.min(end).saturating_duration_since((*from).max(start));
+            sum += rate * span.as_secs_f64();
+        }
+        sum
+    }
+}
--- a/crates/zinniahatch_lab/src/stand/replica.rs
+++ b/crates/zinniahatch_lab/src/stand/replica.rs
@@ -5,6 +5,7 @@
 
 use super::fatal::CallContent;
 use super::fatal::FatalBook;
+use super::limit_record::LimitRecord;
 use httparse::EMPTY_HEADER;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -61,6 +62,8 @@
     pub left: u32,
     /// Requests that expected another replica.
     pub misdirected: u32,
+    /// The rate limits that it named, and all requests that reached it.
+    pub limits: LimitRecord,
 }
 
 #[derive(Debug, Default)]
@@ -149,6 +152,14 @@
         lock(&self.state).behaviour = behaviour;
     }
 
+    /// Names a rate limit in every answer from now on, or none.
+    pub fn name_limit(&self, rate: Option<RequestRate>) {
+        lock(&self.state)
+            .sight
+            .limits
+            .note_named(rate, Instant::now());
+    }
+
     /// Gives what it saw so far.
     pub fn sight(&self) -> ReplicaSight {
         lock(&self.state).sight.clone()
@@ -214,10 +225,12 @@
 
     /// Answers a request; tells whether the channel goes on.
     async fn answer(&self, stream: &mut TcpStream, call: &ReplicaCall) -> bool {
+        lock(&self.state).sight.limits.note_arrival(Instant::now());
         if &*call.content.path == "/health" {
             let head = format!(
-                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
-                self.id
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
+                self.id,
+                self.limit_line()
             );
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
@@ -259,17 +272,24 @@
         }
     }
 
-    fn head(call: &ReplicaCall, status: &str) -> String {
+    /// Gives the header that names the rate limit; nothing while there is none.
+    fn limit_line(&self) -> String {
+        let rate = lock(&self.state).sight.limits.rate();
+        rate.map_or_else(String::new, |rate| format!("Server-Limit: {rate}\r\n"))
+    }
+
+    fn head(&self, call: &ReplicaCall, status: &str) -> String {
         format!(
-            "HTTP/1.1 {status}\r\nX-Attempt-Id: {}\r\nKeep-Alive: timeout=5\r\n",
-            call.attempt
+            "HTTP/1.1 {status}\r\nX-Attempt-Id: {}\r\nKeep-Alive: timeout=5\r\n{}",
+            call.attempt,
+            self.limit_line()
         )
     }
 
     async fn refuse(&self, stream: &mut TcpStream, call: &ReplicaCall, status: &str) -> bool {
         let text = format!(
             "{}X-Not-Executed: 1\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
-            Self::head(call, status),
+            self.head(call, status),
             self.id
         );
         stream.write_all(text.as_bytes()).await.is_ok()
@@ -279,7 +299,7 @@
         let body = format!("{}@{}", call.attempt, self.id);
         let text = format!(
             "{}X-Server-Seal: {}\r\nX-Server-Load: 1,0,8\r\nContent-Length: {}\r\n\r\n{body}",
-            Self::head(call, status),
+            self.head(call, status),
             self.id,
             body.len()
         );
@@ -290,7 +310,7 @@
     async fn end_under(&self, stream: &mut TcpStream, call: &ReplicaCall) -> bool {
         let head = format!(
             "{}X-Server-Seal: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
-            Self::head(call, "200 OK"),
+            self.head(call, "200 OK"),
             self.id
         );
         // The end follows in any case.
@@ -309,7 +329,7 @@
         let head = format!(
             "{}X-Server-Seal: {}\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n",
-            Self::head(call, "200 OK"),
+            self.head(call, "200 OK"),
             self.id
         );
         if stream.write_all(head.as_bytes()).await.is_err() {
