Probe a cold replica within its bound

All nodes that had requests at a replica that went silent probe it, each by itself; where it comes back cold, these probes come on top of what it bears from all nodes together, and it may crash. Cause: probes did not pass the bound of a cold replica. Class: a bound of one replica that many nodes spend. Evidence: cold_replica_is_probed_by_few saw 10 requests in a second of 3 allowed with ten nodes, and passes now. Why it works: a probe takes from the same fixed part as a request, so that three nodes of a region probe at all.

--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::ColdGate;
 use zinniahatch_route::NamedLimit;
 use zinniahatch_route::ReplicaLife;
 
@@ -23,7 +24,7 @@
     loop {
         sleep(PROBE_PAUSE).await;
         for (life, address, path) in suspects(&core) {
-            if !take_limit(&core, &life.id, Instant::now()) {
+            if !may_probe(&core, &life.id, Instant::now()) {
                 continue;
             }
             tokio::task::spawn_local(probe(Rc::clone(&core), life, address, path));
@@ -50,6 +51,32 @@
         .collect()
 }
 
+/// Tells whether this node may probe a replica now, and counts the probe where its replica is cold or limited. All
+/// nodes that had requests there suspect a replica that has gone silent.
+fn may_probe(core: &EntryCore, replica: &ReplicaId, now: Instant) -> bool {
+    let cold = {
+        let replicas = core.replicas.borrow();
+        let belief = replicas.get(replica).filter(|belief| belief.is_cold(now));
+        belief.map(|belief| belief.entry.service.clone())
+    };
+    if let Some(service) = &cold {
+        let rate = core.service(service).map_or(0.0, |spec| spec.cold_rate);
+        let peers = core.members.borrow().names_in(&core.settings.region);
+        let node = &core.settings.name;
+        let share = ColdGate::share(core.cold_bound(rate), replica, node, &peers);
+        if !core.gate.borrow().allows(replica, share, now) {
+            return false;
+        }
+    }
+    if !take_limit(core, replica, now) {
+        return false;
+    }
+    if cold.is_some() {
+        core.gate.borrow_mut().note(replica, now);
+    }
+    true
+}
+
 async fn probe(core: Rc<EntryCore>, life: ReplicaLife, address: SocketAddrV4, path: Box<str>) {
     let sent = Instant::now();
     let named = timeout(PROBE_TIME, ask_sign_of_life(address, &path))
--- /dev/null
+++ b/crates/zinniahatch_lab/tests/cold_replica.rs
@@ -0,0 +1,51 @@
+//! Replicas that are cold, with real entry VMs.
+
+use futures_util::future::join_all;
+use std::time::Duration;
+use std::time::Instant;
+use tokio::time::sleep;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
+use zinniahatch_lab::stand::replica::ReplicaBehaviour;
+use zinniahatch_lab::stand::replica::StreamShape;
+
+/// Requests that the desired state lets all nodes together send a cold replica in a second.
+const MOST: usize = 3;
+const NODES: usize = 10;
+const SHAPE: StreamShape = StreamShape {
+    events: 3,
+    pause: Duration::from_millis(10),
+};
+
+/// Guards against probes from all nodes at once to a replica that comes back cold.
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_replica_is_probed_by_few() {
+    let site = SiteCluster::start(&[SiteRegion::new("north", NODES, 1)], SHAPE).await;
+    let replica = &site.replicas[0].0;
+    replica.behave(ReplicaBehaviour::Mute);
+    let calls = (0..NODES).map(|node| {
+        let call = site.call(node, "/once/look", &format!("look-{node}"));
+        call.send()
+    });
+    let measured = async {
+        for node in 0..NODES {
+            wait_until("the node probes", async || {
+                site.log(node).contains("\"probe\"")
+            })
+            .await;
+        }
+        site.register_cold(0, Duration::from_secs(60));
+        // What was under way when the entry was written is over.
+        sleep(Duration::from_secs(1)).await;
+        let from = Instant::now();
+        sleep(Duration::from_secs(5)).await;
+        let limits = replica.sight().limits;
+        limits.most_within(Duration::from_secs(1), from)
+    };
+    let most = tokio::select! {
+        _ = join_all(calls) => panic!("the silent replica answered"),
+        most = measured => most,
+    };
+    assert!(most <= MOST, "{most} requests in a second");
+}
