Cut a stream off whatever its caller reads

What callers saw: a stream without its last events that looked whole. Cause: the relay told the body of the answer to break off by one more piece in its queue. Where the queue was full, since the caller did not read, and the deadline had passed, that piece was given up at once, and the end of the queue was taken for the end of the stream. Evidence: stream_cut_off_does_not_look_whole failed before (the body came without an error) and passes now. Why it works: the body ends whole only where the relay has said that it is; however else the relay ends, and whatever waits in the queue, the channel to the caller is broken off.

--- a/crates/zinniahatch_entry/src/request/answering.rs
+++ b/crates/zinniahatch_entry/src/request/answering.rs
@@ -5,6 +5,7 @@
 use crate::replicas::quarantine::note_answered;
 use crate::replicas::replica_check::note_break;
 use crate::request::answer::AnswerBody;
+use crate::request::answer::StreamBody;
 use crate::request::channel::AnswerHead;
 use crate::request::open_call::OpenCall;
 use crate::request::plan::CallCount;
@@ -15,6 +16,7 @@
 use crate::request::relay::StreamRelay;
 use http::Response;
 use http::StatusCode;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
@@ -113,12 +115,14 @@
     guard: CallCount,
 ) -> Response<AnswerBody> {
     let (sender, receiver) = mpsc::channel(STREAM_PIECES);
+    let whole = Rc::new(Cell::new(false));
     let relay = StreamRelay {
         core: Rc::clone(core),
         call: Rc::clone(call),
         plan: Rc::clone(plan),
         course,
         sender,
+        whole: Rc::clone(&whole),
         guard,
         first: None,
         pause: Duration::ZERO,
@@ -131,5 +135,10 @@
         head.length
     };
     tokio::task::spawn_local(relay.run(open));
-    build_answer(head, AnswerBody::Stream(receiver, length))
+    let body = StreamBody {
+        pieces: receiver,
+        length,
+        whole,
+    };
+    build_answer(head, AnswerBody::Stream(body))
 }
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -4,7 +4,6 @@
 use crate::counts::counting::count;
 use crate::replicas::quarantine::note_answered;
 use crate::replicas::replica_check::note_break;
-use crate::request::answer::CutOff;
 use crate::request::events::EventSplitter;
 use crate::request::open_call::OpenCall;
 use crate::request::plan::CallCount;
@@ -13,6 +12,7 @@
 use crate::request::received::ReceivedCall;
 use crate::request::resume::resume;
 use bytes::Bytes;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep_until;
@@ -28,7 +28,9 @@
     pub(crate) call: Rc<ReceivedCall>,
     pub(crate) plan: Rc<CallPlan>,
     pub(crate) course: CallCourse,
-    pub(crate) sender: Sender<Result<Bytes, CutOff>>,
+    pub(crate) sender: Sender<Bytes>,
+    /// Tells the answer's body whether what was sent is all.
+    pub(crate) whole: Rc<Cell<bool>>,
     /// Counts the stream as in progress until it ends.
     pub(crate) guard: CallCount,
     /// Time from arrival to the first event.
@@ -87,7 +89,7 @@
             )
             .await;
             let Some(next) = resumed else {
-                self.finish(&end).await;
+                self.finish(&end);
                 return;
             };
             open = next;
@@ -99,10 +101,10 @@
         } else {
             drop(open);
         }
-        self.finish(&end).await;
+        self.finish(&end);
     }
 
-    async fn finish(self, end: &RelayEnd) {
+    fn finish(self, end: &RelayEnd) {
         let result = match end {
             RelayEnd::Whole => ResultCode::Answered,
             RelayEnd::CallerGone => ResultCode::CallerGone,
@@ -127,10 +129,7 @@
                 "goal_ms": millis(self.plan.route.goal),
                 "pause_limit_ms": millis(self.plan.route.pause_limit)}),
         );
-        if *end != RelayEnd::Whole {
-            // The caller has left or reads no more where this fails; the channel ends anyway.
-            let _ = timeout_at(self.plan.deadline_tokio(), self.sender.send(Err(CutOff))).await;
-        }
+        self.whole.set(*end == RelayEnd::Whole);
         drop(self.guard);
     }
 
@@ -191,7 +190,7 @@
                 continue;
             };
             self.note_event();
-            match timeout_at(self.plan.deadline_tokio(), self.sender.send(Ok(ready))).await {
+            match timeout_at(self.plan.deadline_tokio(), self.sender.send(ready)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return RelayEnd::CallerGone,
                 Err(_) => return RelayEnd::Deadline,
--- /dev/null
+++ b/crates/zinniahatch_lab/tests/slow_caller.rs
@@ -0,0 +1,28 @@
+//! Callers that read slowly, with real entry VMs.
+
+use std::time::Duration;
+use tokio::time::sleep;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::stand::replica::StreamShape;
+
+/// More than the buffers between the replica and the caller hold, and longer than the caller's time.
+const SHAPE: StreamShape = StreamShape {
+    events: 20_000,
+    pause: Duration::from_millis(1),
+};
+/// The time that the caller says it has.
+const TIME: Duration = Duration::from_secs(3);
+/// Bytes of the attempt's id, which each event repeats.
+const ID_BYTES: usize = 8_000;
+
+/// Guards against a stream that looks whole where its time was over while its caller did not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_cut_off_does_not_look_whole() {
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHAPE).await;
+    let attempt = "a".repeat(ID_BYTES);
+    let call = site.call_within(0, "/stream/look", &attempt, TIME);
+    let answer = call.send().await.expect("the stream begins");
+    sleep(TIME + Duration::from_secs(1)).await;
+    assert!(answer.bytes().await.is_err(), "the stream looks whole");
+}
