Share an allowance by what all regions know alike, until all have been heard for a while

What callers saw: nothing; an account's use in 8 s was up to 11 in 100 above the operators' bound (KNOWN-RED). Besides, shares were taken 0.7 s after a cut from averages in which each region saw its own latest use and not that of the others. Mend: shares are kept until all regions have been heard for 4 s, and are taken from averages that are 1 to 2 s old. Open and listed: all regions cut off at once.

--- a/crates/zinniahatch_route/src/quota_row.rs
+++ b/crates/zinniahatch_route/src/quota_row.rs
@@ -15,6 +15,11 @@
 const EVEN_PART: f64 = 0.5;
 /// Part of a burst with which a node starts: what its predecessors let pass a moment ago is not known to it.
 const FIRST_LEVEL: f64 = 0.1;
+/// Time for which all regions must have been heard before shares follow what they use again.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+/// Age from which all regions know alike what one used: regions that lose each other show it only after a silence,
+/// and what each used meanwhile is known to itself alone.
+const SHOWN_TIME: Duration = Duration::from_secs(1);
 /// Time over which a debt is forgotten. Nodes that could not hear each other see different debts; while the account
 /// goes on asking, a region that saw more of it than the others would be refused everything for good.
 const DEBT_TIME: Duration = Duration::from_secs(20);
@@ -40,6 +45,9 @@
     late: f64,
     long: f64,
     at: Instant,
+    /// The long average as it was one to two steps of `SHOWN_TIME` ago, and as it was at the last step.
+    shown: f64,
+    step: (Instant, f64),
 }
 
 impl UseMeter {
@@ -48,6 +56,8 @@
             late: 0.0,
             long: 0.0,
             at: now,
+            shown: 0.0,
+            step: (now, 0.0),
         }
     }
 
@@ -60,6 +70,10 @@
         self.late = mean(self.late, LATE_TIME);
         self.long = mean(self.long, LONG_TIME);
         self.at = now;
+        if now.saturating_duration_since(self.step.0) >= SHOWN_TIME {
+            self.shown = self.step.1;
+            self.step = (now, self.long);
+        }
     }
 
     /// Gives the rate at which it probably goes on.
@@ -86,8 +100,12 @@
     at: Instant,
     /// By the tag of the region.
     uses: BTreeMap<ShortTag, UseMeter>,
-    /// Shares of the regions as they were when one of them fell silent; empty while all are heard.
+    /// Shares of the regions as they were when one of them fell silent, until all have been heard for a while.
     shares: BTreeMap<ShortTag, f64>,
+    /// When a region was silent last; none where all have been heard since the shares were dropped.
+    silent_at: Option<Instant>,
+    /// Whether all regions are heard.
+    hears_all: bool,
     taken_off: BTreeMap<ShortTag, TakenOff>,
 }
 
@@ -101,6 +119,8 @@
             at: now,
             uses: BTreeMap::new(),
             shares: BTreeMap::new(),
+            silent_at: None,
+            hears_all: true,
             taken_off: BTreeMap::new(),
         }
     }
@@ -108,7 +128,7 @@
     /// Shares the allowance between the regions: in part evenly, in part by what they used.
     fn shares_of(&self, regions: &BTreeMap<ShortTag, Instant>) -> BTreeMap<ShortTag, f64> {
         let even = 1.0 / regions.len().max(1) as f64;
-        let used = |region: &ShortTag| self.uses.get(region).map_or(0.0, |meter| meter.long);
+        let used = |region: &ShortTag| self.uses.get(region).map_or(0.0, |meter| meter.shown);
         let all: f64 = regions.keys().map(used).sum();
         let share = |region: &ShortTag| {
             if all > 0.0 {
@@ -132,11 +152,21 @@
 
     /// Keeps the shares as they were when the first region fell silent: what each part uses from then on is not
     /// known to the others, and shares that followed it would add up to more than the allowance.
-    fn keep_shares(&mut self, regions: &BTreeMap<ShortTag, Instant>, silent: bool) {
-        if !silent {
+    ///
+    /// They are kept for a while after all are heard again: a region that is cut off just then still goes by them.
+    fn keep_shares(&mut self, regions: &BTreeMap<ShortTag, Instant>, silent: bool, now: Instant) {
+        self.hears_all = !silent;
+        if silent {
+            self.silent_at = Some(now);
+            if self.shares.is_empty() {
+                self.shares = self.shares_of(regions);
+            }
+            return;
+        }
+        let settled = |at: Instant| now.saturating_duration_since(at) >= SETTLE_TIME;
+        if self.silent_at.is_some_and(settled) {
+            self.silent_at = None;
             self.shares.clear();
-        } else if self.shares.is_empty() {
-            self.shares = self.shares_of(regions);
         }
     }
 
@@ -147,7 +177,7 @@
         silent: &BTreeMap<ShortTag, f64>,
         now: Instant,
     ) {
-        self.keep_shares(regions, !silent.is_empty());
+        self.keep_shares(regions, !silent.is_empty(), now);
         let part = self.heard_part(silent);
         let passed = now.saturating_duration_since(self.at);
         self.at = self.at.max(now);
@@ -191,7 +221,7 @@
 
     /// Tells whether the region may go on whatever its debt. A part that hears not all has its share, which is more.
     pub(crate) fn is_spared(&self) -> bool {
-        self.floor > 0.0 && self.shares.is_empty()
+        self.floor > 0.0 && self.hears_all
     }
 
     /// Gives the time in which a debt is filled up.
--- a/crates/zinniahatch_route/tests/quota.rs
+++ b/crates/zinniahatch_route/tests/quota.rs
@@ -308,27 +308,37 @@
 
 /// Where each part went on with the whole allowance, three regions that were cut off used it three times over. Each
 /// fault comes once in ten seconds.
-#[test_case(29_000.0, &[]; "small")]
-#[test_case(300_000.0, &[1, 2]; "middling")]
-#[test_case(1_800_000.0, &[50]; "large")]
-fn no_window_passes_the_bound(rate: f64, open: &[u64]) {
-    for seed in (0..60).filter(|seed| !open.contains(seed)) {
-        let worst = play_faults(seed, rate, 0.002);
-        assert!(
-            worst <= 1.0,
-            "seed {seed}: {worst:.3} of what may pass in a window"
-        );
+#[test_case(29_000.0; "small")]
+#[test_case(300_000.0; "middling")]
+#[test_case(1_800_000.0; "large")]
+fn no_window_passes_the_bound(rate: f64) {
+    for seed in 0..60 {
+        check_faults(rate, seed, 0.002);
     }
 }
 
-/// Seeds in which a window passes the bound by 2 to 11 in 100: the account begins to send many times its allowance
-/// while regions are cut off one after the other; in the second, each fault comes once in five seconds.
-#[ignore = "known and open: see KNOWN-RED.txt"]
+/// Guards against regions that are cut off one after the other and go by shares of different times; in the last, each
+/// fault comes once in five seconds.
 #[test_case(300_000.0, 1, 0.002; "middling_1")]
 #[test_case(300_000.0, 2, 0.002; "middling_2")]
 #[test_case(1_800_000.0, 50, 0.002; "large_50")]
 #[test_case(300_000.0, 2, 0.004; "middling_2_many")]
 fn no_window_passes_the_bound_among_cuts(rate: f64, seed: u64, chance: f64) {
+    check_faults(rate, seed, chance);
+}
+
+/// Seeds in which a window passes the bound by 1 to 12 in 100: all regions are cut off from each other when the account
+/// begins to send many times its allowance, and none knows the debt of the others.
+#[ignore = "known and open: see KNOWN-RED.txt"]
+#[test_case(1_800_000.0, 90, 0.002; "large_90")]
+#[test_case(1_800_000.0, 250, 0.002; "large_250")]
+#[test_case(300_000.0, 101, 0.004; "middling_101_many")]
+#[test_case(1_800_000.0, 106, 0.004; "large_106_many")]
+fn no_window_passes_the_bound_where_all_are_cut(rate: f64, seed: u64, chance: f64) {
+    check_faults(rate, seed, chance);
+}
+
+fn check_faults(rate: f64, seed: u64, chance: f64) {
     let worst = play_faults(seed, rate, chance);
     assert!(
         worst <= 1.0,
