Log what replicas say of their leaving and of rests, and let stand-ins say it

Both are decoded at the platform's boundary, in one record with the rate limit, the load and the time for which the replica is cold; the line replica-notice names them. No decision reads them yet. Stand-in replicas say that they leave, and ask for rest where they turn a request away; they record what reached them since.

--- a/crates/zinniahatch_entry/src/replicas.rs
+++ b/crates/zinniahatch_entry/src/replicas.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod end_checks;
 pub(crate) mod limit_metrics;
+pub(crate) mod notice;
 pub(crate) mod probe;
 pub(crate) mod quarantine;
 pub(crate) mod rate_limit;
--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -101,5 +101,5 @@
     // Any answer shows that the replica lives. What it says of its health may be false either way,
     // so whether it serves is judged by its answers to requests.
     let head = channel.read_head(&Method::GET, "").await.ok()?;
-    Some(head.marks.rate_limit)
+    Some(head.marks.notice.rate_limit)
 }
--- a/crates/zinniahatch_entry/src/replicas/rate_limit.rs
+++ b/crates/zinniahatch_entry/src/replicas/rate_limit.rs
@@ -29,7 +29,7 @@
     open: &OpenCall,
     marks: &AnswerHeaders,
 ) {
-    let named = marks.rate_limit;
+    let named = marks.notice.rate_limit;
     if named == NamedLimit::Malformed {
         core.metrics.limits.note("rejected");
         core.log.write(
--- a/crates/zinniahatch_entry/src/request/call.rs
+++ b/crates/zinniahatch_entry/src/request/call.rs
@@ -1,6 +1,7 @@
 //! Sending one request to one replica or one other node.
 
 use crate::core::EntryCore;
+use crate::replicas::notice::log_notice;
 use crate::replicas::quarantine::await_hold;
 use crate::replicas::quarantine::hold_left;
 use crate::replicas::rate_limit::note_limit;
@@ -242,10 +243,11 @@
     }
     open.with_replica(|belief| {
         belief.health.note_heard(now);
-        if let Some((running, waiting, _)) = head.marks.load {
+        if let Some((running, waiting, _)) = head.marks.notice.load {
             belief.reported = Some((running, waiting, now));
         }
     });
+    log_notice(core, call, &open, &head.marks.notice);
     note_limit(core, call, &open, &head.marks);
     if head.marks.not_run {
         let hint = retry_hint(&head.headers);
--- a/crates/zinniahatch_entry/src/request/channel.rs
+++ b/crates/zinniahatch_entry/src/request/channel.rs
@@ -295,7 +295,7 @@
             headers.append(name, value);
         }
         let _ = self.buffer.split_to(used);
-        let marks = read_answer(&headers);
+        let marks = read_answer(status, &headers);
         self.frame = frame_of(method, status, &headers)?;
         if let Some(limit) = marks.idle_limit {
             self.idle_limit = limit;
--- a/crates/zinniahatch_lab/src/stand.rs
+++ b/crates/zinniahatch_lab/src/stand.rs
@@ -6,6 +6,7 @@
 pub mod fatal;
 pub mod faults;
 pub mod limit_record;
+pub mod notice_record;
 pub mod plain;
 pub mod replica;
 pub mod serve;
--- a/crates/zinniahatch_lab/src/stand/replica.rs
+++ b/crates/zinniahatch_lab/src/stand/replica.rs
@@ -6,6 +6,7 @@
 use super::fatal::CallContent;
 use super::fatal::FatalBook;
 use super::limit_record::LimitRecord;
+use super::notice_record::NoticeRecord;
 use httparse::EMPTY_HEADER;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -64,11 +65,17 @@
     pub misdirected: u32,
     /// The rate limits that it named, and all requests that reached it.
     pub limits: LimitRecord,
+    /// What its answers said of its leaving and its rests, and the requests of callers that reached it.
+    pub notices: NoticeRecord,
 }
 
 #[derive(Debug, Default)]
 struct ReplicaState {
     behaviour: ReplicaBehaviour,
+    /// Whether its answers say that it leaves.
+    leaving: bool,
+    /// The value of `Retry-After` of the answers that turn a request away.
+    rest: Option<Box<str>>,
     sight: ReplicaSight,
 }
 
@@ -160,6 +167,16 @@
             .note_named(rate, Instant::now());
     }
 
+    /// Says in every answer from now on that it leaves.
+    pub fn say_leaving(&self) {
+        lock(&self.state).leaving = true;
+    }
+
+    /// Asks for a rest, in seconds, in every answer that turns a request away, or for none.
+    pub fn ask_rest(&self, rest: Option<&str>) {
+        lock(&self.state).rest = rest.map(Box::from);
+    }
+
     /// Gives what it saw so far.
     pub fn sight(&self) -> ReplicaSight {
         lock(&self.state).sight.clone()
@@ -228,9 +245,10 @@
         lock(&self.state).sight.limits.note_arrival(Instant::now());
         if &*call.content.path == "/health" {
             let head = format!(
-                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n{}{}Content-Length: 0\r\n\r\n",
                 self.id,
-                self.limit_line()
+                self.limit_line(),
+                self.leaving_line("")
             );
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
@@ -242,7 +260,12 @@
             lock(&self.state).sight.misdirected += 1;
             return self.refuse(stream, call, "421 Misdirected Request").await;
         }
-        let behaviour = lock(&self.state).behaviour;
+        let behaviour = {
+            let mut state = lock(&self.state);
+            let notices = &mut state.sight.notices;
+            notices.note_arrival(&call.attempt, Instant::now());
+            state.behaviour
+        };
         if behaviour == ReplicaBehaviour::Shed {
             return self.refuse(stream, call, "503 Service Unavailable").await;
         }
@@ -278,17 +301,48 @@
         rate.map_or_else(String::new, |rate| format!("Server-Limit: {rate}\r\n"))
     }
 
+    /// Gives the header that says that it leaves; nothing while it does not.
+    fn leaving_line(&self, attempt: &str) -> &'static str {
+        let mut state = lock(&self.state);
+        if !state.leaving {
+            return "";
+        }
+        let notices = &mut state.sight.notices;
+        notices.note_leaving(attempt, Instant::now());
+        "Server-Leaving: 1\r\n"
+    }
+
+    /// Gives the header that asks for a rest; nothing while it asks for none.
+    fn rest_line(&self, attempt: &str) -> String {
+        let mut state = lock(&self.state);
+        let Some(rest) = state.rest.clone() else {
+            return String::new();
+        };
+        let asked = rest.parse().ok();
+        if let Some(asked) = asked.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()) {
+            let notices = &mut state.sight.notices;
+            notices.note_rest(attempt, asked, Instant::now());
+        }
+        format!("Retry-After: {rest}\r\n")
+    }
+
     fn head(&self, call: &ReplicaCall, status: &str) -> String {
         format!(
-            "HTTP/1.1 {status}\r\nX-Attempt-Id: {}\r\nKeep-Alive: timeout=5\r\n{}",
+            "HTTP/1.1 {status}\r\nX-Attempt-Id: {}\r\nKeep-Alive: timeout=5\r\n{}{}",
             call.attempt,
-            self.limit_line()
+            self.limit_line(),
+            self.leaving_line(&call.attempt)
         )
     }
 
     async fn refuse(&self, stream: &mut TcpStream, call: &ReplicaCall, status: &str) -> bool {
+        let rest = if status.starts_with("503") {
+            self.rest_line(&call.attempt)
+        } else {
+            String::new()
+        };
         let text = format!(
-            "{}X-Not-Executed: 1\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+            "{}{rest}X-Not-Executed: 1\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
             self.head(call, status),
             self.id
         );
