--- /dev/null
+++ b/crates/zinniahatch_lab/tests/replica_notices.rs
@@ -0,0 +1,136 @@
+//! Replicas that say that they leave, or ask for rest, in their answers, with real entry VMs.
+
+use futures_util::future::join_all;
+use reqwest::Response;
+use std::time::Duration;
+use std::time::Instant;
+use test_case::test_case;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::stand::faults::ServiceMode;
+use zinniahatch_lab::stand::replica::ReplicaBehaviour;
+use zinniahatch_lab::stand::replica::StreamShape;
+
+/// Time after which a replica that leaves must get nothing more.
+const DRAIN_TIME: Duration = Duration::from_secs(4);
+/// Time for which callers come.
+const TIME: Duration = Duration::from_secs(8);
+/// Pause between the requests to one node.
+const PAUSE: Duration = Duration::from_millis(60);
+/// How long a caller waits.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// The rest that replicas ask for, in seconds.
+const REST: &str = "2.5";
+const SHAPE: StreamShape = StreamShape {
+    events: 3,
+    pause: Duration::from_millis(10),
+};
+
+/// Calls every node that has callers again and again until a time has passed; gives the answers that came.
+async fn load(site: &SiteCluster, path: &str, tag: &str, time: Duration) -> Vec<Response> {
+    let nodes = (0..site.entries.len()).map(|node| load_node(site, node, path, tag, time));
+    join_all(nodes).await.into_iter().flatten().collect()
+}
+
+async fn load_node(
+    site: &SiteCluster,
+    node: usize,
+    path: &str,
+    tag: &str,
+    time: Duration,
+) -> Vec<Response> {
+    let mut ticks = interval(PAUSE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let began = Instant::now();
+    let mut answers = Vec::new();
+    for number in 0.. {
+        ticks.tick().await;
+        if began.elapsed() >= time {
+            break;
+        }
+        let attempt = format!("{tag}-{node}-{number}");
+        let call = site.call_within(node, path, &attempt, PATIENCE);
+        answers.extend(call.timeout(PATIENCE).send().await);
+    }
+    answers
+}
+
+/// What the store says while a replica leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StoreWord {
+    /// It answers nothing.
+    Silent,
+    /// That the replica is ready, again and again.
+    Ready,
+    /// That the replica is gone, and then that it is ready.
+    Lapsed,
+}
+
+/// Guards against requests to a replica that has said in an answer that it leaves, whatever the store says and on
+/// whichever way they come.
+#[test_case("/plain/look", ReplicaBehaviour::Serve, StoreWord::Silent; "store_silent")]
+#[test_case("/plain/look", ReplicaBehaviour::Serve, StoreWord::Ready; "store_says_ready")]
+#[test_case("/plain/look", ReplicaBehaviour::Serve, StoreWord::Lapsed; "entry_lapsed")]
+#[test_case("/plain/look", ReplicaBehaviour::Fail, StoreWord::Silent; "sent_once_more")]
+#[test_case("/stream/look", ReplicaBehaviour::BreakAfter(1), StoreWord::Silent; "resumed")]
+#[ignore = "known and open: KNOWN-RED.txt"]
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_replica_is_sent_nothing(path: &str, other: ReplicaBehaviour, word: StoreWord) {
+    let regions = [
+        SiteRegion::new("north", 2, 2),
+        SiteRegion::new("south", 1, 0),
+    ];
+    let site = SiteCluster::start(&regions, SHAPE).await;
+    let replica = &site.replicas[0].0;
+    site.replicas[1].0.behave(other);
+    if word == StoreWord::Silent {
+        site.switch.set(ServiceMode::Silent);
+    }
+    replica.say_leaving();
+    load(&site, path, "first", TIME / 8).await;
+    match word {
+        StoreWord::Silent => {}
+        StoreWord::Ready => site.register(0, "ready"),
+        StoreWord::Lapsed => {
+            site.unregister(0);
+            load(&site, path, "lapsed", TIME / 8).await;
+            site.register(0, "ready");
+        }
+    }
+    load(&site, path, "then", TIME).await;
+    let notices = replica.sight().notices;
+    let broken = notices.broken_leaving(DRAIN_TIME, |_| Some(0), |_, _, _| false);
+    assert_eq!(broken, None);
+}
+
+/// Guards against requests to a replica in the time for which it wants none from this node, on whichever way they
+/// come.
+#[test_case("/plain/look", ReplicaBehaviour::Serve; "first_sends")]
+#[test_case("/plain/look", ReplicaBehaviour::Fail; "sent_once_more")]
+#[test_case("/stream/look", ReplicaBehaviour::BreakAfter(1); "resumed")]
+#[test_case("/plain/look", ReplicaBehaviour::Shed; "all_rest")]
+#[ignore = "known and open: KNOWN-RED.txt"]
+#[tokio::test(flavor = "multi_thread")]
+async fn resting_replica_is_sent_little(path: &str, other: ReplicaBehaviour) {
+    let regions = [
+        SiteRegion::new("north", 1, 2),
+        SiteRegion::new("south", 1, 0),
+    ];
+    let site = SiteCluster::start(&regions, SHAPE).await;
+    for (replica, _) in &site.replicas {
+        replica.ask_rest(Some(REST));
+    }
+    site.replicas[0].0.behave(ReplicaBehaviour::Shed);
+    site.replicas[1].0.behave(other);
+    load(&site, path, "look", TIME).await;
+    let mut rests = 0;
+    for (replica, _) in &site.replicas {
+        let notices = replica.sight().notices;
+        rests += notices.rests();
+        let broken = notices.broken_rest(|_| Some(0), |_, _, _| false);
+        assert_eq!(broken, None, "{}", replica.id);
+    }
+    assert!(rests > 0);
+}
