Let nothing be written to a replica or a node without a permit

What callers saw: nothing yet. Limits and the bound of cold replicas were checked by each way to a replica for itself, first sends here and probes there; a way that forgot one went unseen, as probes had before. Two ways were weighed: rules at each way with a test that lists the ways, and one gate whose permit the channel asks for. The first finds a way that is listed and wrong, not one that nobody listed. Taken was the second: a channel writes only against a permit, which the table of replicas or that of the nodes alone can make; a place is claimed before the channel is connected and turned into the permit when the request is written, since news may come between the two. A request to another node needs a permit too, so that no address of a replica can be written to as if it were a node's.

--- a/crates/zinniahatch_entry/src/counts/counting.rs
+++ b/crates/zinniahatch_entry/src/counts/counting.rs
@@ -11,7 +11,6 @@
 use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -27,6 +26,7 @@
 use zinniahatch_report::DeskSheet;
 use zinniahatch_report::HourLedger;
 use zinniahatch_report::MergeTask;
+use zinniahatch_route::NodePermit;
 
 /// Path at which the merger of a region takes counts.
 pub(crate) const COUNTS_PATH: &str = "/zinnia/counts";
@@ -106,15 +106,15 @@
 }
 
 /// Gives the node that merges the counts of this region, and where it listens.
-fn merger(core: &EntryCore) -> (NodeId, SocketAddrV4) {
-    let own = (core.settings.name.clone(), core.settings.listen.peer);
+fn merger(core: &EntryCore) -> NodeId {
+    let own = core.settings.name.clone();
     let members = core.members.borrow();
     members
         .live_in(&core.settings.region, Instant::now())
         .into_iter()
-        .map(|card| (card.node.clone(), card.peer))
+        .map(|card| card.node.clone())
         .chain(core.is_ready().then(|| own.clone()))
-        .max_by_key(|(node, _)| rank_member(MERGE_DUTY, node))
+        .max_by_key(|node| rank_member(MERGE_DUTY, node))
         .unwrap_or(own)
 }
 
@@ -137,7 +137,7 @@
 
 /// Seals the open counts and hands what is due to the merger.
 pub(crate) async fn hand_over(core: &Rc<EntryCore>, last: bool) {
-    let (node, address) = merger(core);
+    let node = merger(core);
     let due = {
         let mut book = core.counts.book.borrow_mut();
         book.seal(epoch_minute());
@@ -161,7 +161,8 @@
         let Ok(body) = postcard::to_allocvec(&post) else {
             return;
         };
-        let Some(answer) = ask_peer(core, address, COUNTS_PATH, &body).await else {
+        let permit = core.members.borrow().permit(&node);
+        let Some(answer) = ask_merger(core, permit, &body).await else {
             core.log
                 .write("counts-not-taken", serde_json::json!({"merger": node}));
             return;
@@ -173,6 +174,15 @@
     core.metrics.set_dropped_sheets(book.dropped());
 }
 
+/// Posts counts to the node that merges them; gives its answer's body.
+async fn ask_merger(
+    core: &Rc<EntryCore>,
+    permit: Option<NodePermit>,
+    body: &[u8],
+) -> Option<Vec<u8>> {
+    ask_peer(core, permit?, COUNTS_PATH, body).await
+}
+
 /// Takes counts that another node posted; gives the answer's body.
 pub(crate) fn take_post(core: &EntryCore, body: &[u8]) -> Option<Vec<u8>> {
     let post = postcard::from_bytes::<CountsPost>(body).ok()?;
@@ -202,7 +212,7 @@
 
 /// Notes that a node died, so that the minutes after its last counts are named in reports.
 pub(crate) fn note_death(core: &EntryCore, node: &NodeId, incarnation: Incarnation) {
-    if merger(core).0 != core.settings.name {
+    if merger(core) != core.settings.name {
         return;
     }
     let mut desk = core.counts.merging.borrow_mut();
--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of an entry VM.
 
 use crate::replicas::limit_metrics::LimitMetrics;
+use crate::replicas::notice_metrics::NoticeMetrics;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
@@ -28,6 +29,8 @@
     quarantined: IntGauge,
     /// Of the rate limits that replicas name.
     pub(crate) limits: LimitMetrics,
+    /// Of what replicas say of themselves.
+    pub(crate) notices: NoticeMetrics,
     refused_keys: IntCounterVec,
     over_allowance: IntCounter,
     proof_age: IntGauge,
@@ -88,7 +91,6 @@
             "zinniahatch_quarantined_requests",
             "Contents of requests that are held because replicas ended under them.",
         )?;
-        let limits = LimitMetrics::new(&registry)?;
         let first_event = HistogramVec::new(
             HistogramOpts::new(
                 "zinniahatch_first_event_seconds",
@@ -126,6 +128,8 @@
             "Sheets of counts dropped because the store was out of reach for too long.",
         )?;
         Ok(Self {
+            limits: LimitMetrics::new(&registry)?,
+            notices: NoticeMetrics::new(&registry)?,
             registry,
             answers,
             repeats,
@@ -135,7 +139,6 @@
             replica_ends,
             suspects,
             quarantined,
-            limits,
             refused_keys,
             over_allowance,
             proof_age,
--- a/crates/zinniahatch_entry/src/nodes/catch_up.rs
+++ b/crates/zinniahatch_entry/src/nodes/catch_up.rs
@@ -37,7 +37,7 @@
         let teacher = {
             let members = core.members.borrow();
             let found = members.teacher(&own, core.ticket(), now);
-            found.map(|card| card.peer)
+            found.and_then(|card| members.permit(&card.node))
         };
         let Some(peer) = teacher else {
             behind_since = None;
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -6,13 +6,14 @@
 use http::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::DesiredState;
+use zinniahatch_route::NodePermit;
 use zinniahatch_route::ReplicaEntry;
 use zinniahatch_route::ReplicaLife;
+use zinniahatch_route::SendPermit;
 use zinniahatch_route::ServingPreset;
 use zinniahatch_route::ToldProof;
 
@@ -56,13 +57,14 @@
 }
 
 /// Fetches and takes over the beliefs of another node; tells whether that worked.
-pub(crate) async fn fetch_snapshot(core: &Rc<EntryCore>, peer: SocketAddrV4) -> bool {
+pub(crate) async fn fetch_snapshot(core: &Rc<EntryCore>, peer: NodePermit) -> bool {
     let asked = core.clock.now();
+    let address = peer.address();
     let fetched = timeout(FETCH_TIME, read_snapshot(core, peer)).await;
     let Ok(Some(snapshot)) = fetched else {
         core.log.write(
             "snapshot-failed",
-            serde_json::json!({"peer": peer.to_string()}),
+            serde_json::json!({"peer": address.to_string()}),
         );
         return false;
     };
@@ -89,7 +91,7 @@
     true
 }
 
-async fn read_snapshot(core: &Rc<EntryCore>, peer: SocketAddrV4) -> Option<NodeSnapshot> {
+async fn read_snapshot(core: &Rc<EntryCore>, peer: NodePermit) -> Option<NodeSnapshot> {
     let body = exchange(core, peer, "GET", SNAPSHOT_PATH, &[]).await?;
     postcard::from_bytes(&body).ok()
 }
@@ -97,7 +99,7 @@
 /// Posts a body to another node and gives the answer's; none where that did not work.
 pub(crate) async fn ask_peer(
     core: &Rc<EntryCore>,
-    peer: SocketAddrV4,
+    peer: NodePermit,
     path: &str,
     body: &[u8],
 ) -> Option<Vec<u8>> {
@@ -107,22 +109,23 @@
 
 async fn exchange(
     core: &Rc<EntryCore>,
-    peer: SocketAddrV4,
+    peer: NodePermit,
     method: &str,
     path: &str,
     body: &[u8],
 ) -> Option<Vec<u8>> {
+    let address = peer.address();
     let mut channel = core
         .pool
-        .take(peer, usize::MAX, Instant::now())
+        .take(address, usize::MAX, Instant::now())
         .await
         .ok()?;
     let length = body.len();
     let head =
-        format!("{method} {path} HTTP/1.1\r\nhost: {peer}\r\ncontent-length: {length}\r\n\r\n");
+        format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\ncontent-length: {length}\r\n\r\n");
     let mut answer = Vec::new();
     let read = async {
-        channel.send(head.as_bytes(), body).await.ok()?;
+        channel.send(peer, head.as_bytes(), body).await.ok()?;
         let head = channel.read_head(&Method::GET, FETCH_ID).await.ok()?;
         while let Some(piece) = channel.read_body().await.ok()? {
             answer.extend_from_slice(&piece);
@@ -130,6 +133,6 @@
         Some(head.status)
     };
     let status = read.await;
-    core.pool.give(peer, channel, Instant::now());
+    core.pool.give(address, channel, Instant::now());
     (status? == StatusCode::OK).then_some(answer)
 }
--- a/crates/zinniahatch_entry/src/replicas/rate_limit.rs
+++ b/crates/zinniahatch_entry/src/replicas/rate_limit.rs
@@ -11,17 +11,6 @@
 use zinniahatch_route::LimitNews;
 use zinniahatch_route::NamedLimit;
 
-/// Takes one request to a replica from this node's part of its limit; tells whether it may be sent.
-pub(crate) fn take_limit(core: &EntryCore, replica: &str, now: Instant) -> bool {
-    let mut replicas = core.replicas.borrow_mut();
-    let tag = replicas.get(replica).map(|belief| belief.tag);
-    let taken = tag.is_none_or(|tag| replicas.limits.take(tag, now));
-    if !taken {
-        core.metrics.limits.note("withheld");
-    }
-    taken
-}
-
 /// Takes what an answer says of its replica's limit.
 pub(crate) fn note_limit(
     core: &EntryCore,
--- a/crates/zinniahatch_entry/src/request/call.rs
+++ b/crates/zinniahatch_entry/src/request/call.rs
@@ -1,11 +1,12 @@
 //! Sending one request to one replica or one other node.
 
 use crate::core::EntryCore;
+use crate::replicas::gate::claim;
+use crate::replicas::gate::permit;
 use crate::replicas::notice::log_notice;
 use crate::replicas::quarantine::await_hold;
 use crate::replicas::quarantine::hold_left;
 use crate::replicas::rate_limit::note_limit;
-use crate::replicas::rate_limit::take_limit;
 use crate::replicas::replica_check::note_break;
 use crate::request::channel::AnswerHead;
 use crate::request::open_call::OpenCall;
@@ -27,6 +28,8 @@
 use zinniahatch_route::LeaveReason;
 use zinniahatch_route::LocalChoice;
 use zinniahatch_route::OpenWork;
+use zinniahatch_route::SendPermit;
+use zinniahatch_route::Withheld;
 
 /// Header by which a node tells another the version of the desired state it chose by.
 pub(crate) const HOP_VERSION: &str = "zinnia-version";
@@ -99,20 +102,13 @@
     last_event: Option<&str>,
 ) -> Result<(AnswerHead, OpenCall), SendFailure> {
     let now = Instant::now();
-    let (address, copy_from) = {
+    let claim = claim(core, &choice.replica, now).map_err(not_sent)?;
+    let address = claim.address();
+    let copy_from = {
         let replicas = core.replicas.borrow();
-        let belief = replicas
-            .get(&choice.replica)
-            .ok_or_else(|| SendFailure::NotSent("the replica is gone".into()))?;
         let source = choice.copy_from.as_ref().and_then(|id| replicas.get(id));
-        (
-            belief.entry.address,
-            source.map(|source| source.entry.address),
-        )
+        source.map(|source| source.entry.address)
     };
-    if !take_limit(core, &choice.replica, now) {
-        return Err(SendFailure::NotSent("its rate limit is used up".into()));
-    }
     let mut open = OpenCall::new(core, address, &plan.service);
     open.note = Some(begin(core, call, plan, choice, now));
     let share = core.channel_share(&plan.service);
@@ -144,9 +140,16 @@
     if let Some(left) = hold_left(core, call) {
         return Err(SendFailure::Quarantined(left));
     }
+    let permit = match permit(core, claim) {
+        Ok(permit) => permit,
+        Err(withheld) => {
+            open.give_back();
+            return Err(not_sent(withheld));
+        }
+    };
     let exchanged = tokio::select! {
         biased;
-        exchanged = open.exchange(call, &head) => exchanged,
+        exchanged = open.exchange(permit, call, &head) => exchanged,
         // It waits in the replica's queue; begun there, it would end one replica more. Replicas drop what
         // waits when its channel closes.
         () = await_hold(core, call) => {
@@ -167,6 +170,10 @@
     }
 }
 
+fn not_sent(withheld: Withheld) -> SendFailure {
+    SendFailure::NotSent(format!("withheld: {}", withheld.name()).into())
+}
+
 fn begin(
     core: &Rc<EntryCore>,
     call: &ReceivedCall,
@@ -194,9 +201,6 @@
         now,
     );
     core.work_changed.notify_one();
-    if choice.cold {
-        core.gate.borrow_mut().note(&choice.replica, now);
-    }
     ReplicaNote {
         replica: choice.replica.clone(),
         ticket,
@@ -268,13 +272,9 @@
     last_event: Option<&str>,
 ) -> Result<(AnswerHead, OpenCall), SendFailure> {
     let now = Instant::now();
-    let address = core
-        .members
-        .borrow()
-        .known()
-        .find(|card| card.node == choice.node)
-        .map(|card| card.peer)
-        .ok_or_else(|| SendFailure::NotSent("the node is gone".into()))?;
+    let permit = core.members.borrow().permit(&choice.node);
+    let permit = permit.ok_or_else(|| SendFailure::NotSent("the node is gone".into()))?;
+    let address = permit.address();
     let mut open = OpenCall::new(core, address, &plan.service);
     let channel = match core.pool.take(address, PEER_CHANNELS, now).await {
         Ok(channel) => channel,
@@ -311,7 +311,7 @@
     );
     open.channel = Some(channel);
     let waiting = AwayWait::new(core, &choice.region);
-    let answer = open.exchange(call, &head).await;
+    let answer = open.exchange(permit, call, &head).await;
     if answer.is_ok() {
         waiting.note_answer();
     }
--- a/crates/zinniahatch_entry/src/request/channel.rs
+++ b/crates/zinniahatch_entry/src/request/channel.rs
@@ -23,6 +23,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::AnswerHeaders;
 use zinniahatch_platform::read_answer;
+use zinniahatch_route::SendPermit;
 
 /// Bytes read at once; an event of a stream has well under one.
 const READ_BYTES: usize = 8 << 10;
@@ -81,6 +82,7 @@
 #[derive(Debug)]
 pub struct BackendChannel {
     stream: TcpStream,
+    address: SocketAddrV4,
     buffer: BytesMut,
     frame: BodyFrame,
     idle_limit: Duration,
@@ -109,6 +111,7 @@
         tuned.map_err(|error| ChannelError::Connect(error.to_string().into()))?;
         Ok(Self {
             stream,
+            address,
             buffer: BytesMut::new(),
             frame: BodyFrame::Done,
             idle_limit: DEFAULT_IDLE,
@@ -173,7 +176,7 @@
         self.buffer = BytesMut::new();
     }
 
-    /// Sends a request.
+    /// Sends the request that a permit is for.
     ///
     /// The other side may answer before it has read a long body. Then the rest is not sent and
     /// the channel is closed after the answer: whatever else went out on it would be read as the
@@ -182,7 +185,17 @@
     /// # Errors
     ///
     /// The channel broke; the request may have run all the same.
-    pub async fn send(&mut self, head: &[u8], body: &[u8]) -> Result<(), ChannelError> {
+    pub async fn send<P: SendPermit>(
+        &mut self,
+        permit: P,
+        head: &[u8],
+        body: &[u8],
+    ) -> Result<(), ChannelError> {
+        if permit.address() != self.address {
+            return Err(ChannelError::Connect(
+                "the permit is for another one".into(),
+            ));
+        }
         self.used = true;
         // A short request goes out in one write, which most often is one packet.
         let joined: Vec<u8> = [head, body].concat();
--- a/crates/zinniahatch_entry/src/request/open_call.rs
+++ b/crates/zinniahatch_entry/src/request/open_call.rs
@@ -13,6 +13,7 @@
 use zinniahatch_route::ModelSample;
 use zinniahatch_route::OpenWork;
 use zinniahatch_route::ReplicaBelief;
+use zinniahatch_route::SendPermit;
 
 /// What is noted of a replica while it works on a request.
 #[derive(Debug)]
@@ -55,8 +56,9 @@
     }
 
     /// Sends a request and reads the head of its answer.
-    pub(crate) async fn exchange(
+    pub(crate) async fn exchange<P: SendPermit>(
         &mut self,
+        permit: P,
         call: &ReceivedCall,
         head: &[u8],
     ) -> Result<AnswerHead, ChannelError> {
@@ -64,7 +66,7 @@
         let Some(channel) = self.channel.as_mut() else {
             return Err(ChannelError::Broken("no channel".into()));
         };
-        channel.send(head, &call.body).await?;
+        channel.send(permit, head, &call.body).await?;
         channel.read_head(&call.method, &call.attempt).await
     }
 
@@ -130,6 +132,11 @@
     /// Notes that the answer is whole and gives the channel back.
     pub(crate) fn finish(mut self, good: bool) {
         self.note_health(good);
+        self.give_back();
+    }
+
+    /// Gives a channel back on which nothing was sent.
+    pub(crate) fn give_back(&mut self) {
         if let Some(channel) = self.channel.take() {
             self.core.pool.give(self.address, channel, Instant::now());
         }
--- a/crates/zinniahatch_entry/tests/channel.rs
+++ b/crates/zinniahatch_entry/tests/channel.rs
@@ -10,8 +10,13 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use zinniahatch_base::prelude::StoreRevision;
 use zinniahatch_entry::BackendChannel;
 use zinniahatch_entry::ChannelError;
+use zinniahatch_route::ColdGate;
+use zinniahatch_route::ReplicaEntry;
+use zinniahatch_route::ReplicaPermit;
+use zinniahatch_route::ReplicaTable;
 
 const LIMIT: Duration = Duration::from_secs(5);
 const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n";
@@ -37,10 +42,31 @@
     address
 }
 
+/// Gives leave to write a request to a replica at an address.
+fn permit(address: SocketAddrV4) -> ReplicaPermit {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    let entry = ReplicaEntry {
+        id: "i-1".into(),
+        born: 1,
+        service: "s".into(),
+        address,
+        data_centre: "a".into(),
+        slots: 8,
+        leaving: false,
+        gone_in: None,
+        cold_for: Duration::ZERO,
+        revision: StoreRevision::from(1),
+    };
+    table.upsert(entry, now);
+    let claim = table.claim(&mut ColdGate::default(), "i-1", 0, now);
+    table.permit(claim.unwrap()).unwrap()
+}
+
 async fn exchange(address: SocketAddrV4) -> (Result<Vec<u8>, ChannelError>, BackendChannel) {
     let mut channel = BackendChannel::connect(address, LIMIT).await.unwrap();
     let result = async {
-        channel.send(REQUEST, &[]).await?;
+        channel.send(permit(address), REQUEST, &[]).await?;
         channel.read_head(&Method::GET, "mine").await?;
         let mut body = Vec::new();
         while let Some(piece) = channel.read_body().await? {
@@ -139,7 +165,7 @@
     });
     let mut channel = BackendChannel::connect(address, LIMIT).await.unwrap();
     let long = vec![b'x'; 64 << 20];
-    channel.send(REQUEST, &long).await.unwrap();
+    channel.send(permit(address), REQUEST, &long).await.unwrap();
     let head = channel.read_head(&Method::POST, "mine").await.unwrap();
     assert_eq!(head.status, 200);
     while channel.read_body().await.unwrap().is_some() {}
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -301,6 +301,11 @@
         self.rows.values().map(|row| &row.card)
     }
 
+    /// Gives a node that was heard of lately.
+    pub fn card(&self, node: &str) -> Option<&MemberCard> {
+        self.rows.get(node).map(|row| &row.card)
+    }
+
     /// Gives the names of the nodes of a region that may still run, for splits of a bound: one
     /// that is merely silent here may go on spending its share.
     pub fn names_in(&self, region: &str) -> BTreeSet<NodeId> {
