Drop replicas that drained and left, and remember for an hour that they leave

Found while reading what undoes a leaving. Cause: a row was dropped for the reason EntryGone alone, and a replica that had said that it leaves keeps that reason when its entry vanishes. Evidence: tick_drops_what_drained_and_left failed before (0 of 1 dropped) and passes now. Why it works: the row goes where the entry is gone, whatever the reason; that the life leaves is remembered with its end, so that an entry of the same life which comes back does not undo it (upsert_after_drained_entry_lapsed).

--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -29,10 +29,16 @@
 /// Prior time to the answer of a service, in ms, until answers show it.
 const PRIOR_BASE_MS: f64 = 40.0;
 
+/// How long a life that said that it leaves is remembered after it was dropped: its entry may come back while it
+/// still serves.
+const LEFT_TIME: Duration = Duration::from_secs(3600);
+
 /// The last life of a replica that has left.
 #[derive(Clone, Copy, Debug)]
 struct EndedLife {
     born: u64,
+    /// Whether it said that it leaves, which holds for the life.
+    leaving: bool,
     /// When it was dropped.
     at: Instant,
     /// The store's revision when its entry vanished.
@@ -42,6 +48,11 @@
 }
 
 impl EndedLife {
+    /// Gives the time for which it is remembered.
+    fn kept_for(&self) -> Duration {
+        if self.leaving { LEFT_TIME } else { GONE_TIME }
+    }
+
     /// Tells whether an entry shows that the life goes on after all; one that is older does not, nor does one that
     /// a store which came back from a copy still had. A replica that lives writes it again within seconds.
     fn is_revived_by(&mut self, entry: &ReplicaEntry) -> bool {
@@ -100,9 +111,13 @@
         if left.is_some_and(|ended| !ended.is_revived_by(&entry)) {
             return EntryChange::None;
         }
-        self.gone.remove(&entry.id);
+        let ended = self.gone.remove(&entry.id);
         let Some(belief) = self.rows.get_mut(&entry.id) else {
-            let belief = ReplicaBelief::new(entry, now);
+            let leaves = ended.is_some_and(|ended| ended.leaving && ended.born == entry.born);
+            let mut belief = ReplicaBelief::new(entry, now);
+            if leaves {
+                belief.leaving = Some(LeaveReason::Draining);
+            }
             self.tags.insert(belief.tag, belief.entry.id.clone());
             self.rows.insert(belief.entry.id.clone(), belief);
             return EntryChange::Belief;
@@ -303,10 +318,11 @@
             });
             let oldest = belief.open.values().min().copied();
             belief.health.note_open(oldest, reading);
-            let ended = matches!(
-                belief.leaving,
-                Some(LeaveReason::EntryGone | LeaveReason::Replaced)
-            );
+            let ended = match belief.leaving {
+                None => false,
+                Some(LeaveReason::Draining) => belief.vanished > belief.entry.revision,
+                Some(LeaveReason::EntryGone | LeaveReason::Replaced) => true,
+            };
             if ended && belief.own.requests == 0 {
                 dropped.push(id.clone());
             }
@@ -318,6 +334,7 @@
             self.tags.remove(&belief.tag);
             let ended = EndedLife {
                 born: belief.entry.born,
+                leaving: belief.leaving == Some(LeaveReason::Draining),
                 at: now,
                 vanished: belief.vanished,
                 sighted: None,
@@ -328,7 +345,7 @@
         let tags = &self.tags;
         self.limits.tick(|tag| tags.contains_key(&tag), now);
         self.gone
-            .retain(|_, ended| now.saturating_duration_since(ended.at) <= GONE_TIME);
+            .retain(|_, ended| now.saturating_duration_since(ended.at) <= ended.kept_for());
         dropped
     }
 
--- a/crates/zinniahatch_route/tests/lives.rs
+++ b/crates/zinniahatch_route/tests/lives.rs
@@ -4,6 +4,7 @@
 
 use common::entry;
 use common::prompt;
+use test_case::test_case;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::EntryChange;
 use zinniahatch_route::LeaveReason;
@@ -241,3 +242,38 @@
     assert!(!table.note_evacuation(&place, true, StoreRevision { era: 0, number: 50 }));
     assert!(table.evacuated().is_empty());
 }
+
+/// Guards against rows that stay for good of replicas that said that they leave and then left.
+#[test]
+fn tick_drops_what_drained_and_left() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    let drained = ReplicaEntry {
+        leaving: true,
+        ..life(1, 11)
+    };
+    table.upsert(drained, now);
+    assert_eq!(table.tick(now).len(), 0);
+    table.vanish("r", 12.into(), now);
+    assert_eq!(table.tick(now).len(), 1);
+    assert_eq!(table.rows().count(), 0);
+}
+
+/// Guards against a leaving that is undone where the entry of the same life lapses and is written again.
+#[test_case(1, Some(LeaveReason::Draining); "same_life")]
+#[test_case(2, None; "next_life")]
+fn upsert_after_drained_entry_lapsed(born: u64, expected: Option<LeaveReason>) {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    let drained = ReplicaEntry {
+        leaving: true,
+        ..life(1, 11)
+    };
+    table.upsert(drained, now);
+    table.vanish("r", 12.into(), now);
+    table.tick(now);
+    table.upsert(life(born, 13), now);
+    assert_eq!(table.get("r").and_then(|belief| belief.leaving), expected);
+}
