Refuse at once what only resting, limited or leaving replicas could take, with the time at which the first is back

What callers saw: 227 with the rest of the last replica that had turned them away, also where another one was back sooner, or 223 with a constant of 0.7 s. Cause: the time to come back was taken from one answer, not from what all replicas had said. Why it works: the first replica that takes work again gives the time, by reason (233 resting, 232 limited, 234 all leave); callers of one node come back one after the other, as far apart as the replicas have slots for. A time that a 503 names stays with its replica; that of a 429 still goes to the caller.

--- a/crates/zinniahatch_base/src/result_code.rs
+++ b/crates/zinniahatch_base/src/result_code.rs
@@ -83,6 +83,8 @@
     StillRunning = 230, 409, Unknown, "The request under this key is still running; collect its answer later.";
     OverAllowance = 231, 429, NotRun, "The account has used up its allowance; come back when it has room again.";
     ReplicasLimited = 232, 503, NotRun, "The backend servers that could take the request take fewer for now; come back when they have room.";
+    ReplicasResting = 233, 503, NotRun, "The backend servers that could take the request want a rest; come back when it is over.";
+    ReplicasLeaving = 234, 503, NotRun, "The backend servers that could take the request are leaving; come back when others have taken their place.";
     OutcomeUnknown = 300, 502, Unknown, "The connection broke after the request was sent; whether it ran is not known.";
     KeyOwnerGone = 301, 502, Unknown, "The entry VM that owned this key is gone; whether the request ran is not known.";
     AnswerCutOff = 302, 502, Unknown, "The backend server's answer ended before its end mark and could not be resumed.";
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -31,6 +31,7 @@
 use zinniahatch_route::RegionWays;
 use zinniahatch_route::RepeatBudget;
 use zinniahatch_route::ReplicaTable;
+use zinniahatch_route::ReturnLine;
 use zinniahatch_route::RouteTable;
 use zinniahatch_route::ServingPreset;
 use zinniahatch_route::SuspectTable;
@@ -71,6 +72,8 @@
     /// Whether requests to other regions arrive there.
     pub(crate) ways: RefCell<RegionWays>,
     pub(crate) gate: RefCell<ColdGate>,
+    /// The callers of each service that were told when its replicas take work again.
+    pub(crate) return_lines: RefCell<BTreeMap<ServiceId, ReturnLine>>,
     /// Requests under which replicas ended.
     pub(crate) suspects: RefCell<SuspectTable>,
     /// Told when one of them began or ceased to be held.
@@ -146,6 +149,7 @@
             members: RefCell::default(),
             ways: RefCell::default(),
             gate: RefCell::default(),
+            return_lines: RefCell::default(),
             suspects: RefCell::default(),
             quarantined: watch::Sender::new(()),
             released: RefCell::default(),
--- a/crates/zinniahatch_entry/src/request/call.rs
+++ b/crates/zinniahatch_entry/src/request/call.rs
@@ -247,7 +247,9 @@
     }
     open.with_replica(|belief| belief.health.note_heard(now));
     if head.marks.not_run {
-        let hint = retry_hint(&head.headers);
+        // What a 503 names is the rest of its replica; others may be free.
+        let refused = head.status == StatusCode::SERVICE_UNAVAILABLE;
+        let hint = retry_hint(&head.headers).filter(|_| !refused);
         if head.status == StatusCode::BAD_REQUEST {
             return Ok((head, open));
         }
--- a/crates/zinniahatch_entry/src/request/placing.rs
+++ b/crates/zinniahatch_entry/src/request/placing.rs
@@ -14,14 +14,17 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::AdmissionRule;
 use zinniahatch_route::AwayChoice;
+use zinniahatch_route::EarliestReturn;
 use zinniahatch_route::LocalChoice;
 use zinniahatch_route::PlaceAsk;
 use zinniahatch_route::ServingPreset;
 use zinniahatch_route::Verdict;
+use zinniahatch_route::Withheld;
+use zinniahatch_route::all_leave;
 use zinniahatch_route::away_share;
 use zinniahatch_route::choose_away;
 use zinniahatch_route::choose_local;
-use zinniahatch_route::limited_wait;
+use zinniahatch_route::earliest_return;
 
 /// Time that a caller is told to wait where no replica can be used.
 pub(crate) const NO_BACKEND_RETRY: Duration = Duration::from_millis(700);
@@ -63,19 +66,7 @@
     let preset = core.preset.borrow().clone();
     let rule = admission_rule(call, plan, &preset, now);
     let peers = core.members.borrow().names_in(&core.settings.region);
-    let ask = PlaceAsk {
-        service: &plan.service,
-        region: &core.settings.region,
-        size: &call.size,
-        urgent: plan.urgent,
-        tried: &course.tried,
-        deadline: plan.deadline.saturating_duration_since(now),
-        copy_token: plan.spec.copy_token,
-        cold_bound: plan.cold_bound,
-        draw: rand::random(),
-        node: &core.settings.name,
-        peers: &peers,
-    };
+    let ask = place_ask(core, call, plan, &course.tried, &peers, now);
     let local = if plan.allows(&core.settings.region) {
         let replicas = core.replicas.borrow();
         let gate = core.gate.borrow();
@@ -131,22 +122,82 @@
     }
 }
 
-/// Refuses what no replica here can take now: with the time after which one that is limited has room, where there is
-/// such a one.
+/// Refuses what no replica here can take now: with the time after which one takes work again, where there is such a one.
 fn refuse_unplaced(
     core: &EntryCore,
     plan: &CallPlan,
     ask: &PlaceAsk<'_>,
     now: Instant,
 ) -> NextPlace {
+    if !plan.allows(&core.settings.region) {
+        return NextPlace::Refuse(ResultCode::NoBackend, NO_BACKEND_RETRY);
+    }
+    if let Some(after) = held_for(core, ask, now) {
+        return NextPlace::Refuse(held_code(after.reason), after.after);
+    }
+    let leaving = all_leave(&core.replicas.borrow(), &core.settings.regions, ask);
+    let code = if leaving {
+        ResultCode::ReplicasLeaving
+    } else {
+        ResultCode::NoBackend
+    };
+    NextPlace::Refuse(code, NO_BACKEND_RETRY)
+}
+
+fn held_code(reason: Withheld) -> ResultCode {
+    match reason {
+        Withheld::Limited => ResultCode::ReplicasLimited,
+        _ => ResultCode::ReplicasResting,
+    }
+}
+
+/// Gives when a request may come back whose replicas all rest or are limited: when the first of them takes work again,
+/// behind the callers that were told so before.
+fn held_for(core: &EntryCore, ask: &PlaceAsk<'_>, now: Instant) -> Option<EarliestReturn> {
     let replicas = core.replicas.borrow();
-    let wait = plan
-        .allows(&core.settings.region)
-        .then(|| limited_wait(&replicas, &core.settings.regions, ask, now))
-        .flatten();
-    match wait {
-        Some(wait) => NextPlace::Refuse(ResultCode::ReplicasLimited, wait),
-        None => NextPlace::Refuse(ResultCode::NoBackend, NO_BACKEND_RETRY),
+    let first = earliest_return(&replicas, &core.settings.regions, ask, now)?;
+    let hold = replicas.model_of(ask.service).hold();
+    let nodes = ask.peers.len() as u32 + 1;
+    let step = hold * nodes / first.slots.max(1);
+    let mut lines = core.return_lines.borrow_mut();
+    let line = lines.entry(ask.service.clone()).or_default();
+    let after = line.take(first.after, step, now);
+    Some(EarliestReturn { after, ..first })
+}
+
+/// Gives when a request may come back that a replica turned away, where all others rest or are limited too.
+pub(crate) fn turned_away_for(
+    core: &EntryCore,
+    call: &ReceivedCall,
+    plan: &CallPlan,
+) -> Option<Duration> {
+    let now = Instant::now();
+    let peers = core.members.borrow().names_in(&core.settings.region);
+    let tried = BTreeSet::new();
+    let ask = place_ask(core, call, plan, &tried, &peers, now);
+    held_for(core, &ask, now).map(|first| first.after)
+}
+
+fn place_ask<'a>(
+    core: &'a EntryCore,
+    call: &'a ReceivedCall,
+    plan: &'a CallPlan,
+    tried: &'a BTreeSet<ReplicaId>,
+    peers: &'a BTreeSet<NodeId>,
+    now: Instant,
+) -> PlaceAsk<'a> {
+    PlaceAsk {
+        service: &plan.service,
+        region: &core.settings.region,
+        size: &call.size,
+        urgent: plan.urgent,
+        tried,
+        deadline: plan.deadline.saturating_duration_since(now),
+        copy_token: plan.spec.copy_token,
+        cold_bound: plan.cold_bound,
+        draw: rand::random(),
+        node: &core.settings.name,
+        peers,
     }
 }
 
--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -65,7 +65,7 @@
     pub(crate) connects: u32,
     /// Whether some replica may have run it.
     pub(crate) maybe_ran: bool,
-    /// When the last one that refused it would be free.
+    /// When the last region that refused it would have room.
     pub(crate) retry_hint: Option<Duration>,
     /// The region that the last try went to, where that is another one.
     pub(crate) region: Option<RegionId>,
--- a/crates/zinniahatch_entry/src/request/serve.rs
+++ b/crates/zinniahatch_entry/src/request/serve.rs
@@ -15,6 +15,7 @@
 use crate::request::placing::note_failure;
 use crate::request::placing::note_tried;
 use crate::request::placing::send_to;
+use crate::request::placing::turned_away_for;
 use crate::request::plan::CallCount;
 use crate::request::plan::CallCourse;
 use crate::request::plan::CallPlan;
@@ -163,12 +164,15 @@
 
     /// Gives a refusal with the time to come back.
     fn refusal(&self, code: ResultCode, after: Duration) -> GivenUp {
-        if code == ResultCode::RequestQuarantined {
-            // Coming back within the caller's own time would be in vain, so that it hears the whole.
-            return (code, Some(after));
+        let hint = self.course.retry_hint;
+        match code {
+            // Coming back sooner would be in vain, so that the caller hears the whole.
+            ResultCode::RequestQuarantined => (code, Some(after)),
+            ResultCode::ReplicasLimited | ResultCode::ReplicasResting => {
+                (code, Some(hint.map_or(after, |hint| hint.min(after))))
+            }
+            _ => (code, Some(self.plan.cap_retry(hint.unwrap_or(after)))),
         }
-        let hint = self.course.retry_hint.unwrap_or(after);
-        (code, Some(self.plan.cap_retry(hint)))
     }
 
     /// Ends with a replica's own failure where there is one, else with ours.
@@ -273,8 +277,8 @@
     }
 
     fn take_refusal(&mut self, place: &NextPlace, hint: Option<Duration>) -> Result<(), GivenUp> {
-        self.course.retry_hint = hint.or(self.course.retry_hint);
         if let NextPlace::Away(choice) = place {
+            self.course.retry_hint = hint.or(self.course.retry_hint);
             // A refusal of another node cost no replica anything.
             self.course.away.regions.insert(choice.region.clone());
             self.course.sends -= 1;
@@ -283,7 +287,8 @@
         if self.plan.may_go_on(self.core, &self.course, "refused") {
             return Ok(());
         }
-        let after = self.plan.cap_retry(hint.unwrap_or(NO_BACKEND_RETRY));
+        let held = turned_away_for(self.core, &self.call, &self.plan);
+        let after = held.unwrap_or_else(|| self.plan.cap_retry(hint.unwrap_or(NO_BACKEND_RETRY)));
         Err((ResultCode::BackendRefused, Some(after)))
     }
 }
--- a/crates/zinniahatch_lab/tests/replica_notices.rs
+++ b/crates/zinniahatch_lab/tests/replica_notices.rs
@@ -2,6 +2,7 @@
 
 use futures_util::future::join_all;
 use reqwest::Response;
+use reqwest::StatusCode;
 use std::time::Duration;
 use std::time::Instant;
 use test_case::test_case;
@@ -9,6 +10,7 @@
 use tokio::time::interval;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::stand::faults::ServiceMode;
 use zinniahatch_lab::stand::replica::ReplicaBehaviour;
 use zinniahatch_lab::stand::replica::StreamShape;
@@ -132,3 +134,60 @@
     }
     assert!(rests > 0);
 }
+
+/// Guards against requests that wait for replicas which want none, and against a time to come back that is not theirs.
+#[tokio::test(flavor = "multi_thread")]
+async fn resting_replicas_refuse_at_once() {
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 2)], SHAPE).await;
+    for (replica, _) in &site.replicas {
+        replica.ask_rest(Some(REST));
+        replica.behave(ReplicaBehaviour::Shed);
+    }
+    let rest: f64 = REST.parse().unwrap();
+    let answers = load(&site, "/plain/look", "look", TIME / 2).await;
+    let mut resting = 0;
+    for answer in &answers {
+        assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(header(answer, "x-zinnia-execution"), "not-run");
+        if header(answer, "x-zinnia-code") != "233" {
+            continue;
+        }
+        resting += 1;
+        let after: f64 = header(answer, "retry-after").parse().unwrap();
+        assert!(after > 0.0 && after < rest + 3.0, "{after}");
+    }
+    assert!(
+        resting > answers.len() / 2,
+        "{resting} of {}",
+        answers.len()
+    );
+    for (replica, _) in &site.replicas {
+        replica.behave(ReplicaBehaviour::Serve);
+    }
+    wait_until("the replicas serve again", async || {
+        let answers = load(&site, "/plain/look", "back", PAUSE * 10).await;
+        answers.iter().all(|answer| answer.status().is_success())
+    })
+    .await;
+}
+
+/// Guards against a refusal that does not say that all replicas leave.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_replicas_refuse_by_reason() {
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 2)], SHAPE).await;
+    for (replica, _) in &site.replicas {
+        replica.say_leaving();
+    }
+    wait_until("the replicas are believed to leave", async || {
+        let answers = load(&site, "/plain/look", "look", PAUSE * 10).await;
+        answers
+            .iter()
+            .all(|answer| header(answer, "x-zinnia-code") == "234")
+    })
+    .await;
+}
+
+fn header<'a>(answer: &'a Response, name: &str) -> &'a str {
+    let value = answer.headers().get(name);
+    value.map_or("", |value| value.to_str().unwrap())
+}
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -195,24 +195,6 @@
     best
 }
 
-/// Gives the time after which a replica takes work whose rate limit is used up for now; none where there is no such
-/// replica.
-pub fn limited_wait(
-    table: &ReplicaTable,
-    regions: &BTreeMap<DataCentreId, RegionId>,
-    ask: &PlaceAsk<'_>,
-    now: Instant,
-) -> Option<Duration> {
-    let limited = table
-        .rows()
-        .filter(|belief| !table.limits.allows(belief.tag, now))
-        .filter(|belief| !ask.tried.contains(&belief.entry.id))
-        .filter(|belief| takes_work(table, regions, ask.service, ask.region, belief, now));
-    limited
-        .map(|belief| table.limits.wait(belief.tag, now))
-        .min()
-}
-
 /// Gives the expected time from the first event to the last on a replica.
 fn answer_time(
     table: &ReplicaTable,
@@ -276,7 +258,7 @@
 }
 
 /// Tells whether a replica of a service in a region may get new work at all.
-fn takes_work(
+pub(crate) fn takes_work(
     table: &ReplicaTable,
     regions: &BTreeMap<DataCentreId, RegionId>,
     service: &str,
