Believe a replica that says in a health answer how long it is cold

The time was decoded and no decision read it: a replica that turned cold again went on being sent the usual load until its entry said so, and may crash. Class: what an answer says and nobody listens to. Evidence: cold_replica_is_believed failed before and passes now. Why it works: the answer to a probe is heard where all answers are, and the later of two ends counts.

--- a/crates/zinniahatch_route/src/hearing.rs
+++ b/crates/zinniahatch_route/src/hearing.rs
@@ -161,6 +161,10 @@
     if let Some((running, waiting, _)) = heard.notice.load {
         belief.reported = Some((running, waiting, now));
     }
+    let left = heard.notice.cold_for.filter(|left| !left.is_zero());
+    if let Some(left) = left.filter(|_| heard.proof >= AnswerProof::Named) {
+        belief.cold_until = belief.cold_until.max(Some(now + left));
+    }
 }
 
 /// Notes that a replica leaves, for the rest of its life.
--- a/crates/zinniahatch_route/tests/hearing.rs
+++ b/crates/zinniahatch_route/tests/hearing.rs
@@ -281,3 +281,19 @@
     table.upsert(life(2, 11), now);
     assert_eq!(withheld(&mut table, now), None);
 }
+
+/// Guards against the usual load for a replica that says that it is cold again.
+#[test_case(AnswerProof::Named, Some(Withheld::Cold); "its_own")]
+#[test_case(AnswerProof::Missing, None; "of_somebody")]
+fn cold_replica_is_believed(proof: AnswerProof, expected: Option<Withheld>) {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    let notice = ReplicaNotice {
+        cold_for: Some(seconds(2.0)),
+        ..ReplicaNotice::default()
+    };
+    hear(&mut table, &notice, proof, now);
+    assert_eq!(withheld(&mut table, now + seconds(1.9)), expected);
+    assert_eq!(withheld(&mut table, now + seconds(2.0)), None);
+}
