List the headers of replicas' answers that nobody reads

Why it works: what an answer says that the platform's decoder neither reads nor knows to pass on is counted by name (zinniahatch_unread_headers_total, 32 names, the rest together) and logged once a name (unread-header).

--- a/crates/zinniahatch_entry/src/replicas.rs
+++ b/crates/zinniahatch_entry/src/replicas.rs
@@ -9,3 +9,4 @@
 pub(crate) mod quarantine;
 pub(crate) mod rate_limit;
 pub(crate) mod replica_check;
+pub(crate) mod unread_headers;
--- a/crates/zinniahatch_entry/src/replicas/notice.rs
+++ b/crates/zinniahatch_entry/src/replicas/notice.rs
@@ -2,6 +2,7 @@
 
 use crate::core::EntryCore;
 use crate::replicas::rate_limit::log_change;
+use crate::replicas::unread_headers::note_unread;
 use crate::request::channel::AnswerHead;
 use crate::request::open_call::OpenCall;
 use crate::request::received::ReceivedCall;
@@ -23,6 +24,7 @@
 ) {
     let now = Instant::now();
     let marks = &head.marks;
+    note_unread(core, open.replica(), &head.headers);
     let speaker = if head.status == StatusCode::MISDIRECTED_REQUEST {
         other_at(core, open, marks).map(|tag| (tag, AnswerProof::Named))
     } else {
@@ -44,12 +46,9 @@
 }
 
 /// Takes what the answer to a probe says. It was sent to whoever listens at the address.
-pub(crate) fn hear_probe(
-    core: &EntryCore,
-    life: &ReplicaLife,
-    marks: &AnswerHeaders,
-    sent: Instant,
-) {
+pub(crate) fn hear_probe(core: &EntryCore, life: &ReplicaLife, head: &AnswerHead, sent: Instant) {
+    let marks = &head.marks;
+    note_unread(core, Some(&life.id), &head.headers);
     let named = marks.replica.as_ref() == Some(&life.id);
     let proof = if named {
         AnswerProof::Named
--- a/crates/zinniahatch_entry/src/replicas/notice_metrics.rs
+++ b/crates/zinniahatch_entry/src/replicas/notice_metrics.rs
@@ -1,5 +1,6 @@
 //! Counters of what replicas say of themselves, and of what they were not sent for it.
 
+use crate::replicas::unread_headers::UnreadHeaders;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -12,6 +13,8 @@
     events: IntCounterVec,
     leaving: IntGauge,
     resting: IntGauge,
+    /// The headers that nobody reads.
+    pub(crate) unread: UnreadHeaders,
 }
 
 impl NoticeMetrics {
@@ -32,6 +35,7 @@
             Ok::<_, prometheus::Error>(gauge)
         };
         Ok(Self {
+            unread: UnreadHeaders::new(registry)?,
             withheld: counter(
                 "zinniahatch_withheld_sends_total",
                 "Requests and probes that were not written to a replica, by reason.",
--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -4,13 +4,13 @@
 use crate::replicas::gate::claim;
 use crate::replicas::gate::permit;
 use crate::replicas::notice::hear_probe;
+use crate::request::channel::AnswerHead;
 use crate::request::channel::BackendChannel;
 use http::Method;
 use std::rc::Rc;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
-use zinniahatch_platform::AnswerHeaders;
 use zinniahatch_route::ReplicaLife;
 use zinniahatch_route::SendClaim;
 
@@ -58,8 +58,8 @@
         .await
         .unwrap_or(None);
     let sound = answer.is_some();
-    if let Some(marks) = answer {
-        hear_probe(&core, &life, &marks, sent);
+    if let Some(head) = answer {
+        hear_probe(&core, &life, &head, sent);
     }
     let mut replicas = core.replicas.borrow_mut();
     replicas.note_probe(&life, sound, Instant::now());
@@ -71,7 +71,7 @@
 }
 
 /// Asks a replica for an answer; gives what that says, none where there is none.
-async fn ask_sign_of_life(core: &EntryCore, claim: SendClaim, path: &str) -> Option<AnswerHeaders> {
+async fn ask_sign_of_life(core: &EntryCore, claim: SendClaim, path: &str) -> Option<AnswerHead> {
     let address = claim.address();
     let mut channel = BackendChannel::connect(address, PROBE_TIME).await.ok()?;
     let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
@@ -80,5 +80,5 @@
     // Any answer shows that the replica lives. What it says of its health may be false either way,
     // so whether it serves is judged by its answers to requests.
     let head = channel.read_head(&Method::GET, "").await.ok()?;
-    Some(head.marks)
+    Some(head)
 }
--- a/crates/zinniahatch_lab/src/stand/replica.rs
+++ b/crates/zinniahatch_lab/src/stand/replica.rs
@@ -74,6 +74,8 @@
     behaviour: ReplicaBehaviour,
     /// Whether its answers say that it leaves.
     leaving: bool,
+    /// The name of a header of whole answers that no page names.
+    odd_header: Option<Box<str>>,
     /// The value of `Retry-After` of the answers that turn a request away.
     rest: Option<Box<str>>,
     sight: ReplicaSight,
@@ -172,6 +174,11 @@
         lock(&self.state).leaving = true;
     }
 
+    /// Adds a header that no page names to whole answers.
+    pub fn add_header(&self, name: &str) {
+        lock(&self.state).odd_header = Some(name.into());
+    }
+
     /// Asks for a rest, in seconds, in every answer that turns a request away, or for none.
     pub fn ask_rest(&self, rest: Option<&str>) {
         lock(&self.state).rest = rest.map(Box::from);
@@ -312,6 +319,12 @@
         "Server-Leaving: 1\r\n"
     }
 
+    /// Gives a header that no page names; nothing while it has none.
+    fn odd_line(&self) -> String {
+        let name = lock(&self.state).odd_header.clone();
+        name.map_or_else(String::new, |name| format!("{name}: 1\r\n"))
+    }
+
     /// Gives the header that asks for a rest; nothing while it asks for none.
     fn rest_line(&self, attempt: &str) -> String {
         let mut state = lock(&self.state);
@@ -352,9 +365,10 @@
     async fn plain(&self, stream: &mut TcpStream, call: &ReplicaCall, status: &str) -> bool {
         let body = format!("{}@{}", call.attempt, self.id);
         let text = format!(
-            "{}X-Server-Seal: {}\r\nX-Server-Load: 1,0,8\r\nContent-Length: {}\r\n\r\n{body}",
+            "{}X-Server-Seal: {}\r\nX-Server-Load: 1,0,8\r\n{}Content-Length: {}\r\n\r\n{body}",
             self.head(call, status),
             self.id,
+            self.odd_line(),
             body.len()
         );
         stream.write_all(text.as_bytes()).await.is_ok()
--- a/crates/zinniahatch_lab/tests/replica_notices.rs
+++ b/crates/zinniahatch_lab/tests/replica_notices.rs
@@ -187,6 +187,21 @@
     .await;
 }
 
+/// Guards against a new word of replicas that nobody notices.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_headers_are_listed() {
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHAPE).await;
+    site.replicas[0].0.add_header("Server-Mood");
+    wait_until("the header is logged", async || {
+        load(&site, "/plain/look", "look", PAUSE * 4).await;
+        site.log(0).contains("server-mood")
+    })
+    .await;
+    let log = site.log(0);
+    let lines = log.lines().filter(|line| line.contains("unread-header"));
+    assert_eq!(lines.count(), 1);
+}
+
 fn header<'a>(answer: &'a Response, name: &str) -> &'a str {
     let value = answer.headers().get(name);
     value.map_or("", |value| value.to_str().unwrap())
