Heed signals before anything answers

Cause: the handlers were installed after the listeners; a fraction of a millisecond in which the node can be reached and a SIGTERM ends it. Why it works: the handlers are installed as soon as the runtime is there, before settings are used and addresses bound. What remains before that is the loader's time.

--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -31,6 +31,7 @@
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::net::UdpSocket;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
@@ -95,11 +96,34 @@
         .enable_all()
         .build()
         .map_err(setup)?;
-    LocalSet::new().block_on(&runtime, serve(settings, reread))
+    // Before anything answers: whoever can reach this node may tell it to stop, and it would end without leaving.
+    let signals = {
+        let _guard = runtime.enter();
+        EntrySignals::install().map_err(setup)?
+    };
+    LocalSet::new().block_on(&runtime, serve(settings, signals, reread))
+}
+
+/// The signals that an entry VM heeds.
+struct EntrySignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl EntrySignals {
+    fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
 }
 
 async fn serve(
     settings: EntrySettings,
+    signals: EntrySignals,
     reread: impl Fn() -> Result<EntrySettings, String>,
 ) -> Result<(), EntryError> {
     let metrics = EntryMetrics::new().map_err(setup)?;
@@ -156,7 +180,7 @@
     tokio::task::spawn_local(run_ticks(Rc::clone(&core)));
     tokio::task::spawn_local(run_sealing(Rc::clone(&core)));
     tokio::task::spawn_local(run_merging(Rc::clone(&core)));
-    wait_for_stop(&core, reread).await?;
+    wait_for_stop(&core, signals, reread).await;
     leave(&core).await;
     Ok(())
 }
@@ -195,16 +219,14 @@
 
 async fn wait_for_stop(
     core: &Rc<EntryCore>,
+    mut signals: EntrySignals,
     reread: impl Fn() -> Result<EntrySettings, String>,
-) -> Result<(), EntryError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(setup)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(setup)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(setup)?;
+) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hangup.recv() => {
                 let outcome = match reread() {
                     Ok(settings) if settings == core.settings => "unchanged".to_owned(),
                     Ok(_) => "changed; it counts from the next start".to_owned(),
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -412,6 +412,19 @@
         }
     }
 
+    /// Gives the mask of the signals that an entry VM catches.
+    ///
+    /// # Panics
+    ///
+    /// Where it has no process or the system does not tell.
+    pub fn caught_signals(&self, index: usize) -> u64 {
+        let child = self.entries[index].child.as_ref().expect("it has started");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the system tells");
+        let line = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        u64::from_str_radix(line.expect("the system tells").trim(), 16).expect("it is a mask")
+    }
+
     /// Tells whether an entry VM was started and not killed.
     pub fn has_process(&self, index: usize) -> bool {
         self.entries[index].child.is_some()
