Wait for no process that nobody told to stop, and let replicas leave and rest by their answers in the soak

Cause: a stop that was due while the revived entry VMs were being loaded ended one by the signal; the harness took that for an end by itself, started the entry VM anew, and still had it down as stopping. Why it works: an entry VM that is started anew is no longer stopping, and one that was told to stop before its program began is counted as what it is: ended by SIGTERM with no line of its own in the log (stops unheard). Which node sent what is read from the decision logs; checked are the operators' bounds, and excused are faults of that node and of the replica's link.

--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -6,6 +6,7 @@
 use zinniahatch_lab::experiments;
 use zinniahatch_lab::experiments::faults::FaultKind;
 use zinniahatch_lab::experiments::faults::FaultRun;
+use zinniahatch_lab::soak::ReplicaWords;
 use zinniahatch_lab::soak::SoakRun;
 
 /// Runs the demonstration and the experiments.
@@ -29,6 +30,10 @@
 /// "violations"
 #[derive(FromArgs)]
 #[argh(subcommand, name = "soak")]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a switch of the command line"
+)]
 struct SoakArgs {
     /// the first seed (default: 1)
     #[argh(option, default = "1")]
@@ -54,6 +59,9 @@
     /// let replicas name rate limits
     #[argh(switch)]
     limits: bool,
+    /// let replicas say in their answers that they leave, or ask for rest
+    #[argh(switch)]
+    notices: bool,
 }
 
 /// run a small site on the platform's protocol, with a kill and a planned stop
@@ -166,7 +174,10 @@
                 callers: args.callers,
                 fatal: args.fatal,
                 returns: args.returns,
-                limits: args.limits,
+                words: ReplicaWords {
+                    limits: args.limits,
+                    notices: args.notices,
+                },
             };
             zinniahatch_lab::soak::run(&run).await
         }
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -10,6 +10,7 @@
 use crate::stand::fatal::FatalBook;
 use crate::stand::faults::FaultSwitch;
 use crate::stand::limit_record::LimitRecord;
+use crate::stand::notice_record::NoticeRecord;
 use crate::stand::replica::ReplicaSight;
 use crate::stand::replica::StandReplica;
 use crate::stand::replica::StreamShape;
@@ -19,6 +20,7 @@
 use reqwest::Client;
 use serde_json::Value;
 use std::fs::File;
+use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -36,6 +38,8 @@
 const MOST_LOOKS: u32 = 3_000;
 /// How long a caller waits.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// The signal that asks a process to stop.
+const TERMINATE: i32 = 15;
 /// Grace of a planned stop, in seconds.
 const GRACE_SECONDS: u64 = 8;
 
@@ -71,6 +75,8 @@
     /// Addresses: callers, readiness, control, directory, other nodes.
     pub addresses: Vec<Box<str>>,
     child: Option<Child>,
+    /// Length of its decision log when its process was started.
+    log_before: u64,
     folder: PathBuf,
 }
 
@@ -94,6 +100,8 @@
     retired: Vec<(&'static str, ReplicaSight)>,
     /// What reached replicas that have ended, by their places.
     retired_limits: Vec<(usize, LimitRecord)>,
+    /// What replicas that have ended said, by their places and ids.
+    retired_notices: Vec<(usize, Box<str>, NoticeRecord)>,
     shape: StreamShape,
     /// Whether keys that were taken away must run nowhere a while later.
     guarded: bool,
@@ -175,6 +183,7 @@
                     region: region.name,
                     addresses: free_addresses(5),
                     child: None,
+                    log_before: 0,
                     folder: folder.clone(),
                 });
             }
@@ -189,6 +198,7 @@
             store_links,
             retired: Vec::new(),
             retired_limits: Vec::new(),
+            retired_notices: Vec::new(),
             shape,
             guarded: false,
             server,
@@ -299,6 +309,8 @@
         let old = std::mem::replace(&mut self.replicas[index].0, replica);
         let sight = old.sight();
         self.retired_limits.push((index, sight.limits.clone()));
+        self.retired_notices
+            .push((index, old.id.clone(), sight.notices.clone()));
         self.retired.push((region, sight));
         drop(old);
         self.register(index, "ready");
@@ -368,6 +380,7 @@
             .append(true)
             .open(self.log_path(index))
             .expect("a log can be opened");
+        self.entries[index].log_before = log.metadata().map_or(0, |log| log.len());
         let child = Command::new(daemon_path())
             .arg("--config")
             .arg(&settings)
@@ -446,6 +459,45 @@
         child.try_wait().ok()?.map(|status| status.success())
     }
 
+    /// Tells whether an entry VM was told to stop and ended before its program began, which heeds no signal yet.
+    pub fn ended_unheard(&mut self, index: usize) -> bool {
+        let entry = &mut self.entries[index];
+        let status = entry.child.as_mut().map(Child::try_wait);
+        let Some(Ok(Some(status))) = status else {
+            return false;
+        };
+        let log = std::fs::metadata(self.log_path(index)).map_or(0, |log| log.len());
+        status.signal() == Some(TERMINATE) && log == self.entries[index].log_before
+    }
+
+    /// Gives the entry VM that sent each request of a caller to each replica, from the decision logs.
+    pub fn placers(&self) -> BTreeMap<(Box<str>, Box<str>), usize> {
+        let mut placers = BTreeMap::new();
+        for index in 0..self.entries.len() {
+            for line in self.log(index).lines() {
+                let Ok(line) = serde_json::from_str::<Value>(line) else {
+                    continue;
+                };
+                let text = |key: &str| line[key].as_str().map(Box::<str>::from);
+                if line["kind"] != "placed" {
+                    continue;
+                }
+                if let (Some(request), Some(replica)) = (text("request"), text("replica")) {
+                    placers.insert((request, replica), index);
+                }
+            }
+        }
+        placers
+    }
+
+    /// Gives what each life of a replica said of its leaving and of rests, with its place and id.
+    pub fn notice_records(&self) -> Vec<(usize, Box<str>, NoticeRecord)> {
+        let lives = self.replicas.iter().enumerate();
+        let lives =
+            lives.map(|(index, (replica, _))| (index, replica.id.clone(), replica.sight().notices));
+        self.retired_notices.iter().cloned().chain(lives).collect()
+    }
+
     /// Waits until an entry VM says that it is ready.
     pub async fn wait_ready(&self, index: usize) {
         let url = format!("http://{}/readiness", self.entries[index].addresses[1]);
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -8,6 +8,7 @@
 mod fatal;
 mod faults;
 mod limits;
+mod notices;
 mod plan;
 mod promises;
 
@@ -28,6 +29,15 @@
     pause: Duration::from_millis(40),
 };
 
+/// What replicas say of themselves in their answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaWords {
+    /// They name rate limits.
+    pub limits: bool,
+    /// They say that they leave, or ask for rest.
+    pub notices: bool,
+}
+
 /// What to run.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakRun {
@@ -45,8 +55,8 @@
     pub fatal: bool,
     /// Whether the store comes back from an older copy.
     pub returns: bool,
-    /// Whether replicas name rate limits.
-    pub limits: bool,
+    /// What replicas say of themselves in their answers.
+    pub words: ReplicaWords,
 }
 
 /// Runs seed after seed; gives how many promises broke.
@@ -78,9 +88,12 @@
     if soak.returns {
         plan = plan.with_return(seed, soak.time);
     }
-    if soak.limits {
+    if soak.words.limits {
         plan = plan.with_limits(seed, soak.time, &site);
     }
+    if soak.words.notices {
+        plan = plan.with_notices(seed, soak.time, &site);
+    }
     let book = Arc::new(PromiseBook::default());
     let crowd = CallerCrowd::start(seed, soak.callers, &site, &book);
     let fatal = soak.fatal.then(|| FatalCaller::start(seed, &site));
@@ -92,6 +105,7 @@
         fatal.check(&mut site, &plan, &book).await;
     }
     limits::check_limits(&site, &plan, board.began, &book);
+    notices::check_notices(&site, &plan, board.began, &book);
     promises::check_runs(&site, plan.mix, soak.fatal, &book);
     let broken = book.take_broken();
     println!(
--- a/crates/zinniahatch_lab/src/soak/faults.rs
+++ b/crates/zinniahatch_lab/src/soak/faults.rs
@@ -99,18 +99,23 @@
         }
     }
 
-    /// Notes entry VMs that ended though nobody asked them to, or with an error.
-    fn look_for_ends(&self, site: &mut SiteCluster, book: &PromiseBook) {
+    /// Notes entry VMs that ended though nobody asked them to, or with an error, and starts them anew. One that was
+    /// asked to while its program was being loaded could not heed that.
+    fn look_for_ends(&mut self, site: &mut SiteCluster, book: &PromiseBook) {
         for index in 0..site.entries.len() {
-            let expected = match site.ended(index) {
+            let stopping = self.stopping.contains(&index);
+            match site.ended(index) {
                 None => continue,
-                Some(well) => well && self.stopping.contains(&index),
-            };
-            if !expected {
-                book.note_broken(format!("{} ended by itself", site.entries[index].name));
-                site.kill(index);
-                site.spawn(index);
+                Some(true) if stopping => continue,
+                Some(_) if stopping && site.ended_unheard(index) => book.note_unheard(),
+                Some(_) => {
+                    book.note_broken(format!("{} ended by itself", site.entries[index].name));
+                }
             }
+            // Nobody has told the process that follows to stop.
+            self.stopping.remove(&index);
+            site.kill(index);
+            site.spawn(index);
         }
     }
 
@@ -192,6 +197,12 @@
                 site.replicas[index].0.name_limit(Some(rate));
             }
             SoakFault::ReplicaIll(index, illness) => site.replicas[index].0.behave(illness),
+            SoakFault::ReplicaSaysLeaving(index) => site.replicas[index].0.say_leaving(),
+            SoakFault::ReplicaRests(index, tenths) => {
+                let replica = &site.replicas[index].0;
+                replica.ask_rest(Some(&(f64::from(tenths) / 10.0).to_string()));
+                replica.behave(ReplicaBehaviour::Shed);
+            }
             SoakFault::AddRoute => self.add_route(site),
             SoakFault::Evacuate(region) => {
                 self.evacuated.insert(region);
@@ -227,9 +238,14 @@
                 site.register(index, "ready");
             }
             SoakFault::ReplicaLimits(index, _) => site.replicas[index].0.name_limit(None),
-            SoakFault::ReplicaIll(index, _) => {
+            SoakFault::ReplicaIll(index, _) | SoakFault::ReplicaRests(index, _) => {
+                site.replicas[index].0.ask_rest(None);
                 site.replicas[index].0.behave(ReplicaBehaviour::Serve);
             }
+            SoakFault::ReplicaSaysLeaving(index) => {
+                self.leaving.remove(&index);
+                site.restart_replica(index).await;
+            }
             SoakFault::Evacuate(region) => {
                 self.evacuated.remove(region);
                 site.store.remove(&format!("op/evacuate/{region}-a"));
@@ -330,7 +346,9 @@
             format!("entry of replica {index}")
         }
         SoakFault::ReplicaLimits(index, _) => format!("limit of replica {index}"),
-        SoakFault::ReplicaIll(index, _) => format!("replica {index}"),
+        SoakFault::ReplicaIll(index, _) | SoakFault::ReplicaRests(index, _) => {
+            format!("replica {index}")
+        }
         other => format!("{other:?}"),
     }
 }
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -25,6 +25,14 @@
 /// Mixed into the seed, so that limits are drawn apart from the other faults.
 const LIMIT_DRAW: u64 = 0x11_3175;
 
+/// Replicas that say that they leave or ask for rest, half each; how long the one goes on serving, and what the other
+/// asks for in tenths of a second.
+const NOTICES: usize = 6;
+const LEAVING_TIME: Duration = Duration::from_secs(7);
+const REST_TENTHS: std::ops::Range<u32> = 5..60;
+/// Mixed into the seed, as for limits.
+const NOTICE_DRAW: u64 = 0x0007_1ce5;
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum SoakFault {
@@ -72,6 +80,11 @@
     ReplicaVanishes(usize),
     /// A replica names a rate limit, in tenths of a request a second.
     ReplicaLimits(usize, u32),
+    /// A replica says in its answers that it leaves, which its entry may not say, and starts again under its id at
+    /// the end.
+    ReplicaSaysLeaving(usize),
+    /// A replica turns requests away and asks for rest, in tenths of a second.
+    ReplicaRests(usize, u32),
     /// A replica misbehaves.
     ReplicaIll(usize, ReplicaBehaviour),
     /// The operator adds a route.
@@ -121,7 +134,8 @@
         match self {
             Self::ReplicaReplaced(index)
             | Self::ReplicaDrains(index)
-            | Self::ReplicaVanishes(index) => Some(index),
+            | Self::ReplicaVanishes(index)
+            | Self::ReplicaSaysLeaving(index) => Some(index),
             _ => None,
         }
     }
@@ -211,6 +225,29 @@
         self
     }
 
+    /// Adds replicas that say that they leave, or ask for rest. They are drawn apart, so that the other faults of a seed
+    /// stay.
+    pub(crate) fn with_notices(mut self, seed: u64, time: Duration, site: &SiteCluster) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ NOTICE_DRAW);
+        for number in 0..NOTICES {
+            let replica = random.random_range(0..site.replicas.len());
+            let at = time.mul_f64(random.random_range(0.0..0.7));
+            let (fault, lasting) = if number % 2 == 0 {
+                (SoakFault::ReplicaSaysLeaving(replica), LEAVING_TIME)
+            } else {
+                let rest = random.random_range(REST_TENTHS);
+                let lasting = Duration::from_millis(random.random_range(FAULT_MILLIS));
+                (SoakFault::ReplicaRests(replica, rest), lasting)
+            };
+            self.faults.push(PlannedFault {
+                at,
+                until: at + lasting,
+                fault,
+            });
+        }
+        self
+    }
+
     /// Draws the faults of a seed.
     pub(crate) fn draw(seed: u64, time: Duration, site: &SiteCluster) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
--- a/crates/zinniahatch_lab/src/soak/promises.rs
+++ b/crates/zinniahatch_lab/src/soak/promises.rs
@@ -62,6 +62,8 @@
 
 #[derive(Debug, Default)]
 struct BookRows {
+    /// Entry VMs that were told to stop before they could heed that.
+    unheard: u32,
     kinds: BTreeMap<Box<str>, RouteKind>,
     /// Requests of which a caller was told that they did not run.
     not_run: BTreeSet<Box<str>>,
@@ -88,6 +90,11 @@
         self.lock().broken.push(what);
     }
 
+    /// Notes an entry VM that was told to stop before it could heed that.
+    pub(crate) fn note_unheard(&self) {
+        self.lock().unheard += 1;
+    }
+
     /// Takes the broken promises.
     pub(crate) fn take_broken(&self) -> Vec<String> {
         std::mem::take(&mut self.lock().broken)
@@ -97,12 +104,13 @@
     pub(crate) fn summary(&self) -> String {
         let rows = self.lock();
         format!(
-            "{} calls: {} served, {} refused or failed, {} broken off, {} left",
+            "{} calls: {} served, {} refused or failed, {} broken off, {} left, {} stops unheard",
             rows.kinds.len(),
             rows.served,
             rows.refused,
             rows.broken_off.len(),
-            rows.left
+            rows.left,
+            rows.unheard
         )
     }
 
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 use test_case::test_case;
+use zinniahatch_lab::soak::ReplicaWords;
 use zinniahatch_lab::soak::SoakRun;
 use zinniahatch_lab::soak::run_seed;
 
@@ -16,6 +17,8 @@
     Return,
     /// Replicas name rate limits.
     Limits,
+    /// Replicas say that they leave, or ask for rest.
+    Notices,
 }
 
 /// Plays a seed for so many seconds with so many entry VMs a region and callers.
@@ -28,7 +31,10 @@
         callers,
         fatal: with == Beside::Fatal,
         returns: with == Beside::Return,
-        limits: with == Beside::Limits,
+        words: ReplicaWords {
+            limits: with == Beside::Limits,
+            notices: with == Beside::Notices,
+        },
     };
     let broken = run_seed(&soak, seed).await;
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
@@ -60,6 +66,22 @@
     check_seed(seed, 12, 2, 12, Beside::Limits).await;
 }
 
+/// Replicas say in their answers that they leave, or turn requests away and ask for rest, while other faults go on: a
+/// node that was told sends no more, and every other promise holds.
+#[test_case(18; "replicas")]
+#[test_case(19; "planned")]
+#[test_case(21; "any")]
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_beside_replicas_that_leave_or_rest(seed: u64) {
+    check_seed(seed, 10, 2, 12, Beside::Notices).await;
+}
+
+/// Guards against a stop that comes while an entry VM is being started, which nobody heeds and somebody waits for.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_told_to_stop_while_it_starts() {
+    check_seed(1007, 12, 2, 12, Beside::Nothing).await;
+}
+
 /// A caller's request ends each replica that begins it, and it comes again at any node while other faults
 /// go on; in the end every node knows it, without many replicas more.
 #[test_case(4; "any")]
