Remember that a replica leaves which says so after its entry vanished

Cause: the row of a replica whose entry vanishes is dropped; an answer that came after that, to a probe in the product, was heard by nobody, and the entry that came back brought the replica back. Evidence: leaving_of_a_dropped_life_is_remembered failed before and passes now. Why it works: what is remembered of the dropped life takes the word, and the entry that comes back finds it.

--- a/crates/zinniahatch_route/src/hearing.rs
+++ b/crates/zinniahatch_route/src/hearing.rs
@@ -62,11 +62,13 @@
 }
 
 impl ReplicaTable {
-    /// Takes what a replica says of itself in an answer; gives what that changed. A life that has ended says nothing.
+    /// Takes what a replica says of itself in an answer; gives what that changed. Of a life that was dropped only its
+    /// leaving counts, since its entry may come back.
     pub fn hear(&mut self, heard: &HeardNotice<'_>, now: Instant) -> NoticeEffect {
         let mut effect = NoticeEffect::default();
         let id = self.tags.get(&heard.replica);
         let Some(belief) = id.and_then(|id| self.rows.get_mut(id)) else {
+            self.hear_dropped(heard);
             return effect;
         };
         hear_state(belief, heard, now);
@@ -90,6 +92,17 @@
         effect
     }
 
+    fn hear_dropped(&mut self, heard: &HeardNotice<'_>) {
+        let leaves = heard.notice.leaving == NamedLeaving::Leaving;
+        if !leaves || heard.proof == AnswerProof::Missing {
+            return;
+        }
+        let mut ended = self.gone.values_mut();
+        if let Some(ended) = ended.find(|ended| ended.tag == heard.replica) {
+            ended.leaving = true;
+        }
+    }
+
     fn hear_rest(&mut self, heard: &HeardNotice<'_>, effect: &mut NoticeEffect, now: Instant) {
         match heard.notice.rest {
             NamedRest::Absent => {}
--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EndedLife {
     pub(crate) born: u64,
+    /// The tag of the life.
+    pub(crate) tag: ShortTag,
     /// Whether it said that it leaves, which holds for the life.
     pub(crate) leaving: bool,
     /// When it was dropped.
@@ -339,6 +341,7 @@
             self.tags.remove(&belief.tag);
             let ended = EndedLife {
                 born: belief.entry.born,
+                tag: belief.tag,
                 leaving: belief.leaving == Some(LeaveReason::Draining),
                 at: now,
                 vanished: belief.vanished,
--- a/crates/zinniahatch_route/tests/hearing.rs
+++ b/crates/zinniahatch_route/tests/hearing.rs
@@ -297,3 +297,16 @@
     assert_eq!(withheld(&mut table, now + seconds(1.9)), expected);
     assert_eq!(withheld(&mut table, now + seconds(2.0)), None);
 }
+
+/// Guards against a leaving that is heard after the entry of the replica has vanished, and lost with it.
+#[test]
+fn leaving_of_a_dropped_life_is_remembered() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    table.vanish("r", 11.into(), now);
+    table.tick(now);
+    hear(&mut table, &LEAVING, AnswerProof::Named, now);
+    table.upsert(life(1, 12), now);
+    assert_eq!(withheld(&mut table, now), Some(Withheld::Leaving));
+}
