Keep a rest where the entry of its replica vanishes and comes back

Cause: rests were dropped with the row of a replica whose entry had vanished; the entry came back within the rest.

--- a/crates/zinniahatch_route/src/replicas.rs
+++ b/crates/zinniahatch_route/src/replicas.rs
@@ -353,7 +353,7 @@
         let tags = &self.tags;
         self.said_leaving.retain(|tag, _| tags.contains_key(tag));
         self.limits.tick(|tag| tags.contains_key(&tag), now);
-        self.rests.tick(|tag| tags.contains_key(&tag), now);
+        self.rests.tick(now);
         self.gone
             .retain(|_, ended| now.saturating_duration_since(ended.at) <= ended.kept_for());
         dropped
--- a/crates/zinniahatch_route/src/rests.rs
+++ b/crates/zinniahatch_route/src/rests.rs
@@ -145,9 +145,9 @@
         self.rows.len()
     }
 
-    /// Runs once a tick: forgets replicas that are gone, and rests that ended long ago.
-    pub(crate) fn tick(&mut self, lives: impl Fn(ShortTag) -> bool, now: Instant) {
-        self.rows
-            .retain(|replica, row| lives(*replica) && now < row.until + TRIED_FOR);
+    /// Runs once a tick: forgets rests that ended long ago. Those of a replica whose entry vanished stay, since that may
+    /// come back.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.rows.retain(|_, row| now < row.until + TRIED_FOR);
     }
 }
--- a/crates/zinniahatch_route/tests/hearing.rs
+++ b/crates/zinniahatch_route/tests/hearing.rs
@@ -310,3 +310,20 @@
     table.upsert(life(1, 12), now);
     assert_eq!(withheld(&mut table, now), Some(Withheld::Leaving));
 }
+
+/// Guards against a rest that is forgotten where the entry of the replica vanishes and comes back.
+#[test]
+fn rest_outlives_a_lapsed_entry() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    hear(&mut table, &rest(3.0), AnswerProof::Named, now);
+    table.vanish("r", 11.into(), now);
+    table.tick(now);
+    table.upsert(life(1, 12), now);
+    table.tick(now);
+    assert_eq!(
+        withheld(&mut table, now + seconds(2.9)),
+        Some(Withheld::Resting)
+    );
+}
--- a/crates/zinniahatch_route/tests/replica_words.rs
+++ b/crates/zinniahatch_route/tests/replica_words.rs
@@ -55,6 +55,16 @@
     assert!(said as u64 > seeds * 20);
 }
 
+/// Guards against a rest that is forgotten where the entry of its replica vanishes and comes back.
+#[test_case(plan(1, 3, 30.0), 263; "one_node")]
+#[test_case(plan(2, 2, 40.0), 760; "few")]
+#[test_case(plan(3, 4, 30.0), 288; "three_nodes")]
+#[test_case(plan(7, 4, 20.0), 372; "seven_nodes")]
+#[test_case(plan(20, 6, 8.0), 13; "many_nodes")]
+fn rest_outlives_an_entry(plan: NoticePlan, seed: u64) {
+    assert_eq!(play::<RealGate>(plan, seed).0, []);
+}
+
 fn found<G: GateRule>(bound: BrokenBound) -> bool {
     let found = (0..MUTANT_SEEDS).find(|seed| {
         let (broken, _) = play::<G>(plan(3, 4, 30.0), *seed);
