Keep the rate limit of a replica whose entry vanishes for a while

What callers saw: nothing yet; found by looking for the cause of the fault in rests elsewhere. The limit of a replica whose entry lapsed was forgotten, and until its next answer the entry that came back was sent the usual load. Evidence: limit_outlives_a_lapsed_entry failed before and passes now; the schedules of limits pass. Why it works: a limit is forgotten thirty seconds after the last word of it, as the end of one is. A row of limits is written in one place where two did the same.

--- a/crates/zinniahatch_route/src/rate_limits.rs
+++ b/crates/zinniahatch_route/src/rate_limits.rs
@@ -10,7 +10,8 @@
 use crate::prompt::session_rank;
 use zinniahatch_base::prelude::*;
 
-/// Time for which the end of a limit is remembered; older news would bring it back.
+/// Time for which the end of a limit is remembered, since older news would bring it back, and the limit of a replica
+/// without an entry.
 const FORGET: Duration = Duration::from_secs(30);
 /// Limits that are kept at most.
 const MOST_ROWS: usize = 4_096;
@@ -172,28 +173,23 @@
     fn put(&mut self, news: LimitNews, untold: bool, now: Instant) {
         let place = self.holders.place(news.replica);
         let nodes = self.holders.others.len() + 1;
-        if let Some(row) = self.rows.get_mut(&news.replica) {
-            if row.news.rate.is_none() {
-                row.share = LimitShare::new(now);
-            }
-            row.news = news;
-            row.told = now;
-            row.untold |= untold;
-            row.share.set(news.rate, place, nodes, now);
-            return;
-        }
-        if self.rows.len() >= MOST_ROWS {
+        let full = self.rows.len() >= MOST_ROWS;
+        if full && !self.rows.contains_key(&news.replica) {
             return;
         }
-        let mut share = LimitShare::new(now);
-        share.set(news.rate, place, nodes, now);
-        let row = LimitRow {
-            news,
+        let row = self.rows.entry(news.replica).or_insert_with(|| LimitRow {
+            news: LimitNews { rate: None, ..news },
             told: now,
-            share,
-            untold,
-        };
-        self.rows.insert(news.replica, row);
+            share: LimitShare::new(now),
+            untold: false,
+        });
+        if row.news.rate.is_none() {
+            row.share = LimitShare::new(now);
+        }
+        row.news = news;
+        row.told = now;
+        row.untold |= untold;
+        row.share.set(news.rate, place, nodes, now);
     }
 
     /// Sets the nodes that share the limits; a node that has just started knows neither them nor what its
@@ -265,12 +261,13 @@
             .fold(0, |digest, rank| digest ^ rank)
     }
 
-    /// Runs once a tick: forgets replicas that are gone, and limits that ended a while ago.
+    /// Runs once a tick: forgets limits that ended, and replicas that are gone, a while ago; an entry that vanished may
+    /// come back.
     pub(crate) fn tick(&mut self, lives: impl Fn(ShortTag) -> bool, now: Instant) {
         self.rows.retain(|replica, row| {
-            let ended = row.news.rate.is_none();
+            let over = row.news.rate.is_none() || !lives(*replica);
             let old = now.saturating_duration_since(row.told) > FORGET;
-            lives(*replica) && !(ended && old)
+            !(over && old)
         });
     }
 }
--- a/crates/zinniahatch_route/tests/hearing.rs
+++ b/crates/zinniahatch_route/tests/hearing.rs
@@ -9,6 +9,7 @@
 use zinniahatch_route::ColdGate;
 use zinniahatch_route::HeardNotice;
 use zinniahatch_route::NamedLeaving;
+use zinniahatch_route::NamedLimit;
 use zinniahatch_route::NamedRest;
 use zinniahatch_route::NoticeEffect;
 use zinniahatch_route::ReplicaEntry;
@@ -20,7 +21,7 @@
 const LEAVING: ReplicaNotice = ReplicaNotice {
     leaving: NamedLeaving::Leaving,
     rest: NamedRest::Absent,
-    rate_limit: zinniahatch_route::NamedLimit::Absent,
+    rate_limit: NamedLimit::Absent,
     load: None,
     cold_for: None,
 };
@@ -327,3 +328,26 @@
         Some(Withheld::Resting)
     );
 }
+
+/// Guards against a rate limit that is forgotten where the entry of the replica vanishes and comes back.
+#[test]
+fn limit_outlives_a_lapsed_entry() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    table.upsert(life(1, 10), now);
+    let notice = ReplicaNotice {
+        rate_limit: NamedLimit::PerSecond(1.0),
+        ..ReplicaNotice::default()
+    };
+    hear(&mut table, &notice, AnswerProof::Sealed, now);
+    table.vanish("r", 11.into(), now);
+    table.tick(now);
+    let later = now + seconds(20.0);
+    table.upsert(life(1, 12), later);
+    table.tick(later);
+    let tag = life(1, 0).life().tag();
+    assert_eq!(table.limits.rate(tag), Some(1.0));
+    table.vanish("r", 13.into(), later);
+    table.tick(later + seconds(31.0));
+    assert_eq!(table.limits.rate(tag), None);
+}
