Let requests back to a replica after its rest as fast as it takes them

A node that was let back after one answer sent all that it had, every replica was full again at once, and all rested. Cause: after a rest the gate opened whole with the first request that the replica took. Tried: requests that wait for an answer after a rest are bounded by a window; it begins at one, grows by one with each request taken up to half of what was there when the replica turned one away, and slowly after that, for 30 s. The 5,060 schedules of the model of bounds pass.

--- a/crates/zinniahatch_route/src/hearing.rs
+++ b/crates/zinniahatch_route/src/hearing.rs
@@ -77,9 +77,10 @@
             NamedLeaving::Malformed => effect.rejected.push("leaving"),
             NamedLeaving::Leaving if heard.proof == AnswerProof::Missing => {
                 effect.unproven.push("leaving");
+                let (tag, work) = (belief.tag, belief.own.requests);
                 let rest = self
                     .rests
-                    .note_asked(belief.tag, UNPROVEN_TIME, heard.draw, now);
+                    .note_asked(tag, UNPROVEN_TIME, work, heard.draw, now);
                 effect.rest = rest;
             }
             NamedLeaving::Leaving => {
@@ -87,7 +88,8 @@
                 effect.leaving = begin_leaving(belief);
             }
         }
-        self.hear_rest(heard, &mut effect, now);
+        let work = belief.own.requests;
+        self.hear_rest(heard, work, &mut effect, now);
         effect.limit = self.hear_answered_limit(heard, &mut effect.rejected, now);
         effect
     }
@@ -103,7 +105,19 @@
         }
     }
 
-    fn hear_rest(&mut self, heard: &HeardNotice<'_>, effect: &mut NoticeEffect, now: Instant) {
+    fn hear_rest(
+        &mut self,
+        heard: &HeardNotice<'_>,
+        work: u32,
+        effect: &mut NoticeEffect,
+        now: Instant,
+    ) {
+        if heard.proof >= AnswerProof::Named {
+            let answered = self
+                .rests
+                .note_answer(heard.replica, heard.taken, heard.sent);
+            effect.serves = answered;
+        }
         match heard.notice.rest {
             NamedRest::Absent => {}
             NamedRest::Malformed => effect.rejected.push("rest"),
@@ -114,13 +128,12 @@
                 } else {
                     rest
                 };
-                let change = self.rests.note_asked(heard.replica, rest, heard.draw, now);
+                let change = self
+                    .rests
+                    .note_asked(heard.replica, rest, work, heard.draw, now);
                 effect.rest = change.or(effect.rest);
             }
         }
-        if heard.taken && heard.proof >= AnswerProof::Named {
-            effect.serves = self.rests.note_taken(heard.replica, heard.sent);
-        }
     }
 
     fn hear_answered_limit(
--- a/crates/zinniahatch_route/src/send_gate.rs
+++ b/crates/zinniahatch_route/src/send_gate.rs
@@ -24,7 +24,7 @@
     Gone,
     /// It leaves.
     Leaving,
-    /// It wants a rest, or is being tried after one.
+    /// It wants a rest, or has been sent what it may be after one.
     Resting,
     /// Its rate limit is used up.
     Limited,
