Close the gate to permits of other crates and to connections past the channel

No change of behaviour. The trait of permits is sealed; clippy refuses TcpStream::connect in the entry VM outside of the channel that asks for a permit (the expectation in channel.rs fails where the lint does not run). Functions that claim and permit a send are named so.

--- a/crates/zinniahatch_entry/src/replicas/gate.rs
+++ b/crates/zinniahatch_entry/src/replicas/gate.rs
@@ -8,7 +8,11 @@
 use zinniahatch_route::Withheld;
 
 /// Takes a place for one request to a replica.
-pub(crate) fn claim(core: &EntryCore, replica: &str, now: Instant) -> Result<SendClaim, Withheld> {
+pub(crate) fn claim_send(
+    core: &EntryCore,
+    replica: &str,
+    now: Instant,
+) -> Result<SendClaim, Withheld> {
     let share = cold_share(core, replica, now);
     let mut replicas = core.replicas.borrow_mut();
     let claimed = replicas.claim(&mut core.gate.borrow_mut(), replica, share, now);
@@ -16,7 +20,7 @@
 }
 
 /// Gives leave to write the request that a place was taken for.
-pub(crate) fn permit(core: &EntryCore, claim: SendClaim) -> Result<ReplicaPermit, Withheld> {
+pub(crate) fn permit_send(core: &EntryCore, claim: SendClaim) -> Result<ReplicaPermit, Withheld> {
     let permitted = core.replicas.borrow().permit(claim, Instant::now());
     permitted.inspect_err(|withheld| note_withheld(core, *withheld))
 }
--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -1,8 +1,8 @@
 //! Probing the replicas that are suspected, and only those: each probe has its price.
 
 use crate::core::EntryCore;
-use crate::replicas::gate::claim;
-use crate::replicas::gate::permit;
+use crate::replicas::gate::claim_send;
+use crate::replicas::gate::permit_send;
 use crate::replicas::notice::hear_probe;
 use crate::request::channel::AnswerHead;
 use crate::request::channel::BackendChannel;
@@ -25,7 +25,7 @@
         sleep(PROBE_PAUSE).await;
         for (life, path) in suspects(&core) {
             // All nodes that had requests there suspect a replica that has gone silent.
-            let Ok(claim) = claim(&core, &life.id, Instant::now()) else {
+            let Ok(claim) = claim_send(&core, &life.id, Instant::now()) else {
                 continue;
             };
             tokio::task::spawn_local(probe(Rc::clone(&core), life, claim, path));
@@ -75,7 +75,7 @@
     let address = claim.address();
     let mut channel = BackendChannel::connect(address, PROBE_TIME).await.ok()?;
     let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
-    let permit = permit(core, claim).ok()?;
+    let permit = permit_send(core, claim).ok()?;
     channel.send(permit, head.as_bytes(), &[]).await.ok()?;
     // Any answer shows that the replica lives. What it says of its health may be false either way,
     // so whether it serves is judged by its answers to requests.
--- a/crates/zinniahatch_entry/src/request/call.rs
+++ b/crates/zinniahatch_entry/src/request/call.rs
@@ -1,8 +1,8 @@
 //! Sending one request to one replica or one other node.
 
 use crate::core::EntryCore;
-use crate::replicas::gate::claim;
-use crate::replicas::gate::permit;
+use crate::replicas::gate::claim_send;
+use crate::replicas::gate::permit_send;
 use crate::replicas::notice::hear_answer;
 use crate::replicas::quarantine::await_hold;
 use crate::replicas::quarantine::hold_left;
@@ -101,7 +101,7 @@
     last_event: Option<&str>,
 ) -> Result<(AnswerHead, OpenCall), SendFailure> {
     let now = Instant::now();
-    let claim = claim(core, &choice.replica, now).map_err(not_sent)?;
+    let claim = claim_send(core, &choice.replica, now).map_err(not_sent)?;
     let address = claim.address();
     let copy_from = {
         let replicas = core.replicas.borrow();
@@ -139,7 +139,7 @@
     if let Some(left) = hold_left(core, call) {
         return Err(SendFailure::Quarantined(left));
     }
-    let permit = match permit(core, claim) {
+    let permit = match permit_send(core, claim) {
         Ok(permit) => permit,
         Err(withheld) => {
             open.give_back();
--- a/crates/zinniahatch_entry/src/request/channel.rs
+++ b/crates/zinniahatch_entry/src/request/channel.rs
@@ -97,6 +97,7 @@
     /// # Errors
     ///
     /// No connection was made in the time given.
+    #[expect(clippy::disallowed_methods, reason = "the one place that connects")]
     pub async fn connect(address: SocketAddrV4, limit: Duration) -> Result<Self, ChannelError> {
         let stream = timeout(limit, TcpStream::connect(address))
             .await
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -16,6 +16,7 @@
 use crate::stand::replica::StreamShape;
 use crate::stand::serve::StandServer;
 use crate::stand::store::StandStore;
+pub use calls::SiteLoad;
 use desired::desired_state;
 use reqwest::Client;
 use serde_json::Value;
--- a/crates/zinniahatch_lab/src/site/calls.rs
+++ b/crates/zinniahatch_lab/src/site/calls.rs
@@ -4,11 +4,55 @@
 use super::PATIENCE;
 use super::SiteCluster;
 use crate::stand::limit_record::LimitRecord;
+use futures_util::future::join_all;
 use reqwest::Client;
 use reqwest::RequestBuilder;
+use reqwest::Response;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
 use zinniahatch_base::prelude::*;
 
+/// Callers who call every entry VM again and again.
+#[derive(Clone, Copy, Debug)]
+pub struct SiteLoad<'a> {
+    /// The path that they call.
+    pub path: &'a str,
+    /// Pause between the calls to one entry VM.
+    pub pause: Duration,
+    /// How long each waits for an answer.
+    pub patience: Duration,
+}
+
 impl SiteCluster {
+    /// Calls every entry VM until a time has passed; gives the answers that came. `tag` begins the attempts.
+    pub async fn load(&self, load: &SiteLoad<'_>, tag: &str, time: Duration) -> Vec<Response> {
+        let nodes = (0..self.entries.len()).map(|node| self.load_one(node, load, tag, time));
+        join_all(nodes).await.into_iter().flatten().collect()
+    }
+
+    async fn load_one(
+        &self,
+        node: usize,
+        load: &SiteLoad<'_>,
+        tag: &str,
+        time: Duration,
+    ) -> Vec<Response> {
+        let mut ticks = interval(load.pause);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let began = Instant::now();
+        let mut answers = Vec::new();
+        for number in 0.. {
+            ticks.tick().await;
+            if began.elapsed() >= time {
+                break;
+            }
+            let attempt = format!("{tag}-{node}-{number}");
+            let call = self.call_within(node, load.path, &attempt, load.patience);
+            answers.extend(call.timeout(load.patience).send().await);
+        }
+        answers
+    }
+
     /// Asks an entry VM's directory for the addresses for a region.
     pub async fn resolve(&self, index: usize, region: &str) -> BTreeSet<Box<str>> {
         let address = &self.entries[index].addresses[3];
--- a/crates/zinniahatch_lab/src/soak/limits.rs
+++ b/crates/zinniahatch_lab/src/soak/limits.rs
@@ -34,13 +34,5 @@
 /// Tells whether a fault may keep a replica's limit from the nodes, or bring together what they sent it one after
 /// the other.
 fn excuses(fault: SoakFault, replica: usize) -> bool {
-    match fault {
-        SoakFault::KillAll => true,
-        SoakFault::LinkSlow(index, _)
-        | SoakFault::LinkReset(index)
-        | SoakFault::LinkLosesRequests(index)
-        | SoakFault::LinkLosesAnswers(index)
-        | SoakFault::LinkMute(index) => index == replica,
-        _ => false,
-    }
+    fault == SoakFault::KillAll || fault.harms_link_of() == Some(replica)
 }
--- a/crates/zinniahatch_lab/src/soak/notices.rs
+++ b/crates/zinniahatch_lab/src/soak/notices.rs
@@ -25,7 +25,7 @@
             plan.faults.iter().any(|planned| {
                 let end = if touches_entry(planned.fault, node) {
                     held_until(plan, planned.until)
-                } else if touches_link(planned.fault, place) {
+                } else if planned.fault.harms_link_of() == Some(place) {
                     planned.until + LINK_TIME
                 } else {
                     return false;
@@ -53,18 +53,6 @@
     }
 }
 
-/// Tells whether a fault may keep a replica's answers from the nodes, or hold up what they sent.
-fn touches_link(fault: SoakFault, replica: usize) -> bool {
-    match fault {
-        SoakFault::LinkSlow(index, _)
-        | SoakFault::LinkReset(index)
-        | SoakFault::LinkLosesRequests(index)
-        | SoakFault::LinkLosesAnswers(index)
-        | SoakFault::LinkMute(index) => index == replica,
-        _ => false,
-    }
-}
-
 /// Gives when the entry VMs are back: once no fault holds any of them.
 fn held_until(plan: &SoakPlan, until: Duration) -> Duration {
     let mut end = until;
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -129,6 +129,18 @@
         )
     }
 
+    /// Gives the replica whose link it harms, which may keep its answers from the nodes or hold up what they sent.
+    pub(crate) fn harms_link_of(self) -> Option<usize> {
+        match self {
+            Self::LinkSlow(index, _)
+            | Self::LinkReset(index)
+            | Self::LinkLosesRequests(index)
+            | Self::LinkLosesAnswers(index)
+            | Self::LinkMute(index) => Some(index),
+            _ => None,
+        }
+    }
+
     /// Gives the replica whose entry in the store it changes.
     pub(crate) fn registers(self) -> Option<usize> {
         match self {
--- a/crates/zinniahatch_lab/tests/replica_notices.rs
+++ b/crates/zinniahatch_lab/tests/replica_notices.rs
@@ -1,14 +1,11 @@
 //! Replicas that say that they leave, or ask for rest, in their answers, with real entry VMs.
 
-use futures_util::future::join_all;
 use reqwest::Response;
 use reqwest::StatusCode;
 use std::time::Duration;
-use std::time::Instant;
 use test_case::test_case;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteLoad;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::stand::faults::ServiceMode;
@@ -30,33 +27,14 @@
     pause: Duration::from_millis(10),
 };
 
-/// Calls every node that has callers again and again until a time has passed; gives the answers that came.
+/// Calls every node again and again until a time has passed; gives the answers that came.
 async fn load(site: &SiteCluster, path: &str, tag: &str, time: Duration) -> Vec<Response> {
-    let nodes = (0..site.entries.len()).map(|node| load_node(site, node, path, tag, time));
-    join_all(nodes).await.into_iter().flatten().collect()
-}
-
-async fn load_node(
-    site: &SiteCluster,
-    node: usize,
-    path: &str,
-    tag: &str,
-    time: Duration,
-) -> Vec<Response> {
-    let mut ticks = interval(PAUSE);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let began = Instant::now();
-    let mut answers = Vec::new();
-    for number in 0.. {
-        ticks.tick().await;
-        if began.elapsed() >= time {
-            break;
-        }
-        let attempt = format!("{tag}-{node}-{number}");
-        let call = site.call_within(node, path, &attempt, PATIENCE);
-        answers.extend(call.timeout(PATIENCE).send().await);
-    }
-    answers
+    let callers = SiteLoad {
+        path,
+        pause: PAUSE,
+        patience: PATIENCE,
+    };
+    site.load(&callers, tag, time).await
 }
 
 /// What the store says while a replica leaves.
--- a/crates/zinniahatch_route/src/send_gate.rs
+++ b/crates/zinniahatch_route/src/send_gate.rs
@@ -62,8 +62,16 @@
     }
 }
 
+mod sealed {
+    /// Keeps other crates from making permits of their own.
+    pub trait Sealed {}
+
+    impl Sealed for super::ReplicaPermit {}
+    impl Sealed for super::NodePermit {}
+}
+
 /// Leave to write one request on a channel to an address.
-pub trait SendPermit {
+pub trait SendPermit: sealed::Sealed {
     /// Gives the address.
     fn address(&self) -> SocketAddrV4;
 }
