Say each thing of replicas' notices once, and split what had grown

Found by reading the change again; no behaviour is meant to change, and no test's assertion did. - The time at which a request was sent was worked out backwards from how long ago that was; the call knows it. - Words that nothing shows to be their replica's were bounded in two places; one rule gives how long a rest is believed.

--- a/crates/zinniahatch_entry/src/replicas/notice.rs
+++ b/crates/zinniahatch_entry/src/replicas/notice.rs
@@ -22,7 +22,6 @@
     open: &OpenCall,
     head: &AnswerHead,
 ) {
-    let now = Instant::now();
     let marks = &head.marks;
     note_unread(core, open.replica(), &head.headers);
     let speaker = if head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -39,7 +38,7 @@
         notice: &marks.notice,
         proof,
         taken: !marks.not_run && head.status != StatusCode::MISDIRECTED_REQUEST,
-        sent: now.checked_sub(open.ran()).unwrap_or(now),
+        sent: open.sent_at(),
         draw: rand::random(),
     };
     take_notice(core, &heard, "answer", Some(&call.attempt));
--- a/crates/zinniahatch_entry/src/request/open_call.rs
+++ b/crates/zinniahatch_entry/src/request/open_call.rs
@@ -188,6 +188,11 @@
             .is_none_or(|belief| belief.health.is_suspect(Instant::now()))
     }
 
+    /// Gives when the request was sent.
+    pub(crate) fn sent_at(&self) -> Instant {
+        self.sent_at
+    }
+
     /// Gives how long the request has been where it was sent.
     pub(crate) fn ran(&self) -> Duration {
         self.sent_at.elapsed()
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -9,8 +9,6 @@
 use crate::relay::TcpRelay;
 use crate::stand::fatal::FatalBook;
 use crate::stand::faults::FaultSwitch;
-use crate::stand::limit_record::LimitRecord;
-use crate::stand::notice_record::NoticeRecord;
 use crate::stand::replica::ReplicaSight;
 use crate::stand::replica::StandReplica;
 use crate::stand::replica::StreamShape;
@@ -81,6 +79,15 @@
     folder: PathBuf,
 }
 
+/// A replica that has ended.
+#[derive(Clone, Debug)]
+struct RetiredReplica {
+    place: usize,
+    region: &'static str,
+    id: Box<str>,
+    sight: ReplicaSight,
+}
+
 /// A whole site; its processes end when this is dropped.
 pub struct SiteCluster {
     /// The store.
@@ -98,11 +105,7 @@
     /// Each region's link to the store.
     store_links: BTreeMap<&'static str, (LinkState, TcpRelay)>,
     /// What replicas saw that have ended.
-    retired: Vec<(&'static str, ReplicaSight)>,
-    /// What reached replicas that have ended, by their places.
-    retired_limits: Vec<(usize, LimitRecord)>,
-    /// What replicas that have ended said, by their places and ids.
-    retired_notices: Vec<(usize, Box<str>, NoticeRecord)>,
+    retired: Vec<RetiredReplica>,
     shape: StreamShape,
     /// Whether keys that were taken away must run nowhere a while later.
     guarded: bool,
@@ -198,8 +201,6 @@
             links,
             store_links,
             retired: Vec::new(),
-            retired_limits: Vec::new(),
-            retired_notices: Vec::new(),
             shape,
             guarded: false,
             server,
@@ -308,11 +309,12 @@
         let replica = StandReplica::start(id, self.shape, &self.fatal).await;
         self.links[index] = replica_link(&replica).await;
         let old = std::mem::replace(&mut self.replicas[index].0, replica);
-        let sight = old.sight();
-        self.retired_limits.push((index, sight.limits.clone()));
-        self.retired_notices
-            .push((index, old.id.clone(), sight.notices.clone()));
-        self.retired.push((region, sight));
+        self.retired.push(RetiredReplica {
+            place: index,
+            region,
+            id: old.id.clone(),
+            sight: old.sight(),
+        });
         drop(old);
         self.register(index, "ready");
     }
@@ -471,34 +473,6 @@
         status.signal() == Some(TERMINATE) && log == self.entries[index].log_before
     }
 
-    /// Gives the entry VM that sent each request of a caller to each replica, from the decision logs.
-    pub fn placers(&self) -> BTreeMap<(Box<str>, Box<str>), usize> {
-        let mut placers = BTreeMap::new();
-        for index in 0..self.entries.len() {
-            for line in self.log(index).lines() {
-                let Ok(line) = serde_json::from_str::<Value>(line) else {
-                    continue;
-                };
-                let text = |key: &str| line[key].as_str().map(Box::<str>::from);
-                if line["kind"] != "placed" {
-                    continue;
-                }
-                if let (Some(request), Some(replica)) = (text("request"), text("replica")) {
-                    placers.insert((request, replica), index);
-                }
-            }
-        }
-        placers
-    }
-
-    /// Gives what each life of a replica said of its leaving and of rests, with its place and id.
-    pub fn notice_records(&self) -> Vec<(usize, Box<str>, NoticeRecord)> {
-        let lives = self.replicas.iter().enumerate();
-        let lives =
-            lives.map(|(index, (replica, _))| (index, replica.id.clone(), replica.sight().notices));
-        self.retired_notices.iter().cloned().chain(lives).collect()
-    }
-
     /// Waits until an entry VM says that it is ready.
     pub async fn wait_ready(&self, index: usize) {
         let url = format!("http://{}/readiness", self.entries[index].addresses[1]);
--- a/crates/zinniahatch_lab/src/site/calls.rs
+++ b/crates/zinniahatch_lab/src/site/calls.rs
@@ -4,10 +4,12 @@
 use super::PATIENCE;
 use super::SiteCluster;
 use crate::stand::limit_record::LimitRecord;
+use crate::stand::notice_record::NoticeRecord;
 use futures_util::future::join_all;
 use reqwest::Client;
 use reqwest::RequestBuilder;
 use reqwest::Response;
+use serde_json::Value;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use zinniahatch_base::prelude::*;
@@ -88,18 +90,52 @@
             .header("x-time-remaining", patience.as_millis().to_string())
     }
 
+    /// Gives the entry VM that sent each request of a caller to each replica, from the decision logs.
+    pub fn placers(&self) -> BTreeMap<(Box<str>, Box<str>), usize> {
+        let mut placers = BTreeMap::new();
+        for index in 0..self.entries.len() {
+            for line in self.log(index).lines() {
+                let Ok(line) = serde_json::from_str::<Value>(line) else {
+                    continue;
+                };
+                let text = |key: &str| line[key].as_str().map(Box::<str>::from);
+                if line["kind"] != "placed" {
+                    continue;
+                }
+                if let (Some(request), Some(replica)) = (text("request"), text("replica")) {
+                    placers.insert((request, replica), index);
+                }
+            }
+        }
+        placers
+    }
+
+    /// Gives what each life of a replica said of its leaving and of rests, with its place and id.
+    pub fn notice_records(&self) -> Vec<(usize, Box<str>, NoticeRecord)> {
+        let lives = self.replicas.iter().enumerate();
+        let lives =
+            lives.map(|(index, (replica, _))| (index, replica.id.clone(), replica.sight().notices));
+        let ended = self.retired.iter().map(|ended| {
+            let notices = ended.sight.notices.clone();
+            (ended.place, ended.id.clone(), notices)
+        });
+        ended.chain(lives).collect()
+    }
+
     /// Gives what reached every replica that there was, by their places.
     pub fn limit_records(&self) -> Vec<(usize, LimitRecord)> {
         let living = self.replicas.iter().enumerate();
         let living = living.map(|(index, (replica, _))| (index, replica.sight().limits));
-        living.chain(self.retired_limits.iter().cloned()).collect()
+        let ended = self.retired.iter();
+        let ended = ended.map(|ended| (ended.place, ended.sight.limits.clone()));
+        living.chain(ended).collect()
     }
 
     /// Gives how often an attempt ran, over all replicas.
     pub fn runs(&self, attempt: &str) -> u32 {
         let living = self.replicas.iter().map(|(replica, _)| replica.sight());
         living
-            .chain(self.retired.iter().map(|(_, sight)| sight.clone()))
+            .chain(self.retired.iter().map(|ended| ended.sight.clone()))
             .filter_map(|sight| sight.runs.get(attempt).copied())
             .sum()
     }
@@ -110,7 +146,8 @@
             .replicas
             .iter()
             .map(|(replica, place)| (*place, replica.sight()));
-        let retired = self.retired.iter().cloned();
+        let retired = self.retired.iter();
+        let retired = retired.map(|ended| (ended.region, ended.sight.clone()));
         living
             .chain(retired)
             .filter(|(place, _)| *place != region)
@@ -122,7 +159,7 @@
     pub fn all_runs(&self) -> BTreeMap<Box<str>, u32> {
         let mut sum = BTreeMap::new();
         let living = self.replicas.iter().map(|(replica, _)| replica.sight());
-        for sight in living.chain(self.retired.iter().map(|(_, sight)| sight.clone())) {
+        for sight in living.chain(self.retired.iter().map(|ended| ended.sight.clone())) {
             for (attempt, runs) in sight.runs {
                 *sum.entry(attempt).or_default() += runs;
             }
--- a/crates/zinniahatch_route/src/earliest_return.rs
+++ b/crates/zinniahatch_route/src/earliest_return.rs
@@ -25,7 +25,7 @@
     ask: &PlaceAsk<'_>,
     now: Instant,
 ) -> Option<EarliestReturn> {
-    let mut first: Option<EarliestReturn> = None;
+    let mut first: Option<(Duration, Withheld)> = None;
     let mut slots = 0;
     for belief in table.rows() {
         if !takes_work(table, regions, ask.service, ask.region, belief, now) {
@@ -47,15 +47,16 @@
         } else {
             Withheld::Limited
         };
-        if first.is_none_or(|first| after < first.after) {
-            first = Some(EarliestReturn {
-                reason,
-                after,
-                slots: 0,
-            });
+        if first.is_none_or(|(least, _)| after < least) {
+            first = Some((after, reason));
         }
     }
-    first.map(|first| EarliestReturn { slots, ..first })
+    let (after, reason) = first?;
+    Some(EarliestReturn {
+        reason,
+        after,
+        slots,
+    })
 }
 
 /// Tells whether replicas of a service in a region are there and all of them leave.
--- a/crates/zinniahatch_route/src/hearing.rs
+++ b/crates/zinniahatch_route/src/hearing.rs
@@ -72,16 +72,13 @@
             return effect;
         };
         hear_state(belief, heard, now);
+        let mut rest = None;
         match heard.notice.leaving {
             NamedLeaving::Absent => {}
             NamedLeaving::Malformed => effect.rejected.push("leaving"),
             NamedLeaving::Leaving if heard.proof == AnswerProof::Missing => {
                 effect.unproven.push("leaving");
-                let (tag, work) = (belief.tag, belief.own.requests);
-                let rest = self
-                    .rests
-                    .note_asked(tag, UNPROVEN_TIME, work, heard.draw, now);
-                effect.rest = rest;
+                rest = Some(UNPROVEN_TIME);
             }
             NamedLeaving::Leaving => {
                 self.said_leaving.insert(belief.tag, belief.entry.life());
@@ -89,7 +86,8 @@
             }
         }
         let work = belief.own.requests;
-        self.hear_rest(heard, work, &mut effect, now);
+        rest = rest.max(named_rest(heard, &mut effect));
+        self.hear_rest(heard, rest, work, &mut effect, now);
         effect.limit = self.hear_answered_limit(heard, &mut effect.rejected, now);
         effect
     }
@@ -105,34 +103,24 @@
         }
     }
 
+    /// Notes what an answer shows of a rest that was kept, and the one that it asks for.
     fn hear_rest(
         &mut self,
         heard: &HeardNotice<'_>,
+        rest: Option<Duration>,
         work: u32,
         effect: &mut NoticeEffect,
         now: Instant,
     ) {
         if heard.proof >= AnswerProof::Named {
-            let answered = self
+            effect.serves = self
                 .rests
                 .note_answer(heard.replica, heard.taken, heard.sent);
-            effect.serves = answered;
         }
-        match heard.notice.rest {
-            NamedRest::Absent => {}
-            NamedRest::Malformed => effect.rejected.push("rest"),
-            NamedRest::For(rest) => {
-                let rest = if heard.proof == AnswerProof::Missing {
-                    effect.unproven.push("rest");
-                    rest.min(UNPROVEN_TIME)
-                } else {
-                    rest
-                };
-                let change = self
-                    .rests
-                    .note_asked(heard.replica, rest, work, heard.draw, now);
-                effect.rest = change.or(effect.rest);
-            }
+        if let Some(rest) = rest {
+            effect.rest = self
+                .rests
+                .note_asked(heard.replica, rest, work, heard.draw, now);
         }
     }
 
@@ -183,6 +171,22 @@
     }
 }
 
+/// Gives the rest that an answer asks for, as long as it is believed.
+fn named_rest(heard: &HeardNotice<'_>, effect: &mut NoticeEffect) -> Option<Duration> {
+    match heard.notice.rest {
+        NamedRest::Absent => None,
+        NamedRest::Malformed => {
+            effect.rejected.push("rest");
+            None
+        }
+        NamedRest::For(rest) if heard.proof == AnswerProof::Missing => {
+            effect.unproven.push("rest");
+            Some(rest.min(UNPROVEN_TIME))
+        }
+        NamedRest::For(rest) => Some(rest),
+    }
+}
+
 fn hear_state(belief: &mut ReplicaBelief, heard: &HeardNotice<'_>, now: Instant) {
     if let Some((running, waiting, _)) = heard.notice.load {
         belief.reported = Some((running, waiting, now));
