Give the lab's processes ports that the system gives to nobody by itself

Its entry VM had ended at its start: '[listen] peer = 127.113.109.63:35605: Address already in use'. Cause: the lab took ports from the system's own range and looked at connections alone. A node binds its peer port for datagrams too, and a datagram socket open to all addresses, as a leaving node of another test opens, may be given that port before the node starts or starts again. Shown apart: beside such a socket the connection's bind still succeeds, and the datagrams' fails with the same error. The fault is of the lab and older than this change; no product code is concerned. Why it works: ports lie below the system's range, and both kinds of socket are tried before one is chosen.

--- a/crates/zinniahatch_lab/src/cluster/prepare.rs
+++ b/crates/zinniahatch_lab/src/cluster/prepare.rs
@@ -15,6 +15,7 @@
 use crate::stand::serve::StandServer;
 use crate::users::UserPlan;
 use std::net::TcpListener;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use zinniahatch_base::prelude::*;
@@ -29,6 +30,15 @@
 use zinniahatch_platform::VmKind;
 use zinniahatch_platform::VmState;
 
+/// Loopback hosts that a process uses in turn, and the ports on each: where they begin, how far apart those of two turns
+/// are, and turns before they come again.
+const HOSTS: u64 = 100;
+const FIRST_PORT: u16 = 20_000;
+const PORTS_APART: u16 = 100;
+const ROUNDS: u64 = 100;
+/// The first of the ports that the system gives out by itself, where it does not say.
+const USUAL_SYSTEM_PORTS: u16 = 32_768;
+
 type StartedBackends = (
     BTreeMap<ReplicaId, Arc<StandEngine>>,
     BTreeMap<ReplicaId, Arc<StandBackend>>,
@@ -135,36 +145,45 @@
     nodes
 }
 
-/// Gives addresses for processes that bind them themselves.
+/// Finds so many addresses of this machine on which nobody listens, with ports that the system gives to nobody by itself.
 ///
-/// The operating system picks the ports, on a loopback address that nothing else of this machine
-/// binds or connects from: ports on `127.0.0.1` could be taken by any outgoing connection between
-/// the picking and the binding.
+/// A node is started long after its addresses were found, and again after it was stopped. A socket that is open to all
+/// addresses of the machine, as those of outgoing datagrams are, would take a port of the system's own range meanwhile.
 ///
 /// # Panics
 ///
 /// Where no port is free.
 pub fn free_addresses(count: usize) -> Vec<Box<str>> {
     let process = std::process::id();
-    let turn = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed) % 100;
+    let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
     let host = format!(
         "127.{}.{}.{}",
-        100 + turn,
+        100 + number % HOSTS,
         (process >> 8) & 0xff,
         (process & 0xff).max(1)
     );
-    let held: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((host.as_str(), 0)).expect("a port is free"))
+    let first = FIRST_PORT + (number / HOSTS % ROUNDS) as u16 * PORTS_APART;
+    let free = (first..system_ports()).filter(|port| is_free(&host, *port));
+    let found: Vec<Box<str>> = free
+        .take(count)
+        .map(|port| format!("{host}:{port}").into())
         .collect();
-    held.iter()
-        .map(|listener| {
-            listener
-                .local_addr()
-                .expect("a bound socket has an address")
-                .to_string()
-                .into()
-        })
-        .collect()
+    assert_eq!(found.len(), count, "ports are free");
+    found
+}
+
+/// Tells whether nobody has a port, for connections or datagrams.
+fn is_free(host: &str, port: u16) -> bool {
+    TcpListener::bind((host, port)).is_ok() && UdpSocket::bind((host, port)).is_ok()
+}
+
+/// Gives the first of the ports that the system gives out by itself.
+fn system_ports() -> u16 {
+    let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range");
+    let first = range
+        .ok()
+        .and_then(|range| range.split_whitespace().next()?.parse().ok());
+    first.unwrap_or(USUAL_SYSTEM_PORTS)
 }
 
 /// Starts the relays through which a node reaches those of other regions.
