Print what a run of faults with broken rules or counts knows of its cause

The listed failure of silent links and streams was printed as an operation number and a difference of sums, from which no cause can be told.

The history keeps the entry VM to which a send went, the error of its connection, and whether it collects a kept answer. Where a rule is broken or counts differ, the harness prints requests by result as callers saw them and as the reports count them, keys that the report could not read, nodes that ended, and each node's counters of results.

--- a/crates/zinniahatch_lab/src/checker.rs
+++ b/crates/zinniahatch_lab/src/checker.rs
@@ -131,7 +131,10 @@
         SeenEnd::NoAnswer if !excused => add(
             breaks,
             BrokenRule::Lost,
-            &format!("operation {} at {:?}", send.operation, send.meant),
+            &format!(
+                "operation {} meant at {:?}, ended at {:?}, sent to {}: {}",
+                send.operation, send.meant, send.ended, send.entry, send.problem
+            ),
         ),
         SeenEnd::Whole { right: true }
         | SeenEnd::Told(Execution::Ran | Execution::Unknown)
--- a/crates/zinniahatch_lab/src/experiments.rs
+++ b/crates/zinniahatch_lab/src/experiments.rs
@@ -1,6 +1,7 @@
 //! Experiments: each prints its figures, and as its last line one JSON object with `violations`.
 
 pub mod control_cost;
+mod count_trace;
 pub mod faults;
 pub mod figures;
 pub mod overhead;
--- /dev/null
+++ b/crates/zinniahatch_lab/src/experiments/count_trace.rs
@@ -0,0 +1,64 @@
+//! What tells why the reports and the callers count differently.
+
+use crate::cluster::LabCluster;
+use crate::demo::fetch_report;
+use crate::experiments::faults::is_counted;
+use zinniahatch_base::prelude::*;
+
+/// Counters of a node that belong to the way of its counts.
+const TRACED_COUNTERS: [&str; 5] = [
+    "zinnia_results_total",
+    "zinnia_count_sheets",
+    "zinnia_merges_total",
+    "zinnia_frames_dropped_total",
+    "zinnia_owned_calls_total",
+];
+
+/// Prints the requests by result as callers saw them and as the reports count them, what the report could not
+/// read, and each node's end or its counters.
+pub(crate) async fn print_trace(cluster: &mut LabCluster) {
+    let seen = cluster.history.with(|data| {
+        let mut seen: BTreeMap<u16, u64> = BTreeMap::new();
+        for send in data.sends.iter().filter(|send| is_counted(send)) {
+            *seen.entry(send.code).or_default() += 1;
+        }
+        seen
+    });
+    println!("    callers saw, by code: {seen:?}");
+    if let Some(report) = fetch_report(cluster, "served,result").await {
+        let lines = report.lines.iter();
+        let counted: Vec<String> = lines
+            .map(|line| format!("{}: {}", line.fields.join(" "), line.requests))
+            .collect();
+        println!("    the reports count: {}", counted.join(", "));
+        println!("    gaps {:?}, not read {:?}", report.gaps, report.unread);
+    }
+    for index in 0..cluster.nodes.len() {
+        print_node(cluster, index).await;
+    }
+}
+
+async fn print_node(cluster: &mut LabCluster, index: usize) {
+    let ended = cluster.ended(index);
+    let node = &cluster.nodes[index];
+    if let Some(well) = ended {
+        println!("    {} has ended, well: {well}", node.name);
+        return;
+    }
+    let request = reqwest::Client::new()
+        .get(format!("http://{}/metrics", node.http))
+        .timeout(Duration::from_secs(2));
+    let text = match request.send().await {
+        Ok(response) => response.text().await.unwrap_or_default(),
+        Err(error) => {
+            println!("    {} gives no metrics: {error}", node.name);
+            return;
+        }
+    };
+    let counters: Vec<&str> = text
+        .lines()
+        .filter(|line| TRACED_COUNTERS.iter().any(|name| line.starts_with(name)))
+        .filter(|line| !line.ends_with(" 0"))
+        .collect();
+    println!("    {}: {}", node.name, counters.join("; "));
+}
--- a/crates/zinniahatch_lab/src/experiments/faults.rs
+++ b/crates/zinniahatch_lab/src/experiments/faults.rs
@@ -7,10 +7,12 @@
 use crate::cluster::ClusterOptions;
 use crate::cluster::LabCluster;
 use crate::demo::switch_preset;
+use crate::experiments::count_trace::print_trace;
 use crate::experiments::figures::figures;
 use crate::experiments::figures::ratio;
 use crate::history::HistoryData;
 use crate::history::SeenEnd;
+use crate::history::SendRecord;
 use crate::load::LoadPlan;
 use crate::load::LoadRunner;
 use crate::operator::OperatorCalls;
@@ -175,6 +177,9 @@
         .history
         .with(|data| summarise(kinds, data, &breaks, (begun, from, until), counted));
     let result = FaultResult { gaps, ..result };
+    if !result.counts_hold() || !breaks.is_empty() {
+        print_trace(&mut cluster).await;
+    }
     (result, breaks)
 }
 
@@ -371,12 +376,17 @@
     let mut seen = BTreeSet::new();
     data.sends
         .iter()
-        .filter(|send| send.code != 0 || matches!(send.end, SeenEnd::CutOff | SeenEnd::NoAnswer))
-        .filter(|send| send.code != ResultCode::AnsweredEarlier.number())
+        .filter(|send| is_counted(send))
         .filter(|send| send.request.is_empty() || seen.insert(send.request.clone()))
         .count()
 }
 
+/// Says whether a send is a request that the system must have counted.
+pub(crate) fn is_counted(send: &SendRecord) -> bool {
+    (send.code != 0 || matches!(send.end, SeenEnd::CutOff | SeenEnd::NoAnswer))
+        && send.code != ResultCode::AnsweredEarlier.number()
+}
+
 /// Gives the seconds after a time until each half second's operations are answered as before.
 fn seconds_back(data: &HistoryData, from: Duration, usual: f64) -> f64 {
     const WINDOW: Duration = Duration::from_millis(500);
--- a/crates/zinniahatch_lab/src/history.rs
+++ b/crates/zinniahatch_lab/src/history.rs
@@ -43,6 +43,10 @@
     pub once: bool,
     /// The region of the entry VM that it was sent to.
     pub sent_to: RegionId,
+    /// The address of that entry VM.
+    pub entry: Box<str>,
+    /// Whether it collects the kept answer of an earlier send, and so is no request of its own.
+    pub collects: bool,
     /// When it was meant to be sent, from the start of the run.
     pub meant: Duration,
     /// When the end was seen, from the start of the run.
@@ -57,6 +61,8 @@
     pub served: RegionId,
     /// What the caller knows.
     pub end: SeenEnd,
+    /// The error of the connection where it gave no answer.
+    pub problem: Box<str>,
     /// Cost by the price list, for whole answers.
     pub cost: f64,
     /// Tokens generated.
--- a/crates/zinniahatch_lab/src/load/call.rs
+++ b/crates/zinniahatch_lab/src/load/call.rs
@@ -16,6 +16,7 @@
 use super::mark_of;
 use super::plain_answer;
 use reqwest::RequestBuilder;
+use std::error::Error;
 use std::sync::Arc;
 use zinniahatch_base::prelude::Execution;
 
@@ -107,7 +108,7 @@
             Some(key) => request.header("idempotency-key", key),
             None => request,
         };
-        self.record(job, request).await
+        self.record(job, entry, false, request).await
     }
 
     /// Asks for the kept answer of an operation's key.
@@ -116,10 +117,16 @@
             .client
             .get(format!("http://{entry}/v1/answers/{key}"))
             .timeout(Duration::from_secs(5));
-        self.record(job, request).await
+        self.record(job, entry, true, request).await
     }
 
-    async fn record(&self, job: &OperationJob, request: RequestBuilder) -> Option<SendRecord> {
+    async fn record(
+        &self,
+        job: &OperationJob,
+        entry: &str,
+        collects: bool,
+        request: RequestBuilder,
+    ) -> Option<SendRecord> {
         let service = match job.kind {
             OperationKind::Query | OperationKind::Summary => self.engine,
             OperationKind::Lookup | OperationKind::Entry => self.plain,
@@ -132,6 +139,8 @@
             bound: job.kind == OperationKind::Entry,
             once: job.kind == OperationKind::Entry,
             sent_to: job.caller.home.clone(),
+            entry: entry.into(),
+            collects,
             meant: job.meant,
             ended: Duration::ZERO,
             first_byte: None,
@@ -139,13 +148,14 @@
             code: 0,
             served: "".into(),
             end: SeenEnd::NoAnswer,
+            problem: Box::default(),
             cost: 0.0,
             tokens: 0,
         };
         match request.bearer_auth(&job.caller.key).send().await {
             Ok(response) => self.read(job, response, &mut record).await,
             Err(error) if error.is_connect() => return None,
-            Err(_) => {}
+            Err(error) => record.problem = problem_text(&error),
         }
         record.ended = self.history.now();
         Some(record)
@@ -262,6 +272,18 @@
     }
 }
 
+/// Gives an error with its causes.
+fn problem_text(error: &dyn Error) -> Box<str> {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text.into()
+}
+
 impl ReadAnswer {
     fn read_usage(&mut self, body: &Value) {
         let Some(usage) = body.get("usage") else {
--- a/crates/zinniahatch_lab/tests/checker.rs
+++ b/crates/zinniahatch_lab/tests/checker.rs
@@ -20,6 +20,8 @@
         bound: true,
         once: true,
         sent_to: "home".into(),
+        entry: "127.0.0.1:1".into(),
+        collects: false,
         meant: Duration::from_secs(10),
         ended: Duration::from_secs(11),
         first_byte: None,
@@ -27,6 +29,7 @@
         code: 100,
         served: "home".into(),
         end,
+        problem: Box::default(),
         cost: 0.0,
         tokens: 0,
     }
