Keep idle connections of callers open for longer than clients do

What callers saw: a broken connection in place of an answer, and reports that lack the request for good.

Cause: the time for the headers of a request (10 s) begins with the idle time of a connection, so the gateway closed idle connections after 10 s, at times just as a caller sent its next request on one. The request was never read.

Why this works: 120 s is longer than common clients keep an idle connection, so the client closes first, and a pause of both does not change that.

--- a/crates/zinniahatch_daemon/src/run.rs
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -39,8 +39,10 @@
 
 /// Worker threads; an entry VM is small.
 const WORKERS: usize = 2;
-/// Time for the headers of a request to arrive.
-const HEADER_TIME: Duration = Duration::from_secs(10);
+/// Time for which a connection may lie idle, and for the headers of a request to arrive.
+///
+/// Longer than common HTTP clients keep an idle connection, so that none sends a request on one that is being closed.
+const IDLE_TIME: Duration = Duration::from_secs(120);
 
 /// Why the daemon did not start.
 #[derive(Debug, Error)]
@@ -134,7 +136,7 @@
     let mut server = Server::new(acceptor).disable_fuse();
     server
         .http1_mut()
-        .header_read_timeout(HEADER_TIME)
+        .header_read_timeout(IDLE_TIME)
         .max_headers(100);
     let handle = server.handle();
     let serving = tokio::spawn(server.serve(build_service(&core)));
