Count requests with a key at the node that the caller is connected to

What callers and managers saw: a request that was answered with 300 because the owner of its key was silent stood in no report, and no gap was named.

Cause: the sending node left the count to the owner for every failure but that of a connection. An owner that was paused drops a request whose sender has gone before it counts it; one that refuses by proof or while it starts did not count either.

Evidence: owner paused, request sent through the other node, answered 300; then the owner goes on, or dies: in both, no request in the reports after 20 s.

Why this works: the node that answers the caller counts what it answers. Nothing is left to a node that may never have seen the request, and nothing is counted twice where an answer is lost.

--- a/crates/zinniahatch_base/src/result_code.rs
+++ b/crates/zinniahatch_base/src/result_code.rs
@@ -39,6 +39,11 @@
             /// Gives the number, which never changes its meaning.
             pub const fn number(self) -> u16 { match self { $(Self::$name => $number),+ } }
 
+            /// Finds a code by its number.
+            pub const fn of_number(number: u16) -> Option<Self> {
+                match number { $($number => Some(Self::$name),)+ _ => None }
+            }
+
             /// Gives the HTTP status.
             pub const fn status(self) -> u16 { match self { $(Self::$name => $status),+ } }
 
--- a/crates/zinniahatch_gateway/src/caller.rs
+++ b/crates/zinniahatch_gateway/src/caller.rs
@@ -19,7 +19,6 @@
 use crate::keyed::run_owned;
 use crate::keyed::settle_claim;
 use crate::owner::OwnerAnswer;
-use crate::owner::OwnerFailure;
 use crate::owner::pass_to_owner;
 use crate::refusal::CallRefusal;
 use crate::respond::collect_stream;
@@ -387,17 +386,13 @@
         drop(active);
         return match result {
             Ok(answer) => {
-                count.leave_to_owner();
+                answer.settle(&mut count, call.is_engine());
                 CallReply::Passed(answer)
             }
-            Err(OwnerFailure::Unseen(refusal)) => {
+            Err(refusal) => {
                 count.settle(refusal.code);
                 CallReply::Refused(id, refusal)
             }
-            Err(OwnerFailure::Seen(refusal)) => {
-                count.leave_to_owner();
-                CallReply::Refused(id, refusal)
-            }
         };
     }
     let result = run_owned(core, call, key).await;
--- a/crates/zinniahatch_gateway/src/counting.rs
+++ b/crates/zinniahatch_gateway/src/counting.rs
@@ -74,8 +74,8 @@
         }
     }
 
-    /// Leaves the counting to the node that owns the request's key.
-    pub(crate) fn leave_to_owner(&mut self) {
+    /// Leaves the counting to the node that the caller is connected to.
+    pub(crate) fn leave_to_sender(&mut self) {
         self.key = None;
     }
 
--- a/crates/zinniahatch_gateway/src/peer.rs
+++ b/crates/zinniahatch_gateway/src/peer.rs
@@ -88,8 +88,6 @@
             Ok(proven) => proven,
             Err(refusal) => return write_refusal(response, core, "", &refusal),
         };
-        // The sending node counts the request.
-        proven.admitted.count.leave_to_owner();
         proven.admitted.scope = AskScope::Here;
         proven.admitted.guest = proven.admitted.who.entry.home != core.identity.region;
         let reply = run_guest(core, proven).await;
@@ -120,7 +118,10 @@
         let reply = match owned {
             Some(key) => serve_body(core, proven.admitted, proven.body, Some(key)).await,
             // The sender was wrong about the owner. A second hop is never made.
-            None => refuse_owned(proven),
+            None => CallReply::Refused(
+                proven.admitted.id,
+                Box::new(CallRefusal::new(ResultCode::KeyOwnerGone)),
+            ),
         };
         write_reply(core, response, reply);
     }
@@ -301,7 +302,8 @@
         return Err(Box::new(CallRefusal::new(ResultCode::BoundElsewhere)));
     }
     let active = core.enter(&who.account, 0).ok_or_else(|| bad("no room"))?;
-    let count = CountGuard::new(core, &config, &who, &service_name, arrived);
+    let mut count = CountGuard::new(core, &config, &who, &service_name, arrived);
+    count.leave_to_sender();
     let work = field(headers::WORK)
         .as_deref()
         .and_then(WorkKind::parse)
@@ -374,9 +376,3 @@
         Err(refusal) => CallReply::Refused(call.id.clone(), refusal),
     }
 }
-
-fn refuse_owned(mut proven: ProvenCall) -> CallReply {
-    let refusal = Box::new(CallRefusal::new(ResultCode::KeyOwnerGone));
-    proven.admitted.count.settle(refusal.code);
-    CallReply::Refused(proven.admitted.id, refusal)
-}
--- a/crates/zinniahatch_report/src/query.rs
+++ b/crates/zinniahatch_report/src/query.rs
@@ -129,9 +129,7 @@
 impl LineSum {
     fn add(&mut self, key: &CountKey, row: &CountRow) {
         self.row.merge(row);
-        let code = ResultCode::ALL
-            .iter()
-            .find(|code| code.number() == key.code);
+        let code = ResultCode::of_number(key.code);
         match code.map(|code| (code.execution(), code.status() < 300)) {
             Some((Execution::Ran, true)) => {
                 self.answered += row.requests;
@@ -178,12 +176,9 @@
         ReportField::Served => key.served.clone(),
         ReportField::Service => key.service.clone(),
         ReportField::Preset => key.preset.clone(),
-        ReportField::Result => ResultCode::ALL
-            .iter()
-            .find(|code| code.number() == key.code)
-            .map_or_else(
-                || key.code.to_string().into(),
-                |code| format!("{} {}", key.code, code.name()).into(),
-            ),
+        ReportField::Result => ResultCode::of_number(key.code).map_or_else(
+            || key.code.to_string().into(),
+            |code| format!("{} {}", key.code, code.name()).into(),
+        ),
     }
 }
