Tell callers "not run" of requests that only waited until their deadline

What callers saw: 303, "unknown", for a request that may run once and was sent to no backend server; they collect an answer that never comes.

Cause: the handler and the run that it started had one deadline and two timers. Where the handler's fired first, it said that the request was running; the run then said that it had not run and buried its key.

Evidence: in the listed test with pauses and slow services a caller was told 303 and then found its key buried.

Why this works: where nothing was sent, the handler waits for the run, which ends at the same deadline, and tells what it says.

--- a/crates/zinniahatch_gateway/src/keyed.rs
+++ b/crates/zinniahatch_gateway/src/keyed.rs
@@ -24,6 +24,9 @@
 /// Time after its deadline for which a running request's answer is still awaited, to be kept.
 const LATE_ANSWER: Duration = Duration::from_secs(60);
 
+/// Time after its deadline in which a run that was sent to no backend server ends.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
 type AnswerBook = KeyBook<Arc<KeptAnswer>>;
 
 /// The books of this incarnation and of those it took over.
@@ -187,13 +190,14 @@
         return result;
     }
     let deadline = TokioInstant::from_std(call.deadline);
-    let core = Arc::clone(core);
-    let run = tokio::spawn(async move {
-        let call = Arc::new(call);
-        let result = run_to_end(&core, Arc::clone(&call)).await;
-        note_outcome(&core, &call, &key, result)
-    });
-    match timeout_at(deadline, run).await {
+    let call = Arc::new(call);
+    let mut run = tokio::spawn(run_and_note(Arc::clone(core), Arc::clone(&call), key));
+    let mut ended = timeout_at(deadline, &mut run).await;
+    if ended.is_err() && !call.was_sent() {
+        // A run that only waited ends at the same deadline, and says that it did not run.
+        ended = timeout_at(deadline + REFUSAL_TIME, run).await;
+    }
+    match ended {
         Ok(Ok(result)) => result,
         Ok(Err(_)) => Err(Box::new(CallRefusal::new(ResultCode::OutcomeUnknown))),
         Err(_) => Err(Box::new(CallRefusal::retry_after(
@@ -203,6 +207,15 @@
     }
 }
 
+async fn run_and_note(
+    core: Arc<GatewayCore>,
+    call: Arc<RunCall>,
+    key: MintedKey,
+) -> Result<Arc<KeptAnswer>, Box<CallRefusal>> {
+    let result = run_to_end(&core, Arc::clone(&call)).await;
+    note_outcome(&core, &call, &key, result)
+}
+
 /// Gives what a claim means for its caller; `None` for a fresh key.
 pub(crate) fn settle_claim(
     claim: KeyClaim<Arc<KeptAnswer>>,
--- a/crates/zinniahatch_lab/src/experiments/faults.rs
+++ b/crates/zinniahatch_lab/src/experiments/faults.rs
@@ -11,7 +11,6 @@
 use crate::experiments::figures::figures;
 use crate::experiments::figures::ratio;
 use crate::history::HistoryData;
-use crate::history::SeenEnd;
 use crate::load::LoadPlan;
 use crate::load::LoadRunner;
 use crate::operator::OperatorCalls;
