Share what is left of an allowance, and bear own use, when regions fall silent

Cause: a region is known to be cut off 0.7 s after its last news. Until then each part spends the whole burst. When the silence showed, a part took off what the others had probably used, and never what it had used itself beyond its share; its level was filled by its share as if nothing had been.

Why this works: what was left when all parts knew the same (the level with the use of the last 1.1 s given back) is shared, and each part bears its own use since; what it spent too much is paid back within the window. What a region probably used before its silence showed is still taken off where that is more, which matters when cuts follow each other.

--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -42,6 +42,7 @@
 mod spread;
 mod suspects;
 mod table;
+mod use_meter;
 mod work_news;
 
 pub use account::AccountTable;
--- a/crates/zinniahatch_route/src/quota_row.rs
+++ b/crates/zinniahatch_route/src/quota_row.rs
@@ -1,13 +1,11 @@
 //! The bucket of one account as a node sees it: what is used, what silent regions may use, and the debt.
 
+use crate::use_meter::RECENT_TIME;
+use crate::use_meter::UseMeter;
 use zinniahatch_base::prelude::*;
 
 /// Silence of a region after which it may be cut off. Tellers speak every 200 ms, two of each region.
 pub(crate) const SILENCE: Duration = Duration::from_millis(700);
-/// Times over which the use of an account by a region is averaged: to go on from what was heard last, and to share
-/// the allowance when regions lose each other, by what all of them know alike.
-const LATE_TIME: Duration = Duration::from_secs(1);
-const LONG_TIME: Duration = Duration::from_secs(5);
 /// Time after a region's return in which its totals are compared with what was taken off for it.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 /// Part of an allowance that is shared evenly between the regions when they lose each other, so that one whose
@@ -17,9 +15,6 @@
 const FIRST_LEVEL: f64 = 0.1;
 /// Time for which all regions must have been heard before shares follow what they use again.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
-/// Age from which all regions know alike what one used: regions that lose each other show it only after a silence,
-/// and what each used meanwhile is known to itself alone.
-const SHOWN_TIME: Duration = Duration::from_secs(1);
 /// Time over which a debt is forgotten. Nodes that could not hear each other see different debts; while the account
 /// goes on asking, a region that saw more of it than the others would be refused everything for good.
 const DEBT_TIME: Duration = Duration::from_secs(20);
@@ -39,49 +34,6 @@
     pub burst: f64,
 }
 
-/// How much of an account a region uses, on average and lately.
-#[derive(Clone, Copy, Debug)]
-struct UseMeter {
-    late: f64,
-    long: f64,
-    at: Instant,
-    /// The long average as it was one to two steps of `SHOWN_TIME` ago, and as it was at the last step.
-    shown: f64,
-    step: (Instant, f64),
-}
-
-impl UseMeter {
-    fn new(now: Instant) -> Self {
-        Self {
-            late: 0.0,
-            long: 0.0,
-            at: now,
-            shown: 0.0,
-            step: (now, 0.0),
-        }
-    }
-
-    fn add(&mut self, units: f64, now: Instant) {
-        let passed = now.saturating_duration_since(self.at);
-        let mean = |rate: f64, time: Duration| {
-            let kept = (-passed.as_secs_f64() / time.as_secs_f64()).exp();
-            rate * kept + units / time.as_secs_f64()
-        };
-        self.late = mean(self.late, LATE_TIME);
-        self.long = mean(self.long, LONG_TIME);
-        self.at = now;
-        if now.saturating_duration_since(self.step.0) >= SHOWN_TIME {
-            self.shown = self.step.1;
-            self.step = (now, self.long);
-        }
-    }
-
-    /// Gives the rate at which it probably goes on.
-    fn going_on(&self) -> f64 {
-        self.late.max(self.long)
-    }
-}
-
 /// What was taken off for a region while it was silent.
 #[derive(Clone, Copy, Debug)]
 struct TakenOff {
@@ -107,6 +59,8 @@
     /// Whether all regions are heard.
     hears_all: bool,
     taken_off: BTreeMap<ShortTag, TakenOff>,
+    /// The regions that were silent at the last look; none before the first.
+    silent: Option<BTreeSet<ShortTag>>,
 }
 
 impl QuotaRow {
@@ -122,6 +76,7 @@
             silent_at: None,
             hears_all: true,
             taken_off: BTreeMap::new(),
+            silent: None,
         }
     }
 
@@ -181,6 +136,7 @@
         let part = self.heard_part(silent);
         let passed = now.saturating_duration_since(self.at);
         self.at = self.at.max(now);
+        self.split(silent, now);
         for (region, others) in silent {
             self.take_off(*region, *others, passed, now);
         }
@@ -198,15 +154,56 @@
         self.level = (level + self.limit.rate * part * passed.as_secs_f64()).min(most);
     }
 
+    /// Splits the bucket with the regions that have just fallen silent.
+    ///
+    /// Before a silence shows, each part may spend a whole burst. What was left when all parts knew the same is shared,
+    /// and each part bears by itself what it has used since.
+    fn split(&mut self, silent: &BTreeMap<ShortTag, f64>, now: Instant) {
+        let names = silent.keys().copied().collect();
+        let Some(known) = self.silent.replace(names) else {
+            return;
+        };
+        let mut before = silent.clone();
+        before.retain(|region, _| known.contains(region));
+        if before.len() == silent.len() {
+            return;
+        }
+        let part = self.heard_part(&before).max(f64::MIN_POSITIVE);
+        let most = part * (self.limit.burst + self.limit.rate * RECENT_TIME.as_secs_f64());
+        let whole = (self.level + self.used_without(&before, now)).min(most);
+        let own = self.heard_part(silent) / part * whole - self.used_without(silent, now);
+        let mut unheard = 0.0;
+        for (region, others) in silent {
+            if before.contains_key(region) {
+                continue;
+            }
+            let meter = self.uses.get(region);
+            let recent = meter.map_or(0.0, |meter| meter.recent(now));
+            // What it probably used before its silence showed.
+            let going_on = meter.map_or(0.0, UseMeter::going_on);
+            let probably = others * going_on * SILENCE.as_secs_f64();
+            unheard += probably;
+            let share = others * self.shares.get(region).unwrap_or(&0.0) / part;
+            let units = (share * whole - recent).max(probably);
+            self.taken_off.insert(*region, TakenOff { units, at: now });
+        }
+        self.level = (self.level - unheard).min(own);
+    }
+
+    /// Gives what the regions used lately, but for some of them.
+    fn used_without(&self, left_out: &BTreeMap<ShortTag, f64>, now: Instant) -> f64 {
+        let uses = self.uses.iter();
+        let heard = uses.filter(|(region, _)| !left_out.contains_key(region));
+        heard.map(|(_, meter)| meter.recent(now)).sum()
+    }
+
     /// Notes what a silent region may have used in the time that passed.
     fn take_off(&mut self, region: ShortTag, others: f64, passed: Duration, now: Instant) {
         let share = others * self.shares.get(&region).unwrap_or(&0.0);
-        let taken = self.taken_off.entry(region).or_insert_with(|| {
-            // What it probably used before its silence showed.
-            let before = self.uses.get(&region).map_or(0.0, UseMeter::going_on);
-            let units = others * before * SILENCE.as_secs_f64();
-            self.level -= units;
-            TakenOff { units, at: now }
+        let taken = self.taken_off.entry(region);
+        let taken = taken.or_insert(TakenOff {
+            units: 0.0,
+            at: now,
         });
         taken.units += self.limit.rate * share * passed.as_secs_f64();
         taken.at = now;
