Show where counts are stuck, and take no stranger for a node in the lab

Now: own sheets by state and the age of the oldest, merges by outcome with a log line where a value cannot be read back (before: tried for ever, without a word), messages dropped from a full queue or unreadable. The lab ends where a node that it started has ended. No behaviour of the daemon changes beside.

--- a/crates/zinniahatch_daemon/src/counts.rs
+++ b/crates/zinniahatch_daemon/src/counts.rs
@@ -1,6 +1,7 @@
 //! Counts on their way to the store: sealed, copied to their merger, merged.
 
 use crate::clock::epoch_minute;
+use log::warn;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -39,6 +40,7 @@
     pub(crate) fn take(&self, core: &GatewayCore, output: TickOutput) {
         for (node, incarnation, note) in output.counts {
             let Ok(sheet) = postcard::from_bytes::<CountSheet>(&note.rows) else {
+                count_dropped(core, "counts-unreadable");
                 continue;
             };
             let entry = DeskSheet {
@@ -90,10 +92,12 @@
         book.seal(epoch_minute());
         book.due(now, again, |shard| control.duty_owner(now, &duty(shard)))
     };
+    note_states(core);
     let last = desk.closing.load(std::sync::atomic::Ordering::SeqCst);
     let mut control = core.control();
     for (shard, owner, sealed) in due {
         let Ok(rows) = postcard::to_stdvec(&sealed.sheet) else {
+            count_dropped(core, "counts-unwritable");
             continue;
         };
         let note = CountsNote {
@@ -109,6 +113,29 @@
     core.wake.notify_one();
 }
 
+/// Shows how far the own sheets are.
+fn note_states(core: &GatewayCore) {
+    let states = core.book().states();
+    let counts = [
+        ("unsent", states.unsent),
+        ("sent", states.sent),
+        ("merged", states.merged),
+    ];
+    for (state, count) in counts {
+        let gauge = core.counters.own_sheets.with_label_values(&[state]);
+        gauge.set(count as i64);
+    }
+    let age = states
+        .oldest
+        .map_or(0, |oldest| epoch_minute().saturating_sub(oldest));
+    core.counters.sheet_age.set(age as i64);
+}
+
+fn count_dropped(core: &GatewayCore, reason: &str) {
+    let dropped = &core.counters.messages_dropped;
+    dropped.with_label_values(&[reason]).inc();
+}
+
 /// Seals at the interval of the settings until the process ends.
 pub(crate) async fn run_sealing(core: Arc<GatewayCore>, desk: Arc<CountDesk>) {
     loop {
@@ -130,7 +157,10 @@
     let tasks = desk.lock().tasks();
     core.counters.sheets_waiting.set(desk.lock().len() as i64);
     for task in tasks {
-        if merge_task(core, &task).await {
+        let outcome = merge_task(core, &task).await;
+        let merges = &core.counters.merges;
+        merges.with_label_values(&[outcome.word()]).inc();
+        if outcome.is_done() {
             let told = desk.lock().done(&task);
             let now = Instant::now();
             let mut control = core.control();
@@ -147,41 +177,75 @@
     core.counters.sheets_waiting.set(desk.lock().len() as i64);
 }
 
+/// What became of one merge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MergeOutcome {
+    /// The counts were written.
+    Written,
+    /// The counts were in the store already.
+    Known,
+    /// The value in the store cannot be read back; it is left as it is.
+    Unreadable,
+    /// The store could not be read.
+    NotRead,
+    /// The store was read, and the counts could not be written.
+    NotWritten,
+}
+
+impl MergeOutcome {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Written => "written",
+            Self::Known => "known",
+            Self::Unreadable => "unreadable",
+            Self::NotRead => "not-read",
+            Self::NotWritten => "not-written",
+        }
+    }
+
+    const fn is_done(self) -> bool {
+        matches!(self, Self::Written | Self::Known)
+    }
+}
+
 /// Merges one task by compare-and-swap.
 ///
 /// When the answer of the write is lost, the next try reads the value, finds the marks that were
 /// written with the counts, and writes nothing.
-async fn merge_task(core: &GatewayCore, task: &MergeTask) -> bool {
+async fn merge_task(core: &GatewayCore, task: &MergeTask) -> MergeOutcome {
     let store = core.changes.store();
     let key = hour_key(&core.identity.data_centre, task.shard, task.hour);
+    let mut outcome = MergeOutcome::NotRead;
     for _ in 0..MOST_TRIES {
         let read = store.get(&key).await;
         core.note_store("report read", &read);
         let Ok(stored) = read else {
             continue;
         };
+        outcome = MergeOutcome::NotWritten;
         let (mut ledger, expect) = match &stored {
             None => (HourLedger::default(), 0),
-            Some(value) => {
-                let Ok(ledger) = serde_json::from_str(&value.value) else {
-                    return false;
-                };
-                (ledger, value.revision)
-            }
+            Some(value) => match serde_json::from_str(&value.value) {
+                Ok(ledger) => (ledger, value.revision),
+                Err(error) => {
+                    warn!("the counts in the store under {key} cannot be read: {error}");
+                    return MergeOutcome::Unreadable;
+                }
+            },
         };
         if !task.apply(&mut ledger) {
-            return true;
+            return MergeOutcome::Known;
         }
         let Ok(text) = serde_json::to_string(&ledger) else {
-            return false;
+            return MergeOutcome::NotWritten;
         };
         let written = store.put(&key, &text, Some(expect), None).await;
         core.note_store("report write", &written);
         if matches!(written, Ok(PutOutcome::Done(_))) {
-            return true;
+            return MergeOutcome::Written;
         }
     }
-    false
+    outcome
 }
 
 fn duty(shard: u16) -> String {
--- a/crates/zinniahatch_daemon/src/transport.rs
+++ b/crates/zinniahatch_daemon/src/transport.rs
@@ -62,7 +62,10 @@
             .frame_bytes
             .with_label_values(&["out"])
             .inc_by(bytes.len() as u64);
-        self.command(core.reach(&parcel.to), PeerCommand::Send(bytes));
+        if !self.command(core.reach(&parcel.to), PeerCommand::Send(bytes)) {
+            let dropped = &core.counters.messages_dropped;
+            dropped.with_label_values(&["queue-full"]).inc();
+        }
     }
 
     /// Opens a new connection to a peer that has been silent.
@@ -71,7 +74,8 @@
         self.command(core.reach(peer), PeerCommand::Redial);
     }
 
-    fn command(&mut self, peer: &str, command: PeerCommand) {
+    /// Gives a command to the sender of a peer; says whether it had room.
+    fn command(&mut self, peer: &str, command: PeerCommand) -> bool {
         if self.peers.get(peer).is_none_or(mpsc::Sender::is_closed) {
             // Hundreds of VMs are replaced a day; those that are gone are not remembered.
             self.peers.retain(|_, sender| !sender.is_closed());
@@ -79,9 +83,8 @@
             tokio::spawn(run_peer(peer.into(), receiver));
             self.peers.insert(peer.into(), sender);
         }
-        if let Some(sender) = self.peers.get(peer) {
-            let _ = sender.try_send(command);
-        }
+        let sender = self.peers.get(peer);
+        sender.is_some_and(|sender| sender.try_send(command).is_ok())
     }
 }
 
--- a/crates/zinniahatch_gateway/src/counters.rs
+++ b/crates/zinniahatch_gateway/src/counters.rs
@@ -62,6 +62,14 @@
     pub store_behind: IntCounter,
     /// Sheets of counts that wait for the store.
     pub sheets_waiting: IntGauge,
+    /// Own sheets of counts, by how far they are.
+    pub own_sheets: IntGaugeVec,
+    /// Minutes since the oldest own sheet that is not in the store was sealed.
+    pub sheet_age: IntGauge,
+    /// Merges of counts into the store, by outcome.
+    pub merges: IntCounterVec,
+    /// Messages between nodes that were dropped, by reason.
+    pub messages_dropped: IntCounterVec,
     /// Keys made.
     pub keys_made: IntCounter,
     /// Nanoseconds spent in control ticks.
@@ -202,6 +210,29 @@
                 "sheets_waiting",
                 "Sheets of counts that wait for the store.",
             ),
+            own_sheets: labelled_gauge(
+                &registry,
+                "own_sheets",
+                "Own sheets of counts, by how far they are.",
+                "state",
+            ),
+            sheet_age: gauge(
+                &registry,
+                "sheet_age_minutes",
+                "Minutes since the oldest own sheet that is not in the store was sealed.",
+            ),
+            merges: vector(
+                &registry,
+                "merges_total",
+                "Merges of counts into the store, by outcome.",
+                &["outcome"],
+            ),
+            messages_dropped: vector(
+                &registry,
+                "messages_dropped_total",
+                "Messages between nodes that were dropped, by reason.",
+                &["reason"],
+            ),
             keys_made: single(&registry, "keys_made_total", "Idempotency keys made."),
             control_nanos: single(
                 &registry,
@@ -257,7 +288,11 @@
 }
 
 fn gauges(registry: &Registry, name: &str, help: &str) -> IntGaugeVec {
-    let gauge = IntGaugeVec::new(Opts::new(name, help), &["service"]).expect("the name is valid");
+    labelled_gauge(registry, name, help, "service")
+}
+
+fn labelled_gauge(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let gauge = IntGaugeVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
     registry
         .register(Box::new(gauge.clone()))
         .expect("the name is unique");
--- a/crates/zinniahatch_lab/src/cluster.rs
+++ b/crates/zinniahatch_lab/src/cluster.rs
@@ -250,18 +250,26 @@
     ///
     /// # Panics
     ///
-    /// Where one does not in time.
-    pub async fn wait_ready(&self) {
+    /// Where one does not in time, or has ended: then whoever answers at its address is a stranger.
+    pub async fn wait_ready(&mut self) {
         let client = reqwest::Client::new();
-        for node in self.nodes.iter().filter(|node| node.child.is_some()) {
+        for index in 0..self.nodes.len() {
+            if self.process(index).is_none() {
+                continue;
+            }
             let started = Instant::now();
-            while !is_ready(&client, &node.http).await {
-                if started.elapsed() > READY_TIME {
-                    let log = fs::read_to_string(&node.log).unwrap_or_default();
-                    panic!("{} does not serve: {log}", node.name);
-                }
+            let http = self.nodes[index].http.clone();
+            while !is_ready(&client, &http).await
+                && self.ended(index).is_none()
+                && started.elapsed() <= READY_TIME
+            {
                 sleep(LOOK_EVERY).await;
             }
+            if self.ended(index).is_some() || started.elapsed() > READY_TIME {
+                let node = &self.nodes[index];
+                let log = fs::read_to_string(&node.log).unwrap_or_default();
+                panic!("{} does not serve: {log}", node.name);
+            }
         }
     }
 
--- a/crates/zinniahatch_lab/tests/addresses.rs
+++ b/crates/zinniahatch_lab/tests/addresses.rs
@@ -1,7 +1,15 @@
 //! The addresses that the lab gives to processes which bind them later.
 
+use std::net::TcpListener;
 use std::net::UdpSocket;
+use zinniahatch_lab::cluster::ClusterOptions;
+use zinniahatch_lab::cluster::LabCluster;
 use zinniahatch_lab::cluster::free_addresses;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
+use zinniahatch_lab::stand::replica::StreamShape;
+use zinniahatch_lab::users;
 
 /// Sockets that are open to all addresses of the machine, with ports from the system.
 const SOCKETS: usize = 200;
@@ -25,3 +33,31 @@
         UdpSocket::bind(&*address).unwrap();
     }
 }
+
+/// Guards against a stranger at a node's address that is taken for the node.
+#[tokio::test(flavor = "multi_thread")]
+#[should_panic(expected = "does not serve")]
+async fn stranger_is_not_taken_for_a_node() {
+    let mut plan = users::aqsu();
+    plan.regions.truncate(1);
+    plan.regions[0].entries = 1;
+    let mut cluster = LabCluster::prepare(plan, &ClusterOptions::default()).await;
+    let _stranger = TcpListener::bind(&*cluster.nodes[0].http).unwrap();
+    cluster.spawn(0);
+    cluster.wait_ready().await;
+}
+
+/// Guards against an entry VM that goes on without one of its addresses.
+#[tokio::test(flavor = "multi_thread")]
+async fn taken_address_ends_an_entry_vm() {
+    let shape = StreamShape {
+        events: 1,
+        pause: std::time::Duration::ZERO,
+    };
+    let mut site = SiteCluster::prepare(&[SiteRegion::new("north", 1, 0)], shape).await;
+    let address = site.entries[0].addresses[0].to_string();
+    let _stranger = TcpListener::bind(&address).unwrap();
+    site.spawn(0);
+    wait_until("the entry VM ends", async || site.ended(0).is_some()).await;
+    assert_eq!(site.ended(0), Some(false));
+}
--- a/crates/zinniahatch_report/src/book.rs
+++ b/crates/zinniahatch_report/src/book.rs
@@ -36,6 +36,19 @@
     }
 }
 
+/// How far the sheets of a node are on their way to the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SheetStates {
+    /// Sealed and sent to no merger, for want of one.
+    pub unsent: usize,
+    /// Sent, and not known to be in the store.
+    pub sent: usize,
+    /// In the store.
+    pub merged: usize,
+    /// Minute of the sealing of the oldest that is not in the store, from the epoch.
+    pub oldest: Option<u64>,
+}
+
 #[derive(Debug, Default)]
 struct ShardBook {
     open: CountSheet,
@@ -86,6 +99,25 @@
             .all(|shard| shard.open.is_empty() && shard.waiting().next().is_none())
     }
 
+    /// Gives how far the sealed sheets are.
+    pub fn states(&self) -> SheetStates {
+        let mut states = SheetStates::default();
+        for sealed in self.shards.iter().flat_map(|shard| shard.sealed.values()) {
+            if sealed.merged.is_some() {
+                states.merged += 1;
+                continue;
+            }
+            if sealed.sent.is_some() {
+                states.sent += 1;
+            } else {
+                states.unsent += 1;
+            }
+            let oldest = states.oldest.unwrap_or(sealed.minute);
+            states.oldest = Some(oldest.min(sealed.minute));
+        }
+        states
+    }
+
     /// Counts one request.
     pub fn add(&mut self, key: CountKey, row: &CountRow) {
         let shard = tag_of(&key.account) as usize % self.shards.len();
--- a/crates/zinniahatch_report/src/lib.rs
+++ b/crates/zinniahatch_report/src/lib.rs
@@ -16,6 +16,7 @@
 pub use book::KEPT_SHEETS;
 pub use book::REPORT_SHARDS;
 pub use book::SealedSheet;
+pub use book::SheetStates;
 pub use counts::CountKey;
 pub use counts::CountRow;
 pub use counts::CountSheet;
--- a/crates/zinniahatch_report/tests/counts.rs
+++ b/crates/zinniahatch_report/tests/counts.rs
@@ -13,6 +13,7 @@
 use zinniahatch_report::MergeDesk;
 use zinniahatch_report::ReportField;
 use zinniahatch_report::ReportQuery;
+use zinniahatch_report::SheetStates;
 use zinniahatch_report::render_csv;
 use zinniahatch_report::render_html;
 use zinniahatch_report::render_table;
@@ -141,6 +142,32 @@
     assert!(book.is_settled());
 }
 
+/// Guards against sheets that are stuck and that no gauge shows.
+#[test]
+fn book_states_follow_a_sheet() {
+    let now = Instant::now();
+    let mut book = CountBook::with_shards(1);
+    let row = CountRow {
+        requests: 1,
+        ..CountRow::default()
+    };
+    book.add(key("a", "r", ResultCode::Answered), &row);
+    assert_eq!(book.states(), SheetStates::default());
+    book.seal(60);
+    book.add(key("a", "r", ResultCode::Answered), &row);
+    book.seal(61);
+    assert_eq!((book.states().unsent, book.states().oldest), (2, Some(60)));
+    let due = book.due(now, Duration::from_secs(60), |_| Some("m".into()));
+    book.merged(0, &[due[0].2.number], now);
+    let states = SheetStates {
+        unsent: 0,
+        sent: 1,
+        merged: 1,
+        oldest: Some(61),
+    };
+    assert_eq!(book.states(), states);
+}
+
 /// Counts were in the store, and the store came back from a copy that was older. They are handed over once more, and
 /// those that are older than any copy are not kept for ever.
 #[test]
