Leave a region that is cut off the even half of its share

What callers would see: all requests of an account refused in a region that is cut off, for as long as it lasts, where the use of the others had just moved from one to the other.

Cause: the largest shares of the silent regions are of different looks and may add up to one and more; nothing was left for the part that is cut off.

Evidence, in the new test: a bucket in debt rises from -1,149,788 to -772,655 units in 8 s of a cut, by forgetting alone. With the mend 400,000 more are filled, and the test passes; it failed before.

Why this works: half of each share is even in every node's look, so no other part takes it for its own.

--- a/crates/zinniahatch_route/src/quota_row.rs
+++ b/crates/zinniahatch_route/src/quota_row.rs
@@ -122,11 +122,16 @@
 
     /// Gives the part of the rate that falls to the processes that are heard, this one among them; `silent` has the
     /// silent regions, each with the part of its share that is not this process's to use.
+    ///
+    /// At least the even part of their shares, which no other part takes for its own: a region that is cut off goes on
+    /// serving its callers.
     fn heard_part(&self, silent: &BTreeMap<ShortTag, f64>) -> f64 {
         let lost = silent
             .iter()
             .map(|(region, part)| part * self.shares.get(region).unwrap_or(&0.0));
-        (1.0 - lost.sum::<f64>()).max(0.0)
+        let unheard = silent.values().sum::<f64>() / self.shares.len().max(1) as f64;
+        let least = EVEN_PART * (1.0 - unheard).max(0.0);
+        (1.0 - lost.sum::<f64>()).max(least)
     }
 
     /// Keeps the shares as they were when the first region fell silent: what each part uses from then on is not
--- a/crates/zinniahatch_route/tests/quota.rs
+++ b/crates/zinniahatch_route/tests/quota.rs
@@ -12,6 +12,7 @@
 use zinniahatch_route::QuotaBook;
 use zinniahatch_route::QuotaLimit;
 use zinniahatch_route::RegionSpends;
+use zinniahatch_route::SpentCount;
 
 const ACCOUNT: u64 = 7;
 const REGIONS: usize = 3;
@@ -391,6 +392,46 @@
     }
 }
 
+/// Guards against a region that is cut off and gets nothing, because the use moved between the others before.
+#[test]
+fn region_cut_off_keeps_a_part() {
+    let rate = 300_000.0;
+    let mut now = Instant::now();
+    let mut own = book(0, 0, now);
+    own.set_neighbours(NODES - 1);
+    own.set_limits(&limits(rate), now);
+    // The one other region uses a little for long, the other one much for two seconds.
+    let mut spent = [0, 0];
+    for step in 0..240 {
+        now += Duration::from_millis(50);
+        own.hear(&RegionSpends::of(0), now);
+        for (index, region) in [1, 2].into_iter().enumerate() {
+            let units = [2_000, if step < 200 { 0 } else { 40_000 }][index];
+            spent[index] += units;
+            let count = SpentCount {
+                spent: spent[index],
+                returned: 0,
+                added: units as i64,
+            };
+            let mut news = RegionSpends::of(region);
+            news.add(region * 1_000, ACCOUNT, &count);
+            own.hear(&news, now);
+        }
+    }
+    let mut before = 0.0;
+    for step in 0..200 {
+        now += Duration::from_millis(50);
+        own.hear(&RegionSpends::of(0), now);
+        if step == 40 {
+            before = own.left(ACCOUNT, now).expect("there is a limit");
+        }
+    }
+    let after = own.left(ACCOUNT, now).expect("there is a limit");
+    // A third of a debt is forgotten meanwhile.
+    let filled = after - before * 0.67;
+    assert!(filled > rate, "{before} to {after} in 8 s");
+}
+
 /// A request was refused by a replica, or found no place. Its units go back, here and at the other nodes.
 #[test]
 fn units_given_back_are_there_again() {
