Remember the keys that are taken away now before older ones

What an operator would see: a key that is taken away after 10,000 others runs on in requests that wait, are repeated or resumed, since it is taken for one that this node never knew.

Cause: the memory of keys that were taken away filled with those known before, and dropped the new ones once it was full.

Why this works: those taken away in the version at hand are entered first. The test failed before (Unknown in place of Revoked).

--- a/crates/zinniahatch_route/src/account.rs
+++ b/crates/zinniahatch_route/src/account.rs
@@ -91,7 +91,8 @@
             }
             table.accounts.insert(account.name.clone(), account);
         }
-        let earlier = before.revoked.iter().chain(before.keys.keys());
+        // Those taken away now go first, so that a full memory forgets older ones.
+        let earlier = before.keys.keys().chain(&before.revoked);
         let revoked = earlier.filter(|key| !table.keys.contains_key(*key));
         let revoked = revoked.take(MOST_REVOKED).copied().collect();
         Self { revoked, ..table }
--- a/crates/zinniahatch_route/tests/accounts.rs
+++ b/crates/zinniahatch_route/tests/accounts.rs
@@ -54,6 +54,22 @@
     assert_eq!(third.find(&digest("l")), KeyVerdict::Revoked);
 }
 
+/// Guards against a key that is taken away after thousands of others and runs on, taken for one that never was.
+#[test]
+fn key_taken_away_last_is_remembered() {
+    const EARLIER: usize = 10_000;
+    let names: Vec<String> = (0..EARLIER).map(|number| format!("k{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let first = table(
+        1,
+        vec![account("old", &names, &[]), account("new", &["zzz"], &[])],
+        &AccountTable::default(),
+    );
+    let second = table(2, vec![account("new", &["zzz"], &[])], &first);
+    let third = table(3, vec![account("new", &[], &[])], &second);
+    assert_eq!(third.find(&digest("zzz")), KeyVerdict::Revoked);
+}
+
 #[test]
 fn key_digests_show_nothing() {
     assert_eq!(format!("{:?}", digest("k")), "KeyDigest");
