Judge a forwarded request's key by the version that found it

What an operator would see: a request that was forwarded to a node which was behind (key added in version 5, node at 4) waits there, is repeated or resumed, and runs on for good after version 6 took the key away.

Cause: the node asked its memory of keys whether it had known this one. It had not, so the key passed as "unknown here", also once the node was ahead.

Why this works: the identity carries the version by which the key was found. A node that is behind it takes its word; one that is as new or newer goes by its own table alone, and by no memory of keys.

The new test replays the versions 4, 5 and 6; the memory says Unknown at version 6, upon which the key passed before.

--- a/crates/zinniahatch_entry/src/who/identity.rs
+++ b/crates/zinniahatch_entry/src/who/identity.rs
@@ -17,6 +17,8 @@
 pub(crate) struct CallIdentity {
     pub(crate) account: Rc<DesiredAccount>,
     pub(crate) key: KeyDigest,
+    /// The version of the desired state by which the key was found.
+    pub(crate) version: u64,
 }
 
 /// Finds who asks; none where the route or the deployment does not ask for that.
@@ -56,7 +58,13 @@
     }
     let problem = match call.credential {
         Credential::Key(key) => match table.find(&key) {
-            KeyVerdict::Known(account) => return Ok(Some(CallIdentity { account, key })),
+            KeyVerdict::Known(account) => {
+                return Ok(Some(CallIdentity {
+                    account,
+                    key,
+                    version: core.version(),
+                }));
+            }
             KeyVerdict::Revoked => "revoked",
             KeyVerdict::Unknown => "unknown",
         },
@@ -98,6 +106,7 @@
     Ok(CallIdentity {
         account,
         key: note.key,
+        version,
     })
 }
 
@@ -109,13 +118,10 @@
         return true;
     };
     let table = core.identities.borrow();
-    if table.holds(&identity.key, &identity.account.name) {
-        return true;
-    }
-    // A node that is behind the one that forwarded the request has never known the key.
-    let known = table.find(&identity.key) != KeyVerdict::Unknown;
-    if known {
+    let name = &identity.account.name;
+    let counts = table.still_holds(&identity.key, name, identity.version, core.version());
+    if !counts {
         core.metrics.note_key("revoked");
     }
-    !known
+    counts
 }
--- a/crates/zinniahatch_route/src/account.rs
+++ b/crates/zinniahatch_route/src/account.rs
@@ -119,6 +119,15 @@
             .is_some_and(|holder| *holder.name == *account)
     }
 
+    /// Tells whether an account's key that was found by version `found` still counts by this table, which is of version
+    /// `own`.
+    ///
+    /// A node that is behind the one that found the key has never known it, and takes its word; one that is as new has
+    /// the last say.
+    pub fn still_holds(&self, key: &KeyDigest, account: &str, found: u64, own: u64) -> bool {
+        own < found || self.holds(key, account)
+    }
+
     /// Gives an account by its name.
     pub fn named(&self, name: &str) -> Option<&Rc<DesiredAccount>> {
         self.accounts.get(name)
--- a/crates/zinniahatch_route/tests/accounts.rs
+++ b/crates/zinniahatch_route/tests/accounts.rs
@@ -70,6 +70,17 @@
     assert_eq!(third.find(&digest("zzz")), KeyVerdict::Revoked);
 }
 
+/// Guards against a forwarded request whose key this node never knew, and that runs on after the key was taken away.
+#[test]
+fn key_never_known_here_is_judged_once_the_node_is_as_new() {
+    let fourth = table(4, vec![account("a", &["l"], &[])], &AccountTable::default());
+    assert!(fourth.still_holds(&digest("k"), "a", 5, 4));
+    let sixth = table(6, vec![account("a", &["l"], &[])], &fourth);
+    assert_eq!(sixth.find(&digest("k")), KeyVerdict::Unknown);
+    assert!(!sixth.still_holds(&digest("k"), "a", 5, 6));
+    assert!(sixth.still_holds(&digest("l"), "a", 5, 6));
+}
+
 #[test]
 fn key_digests_show_nothing() {
     assert_eq!(format!("{:?}", digest("k")), "KeyDigest");
