--- a/crates/zinniahatch_lab/src/experiments/count_trace.rs
+++ b/crates/zinniahatch_lab/src/experiments/count_trace.rs
@@ -5,7 +5,13 @@
 use zinniahatch_base::prelude::*;
 
 /// Counters of a node that belong to the way of its counts.
-const TRACED_COUNTERS: [&str; 1] = ["zinnia_results_total"];
+const TRACED_COUNTERS: [&str; 5] = [
+    "zinnia_results_total",
+    "zinnia_own_sheets",
+    "zinnia_sheets_waiting",
+    "zinnia_merges_total",
+    "zinnia_messages_dropped_total",
+];
 
 /// Prints the requests by result as callers saw them and as the reports count them, what the report could not
 /// read, and each node's end or its counters.
