Tell from the silent regions whether all are heard

The bucket of an account kept a flag beside the set of silent regions, which was added with the split at a silence and says the same. The flag goes.

No behaviour changes: the flag was set in the same step as the set, and both are asked only after that step.

--- a/crates/zinniahatch_route/src/quota_row.rs
+++ b/crates/zinniahatch_route/src/quota_row.rs
@@ -59,8 +59,6 @@
     shares: BTreeMap<ShortTag, f64>,
     /// When a region was silent last; none where all have been heard since the shares were dropped.
     silent_at: Option<Instant>,
-    /// Whether all regions are heard.
-    hears_all: bool,
     taken_off: BTreeMap<ShortTag, TakenOff>,
     /// When this process began to see what the account uses.
     began: Instant,
@@ -79,7 +77,6 @@
             uses: BTreeMap::new(),
             shares: BTreeMap::new(),
             silent_at: None,
-            hears_all: true,
             taken_off: BTreeMap::new(),
             began: now,
             silent: None,
@@ -139,7 +136,6 @@
     ///
     /// They are kept for a while after all are heard again: a region that is cut off just then still goes by them.
     fn keep_shares(&mut self, regions: &BTreeMap<ShortTag, Instant>, silent: bool, now: Instant) {
-        self.hears_all = !silent;
         if silent {
             self.silent_at = Some(now);
             if self.shares.is_empty() {
@@ -247,7 +243,8 @@
 
     /// Tells whether the region may go on whatever its debt. A part that hears not all has its share, which is more.
     pub(crate) fn is_spared(&self) -> bool {
-        self.floor > 0.0 && self.hears_all
+        let hears_all = self.silent.as_ref().is_none_or(BTreeSet::is_empty);
+        self.floor > 0.0 && hears_all
     }
 
     /// Gives the time in which a debt is filled up.
