Log what a retry was charged to and what a refusing node sent to replicas

No decision changes. The logs could not tell whether a retry had been charged to a node's budget, how full that budget was, or whether a node that refused a forwarded request had sent it to a replica. Added: the log line `retry` with the level of the budget, `received` and `uncharged` on `try-failed` and `refused`, the header `x-zinnia-uncharged-sends` of a refusal between nodes, and the counters `zinniahatch_repeats_denied_total` and `zinniahatch_uncharged_sends_total`.

--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -21,6 +21,8 @@
     registry: Registry,
     responses: IntCounterVec,
     retries: IntCounterVec,
+    denied_retries: IntCounterVec,
+    uncharged_sends: IntCounterVec,
     remote_sends: IntCounterVec,
     store_calls: IntCounterVec,
     first_event: HistogramVec,
@@ -67,6 +69,16 @@
             "Requests sent once more, by service and reason.",
             &["service", "reason"],
         )?;
+        let denied_retries = counter(
+            "zinniahatch_repeats_denied_total",
+            "Requests not sent once more because the retry budget was used up, by service and reason.",
+            &["service", "reason"],
+        )?;
+        let uncharged_sends = counter(
+            "zinniahatch_uncharged_sends_total",
+            "Sends beyond the first of a request that no retry budget was charged for, by service.",
+            &["service"],
+        )?;
         let remote_sends = counter(
             "zinniahatch_away_total",
             "Requests sent to a node of another region, by service and region.",
@@ -133,6 +145,8 @@
             registry,
             responses,
             retries,
+            denied_retries,
+            uncharged_sends,
             remote_sends,
             store_calls,
             first_event,
@@ -153,9 +167,21 @@
         self.responses.with_label_values(&[service, result]).inc();
     }
 
-    /// Counts a request that is sent again.
-    pub(crate) fn note_retry(&self, service: &str, reason: &str) {
-        self.retries.with_label_values(&[service, reason]).inc();
+    /// Counts a request that is sent again, or is not because the retry budget is used up.
+    pub(crate) fn note_retry(&self, service: &str, reason: &str, granted: bool) {
+        let counter = if granted {
+            &self.retries
+        } else {
+            &self.denied_retries
+        };
+        counter.with_label_values(&[service, reason]).inc();
+    }
+
+    /// Counts sends beyond the first of a request that no retry budget was charged for.
+    pub(crate) fn note_uncharged(&self, service: &str, sends: u32) {
+        self.uncharged_sends
+            .with_label_values(&[service])
+            .inc_by(u64::from(sends));
     }
 
     /// Counts a request that is sent to another region.
--- a/crates/zinniahatch_entry/src/request/gateway_response.rs
+++ b/crates/zinniahatch_entry/src/request/gateway_response.rs
@@ -13,6 +13,9 @@
 const CODE: HeaderName = HeaderName::from_static("x-zinnia-code");
 /// Header that tells whether the request ran.
 const EXECUTION: HeaderName = HeaderName::from_static("x-zinnia-execution");
+/// Header of a refusal by the node to which a request was forwarded: the sends that replicas may have
+/// received and that this node did not charge to its retry budget.
+const UNCHARGED_SENDS: HeaderName = HeaderName::from_static("x-zinnia-uncharged-sends");
 
 /// Builds a response of the gateway itself.
 pub(crate) fn gateway_response(
@@ -71,6 +74,22 @@
     )
 }
 
+/// Tells the node that forwarded a request about sends that only it can charge.
+pub(crate) fn report_uncharged(headers: &mut http::HeaderMap, sends: u32) {
+    headers.insert(UNCHARGED_SENDS, HeaderValue::from(sends));
+}
+
+/// Returns the sends that another node's refusal leaves to this node to charge.
+///
+/// Nodes of earlier versions do not report them, and may have sent the request to one replica.
+pub(crate) fn uncharged_sends(headers: &http::HeaderMap) -> u32 {
+    headers
+        .get(UNCHARGED_SENDS)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1)
+}
+
 /// Returns the time in the `Retry-After` header of a response.
 pub(crate) fn retry_hint(headers: &http::HeaderMap) -> Option<Duration> {
     headers
--- a/crates/zinniahatch_entry/src/request/placement.rs
+++ b/crates/zinniahatch_entry/src/request/placement.rs
@@ -389,6 +389,7 @@
         "try-failed",
         serde_json::json!({"request": request.attempt, "service": plan.service, "at": target,
             "failure": format!("{failure:?}"), "sends": progress.sends,
+            "received": failure.sends_received(), "uncharged": progress.ledger.uncharged(),
             "age_ms": request.arrived.elapsed().as_millis() as u64}),
     );
 }
--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -15,6 +15,7 @@
 use zinniahatch_route::DesiredService;
 use zinniahatch_route::RemoteAttempts;
 use zinniahatch_route::RepeatKind;
+use zinniahatch_route::SendLedger;
 use zinniahatch_route::common_homes;
 use zinniahatch_route::engine_rank;
 
@@ -63,6 +64,8 @@
     pub(crate) remote: RemoteAttempts,
     /// Number of sends to replicas.
     pub(crate) sends: u32,
+    /// Sends that replicas may have received, and those charged to the retry budget.
+    pub(crate) ledger: SendLedger,
     /// Number of tries that did not reach the intended replica, and of failed tries to resume a
     /// stream.
     pub(crate) unsent_tries: u32,
@@ -192,19 +195,43 @@
     pub(crate) fn take_retry(
         &self,
         core: &EntryCore,
-        progress: &RequestProgress,
+        request: &ReceivedRequest,
+        progress: &mut RequestProgress,
         reason: &'static str,
     ) -> bool {
         if progress.sends >= self.max_sends {
             return false;
         }
-        let granted =
-            core.with_retry_budget(&self.service, |budget| budget.try_take(Instant::now()));
-        if granted {
-            core.metrics.note_retry(&self.service, reason);
+        let now = Instant::now();
+        let (charge, level) = core.with_retry_budget(&self.service, |budget| {
+            (budget.try_take(now), budget.level(now))
+        });
+        let granted = charge.is_some();
+        if let Some(charge) = charge {
+            progress.ledger.record_charge(charge);
         }
+        core.metrics.note_retry(&self.service, reason, granted);
+        core.log.write(
+            "retry",
+            serde_json::json!({"request": request.attempt, "service": self.service,
+                "reason": reason, "granted": granted, "requests": level.requests,
+                "retries": level.retries, "allowed": level.allowed}),
+        );
         granted
     }
+
+    /// Records sends that replicas may have received.
+    pub(crate) fn record_received(
+        &self,
+        core: &EntryCore,
+        progress: &mut RequestProgress,
+        sends: u32,
+    ) {
+        let before = progress.ledger.uncharged().max(1);
+        progress.ledger.record_received(sends);
+        let excess = progress.ledger.uncharged().saturating_sub(before);
+        core.metrics.note_uncharged(&self.service, excess);
+    }
 }
 
 impl RequestProgress {
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -6,6 +6,7 @@
 use crate::replicas::quarantine::note_complete_response;
 use crate::request::connection::ResponseHead;
 use crate::request::gateway_response::gateway_response;
+use crate::request::gateway_response::report_uncharged;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::plan::InFlightGuard;
 use crate::request::plan::RequestPlan;
@@ -48,10 +49,15 @@
         serde_json::json!({"request": request.attempt, "content": request.content_text(),
             "direct": request.is_direct(), "route": plan.route.name, "tokens_in": request.size.tokens_in,
             "service": plan.service, "result": code.number(), "sends": progress.sends,
+            "uncharged": progress.ledger.uncharged(),
             "connects": progress.unsent_tries, "retry_ms": retry.map(|after| after.as_millis() as u64),
             "age_ms": request.arrived.elapsed().as_millis() as u64, "version": plan.version})
     );
-    gateway_response(code, Some(&request.attempt), retry)
+    let mut response = gateway_response(code, Some(&request.attempt), retry);
+    if !request.is_direct() {
+        report_uncharged(response.headers_mut(), progress.ledger.uncharged());
+    }
+    response
 }
 
 fn build_response(head: &ResponseHead, body: ResponseBody) -> Response<ResponseBody> {
--- a/crates/zinniahatch_entry/src/request/resume.rs
+++ b/crates/zinniahatch_entry/src/request/resume.rs
@@ -33,7 +33,7 @@
         await_quarantine_decision(core, request).await;
         let placement = choose_placement(core, request, plan, progress, false);
         let refused = matches!(placement, Placement::Refuse(..));
-        if refused || !plan.take_retry(core, progress, "resumed") {
+        if refused || !plan.take_retry(core, request, progress, "resumed") {
             return None;
         }
         core.log.write(
@@ -44,6 +44,11 @@
         record_try(core, request, plan, progress, &placement);
         let sending = send_to(core, request, plan, &placement, last_event);
         let sent = timeout_at(plan.deadline_tokio(), sending).await;
+        let received = match &sent {
+            Ok(Err(failure)) => failure.sends_received(),
+            _ => 1,
+        };
+        plan.record_received(core, progress, received);
         match sent {
             Ok(Ok((head, in_flight))) if head.status.is_success() => {
                 progress.sends += 1;
--- a/crates/zinniahatch_entry/src/request/send.rs
+++ b/crates/zinniahatch_entry/src/request/send.rs
@@ -12,6 +12,7 @@
 use crate::request::gateway_response::gateway_code;
 use crate::request::gateway_response::reports_not_run;
 use crate::request::gateway_response::retry_hint;
+use crate::request::gateway_response::uncharged_sends;
 use crate::request::in_flight::AssignedWork;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::plan::RequestPlan;
@@ -48,8 +49,14 @@
 pub(crate) enum SendFailure {
     /// Nothing was sent.
     NotSent(Box<str>),
-    /// The other side guarantees that it did not run the request. May carry a retry hint.
+    /// The replica guarantees that it did not run the request. May carry a retry hint.
     NotRun(Option<Duration>),
+    /// Another node guarantees that the request did not run. It reports the sends that replicas may
+    /// have received and that it did not charge to its retry budget.
+    RefusedByNode {
+        retry: Option<Duration>,
+        uncharged_sends: u32,
+    },
     /// A different replica answers at the address. It did not run the request.
     WrongReplica,
     /// The caller's API key has been revoked, so the request was not sent.
@@ -61,6 +68,19 @@
     Unknown(Box<str>),
 }
 
+impl SendFailure {
+    /// Returns how many sends replicas may have received that no retry budget was charged for.
+    pub(crate) fn sends_received(&self) -> u32 {
+        match self {
+            Self::NotSent(_) | Self::KeyRevoked | Self::Quarantined(_) => 0,
+            Self::NotRun(_) | Self::WrongReplica | Self::Unknown(_) => 1,
+            Self::RefusedByNode {
+                uncharged_sends, ..
+            } => *uncharged_sends,
+        }
+    }
+}
+
 /// A forwarded request whose response has not begun.
 ///
 /// Dropping it records that this node gave up waiting.
@@ -341,7 +361,10 @@
         return Err(SendFailure::KeyRevoked);
     }
     if not_run {
-        return Err(SendFailure::NotRun(hint));
+        return Err(SendFailure::RefusedByNode {
+            retry: hint,
+            uncharged_sends: uncharged_sends(&head.headers),
+        });
     }
     Err(SendFailure::Unknown(
         "outcome unknown to the other node".into(),
--- a/crates/zinniahatch_entry/src/request/serve.rs
+++ b/crates/zinniahatch_entry/src/request/serve.rs
@@ -197,21 +197,29 @@
         let limit = self.plan.try_deadline(&self.progress, placement.expected());
         let last_event = self.request.last_event.as_deref();
         let sending = send_to(self.core, &self.request, &self.plan, placement, last_event);
-        match timeout_at(limit.into(), sending).await {
-            Ok(Ok((head, in_flight))) => {
+        let sent = timeout_at(limit.into(), sending).await;
+        let sent = sent.unwrap_or_else(|_| Err(SendFailure::Unknown("no response in time".into())));
+        let received = match &sent {
+            Ok(_) => 1,
+            Err(failure) => failure.sends_received(),
+        };
+        self.plan
+            .record_received(self.core, &mut self.progress, received);
+        match sent {
+            Ok((head, in_flight)) => {
                 self.progress.sends += 1;
                 self.handle_response(head, in_flight, limit, guard).await
             }
-            Ok(Err(failure)) => {
-                if matches!(failure, SendFailure::NotRun(_) | SendFailure::Unknown(_)) {
-                    self.progress.sends += 1;
-                }
+            Err(failure) => {
+                let sent = matches!(
+                    failure,
+                    SendFailure::NotRun(_)
+                        | SendFailure::RefusedByNode { .. }
+                        | SendFailure::Unknown(_)
+                );
+                self.progress.sends += u32::from(sent);
                 TryOutcome::Failed(failure)
             }
-            Err(_) => {
-                self.progress.sends += 1;
-                TryOutcome::Failed(SendFailure::Unknown("no response in time".into()))
-            }
         }
     }
 
@@ -233,7 +241,7 @@
         }
         match buffer_response(core, request, plan, &self.progress, limit, head, in_flight).await {
             Ok((response, is_final))
-                if is_final || !plan.take_retry(core, &self.progress, "status") =>
+                if is_final || !plan.take_retry(core, request, &mut self.progress, "status") =>
             {
                 TryOutcome::Answered(response)
             }
@@ -273,12 +281,23 @@
                 // The request reached some replica, so another try counts as a retry. If many
                 // addresses were reassigned at once, uncounted tries would exceed the retry limit
                 // over all nodes.
-                let granted = plan.take_retry(core, &self.progress, "replaced");
+                let granted = plan.take_retry(core, request, &mut self.progress, "replaced");
                 self.handle_unsent(granted)
             }
-            SendFailure::NotRun(hint) => self.handle_not_run(placement, hint),
+            SendFailure::NotRun(hint) => self.handle_not_run(hint),
+            SendFailure::RefusedByNode { retry, .. } => {
+                self.progress.retry_hint = retry.or(self.progress.retry_hint);
+                if let Placement::Remote(choice) = placement {
+                    self.progress.remote.regions.insert(choice.region.clone());
+                }
+                // A refusal by another node cost no replica any work.
+                self.progress.sends -= 1;
+                Ok(())
+            }
             SendFailure::Unknown(_) => {
-                if plan.route.may_repeat() && plan.take_retry(core, &self.progress, "broken") {
+                if plan.route.may_repeat()
+                    && plan.take_retry(core, request, &mut self.progress, "broken")
+                {
                     return Ok(());
                 }
                 Err((ResultCode::OutcomeUnknown, None))
@@ -296,19 +315,12 @@
         Err((ResultCode::NoBackend, Some(after)))
     }
 
-    fn handle_not_run(
-        &mut self,
-        placement: &Placement,
-        hint: Option<Duration>,
-    ) -> Result<(), Refusal> {
-        if let Placement::Remote(choice) = placement {
-            self.progress.retry_hint = hint.or(self.progress.retry_hint);
-            // A refusal by another node cost no replica any work.
-            self.progress.remote.regions.insert(choice.region.clone());
-            self.progress.sends -= 1;
-            return Ok(());
-        }
-        if self.plan.take_retry(self.core, &self.progress, "refused") {
+    fn handle_not_run(&mut self, hint: Option<Duration>) -> Result<(), Refusal> {
+        let (core, request) = (self.core, &self.request);
+        if self
+            .plan
+            .take_retry(core, request, &mut self.progress, "refused")
+        {
             return Ok(());
         }
         let retry = retry_after_refusal(self.core, &self.request, &self.plan);
--- a/crates/zinniahatch_route/src/budget.rs
+++ b/crates/zinniahatch_route/src/budget.rs
@@ -15,6 +15,21 @@
 /// retries from.
 const SLACK_SAFETY: f64 = 0.5;
 
+/// A retry taken from a budget.
+#[derive(Debug)]
+pub struct RetryCharge;
+
+/// How much of a retry budget is used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetLevel {
+    /// Requests within the window.
+    pub requests: usize,
+    /// Retries taken within the window.
+    pub retries: usize,
+    /// Retries that may be taken within the window.
+    pub allowed: f64,
+}
+
 /// Retry budget of one service on one node.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -54,15 +69,24 @@
         self.requests.push_back(now);
     }
 
-    /// Consumes one retry if the budget allows it.
-    pub fn try_take(&mut self, now: Instant) -> bool {
-        self.prune(now);
-        let allowed = self.ratio * self.requests.len() as f64 + self.slack;
-        if self.retries.len() as f64 + 1.0 > allowed {
-            return false;
+    /// Takes one retry if the budget allows it.
+    pub fn try_take(&mut self, now: Instant) -> Option<RetryCharge> {
+        let level = self.level(now);
+        if level.retries as f64 + 1.0 > level.allowed {
+            return None;
         }
         self.retries.push_back(now);
-        true
+        Some(RetryCharge)
+    }
+
+    /// Returns how much of the budget is used.
+    pub fn level(&mut self, now: Instant) -> BudgetLevel {
+        self.prune(now);
+        BudgetLevel {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+            allowed: self.ratio * self.requests.len() as f64 + self.slack,
+        }
     }
 }
 
--- a/crates/zinniahatch_route/tests/overload.rs
+++ b/crates/zinniahatch_route/tests/overload.rs
@@ -129,7 +129,7 @@
                 nodes[node].record_request(now);
                 requests.push(now);
             }
-            if nodes[node].try_take(now) {
+            if nodes[node].try_take(now).is_some() {
                 retries.push(now);
             }
             let within = |list: &[Instant]| {
