--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::replicas::limit_metrics::LimitMetrics;
 use crate::replicas::notice_metrics::NoticeMetrics;
+use crate::request::retry_metrics::RetryMetrics;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
@@ -20,9 +21,6 @@
 pub(crate) struct EntryMetrics {
     registry: Registry,
     responses: IntCounterVec,
-    retries: IntCounterVec,
-    denied_retries: IntCounterVec,
-    uncharged_sends: IntCounterVec,
     remote_sends: IntCounterVec,
     store_calls: IntCounterVec,
     first_event: HistogramVec,
@@ -31,6 +29,8 @@
     quarantined: IntGauge,
     /// Metrics of the rate limits that replicas announce.
     pub(crate) limits: LimitMetrics,
+    /// Metrics of retries.
+    pub(crate) retries: RetryMetrics,
     /// Metrics of replica notices.
     pub(crate) notices: NoticeMetrics,
     refused_keys: IntCounterVec,
@@ -64,21 +64,6 @@
             "Answers to callers and other nodes, by service and result.",
             &["service", "result"],
         )?;
-        let retries = counter(
-            "zinniahatch_repeats_total",
-            "Requests sent once more, by service and reason.",
-            &["service", "reason"],
-        )?;
-        let denied_retries = counter(
-            "zinniahatch_repeats_denied_total",
-            "Requests not sent once more because the retry budget was used up, by service and reason.",
-            &["service", "reason"],
-        )?;
-        let uncharged_sends = counter(
-            "zinniahatch_uncharged_sends_total",
-            "Sends beyond the first of a request that no retry budget was charged for, by service.",
-            &["service"],
-        )?;
         let remote_sends = counter(
             "zinniahatch_away_total",
             "Requests sent to a node of another region, by service and region.",
@@ -141,12 +126,10 @@
         )?;
         Ok(Self {
             limits: LimitMetrics::new(&registry)?,
+            retries: RetryMetrics::new(&registry)?,
             notices: NoticeMetrics::new(&registry)?,
             registry,
             responses,
-            retries,
-            denied_retries,
-            uncharged_sends,
             remote_sends,
             store_calls,
             first_event,
@@ -167,23 +150,6 @@
         self.responses.with_label_values(&[service, result]).inc();
     }
 
-    /// Counts a request that is sent again, or is not because the retry budget is used up.
-    pub(crate) fn note_retry(&self, service: &str, reason: &str, granted: bool) {
-        let counter = if granted {
-            &self.retries
-        } else {
-            &self.denied_retries
-        };
-        counter.with_label_values(&[service, reason]).inc();
-    }
-
-    /// Counts sends beyond the first of a request that no retry budget was charged for.
-    pub(crate) fn note_uncharged(&self, service: &str, sends: u32) {
-        self.uncharged_sends
-            .with_label_values(&[service])
-            .inc_by(u64::from(sends));
-    }
-
     /// Counts a request that is sent to another region.
     pub(crate) fn note_remote(&self, service: &str, region: &str) {
         self.remote_sends
--- a/crates/zinniahatch_entry/src/request.rs
+++ b/crates/zinniahatch_entry/src/request.rs
@@ -16,6 +16,7 @@
 pub(crate) mod response;
 pub(crate) mod response_body;
 pub(crate) mod resume;
+pub(crate) mod retry_metrics;
 pub(crate) mod send;
 pub(crate) mod serve;
 pub(crate) mod startup;
--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -210,7 +210,9 @@
         if let Some(charge) = charge {
             progress.ledger.record_charge(charge);
         }
-        core.metrics.note_retry(&self.service, reason, granted);
+        core.metrics
+            .retries
+            .note_retry(&self.service, reason, granted);
         core.log.write(
             "retry",
             serde_json::json!({"request": request.attempt, "service": self.service,
@@ -230,7 +232,7 @@
         let before = progress.ledger.uncharged().max(1);
         progress.ledger.record_received(sends);
         let excess = progress.ledger.uncharged().saturating_sub(before);
-        core.metrics.note_uncharged(&self.service, excess);
+        core.metrics.retries.note_uncharged(&self.service, excess);
     }
 }
 
