Fill the retry budget by requests and time, so that every window holds

Cause: a node took retries from the requests of its own last window. Windows of several nodes, or of a process and its predecessor, need not be the same: after a restart of all nodes the new processes spent a full slack again, and where callers moved from some nodes to others, each had a window full of requests to spend at once. Class: several nodes spend from one pool, and a node that starts knows nothing of what was spent.

Why this works: the budget is a token bucket. Retries in a window are at most those saved up at its start, which are bounded by the requests of the window before, and those earned within it: 0.45 and 0.5 of the ratio, 0.45 and 0.45 of the slack. Sums over nodes hold because each term does, and a process starts with nothing.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -342,6 +342,7 @@
                 bounds.repeat_ratio,
                 bounds.repeat_slack,
                 nodes.max(MIN_NODES),
+                self.started,
             )
         });
         run(budget)
--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -218,7 +218,7 @@
             "retry",
             serde_json::json!({"request": request.attempt, "service": self.service,
                 "reason": reason, "granted": granted, "requests": level.requests,
-                "retries": level.retries, "allowed": level.allowed}),
+                "left": level.left, "limit": level.limit}),
         );
         granted
     }
--- a/crates/zinniahatch_route/src/budget.rs
+++ b/crates/zinniahatch_route/src/budget.rs
@@ -6,97 +6,104 @@
 use std::collections::VecDeque;
 use zinniahatch_base::prelude::*;
 
-/// Part of the allowed ratio that a node uses; the rest covers requests that were cut off before
-/// the backend server counted them.
-const RATIO_SAFETY: f64 = 0.85;
-/// Part of the shared slack that all nodes together use. A restarted process does not know what
-/// its predecessor spent; even if all of ten nodes restart within the window, their slacks still
-/// fit. The ratio needs no such margin, since a fresh process starts without requests to derive
-/// retries from.
-const SLACK_SAFETY: f64 = 0.5;
+/// Part of the allowed ratio that each request earns.
+const EARNED_RATIO: f64 = 0.5;
+/// Part of the allowed ratio that a node may save up, of the requests of the last window.
+const SAVED_RATIO: f64 = 0.45;
+/// Part of the node's slack that it may save up, and that time earns within a window.
+const SLACK_PART: f64 = 0.45;
 
 /// A retry taken from a budget.
 #[derive(Debug)]
-pub struct RetryCharge {
-    at: Instant,
-}
+pub struct RetryCharge;
 
-/// How much of a retry budget is used.
+/// How much of a retry budget is left.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetLevel {
     /// Requests within the window.
     pub requests: usize,
-    /// Retries taken within the window.
-    pub retries: usize,
-    /// Retries that may be taken within the window.
-    pub allowed: f64,
+    /// Retries that may be taken now.
+    pub left: f64,
+    /// Retries that may be saved up.
+    pub limit: f64,
 }
 
-/// Retry budget of one service on one node.
+/// Retry budget of one service on one node: a token bucket that requests and time fill.
+///
+/// Retries in any window are at most those saved up at its start and those earned within it. What is
+/// saved up is bounded by the requests of the window before, so that the bound holds for all windows
+/// together, and a restart, which begins with an empty bucket, adds nothing.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     window: Duration,
     ratio: f64,
     slack: f64,
     requests: VecDeque<Instant>,
-    retries: VecDeque<Instant>,
+    left: f64,
+    filled_at: Instant,
 }
 
 impl RetryBudget {
-    /// Creates the share of one node out of `nodes`.
-    pub fn new(window: Duration, ratio: f64, slack: f64, nodes: usize) -> Self {
+    /// Creates the empty share of one node out of `nodes`.
+    pub fn new(window: Duration, ratio: f64, slack: f64, nodes: usize, now: Instant) -> Self {
         Self {
             window,
-            ratio: ratio * RATIO_SAFETY,
-            slack: slack * SLACK_SAFETY / nodes.max(1) as f64,
+            ratio,
+            slack: slack / nodes.max(1) as f64,
             requests: VecDeque::new(),
-            retries: VecDeque::new(),
-        }
-    }
-
-    fn prune(&mut self, now: Instant) {
-        for queue in [&mut self.requests, &mut self.retries] {
-            while queue
-                .front()
-                .is_some_and(|at| now.saturating_duration_since(*at) > self.window)
-            {
-                queue.pop_front();
-            }
+            left: 0.0,
+            filled_at: now,
         }
     }
 
     /// Records a request received from a caller.
     pub fn record_request(&mut self, now: Instant) {
-        self.prune(now);
         self.requests.push_back(now);
+        self.left += self.ratio * EARNED_RATIO;
+        self.fill(now);
     }
 
     /// Takes one retry if the budget allows it.
     pub fn try_take(&mut self, now: Instant) -> Option<RetryCharge> {
-        let level = self.level(now);
-        if level.retries as f64 + 1.0 > level.allowed {
+        self.fill(now);
+        if self.left < 1.0 {
             return None;
         }
-        self.retries.push_back(now);
-        Some(RetryCharge { at: now })
+        self.left -= 1.0;
+        Some(RetryCharge)
     }
 
     /// Gives back a retry that was taken and not sent.
-    pub fn give_back(&mut self, charge: RetryCharge) {
-        if let Some(index) = self.retries.iter().rposition(|at| *at == charge.at) {
-            self.retries.remove(index);
-        }
+    pub fn give_back(&mut self, _charge: RetryCharge) {
+        self.left += 1.0;
     }
 
-    /// Returns how much of the budget is used.
+    /// Returns how much of the budget is left.
     pub fn level(&mut self, now: Instant) -> BudgetLevel {
-        self.prune(now);
+        self.fill(now);
         BudgetLevel {
             requests: self.requests.len(),
-            retries: self.retries.len(),
-            allowed: self.ratio * self.requests.len() as f64 + self.slack,
+            left: self.left,
+            limit: self.limit(),
         }
     }
+
+    /// Adds what was earned by time, and drops what exceeds the limit.
+    fn fill(&mut self, now: Instant) {
+        while let Some(at) = self.requests.front()
+            && now.saturating_duration_since(*at) > self.window
+        {
+            self.requests.pop_front();
+        }
+        let waited = now.saturating_duration_since(self.filled_at);
+        self.filled_at = self.filled_at.max(now);
+        self.left += self.slack * SLACK_PART * waited.div_duration_f64(self.window);
+        self.left = self.left.min(self.limit());
+    }
+
+    fn limit(&self) -> f64 {
+        self.ratio * SAVED_RATIO * self.requests.len() as f64 + self.slack * SLACK_PART
+    }
 }
 
 /// Rate limit of one node's requests to cold replicas.
