Check the bound on retries throughout the soak, also while all replicas refuse

Before: no soak had all replicas refuse at once, its sites had ten times the users' slack, and nothing counted arrivals.

--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -8,6 +8,7 @@
 use zinniahatch_lab::experiments::faults::FaultRun;
 use zinniahatch_lab::soak::ReplicaAnnouncements;
 use zinniahatch_lab::soak::SoakRun;
+use zinniahatch_lab::soak::USUAL_RETRY_SLACK;
 
 /// Runs the demonstration and the experiments.
 #[derive(FromArgs)]
@@ -62,6 +63,12 @@
     /// let replicas announce in their responses that they are leaving, or ask for backoff
     #[argh(switch)]
     notices: bool,
+    /// let all replicas refuse for some time
+    #[argh(switch)]
+    refusals: bool,
+    /// retries that all nodes together may send in 10 s beyond a fifth of the requests (default: 54)
+    #[argh(option, default = "USUAL_RETRY_SLACK")]
+    retry_slack: f64,
 }
 
 /// a small site on the platform's protocol, with a killed entry VM and a planned stop
@@ -178,6 +185,8 @@
                     limits: args.limits,
                     notices: args.notices,
                 },
+                refusals: args.refusals,
+                retry_slack: args.retry_slack,
             };
             zinniahatch_lab::soak::run(&run).await
         }
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod notices;
 mod plan;
+mod retries;
 
 use crate::site::SiteCluster;
 use crate::site::SiteRegion;
@@ -39,6 +40,9 @@
     pub notices: bool,
 }
 
+/// Retry slack of the users' deployments, in retries of all nodes within a window.
+pub const USUAL_RETRY_SLACK: f64 = 54.0;
+
 /// Options of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakRun {
@@ -58,6 +62,10 @@
     pub store_restore: bool,
     /// Which notices replicas send in their response headers.
     pub announcements: ReplicaAnnouncements,
+    /// Whether all replicas refuse for some time.
+    pub refusals: bool,
+    /// Retries that all nodes together may send in a window in addition to a share of the requests.
+    pub retry_slack: f64,
 }
 
 /// Runs all seeds in sequence; returns the number of violated invariants.
@@ -84,7 +92,7 @@
         entries: soak.entries,
         replicas,
     });
-    let mut site = SiteCluster::start(&regions, SHAPE).await;
+    let mut site = SiteCluster::start_with_retry_slack(&regions, SHAPE, soak.retry_slack).await;
     let mut plan = SoakPlan::draw(seed, soak.time, &site);
     if soak.store_restore {
         plan = plan.with_store_restore(seed, soak.time);
@@ -95,6 +103,9 @@
     if soak.announcements.notices {
         plan = plan.with_notices(seed, soak.time, &site);
     }
+    if soak.refusals {
+        plan = plan.with_refusals(seed, soak.time);
+    }
     let log = Arc::new(OutcomeLog::default());
     let callers = CallerPool::start(seed, soak.callers, &site, &log);
     let crashing_caller = soak
@@ -109,6 +120,7 @@
     }
     limits::check_limits(&site, &plan, injector.started, &log);
     notices::check_notices(&site, &plan, injector.started, &log);
+    retries::check_retries(&site, soak.retry_slack, &log);
     invariants::check_runs(&site, plan.mix, soak.crashing_request, &log);
     let broken = log.take_violations();
     println!(
--- a/crates/zinniahatch_lab/src/soak/callers.rs
+++ b/crates/zinniahatch_lab/src/soak/callers.rs
@@ -170,6 +170,7 @@
             .header("host", HOST)
             .header("x-attempt-id", &attempt)
             .header("x-time-remaining", time_limit.as_millis().to_string());
+        self.log.record_sent(&attempt);
         let answered = timeout(limit, async {
             let response = request.send().await?;
             let head = (response.status(), response.headers().clone());
--- a/crates/zinniahatch_lab/src/soak/injector.rs
+++ b/crates/zinniahatch_lab/src/soak/injector.rs
@@ -210,6 +210,7 @@
                 replica.request_backoff(Some(&(f64::from(tenths) / 10.0).to_string()));
                 replica.set_behaviour(ReplicaBehaviour::Shed);
             }
+            SoakFault::AllRefuse => set_all(site, ReplicaBehaviour::Shed),
             SoakFault::AddRoute => self.add_route(site),
             SoakFault::Evacuate(region) => {
                 self.evacuated.insert(region);
@@ -251,6 +252,7 @@
                     .0
                     .set_behaviour(ReplicaBehaviour::Serve);
             }
+            SoakFault::AllRefuse => set_all(site, ReplicaBehaviour::Serve),
             SoakFault::ReplicaSaysLeaving(index) => {
                 self.leaving.remove(&index);
                 site.restart_replica(index).await;
@@ -342,6 +344,13 @@
     }
 }
 
+/// Switches the behaviour of all replicas.
+fn set_all(site: &SiteCluster, behaviour: ReplicaBehaviour) {
+    for (replica, _) in &site.replicas {
+        replica.set_behaviour(behaviour);
+    }
+}
+
 /// Returns the name of the resource that a fault affects.
 fn affected_resource(fault: SoakFault) -> String {
     match fault {
--- a/crates/zinniahatch_lab/src/soak/invariants.rs
+++ b/crates/zinniahatch_lab/src/soak/invariants.rs
@@ -66,6 +66,8 @@
     /// Entry VMs that were asked to stop before they could handle the signal.
     missed_stops: u32,
     routes: BTreeMap<Box<str>, RouteKind>,
+    /// When callers sent each request.
+    sent: BTreeMap<Box<str>, Instant>,
     /// Requests that were reported to their callers as not run.
     not_run: BTreeSet<Box<str>>,
     served: usize,
@@ -96,6 +98,16 @@
         self.lock().missed_stops += 1;
     }
 
+    /// Records that a caller sends a request now.
+    pub(crate) fn record_sent(&self, attempt: &str) {
+        self.lock().sent.insert(attempt.into(), Instant::now());
+    }
+
+    /// Returns when callers sent each request.
+    pub(crate) fn sent_requests(&self) -> BTreeMap<Box<str>, Instant> {
+        self.lock().sent.clone()
+    }
+
     /// Takes the recorded violations.
     pub(crate) fn take_violations(&self) -> Vec<String> {
         std::mem::take(&mut self.lock().violations)
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -35,6 +35,11 @@
 /// Combined with the seed by XOR, as for limits.
 const NOTICE_SEED_MASK: u64 = 0x0007_1ce5;
 
+/// Number of times that all replicas refuse.
+const REFUSALS: usize = 2;
+/// Combined with the seed by XOR, as for limits.
+const REFUSAL_SEED_MASK: u64 = 0x0005_0388;
+
 /// A fault that a soak injects.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum SoakFault {
@@ -87,6 +92,8 @@
     ReplicaSaysLeaving(usize),
     /// A replica sheds requests and asks for backoff, in tenths of a second.
     ReplicaRests(usize, u32),
+    /// All replicas refuse every request.
+    AllRefuse,
     /// A replica misbehaves.
     ReplicaIll(usize, ReplicaBehaviour),
     /// The operator adds a route.
@@ -269,6 +276,21 @@
         self
     }
 
+    /// Adds times at which all replicas refuse, drawn independently, so that the seed's other faults
+    /// stay.
+    pub(crate) fn with_refusals(mut self, seed: u64, time: Duration) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ REFUSAL_SEED_MASK);
+        for _ in 0..REFUSALS {
+            let at = time.mul_f64(random.random_range(0.0..0.6));
+            self.faults.push(PlannedFault {
+                at,
+                until: at + time.mul_f64(random.random_range(0.1..0.4)),
+                fault: SoakFault::AllRefuse,
+            });
+        }
+        self
+    }
+
     /// Draws the faults of a seed; the same seed gives the same faults.
     pub(crate) fn draw(seed: u64, time: Duration, site: &SiteCluster) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -3,8 +3,10 @@
 
 use std::time::Duration;
 use test_case::test_case;
+use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
 use zinniahatch_lab::soak::ReplicaAnnouncements;
 use zinniahatch_lab::soak::SoakRun;
+use zinniahatch_lab::soak::USUAL_RETRY_SLACK;
 use zinniahatch_lab::soak::run_seed;
 
 /// What a soak adds to the faults that its seed draws.
@@ -20,6 +22,8 @@
     RateLimits,
     /// Replicas announce that they are leaving, or ask for backoff.
     Notices,
+    /// All replicas refuse, at the retry slack of the users' deployments.
+    Refusals,
 }
 
 /// Runs a seed for `seconds` with `entries` entry VMs per region, and checks that no invariant is
@@ -37,6 +41,11 @@
             limits: extra == ExtraFault::RateLimits,
             notices: extra == ExtraFault::Notices,
         },
+        refusals: extra == ExtraFault::Refusals,
+        retry_slack: match extra {
+            ExtraFault::Refusals => USUAL_RETRY_SLACK,
+            _ => AMPLE_RETRY_SLACK,
+        },
     };
     let broken = run_seed(&soak, seed).await;
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
@@ -81,6 +90,16 @@
     check_seed(seed, 10, 2, 12, ExtraFault::Notices).await;
 }
 
+/// All replicas refuse for some time while callers come in numbers and other faults go on: retries stay
+/// within their bound in every window, and every other invariant holds.
+#[test_case(24; "any")]
+#[test_case(26; "replicas")]
+#[test_case(27; "planned")]
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_while_replicas_refuse(seed: u64) {
+    check_seed(seed, 10, 2, 24, ExtraFault::Refusals).await;
+}
+
 /// Guards against a run that waits for ever because an entry VM was asked to stop while its program
 /// was still being loaded and did not handle the signal.
 #[tokio::test(flavor = "multi_thread")]
