Refuse a price of cached tokens below 0

What operators saw: `zinniactl config check` said "right" of a price list with `cached_per_million = -1.0`, and reports would have counted cached prompt tokens as a credit.

Cause: the check of the prices went through a list of four keys, and the fifth was not in it. Each price is now checked where it is read, so that none can be left out.

The new case of `cluster_build_invalid` failed before.

--- a/crates/zinniahatch_config/src/prices.rs
+++ b/crates/zinniahatch_config/src/prices.rs
@@ -2,6 +2,7 @@
 
 use crate::ConfigError;
 use crate::section::SectionFile;
+use crate::section::SectionReader;
 use zinniahatch_base::prelude::*;
 
 domain! {
@@ -40,29 +41,26 @@
     let mut prices = BTreeMap::new();
     for section in parsed.of_kinds(&["price"])? {
         let price = PriceEntry {
-            input: section.number("input_per_million", Some(0.0))?,
-            cached: section.number("cached_per_million", Some(0.0))?,
-            output: section.number("output_per_million", Some(0.0))?,
-            call: section.number("per_call", Some(0.0))?,
-            egress: section.number("egress_per_call", Some(0.0))?,
+            input: read_price(section, "input_per_million")?,
+            cached: read_price(section, "cached_per_million")?,
+            output: read_price(section, "output_per_million")?,
+            call: read_price(section, "per_call")?,
+            egress: read_price(section, "egress_per_call")?,
         };
-        for (key, value) in [
-            ("input_per_million", price.input),
-            ("output_per_million", price.output),
-            ("per_call", price.call),
-            ("egress_per_call", price.egress),
-        ] {
-            if value.is_finite() && value >= 0.0 {
-                continue;
-            }
-            return Err(section.error(
-                key,
-                &format!("{value} is no price"),
-                "write a number of at least 0",
-            ));
-        }
         prices.insert(section.name.clone(), price);
         section.finish()?;
     }
     Ok(prices)
 }
+
+fn read_price(section: &SectionReader, key: &str) -> Result<f64, ConfigError> {
+    let value: f64 = section.number(key, Some(0.0))?;
+    if value.is_finite() && value >= 0.0 {
+        return Ok(value);
+    }
+    Err(section.error(
+        key,
+        &format!("{value} is no price"),
+        "write a number of at least 0",
+    ))
+}
--- a/crates/zinniahatch_config/tests/errors.rs
+++ b/crates/zinniahatch_config/tests/errors.rs
@@ -61,6 +61,7 @@
 #[test_case("accounts-00", "home = r", "home = x", "accounts: [account a] home: no region `x`; name a region of the topology part"; "missing region")]
 #[test_case("accounts-00", "class = c", "class = x", "accounts: [account a] class: preset `p` has no class `x`; add the class to [classes] of every preset"; "missing class")]
 #[test_case("prices", "per_call = 1", "per_call = -1", "prices: [price s] per_call: -1 is no price; write a number of at least 0"; "negative price")]
+#[test_case("prices", "per_call = 1", "cached_per_million = -1", "prices: [price s] cached_per_million: -1 is no price; write a number of at least 0"; "negative price of cached tokens")]
 #[test_case("preset-p", "c = 1", "c = 0.5", "preset-p: [classes] -: the shares add up to 0.5000; make them add up to 1"; "shares")]
 #[test_case("preset-p", "interactive = 0.5", "interactive = 2", "preset-p: [work] interactive: 2 is not a share; write a number between 0 and 1"; "no share")]
 #[test_case("preset-p", "retry = 0.1", "retry = 0.1\nretries = 3", "preset-p: [budgets] retries: unknown key; the keys of this section are: hedge, hedge_after, retry, stall_after"; "unknown key")]
