Report no uncharged send where a node refuses without asking a replica

What callers would have seen: a retry less. A node that is leaving or starting, or has no route, refused a forwarded request without the header that tells of uncharged sends, and was taken for a node of an earlier version that may have sent the request to a replica. Every refusal now bears the header, 0 where nothing was sent.

`refusal_reports_uncharged_sends` with `no_replica_asked` failed before (no header).

--- a/crates/zinniahatch_entry/src/request/gateway_response.rs
+++ b/crates/zinniahatch_entry/src/request/gateway_response.rs
@@ -13,8 +13,8 @@
 const CODE: HeaderName = HeaderName::from_static("x-zinnia-code");
 /// Header that tells whether the request ran.
 const EXECUTION: HeaderName = HeaderName::from_static("x-zinnia-execution");
-/// Header of a refusal by the node to which a request was forwarded: the sends that replicas may have
-/// received and that this node did not charge to its retry budget.
+/// Header with the sends that replicas may have received and that this node did not charge to its
+/// retry budget. The node that forwarded the request charges them.
 const UNCHARGED_SENDS: HeaderName = HeaderName::from_static("x-zinnia-uncharged-sends");
 
 /// Builds a response of the gateway itself.
@@ -42,6 +42,7 @@
         EXECUTION,
         HeaderValue::from_static(code.execution().as_str()),
     );
+    report_uncharged(headers, 0);
     if let Some((name, value)) = attempt.and_then(attempt_id_header) {
         headers.insert(name, value);
     }
@@ -74,7 +75,7 @@
     )
 }
 
-/// Tells the node that forwarded a request about sends that only it can charge.
+/// Sets the sends that this node did not charge to its retry budget.
 pub(crate) fn report_uncharged(headers: &mut http::HeaderMap, sends: u32) {
     headers.insert(UNCHARGED_SENDS, HeaderValue::from(sends));
 }
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -54,9 +54,7 @@
             "age_ms": request.arrived.elapsed().as_millis() as u64, "version": plan.version})
     );
     let mut response = gateway_response(code, Some(&request.attempt), retry);
-    if !request.is_direct() {
-        report_uncharged(response.headers_mut(), progress.ledger.uncharged());
-    }
+    report_uncharged(response.headers_mut(), progress.ledger.uncharged());
     response
 }
 
--- a/crates/zinniahatch_lab/tests/retry_budget.rs
+++ b/crates/zinniahatch_lab/tests/retry_budget.rs
@@ -1,11 +1,13 @@
 //! Tests of the bound on retries: entry VM processes before replicas that refuse, and the checker.
 
+use reqwest::Client;
 use reqwest::StatusCode;
 use std::time::Duration;
 use std::time::Instant;
 use test_case::test_case;
 use zinniahatch_lab::retry_bound::RetryBound;
 use zinniahatch_lab::retry_bound::RetryRecord;
+use zinniahatch_lab::site::HOST;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::test_doubles::replica::ReplicaBehaviour;
@@ -59,6 +61,21 @@
     assert_eq!(record.exceeded_window(&BOUND), None);
 }
 
+/// Guards against charging a caller's retry for a send that no replica received, and against missing one
+/// that a replica refused.
+#[test_case("/plain/x", "1"; "replica_refused")]
+#[test_case("/nowhere/x", "0"; "no_replica_asked")]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_reports_uncharged_sends(path: &str, uncharged: &str) {
+    let site = start_refusing(&[SiteRegion::new("north", 1, 1)]).await;
+    let peer = &site.entries[0].addresses[4];
+    let request = Client::new().get(format!("http://{peer}{path}"));
+    let request = request.header("host", HOST).header("x-attempt-id", "f1");
+    let response = request.send().await.unwrap();
+    assert_eq!(response.headers()["x-zinnia-uncharged-sends"], uncharged);
+    assert_eq!(response.headers()["x-zinnia-execution"], "not-run");
+}
+
 /// The arrival times in ms of requests that are sent at second 20, each with two sends, and whether
 /// the bound of a fifth and 2 is exceeded.
 #[test_case(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], &[10, 11, 12, 13], true; "four_retries_of_ten")]
