Do not end a replica without notice in planned soaks

Cause, in the harness: a replica that announced in its responses that it leaves was restarted under its id while a drain of its former life went on; when that drain ended, the harness restarted the new life 2.1 s after it had begun, which had announced nothing. A replica that ends unannounced may cut off a stream, so that the case is allowed, and it is no planned work; the check stays as it is.

A fault now restarts only the life that it began with.

--- a/crates/zinniahatch_lab/src/soak/injector.rs
+++ b/crates/zinniahatch_lab/src/soak/injector.rs
@@ -39,6 +39,8 @@
     added_routes: Vec<String>,
     /// Time since which each leaving replica has been leaving.
     leaving: BTreeMap<usize, Instant>,
+    /// Start time of the replica that each drain or leave notice began with.
+    leaving_incarnations: BTreeMap<String, u64>,
     /// Entry VMs that were asked to stop.
     stopping: BTreeSet<usize>,
     /// Backups from which the store is restored, oldest first.
@@ -70,6 +72,7 @@
             version: 1,
             added_routes: Vec::new(),
             leaving: BTreeMap::new(),
+            leaving_incarnations: BTreeMap::new(),
             stopping: BTreeSet::new(),
             backups: Vec::new(),
             evacuated: BTreeSet::new(),
@@ -190,6 +193,7 @@
                 site.replace_replica(index).await;
             }
             SoakFault::ReplicaDrains(index) => {
+                self.note_incarnation(site, fault, index);
                 self.leaving.entry(index).or_insert_with(Instant::now);
                 site.register(index, "draining");
             }
@@ -204,7 +208,10 @@
             SoakFault::ReplicaIll(index, behaviour) => {
                 site.replicas[index].0.set_behaviour(behaviour);
             }
-            SoakFault::ReplicaSaysLeaving(index) => site.replicas[index].0.announce_leaving(),
+            SoakFault::ReplicaSaysLeaving(index) => {
+                self.note_incarnation(site, fault, index);
+                site.replicas[index].0.announce_leaving();
+            }
             SoakFault::ReplicaRests(index, tenths) => {
                 let replica = &site.replicas[index].0;
                 replica.request_backoff(Some(&(f64::from(tenths) / 10.0).to_string()));
@@ -237,8 +244,7 @@
             | SoakFault::LinkLosesAnswers(index) => site.link(index).restore(),
             SoakFault::ReplicaDrains(index) => {
                 self.check_drained(site, index, planned, log);
-                self.leaving.remove(&index);
-                site.restart_replica(index).await;
+                self.restart_leaving(site, planned.fault, index).await;
             }
             SoakFault::ReplicaVanishes(index) => {
                 self.check_drained(site, index, planned, log);
@@ -254,8 +260,7 @@
             }
             SoakFault::AllRefuse => set_all(site, ReplicaBehaviour::Serve),
             SoakFault::ReplicaSaysLeaving(index) => {
-                self.leaving.remove(&index);
-                site.restart_replica(index).await;
+                self.restart_leaving(site, planned.fault, index).await;
             }
             SoakFault::Evacuate(region) => {
                 self.evacuated.remove(region);
@@ -273,6 +278,22 @@
         }
     }
 
+    fn note_incarnation(&mut self, site: &SiteCluster, fault: SoakFault, index: usize) {
+        let started = site.replicas[index].0.started_ms;
+        self.leaving_incarnations
+            .insert(affected_resource(fault), started);
+    }
+
+    /// Restarts a replica that was leaving. One that another fault has restarted meanwhile announced
+    /// nothing, and would cut off its streams.
+    async fn restart_leaving(&mut self, site: &mut SiteCluster, fault: SoakFault, index: usize) {
+        let left = self.leaving_incarnations.remove(&affected_resource(fault));
+        if left == Some(site.replicas[index].0.started_ms) {
+            self.leaving.remove(&index);
+            site.restart_replica(index).await;
+        }
+    }
+
     /// Restores the store from its backup. What the operator and the replicas have written since is
     /// written again; the entries of replicas that have ended are removed, as happens once a
     /// replica stays silent.
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -107,6 +107,12 @@
     check_seed(1007, 12, 2, 12, ExtraFault::None).await;
 }
 
+/// Guards against a harness that ends a replica without notice after another fault has restarted it.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_replica_ends_with_notice() {
+    check_seed(3007, 12, 2, 24, ExtraFault::Notices).await;
+}
+
 /// A caller repeats a request that crashes each replica that runs it, through any node and while
 /// other faults go on; in the end every node refuses it after few further crashes.
 #[test_case(4; "any")]
