--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -237,9 +237,7 @@
         progress: &mut RequestProgress,
         sends: u32,
     ) {
-        let before = progress.ledger.uncharged().max(1);
-        progress.ledger.record_received(sends);
-        let excess = progress.ledger.uncharged().saturating_sub(before);
+        let excess = progress.ledger.record_received(sends);
         core.metrics.retries.note_uncharged(&self.service, excess);
     }
 }
--- a/crates/zinniahatch_route/src/send_ledger.rs
+++ b/crates/zinniahatch_route/src/send_ledger.rs
@@ -4,8 +4,8 @@
 //! that the caller is connected to, before it is sent. A node to which the request was forwarded
 //! reports the sends that it did not charge itself.
 
-use crate::budget::RetryBudget;
-use crate::budget::RetryCharge;
+use crate::retry_budget::RetryBudget;
+use crate::retry_budget::RetryCharge;
 use zinniahatch_base::prelude::*;
 
 /// Account of the sends of one request.
@@ -32,9 +32,13 @@
     }
 
     /// Records sends that replicas may have received. The first of them uses up the charge.
-    pub fn record_received(&mut self, sends: u32) {
+    ///
+    /// Returns how many of them are neither charged nor the free first send of the request.
+    pub fn record_received(&mut self, sends: u32) -> u32 {
         let charged = u32::from(sends > 0 && self.charge.take().is_some());
+        let before = self.uncharged.max(1);
         self.uncharged = self.uncharged.saturating_add(sends - charged);
+        self.uncharged.saturating_sub(before)
     }
 
     /// Gives back the charge of a send that no replica received, after the last send.
