Let a node that starts earn the slack of the largest fleet, not none

Cause: until a node knows the others it was given no slack. It now takes its part of the largest fleet that the system is designed for, 330 nodes, in those 2 s.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -20,6 +20,7 @@
 use zinniahatch_platform::KvClient;
 use zinniahatch_route::AccountTable;
 use zinniahatch_route::ColdLimiter;
+use zinniahatch_route::DISCOVERY_TIME;
 use zinniahatch_route::DesiredService;
 use zinniahatch_route::DesiredState;
 use zinniahatch_route::HeartbeatTargets;
@@ -339,7 +340,7 @@
                 bounds.repeat_window,
                 bounds.repeat_ratio,
                 bounds.repeat_slack,
-                self.started + DISCOVERY_TIME,
+                self.started,
             )
         });
         let members = self.members.borrow().known().count();
@@ -375,8 +376,6 @@
     tag_of(&format!("{node}@{incarnation}"))
 }
 
-/// Time in which a fresh node learns of the others. Heartbeats are sent every half second.
-pub(crate) const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 /// Share of a replica's connections that nodes use. The rest covers the old connections of a
 /// restarted node, which linger for a while.
 const CONNECTION_SHARE: f64 = 0.85;
--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -1,6 +1,5 @@
 //! Listeners for callers, other nodes, the directory, readiness checks and control requests.
 
-use crate::core::DISCOVERY_TIME;
 use crate::core::EntryCore;
 use crate::core::StopPhase;
 use crate::request::ingress::RequestSource;
@@ -29,6 +28,7 @@
 use zinniahatch_platform::ResolveQuery;
 use zinniahatch_platform::decode_resolve;
 use zinniahatch_platform::encode_resolved;
+use zinniahatch_route::DISCOVERY_TIME;
 use zinniahatch_route::DirectoryAnswer;
 use zinniahatch_route::DirectoryQuery;
 use zinniahatch_route::select_nodes;
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -1,7 +1,6 @@
 //! Gossip between nodes over UDP: membership, capacity of each region and in-flight work.
 
 use crate::auth::proofs::apply_proof;
-use crate::core::DISCOVERY_TIME;
 use crate::core::EntryCore;
 use crate::counts::counting::record_node_failure;
 use crate::nodes::broadcast::broadcast_replica_updates;
@@ -26,6 +25,7 @@
 use tokio::time::interval;
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::DISCOVERY_TIME;
 use zinniahatch_route::FreshnessProof;
 use zinniahatch_route::RateLimitUpdate;
 use zinniahatch_route::RegionUsage;
--- a/crates/zinniahatch_entry/src/nodes/roles.rs
+++ b/crates/zinniahatch_entry/src/nodes/roles.rs
@@ -1,9 +1,9 @@
 //! Roles assigned to the first few nodes of a region by rendezvous hashing.
 
-use crate::core::DISCOVERY_TIME;
 use crate::core::EntryCore;
 use zinniahatch_base::prelude::*;
 use zinniahatch_base::rendezvous_rank;
+use zinniahatch_route::DISCOVERY_TIME;
 
 /// Number of nodes per region that poll the store for replica changes and broadcast them; tolerates
 /// two simultaneous node failures.
--- a/crates/zinniahatch_entry/src/replicas/rate_limit.rs
+++ b/crates/zinniahatch_entry/src/replicas/rate_limit.rs
@@ -1,8 +1,8 @@
 //! Rate limits that replicas announce: merging, sharing between nodes, and logging.
 
-use crate::core::DISCOVERY_TIME;
 use crate::core::EntryCore;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::DISCOVERY_TIME;
 use zinniahatch_route::RateLimitChange;
 use zinniahatch_route::RateLimitEffect;
 use zinniahatch_route::RateLimitUpdate;
--- a/crates/zinniahatch_entry/src/request/startup.rs
+++ b/crates/zinniahatch_entry/src/request/startup.rs
@@ -5,11 +5,11 @@
 //! does not know whether it can serve them. When such requests were refused, many callers used up
 //! their retries and their requests were lost, up to 115 within two seconds.
 
-use crate::core::DISCOVERY_TIME;
 use crate::core::EntryCore;
 use crate::request::received::ReceivedRequest;
 use tokio::time::timeout_at;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::DISCOVERY_TIME;
 
 /// Share of the caller's time that a request may spend waiting for the node to start. The rest is
 /// left for serving it.
--- a/crates/zinniahatch_entry/src/store/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -1,7 +1,6 @@
 //! Watches on the store: desired state, evacuations, replicas and the preset.
 
 use crate::auth::proofs::note_proof;
-use crate::core::DISCOVERY_TIME;
 use crate::core::EntryCore;
 use crate::nodes::own_info::store_reader_coverage;
 use crate::nodes::roles::STORE_READER_ROLE;
@@ -18,6 +17,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::KvError;
 use zinniahatch_route::CoverageState;
+use zinniahatch_route::DISCOVERY_TIME;
 
 /// Number of nodes per region that watch the preset; the others learn it by gossip. A watch on
 /// every node cost three calls per minute and node for a value that changes a few times a day.
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -126,6 +126,7 @@
 pub use replica_table::ReplicaTable;
 pub use replica_work::WORK_REFRESH_INTERVAL;
 pub use retry_budget::BudgetLevel;
+pub use retry_budget::DISCOVERY_TIME;
 pub use retry_budget::RetryBudget;
 pub use retry_budget::RetryCharge;
 pub use retry_queue::RetryQueue;
--- a/crates/zinniahatch_route/src/retry_budget.rs
+++ b/crates/zinniahatch_route/src/retry_budget.rs
@@ -12,8 +12,13 @@
 const SAVED_RATIO: f64 = 0.45;
 /// Part of the node's slack that it may save up, and that time earns within a window.
 const SLACK_PART: f64 = 0.45;
-/// Minimum number of nodes assumed to share the slack, since a node may not know all others yet.
+/// Minimum number of nodes assumed to share the slack, since a node may not know all others.
 const MIN_NODES: usize = 10;
+/// Number of nodes assumed until a node that has started knows the others: the size of the largest
+/// deployment that the system is designed for.
+const MOST_NODES: usize = 330;
+/// Time in which a node that has started learns of the others. Heartbeats are sent every half second.
+pub const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 
 /// A retry taken from a budget.
 #[derive(Debug)]
@@ -46,19 +51,22 @@
     requests: VecDeque<Instant>,
     left: f64,
     filled_at: Instant,
+    /// When this node knows the others.
+    discovered_at: Instant,
 }
 
 impl RetryBudget {
-    /// Creates an empty budget, which earns its share of the slack from `slack_from` on.
-    pub fn new(window: Duration, ratio: f64, slack: f64, slack_from: Instant) -> Self {
+    /// Creates an empty budget of a node that was started at `started`.
+    pub fn new(window: Duration, ratio: f64, slack: f64, started: Instant) -> Self {
         Self {
             window,
             ratio,
             slack,
-            nodes: MIN_NODES,
+            nodes: 0,
             requests: VecDeque::new(),
             left: 0.0,
-            filled_at: slack_from,
+            filled_at: started,
+            discovered_at: started + DISCOVERY_TIME,
         }
     }
 
@@ -97,7 +105,7 @@
         BudgetLevel {
             requests: self.requests.len(),
             left: self.left,
-            limit: self.limit(),
+            limit: self.limit(now),
         }
     }
 
@@ -110,16 +118,21 @@
         }
         let waited = now.saturating_duration_since(self.filled_at);
         self.filled_at = self.filled_at.max(now);
-        self.left += self.slack_share() * waited.div_duration_f64(self.window);
-        self.left = self.left.min(self.limit());
+        self.left += self.slack_share(now) * waited.div_duration_f64(self.window);
+        self.left = self.left.min(self.limit(now));
     }
 
-    fn limit(&self) -> f64 {
-        self.ratio * SAVED_RATIO * self.requests.len() as f64 + self.slack_share()
+    fn limit(&self, now: Instant) -> f64 {
+        self.ratio * SAVED_RATIO * self.requests.len() as f64 + self.slack_share(now)
     }
 
     /// Returns the retries that the slack adds within a window.
-    fn slack_share(&self) -> f64 {
-        self.slack * SLACK_PART / self.nodes as f64
+    fn slack_share(&self, now: Instant) -> f64 {
+        let least = if now < self.discovered_at {
+            MOST_NODES
+        } else {
+            MIN_NODES
+        };
+        self.slack * SLACK_PART / self.nodes.max(least) as f64
     }
 }
