--- a/crates/zinniahatch_route/src/retry_budget.rs
+++ b/crates/zinniahatch_route/src/retry_budget.rs
@@ -72,7 +72,8 @@
 
     /// Splits the slack between `nodes`, if more were never known before.
     ///
-    /// The share never grows, since a node that is no longer known may go on spending its own.
+    /// It is not split between fewer later, since a node that is no longer known may go on spending
+    /// its share.
     pub fn note_nodes(&mut self, nodes: usize) {
         self.nodes = self.nodes.max(nodes);
     }
