Look up the retry budget only where there is something to give back

Every refusal and every end of a stream looked up the budget of its service, also without a charge to give back, and each look-up walked the table of nodes to count them (330 at the size designed for). The count is that of the table now, and the look-up is made for a charge alone. The discovery time belongs to the nodes, not to the retry budget; starting a lab site is one piece of code; two comments of tests said the contrary of what they check.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -343,7 +343,7 @@
                 self.started,
             )
         });
-        let members = self.members.borrow().known().count();
+        let members = self.members.borrow().known().len();
         budget.note_nodes(members.max(self.heartbeat_targets.borrow().len()) + 1);
         run(budget)
     }
--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -217,7 +217,7 @@
         core.log.write(
             "directory-elsewhere",
             serde_json::json!({"region": region, "homes": directory_query.homes, "addresses": addresses,
-                "members": members.known().count()}),
+                "members": members.known().len()}),
         );
     }
     let mut found = answer.addresses();
--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -225,9 +225,11 @@
 
     /// Gives back the charge of a send that no replica received, after the last send.
     pub(crate) fn return_charge(&self, core: &EntryCore, progress: &mut RequestProgress) {
-        core.with_retry_budget(&self.service, |budget| {
-            progress.ledger.return_charge(budget);
-        });
+        if progress.ledger.has_charge() {
+            core.with_retry_budget(&self.service, |budget| {
+                progress.ledger.return_charge(budget);
+            });
+        }
     }
 
     /// Records sends that replicas may have received.
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -127,9 +127,7 @@
     ///
     /// Panics if a process cannot be started.
     pub async fn start(regions: &[SiteRegion], shape: StreamShape) -> Self {
-        let mut cluster = Self::prepare(regions, shape).await;
-        cluster.start_entries().await;
-        cluster
+        Self::start_with_retry_slack(regions, shape, AMPLE_RETRY_SLACK).await
     }
 
     /// Starts a site with a retry slack of all nodes together, and waits until every entry VM is ready.
--- a/crates/zinniahatch_lab/tests/retry_budget.rs
+++ b/crates/zinniahatch_lab/tests/retry_budget.rs
@@ -76,8 +76,7 @@
     assert_eq!(response.headers()["x-zinnia-execution"], "not-run");
 }
 
-/// The arrival times in ms of requests that are sent at second 20, each with two sends, and whether
-/// the bound of a fifth and 2 is exceeded.
+/// Checks when the bound of a fifth and 2 holds, given the times in ms of requests and of retries.
 #[test_case(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], &[10, 11, 12, 13], true; "four_retries_of_ten")]
 #[test_case(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], &[10, 11, 12, 13, 14], false; "five_retries_of_ten")]
 #[test_case(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9], &[10, 11, 9_990, 10_020, 10_021], true; "windows_slide")]
--- a/crates/zinniahatch_lab/tests/retry_simulation.rs
+++ b/crates/zinniahatch_lab/tests/retry_simulation.rs
@@ -27,7 +27,7 @@
 /// Time from a node to a node of another region, in ms.
 const REMOTE_MS: std::ops::Range<u64> = 70..110;
 
-/// Mean time between two restarts, in ms.
+/// Time between two restarts, in ms.
 const RESTART_MS: std::ops::Range<u64> = 300..4_000;
 /// Time in which a node that has started learns of all others, in ms.
 const DISCOVERY_MS: std::ops::Range<u64> = 100..1_900;
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -11,6 +11,8 @@
 /// Time without a heartbeat for which a node that still has a key in the store may be returned to
 /// callers, if no other node is left.
 const REGISTERED_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time in which a node that has started learns of the others. Heartbeats are sent every half second.
+pub const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 /// Round-trip time assumed until one is measured.
 const DEFAULT_ROUND_TRIP: Duration = Duration::from_millis(120);
 /// Weight of a new measurement in the smoothed round-trip time.
@@ -304,7 +306,7 @@
     }
 
     /// Returns all nodes that were not dropped yet, live or not.
-    pub fn known(&self) -> impl Iterator<Item = &MemberInfo> {
+    pub fn known(&self) -> impl ExactSizeIterator<Item = &MemberInfo> {
         self.rows.values().map(|row| &row.info)
     }
 
--- a/crates/zinniahatch_route/src/retry_budget.rs
+++ b/crates/zinniahatch_route/src/retry_budget.rs
@@ -3,6 +3,7 @@
 //! Each node gets a fixed share of the total budget, so that the sum also holds during a network
 //! partition.
 
+use crate::members::DISCOVERY_TIME;
 use std::collections::VecDeque;
 use zinniahatch_base::prelude::*;
 
@@ -17,8 +18,6 @@
 /// Number of nodes assumed until a node that has started knows the others: the size of the largest
 /// deployment that the system is designed for.
 const MOST_NODES: usize = 330;
-/// Time in which a node that has started learns of the others. Heartbeats are sent every half second.
-pub const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 
 /// A retry taken from a budget.
 #[derive(Debug)]
--- a/crates/zinniahatch_route/src/send_ledger.rs
+++ b/crates/zinniahatch_route/src/send_ledger.rs
@@ -41,6 +41,11 @@
         self.uncharged.saturating_sub(before)
     }
 
+    /// Returns whether a charge was taken for a send that is still to come.
+    pub fn has_charge(&self) -> bool {
+        self.charge.is_some()
+    }
+
     /// Gives back the charge of a send that no replica received, after the last send.
     pub fn return_charge(&mut self, budget: &mut RetryBudget) {
         if let Some(charge) = self.charge.take() {
