Place a request within one group of replicas, and plain requests at random

Cause: each choice of a replica walks all rows of the fleet three times and ranks those in reach, 10,002 rows for six that are compared.

Change: an index holds the replicas of a service in groups of 64 or fewer by ranges of a hash; a session is ranked within its group, as before where one group holds all. A plain request takes the best of six at random. The names of the region's nodes, needed for shares, are collected at most each 100 ms and not for each choice.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -86,6 +86,8 @@
     pub(crate) retry_budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     /// Peer addresses of other nodes, learned from the store and from other nodes.
     pub(crate) heartbeat_targets: RefCell<HeartbeatTargets>,
+    /// The names of the other nodes of the region, and when they were collected.
+    region_peers: RefCell<Option<(Rc<BTreeSet<NodeId>>, Instant)>>,
     pub(crate) counts: PendingCounts,
     /// Replica updates that have not been sent to the other nodes of the region.
     pub(crate) replica_updates: RefCell<ReplicaUpdates>,
@@ -158,6 +160,7 @@
             crash_checks: CrashChecks::default(),
             retry_budgets: RefCell::default(),
             heartbeat_targets: RefCell::new(heartbeat_targets),
+            region_peers: RefCell::default(),
             counts: PendingCounts::default(),
             replica_updates: RefCell::default(),
             topic_coverage: RefCell::default(),
@@ -348,6 +351,19 @@
         run(budget)
     }
 
+    /// Returns the names of the other nodes of the region that may still run.
+    pub(crate) fn region_peers(&self, now: Instant) -> Rc<BTreeSet<NodeId>> {
+        let mut cached = self.region_peers.borrow_mut();
+        if let Some((names, collected)) = &*cached
+            && now.saturating_duration_since(*collected) < PEERS_REUSE_TIME
+        {
+            return Rc::clone(names);
+        }
+        let names = Rc::new(self.members.borrow().names_in(&self.settings.region));
+        *cached = Some((Rc::clone(&names), now));
+        names
+    }
+
     /// Returns the rate limit of a cold replica summed over all nodes, in requests per second.
     ///
     /// It is zero on a node that has just started, because that node cannot know yet which other
@@ -365,8 +381,7 @@
         if limit == 0 {
             return DEFAULT_MAX_CONNECTIONS;
         }
-        let peers = self.members.borrow().names_in(&self.settings.region);
-        let nodes = peers.len().max(1) + 1;
+        let nodes = self.region_peers(Instant::now()).len().max(1) + 1;
         ((f64::from(limit) * CONNECTION_SHARE / nodes as f64) as usize).max(1)
     }
 }
@@ -376,6 +391,8 @@
     tag_of(&format!("{node}@{incarnation}"))
 }
 
+/// Time for which the collected names of the region's nodes are used.
+const PEERS_REUSE_TIME: Duration = Duration::from_millis(100);
 /// Share of a replica's connections that nodes use. The rest covers the old connections of a
 /// restarted node, which linger for a while.
 const CONNECTION_SHARE: f64 = 0.85;
--- a/crates/zinniahatch_entry/src/replicas/rate_limit.rs
+++ b/crates/zinniahatch_entry/src/replicas/rate_limit.rs
@@ -28,8 +28,7 @@
 
 /// Recomputes which nodes share the rate limits of the region's replicas.
 pub(crate) fn update_limit_sharers(core: &EntryCore, now: Instant) {
-    let region = &core.settings.region;
-    let others = core.members.borrow().names_in(region);
+    let others = core.region_peers(now);
     let others = others.iter().map(|name| tag_of(name)).collect();
     let discovered = core.started.elapsed() >= DISCOVERY_TIME;
     let own = discovered.then(|| tag_of(&core.settings.name));
--- a/crates/zinniahatch_entry/src/replicas/send_admission.rs
+++ b/crates/zinniahatch_entry/src/replicas/send_admission.rs
@@ -46,6 +46,6 @@
         return 0;
     };
     let rate = core.service(&service).map_or(0.0, |spec| spec.cold_rate);
-    let peers = core.members.borrow().names_in(&core.settings.region);
+    let peers = core.region_peers(now);
     ColdLimiter::share(core.cold_bound(rate), replica, &core.settings.name, &peers)
 }
--- a/crates/zinniahatch_entry/src/request/placement.rs
+++ b/crates/zinniahatch_entry/src/request/placement.rs
@@ -68,7 +68,7 @@
     let now = Instant::now();
     let preset = core.preset.borrow().clone();
     let rule = admission_rule(request, plan, &preset, now);
-    let peers = core.members.borrow().names_in(&core.settings.region);
+    let peers = core.region_peers(now);
     let query = placement_query(core, request, plan, &progress.tried, &peers, now);
     let local = if plan.allows(&core.settings.region) {
         let replicas = core.replicas.borrow();
@@ -183,7 +183,7 @@
     plan: &RequestPlan,
 ) -> Option<Duration> {
     let now = Instant::now();
-    let peers = core.members.borrow().names_in(&core.settings.region);
+    let peers = core.region_peers(now);
     let tried = BTreeSet::new();
     let query = placement_query(core, request, plan, &tried, &peers, now);
     retry_after_unavailable(core, &query, now).map(|first| first.after)
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -20,6 +20,7 @@
 mod notice_handling;
 mod placement;
 mod placement_cost;
+mod placement_index;
 mod prefix_cache;
 mod preset;
 mod prompt;
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -145,14 +145,13 @@
     now: Instant,
 ) -> Option<LocalPlacement> {
     let model = table.model_of(query.service);
-    let (choices, extras) = session_choices(table, regions, query, now);
-    let cache_holder = best_cache_holder(table, regions, query, now);
+    let session = query.size.session();
+    let group = candidate_group(table, regions, query, session.unwrap_or(query.draw), now);
+    let (choices, considered) = session_choices(table, regions, query, &group, now);
+    let cache_holder = best_cache_holder(query, &group);
     let mut best: Option<LocalPlacement> = None;
-    for state in candidates(table, regions, query, now) {
+    for state in considered {
         let rank = choices.iter().position(|id| **id == *state.entry.id);
-        if !choices.is_empty() && rank.is_none() && !extras.contains(&state.entry.id) {
-            continue;
-        }
         let cold = state.is_cold(now);
         if cold {
             let share =
@@ -238,18 +237,17 @@
     }
 }
 
-/// Returns the eligible replica that caches most of a prompt, where replicas can copy cached parts.
+/// Returns the replica of a group that caches most of a prompt, where replicas can copy cached parts.
 fn best_cache_holder(
-    table: &ReplicaTable,
-    regions: &BTreeMap<DataCentreId, RegionId>,
     query: &PlacementQuery<'_>,
-    now: Instant,
+    group: &[&ReplicaState],
 ) -> Option<(ReplicaId, usize)> {
     if query.copy_token.is_zero() || query.size.parts.len() < 2 {
         return None;
     }
     let shared = &query.size.parts[..query.size.parts.len() - 1];
-    candidates(table, regions, query, now)
+    group
+        .iter()
         .map(|state| {
             (
                 state.entry.id.clone(),
@@ -288,45 +286,87 @@
         && !state.health.is_suspect(now)
 }
 
-fn candidates<'a>(
+/// Returns the replicas that may get the request among those of the group of `key`, or of the next
+/// group that has any.
+fn candidate_group<'a>(
     table: &'a ReplicaTable,
-    regions: &'a BTreeMap<DataCentreId, RegionId>,
-    query: &'a PlacementQuery<'_>,
+    regions: &BTreeMap<DataCentreId, RegionId>,
+    query: &PlacementQuery<'_>,
+    key: u64,
     now: Instant,
-) -> impl Iterator<Item = &'a ReplicaState> {
-    table.rows().filter(move |state| {
-        is_eligible(table, regions, query.service, query.region, state, now)
-            && !query.tried.contains(&state.entry.id)
-            && table.limits.allows(state.tag, now)
-            && table.backoffs.allows(state.tag, now)
-            && state
-                .terminates_at
-                .is_none_or(|end| now + query.deadline < end)
-    })
+) -> Vec<&'a ReplicaState> {
+    for group in table.index.groups(query.service, key) {
+        let mut found = Vec::new();
+        for state in group.filter_map(|id| table.get(id)) {
+            if is_candidate(table, regions, query, state, now) {
+                found.push(state);
+            }
+        }
+        if !found.is_empty() {
+            // Ties are broken by id, as in a walk over all replicas.
+            found.sort_unstable_by(|one, other| one.entry.id.cmp(&other.entry.id));
+            return found;
+        }
+    }
+    Vec::new()
 }
 
-/// Returns the replicas with the highest rendezvous scores for the session, the highest first, and
-/// a few random others; both are empty for requests without a session.
-fn session_choices(
+fn is_candidate(
     table: &ReplicaTable,
     regions: &BTreeMap<DataCentreId, RegionId>,
     query: &PlacementQuery<'_>,
+    state: &ReplicaState,
     now: Instant,
-) -> (Vec<ReplicaId>, Vec<ReplicaId>) {
-    let Some(session) = query.size.session() else {
-        return (Vec::new(), Vec::new());
-    };
-    let mut ranked: Vec<&ReplicaState> = candidates(table, regions, query, now)
+) -> bool {
+    is_eligible(table, regions, query.service, query.region, state, now)
+        && !query.tried.contains(&state.entry.id)
+        && table.limits.allows(state.tag, now)
+        && table.backoffs.allows(state.tag, now)
+        && state
+            .terminates_at
+            .is_none_or(|end| now + query.deadline < end)
+}
+
+/// Returns the replicas of a group with the highest rendezvous scores for the session, the highest
+/// first, and all replicas that are considered: those and a few random others. A request without a
+/// session has no choices, and is placed among random replicas of the group: if all were compared,
+/// every node would prefer the same few, whose short response times it knows.
+fn session_choices<'a>(
+    table: &'a ReplicaTable,
+    regions: &BTreeMap<DataCentreId, RegionId>,
+    query: &PlacementQuery<'_>,
+    group: &[&'a ReplicaState],
+    now: Instant,
+) -> (Vec<ReplicaId>, Vec<&'a ReplicaState>) {
+    let warm: Vec<&ReplicaState> = group
+        .iter()
+        .copied()
         .filter(|state| !state.is_cold(now))
         .collect();
+    if warm.is_empty() {
+        return (Vec::new(), group.to_vec());
+    }
+    let by_draw = |state: &&ReplicaState| Reverse(rendezvous_score(query.draw, state.tag));
+    let Some(session) = query.size.session() else {
+        let mut considered = warm;
+        considered.sort_unstable_by_key(by_draw);
+        considered.truncate(CANDIDATES);
+        return (Vec::new(), considered);
+    };
+    let mut ranked = warm;
     ranked.sort_unstable_by_key(|state| Reverse(rendezvous_score(session, state.tag)));
     let mut others = ranked.split_off(ranked.len().min(CHOICES));
-    others.sort_unstable_by_key(|state| Reverse(rendezvous_score(query.draw, state.tag)));
-    let ids = |states: Vec<&ReplicaState>, max: usize| {
-        let ids = states.into_iter().take(max);
-        ids.map(|state| state.entry.id.clone()).collect()
-    };
-    (ids(ranked, CHOICES), ids(others, EXTRA_CANDIDATES))
+    let choices: Vec<ReplicaId> = ranked.iter().map(|state| state.entry.id.clone()).collect();
+    let drawn = candidate_group(table, regions, query, query.draw, now);
+    for state in drawn {
+        let known = group.iter().any(|other| other.tag == state.tag);
+        if !known && !state.is_cold(now) {
+            others.push(state);
+        }
+    }
+    others.sort_unstable_by_key(by_draw);
+    ranked.extend(others.into_iter().take(EXTRA_CANDIDATES));
+    (choices, ranked)
 }
 
 /// Chooses the remote region in which the response would end first, and a node there.
--- a/crates/zinniahatch_route/src/replica_table.rs
+++ b/crates/zinniahatch_route/src/replica_table.rs
@@ -11,6 +11,7 @@
 use crate::ReplicaIncarnation;
 use crate::ReplicaState;
 use crate::StreamModel;
+use crate::placement_index::PlacementIndex;
 use crate::prompt::rendezvous_score;
 use crate::work_sync::WorkSync;
 use std::net::SocketAddrV4;
@@ -94,6 +95,7 @@
     pub(crate) rows: BTreeMap<ReplicaId, ReplicaState>,
     /// Replica ids by the tags of their incarnations.
     pub(crate) tags: BTreeMap<ShortTag, ReplicaId>,
+    pub(crate) index: PlacementIndex,
     models: BTreeMap<ServiceId, FirstEventModel>,
     streams: BTreeMap<ServiceId, StreamModel>,
     evacuated: BTreeSet<DataCentreId>,
@@ -133,6 +135,8 @@
                 state.leaving = Some(LeaveReason::Draining);
             }
             self.tags.insert(state.tag, state.entry.id.clone());
+            self.index
+                .insert(&state.entry.service, state.tag, &state.entry.id);
             self.rows.insert(state.entry.id.clone(), state);
             return EntryChange::Updated;
         };
@@ -142,10 +146,17 @@
         if entry.started_ms != state.entry.started_ms {
             let before = state.entry.address;
             self.tags.remove(&state.tag);
+            self.index.remove(&state.entry.service, state.tag);
             *state = ReplicaState::new(entry, now);
             self.tags.insert(state.tag, state.entry.id.clone());
+            self.index
+                .insert(&state.entry.service, state.tag, &state.entry.id);
             return EntryChange::Restarted(before);
         }
+        if entry.service != state.entry.service {
+            self.index.remove(&state.entry.service, state.tag);
+            self.index.insert(&entry.service, state.tag, &entry.id);
+        }
         let changed = state.entry.leaving != entry.leaving || state.missing_since.is_some();
         state.update(entry, now);
         if changed {
@@ -352,6 +363,7 @@
                 continue;
             };
             self.tags.remove(&state.tag);
+            self.index.remove(&state.entry.service, state.tag);
             let ended = EndedIncarnation {
                 started_ms: state.entry.started_ms,
                 tag: state.tag,
