Split the slack of the retry budget by the size of the whole fleet

Cause: a node of a large fleet knows its own region and six nodes of each other one, and split the slack between these: 986 nodes that know 340 each take 2.9 times the parts meant.

Change: the share follows the largest announced sizes of all regions; one that was not heard of counts as large as the largest.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -23,6 +23,7 @@
 use zinniahatch_route::DISCOVERY_TIME;
 use zinniahatch_route::DesiredService;
 use zinniahatch_route::DesiredState;
+use zinniahatch_route::FleetSize;
 use zinniahatch_route::HeartbeatTargets;
 use zinniahatch_route::KeyFreshness;
 use zinniahatch_route::MemberStage;
@@ -86,6 +87,8 @@
     pub(crate) retry_budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     /// Peer addresses of other nodes, learned from the store and from other nodes.
     pub(crate) heartbeat_targets: RefCell<HeartbeatTargets>,
+    /// How many nodes each region has.
+    pub(crate) fleet_size: RefCell<FleetSize>,
     /// The names of the other nodes of the region, and when they were collected.
     region_peers: RefCell<Option<(Rc<BTreeSet<NodeId>>, Instant)>>,
     pub(crate) counts: PendingCounts,
@@ -160,6 +163,7 @@
             crash_checks: CrashChecks::default(),
             retry_budgets: RefCell::default(),
             heartbeat_targets: RefCell::new(heartbeat_targets),
+            fleet_size: RefCell::default(),
             region_peers: RefCell::default(),
             counts: PendingCounts::default(),
             replica_updates: RefCell::default(),
@@ -347,7 +351,12 @@
             )
         });
         let members = self.members.borrow().known().len();
-        budget.note_nodes(members.max(self.heartbeat_targets.borrow().len()) + 1);
+        let known = members.max(self.heartbeat_targets.borrow().len()) + 1;
+        let announced = self
+            .fleet_size
+            .borrow()
+            .total(self.settings.regions.values());
+        budget.note_nodes(known.max(announced));
         run(budget)
     }
 
