Send heartbeats of a large region to relays that return rosters

Change: with more than 48 others in the region a node sends its heartbeats to two relays per data centre, the machines with the largest CPU share, and requests rosters from those of its own data centre: tag and age of each live node, 7 bytes. Ages add up on the way, so that liveness means the same as before. What a node announces once is requested for unknown tags. A node that leaves still tells all nodes itself. Datagrams and their bytes are counted by kind.

Weighed: longer intervals, random probes, relays (`relays.rs`, docs/design/fleet.md).

Tests (relays, the real tables of 100 to 200 nodes): start of 150 nodes known to all in 3 s, datagrams of a node at 100 and 200 nodes, loss of one node and of all relays, a cut of 35 s, ages and stages.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -66,6 +66,8 @@
     pub(crate) clock: BootClock,
     /// The store revision up to which this node has seen the operators' writes.
     pub(crate) operator_revision: Cell<Option<StoreRevision>>,
+    /// Whether the nodes of the region are so many that heartbeats go by way of relays.
+    pub(crate) uses_relays: Cell<bool>,
     /// Remaining allowances of the client accounts.
     pub(crate) quotas: RefCell<QuotaTable>,
     pub(crate) preset: RefCell<ServingPreset>,
@@ -150,6 +152,7 @@
             key_freshness: RefCell::default(),
             clock,
             operator_revision: Cell::default(),
+            uses_relays: Cell::new(false),
             quotas: RefCell::new(quotas),
             preset: RefCell::default(),
             replicas: RefCell::default(),
--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of an entry VM.
 
+use crate::nodes::message_metrics::MessageMetrics;
 use crate::replicas::limit_metrics::LimitMetrics;
 use crate::replicas::notice_metrics::NoticeMetrics;
 use crate::request::retry_metrics::RetryMetrics;
@@ -33,6 +34,8 @@
     pub(crate) retries: RetryMetrics,
     /// Metrics of replica notices.
     pub(crate) notices: NoticeMetrics,
+    /// Metrics of the messages between nodes.
+    pub(crate) messages: MessageMetrics,
     refused_keys: IntCounterVec,
     over_allowance: IntCounter,
     proof_age: IntGauge,
@@ -128,6 +131,7 @@
             limits: LimitMetrics::new(&registry)?,
             retries: RetryMetrics::new(&registry)?,
             notices: NoticeMetrics::new(&registry)?,
+            messages: MessageMetrics::new(&registry)?,
             registry,
             responses,
             remote_sends,
--- a/crates/zinniahatch_entry/src/nodes/broadcast.rs
+++ b/crates/zinniahatch_entry/src/nodes/broadcast.rs
@@ -3,6 +3,7 @@
 use crate::core::EntryCore;
 use crate::nodes::datagrams::broadcast;
 use crate::nodes::datagrams::in_own_region;
+use crate::nodes::datagrams::send_message;
 use crate::nodes::datagrams::send_to_matching;
 use crate::nodes::gossip_message::GossipMessage;
 use crate::nodes::replica_updates::ReplicaUpdates;
@@ -94,19 +95,11 @@
             leaving: part.to_vec(),
             ..ReplicaUpdates::default()
         };
-        send_message(socket, &GossipMessage::Replicas(updates), to).await;
+        send_message(core, socket, &GossipMessage::Replicas(updates), to).await;
     }
     let known: Vec<RateLimitUpdate> = core.replicas.borrow().limits.active_limits().collect();
     for part in known.chunks(MAX_RATE_LIMITS) {
-        send_message(socket, &GossipMessage::RateLimits(part.to_vec()), to).await;
-    }
-}
-
-/// Sends state to a node whose digest differs.
-async fn send_message(socket: &UdpSocket, message: &GossipMessage, to: SocketAddrV4) {
-    if let Ok(bytes) = postcard::to_allocvec(message) {
-        // A failed send counts as a lost datagram; the next heartbeat shows the difference again.
-        let _ = socket.send_to(&bytes, to).await;
+        send_message(core, socket, &GossipMessage::RateLimits(part.to_vec()), to).await;
     }
 }
 
@@ -123,5 +116,5 @@
     if updates.is_empty() {
         return;
     }
-    send_message(socket, &GossipMessage::Suspects(updates), to).await;
+    send_message(core, socket, &GossipMessage::Suspects(updates), to).await;
 }
--- a/crates/zinniahatch_entry/src/nodes/datagrams.rs
+++ b/crates/zinniahatch_entry/src/nodes/datagrams.rs
@@ -43,7 +43,31 @@
             .collect()
     };
     for address in addresses {
-        // A failed send counts as a lost datagram; later datagrams make up for it.
-        let _ = socket.send_to(&bytes, address).await;
+        send_bytes(core, socket, message.kind(), &bytes, address).await;
     }
 }
+
+/// Sends a datagram to one node.
+pub(crate) async fn send_message(
+    core: &EntryCore,
+    socket: &UdpSocket,
+    message: &GossipMessage,
+    to: SocketAddrV4,
+) {
+    if let Ok(bytes) = postcard::to_allocvec(message) {
+        send_bytes(core, socket, message.kind(), &bytes, to).await;
+    }
+}
+
+/// Sends the bytes of a message of some kind to one node.
+pub(crate) async fn send_bytes(
+    core: &EntryCore,
+    socket: &UdpSocket,
+    kind: &str,
+    bytes: &[u8],
+    to: SocketAddrV4,
+) {
+    core.metrics.messages.note_datagram(kind, bytes.len());
+    // A failed send counts as a lost datagram; what it carries is sent or requested again.
+    let _ = socket.send_to(bytes, to).await;
+}
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -8,9 +8,14 @@
 use crate::nodes::broadcast::send_known_notices;
 use crate::nodes::broadcast::send_known_suspects;
 use crate::nodes::datagrams::is_from_own_region;
+use crate::nodes::datagrams::send_bytes;
 use crate::nodes::gossip_message::GossipMessage;
 use crate::nodes::gossip_message::Heartbeat;
+use crate::nodes::gossip_message::HeartbeatTail;
 use crate::nodes::own_info::own_member_info;
+use crate::nodes::rosters::RosterExchange;
+use crate::nodes::rosters::handle_members;
+use crate::nodes::rosters::send_members;
 use crate::nodes::work_reporter::WorkReporter;
 use crate::replicas::quarantine::UpdateSource;
 use crate::replicas::quarantine::apply_suspects;
@@ -27,8 +32,10 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::DISCOVERY_TIME;
 use zinniahatch_route::FreshnessProof;
+use zinniahatch_route::MemberInfo;
 use zinniahatch_route::RateLimitUpdate;
 use zinniahatch_route::RegionUsage;
+use zinniahatch_route::RosterPart;
 
 /// Interval between heartbeats; a node counts as silent after three lost ones.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -50,6 +57,7 @@
 pub(crate) async fn run_gossip(core: Rc<EntryCore>, socket: UdpSocket) {
     let mut echoes = EchoTable::new();
     let mut reporter = WorkReporter::new(core.origin());
+    let mut rosters = RosterExchange::default();
     let mut heartbeats = interval(STARTUP_HEARTBEAT_INTERVAL);
     heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut usage_reports = interval(USAGE_INTERVAL);
@@ -57,6 +65,7 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let due = reporter.next_due();
+        let fallback_due = rosters.fallback_due();
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, SocketAddr::V4(from))) = received {
@@ -71,7 +80,19 @@
                                 send_known_notices(&core, &socket, from).await;
                             }
                         }
-                        DatagramEffect::AccountUsage(usage) => reporter.handle_remote_usage(&core, &socket, &usage).await
+                        DatagramEffect::AccountUsage(usage) => reporter.handle_remote_usage(&core, &socket, &usage).await,
+                        DatagramEffect::RosterRequest => {
+                            let own = || MemberInfo {
+                                proof: core.key_freshness.borrow().to_share(core.clock.now()),
+                                ..own_member_info(&core, Instant::now())
+                            };
+                            rosters.send_roster(&core, &socket, own, from).await;
+                        }
+                        DatagramEffect::Roster(part) => rosters.handle_roster(&core, &socket, &part, from).await,
+                        DatagramEffect::MembersRequest(tags) => {
+                            let own = own_member_info(&core, Instant::now());
+                            send_members(&core, &socket, own, &tags, from).await;
+                        }
                     }
                 }
             }
@@ -79,13 +100,23 @@
             () = sleep_until(due.unwrap_or_else(Instant::now).into()), if due.is_some() => {
                 reporter.send_due(&core, &socket).await;
             }
+            () = sleep_until(fallback_due.unwrap_or_else(Instant::now).into()), if fallback_due.is_some() => {
+                let now = Instant::now();
+                let targets = rosters.fallback_targets(&core, now);
+                send_heartbeats(&core, &socket, &echoes, own_member_info(&core, now), targets).await;
+            }
             _ = usage_reports.tick() => reporter.report_usage(&core, &socket).await,
             _ = heartbeats.tick() => {
-                send_heartbeats(&core, &socket, &echoes).await;
+                let now = Instant::now();
+                let own = own_member_info(&core, now);
+                let targets = rosters.choose_targets(&core, &own, now);
+                send_heartbeats(&core, &socket, &echoes, own, targets).await;
+                rosters.request_rosters(&core, &socket, now).await;
                 reporter.refresh(&core, &socket).await;
                 broadcast_replica_updates(&core, &socket).await;
                 broadcast_suspects(&core, &socket, true).await;
-                if heartbeats.period() != HEARTBEAT_INTERVAL && core.started.elapsed() >= DISCOVERY_TIME {
+                let discovered = core.started.elapsed() >= DISCOVERY_TIME || core.uses_relays.get();
+                if heartbeats.period() != HEARTBEAT_INTERVAL && discovered {
                     heartbeats = interval(HEARTBEAT_INTERVAL);
                     heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
                     heartbeats.reset();
@@ -95,15 +126,25 @@
     }
 }
 
-/// Sends a last heartbeat, which announces that this node is leaving.
+/// Sends a heartbeat that announces that this node is leaving to all nodes of the region and to the
+/// heartbeat targets in other regions.
 pub(crate) async fn announce_leaving(core: &Rc<EntryCore>, socket: &UdpSocket) {
-    send_heartbeats(core, socket, &EchoTable::new()).await;
+    let now = Instant::now();
+    let targets = core.heartbeat_targets.borrow_mut().next_targets(now);
+    let own = own_member_info(core, now);
+    send_heartbeats(core, socket, &EchoTable::new(), own, targets).await;
 }
 
-async fn send_heartbeats(core: &Rc<EntryCore>, socket: &UdpSocket, echoes: &EchoTable) {
+async fn send_heartbeats(
+    core: &Rc<EntryCore>,
+    socket: &UdpSocket,
+    echoes: &EchoTable,
+    own: MemberInfo,
+    targets: Vec<SocketAddrV4>,
+) {
     let now = Instant::now();
     let mut heartbeat = Heartbeat {
-        member: own_member_info(core, now),
+        member: own,
         stamp: 0,
         echo: None,
         wants_reply: false,
@@ -111,7 +152,8 @@
         suspects: core.suspects.borrow().accused_digest(),
         notices: notices_digest(core),
     };
-    for (address, wants_reply) in heartbeat_receivers(core, now) {
+    let tail = postcard::to_allocvec(&heartbeat_tail(core, now)).unwrap_or_default();
+    for (address, wants_reply) in heartbeat_receivers(core, targets, now) {
         let node = core.members.borrow().at_address(address).cloned();
         heartbeat.wants_reply = wants_reply;
         heartbeat.echo = node
@@ -124,15 +166,25 @@
         heartbeat.member.proof = core.key_freshness.borrow().to_share(sent);
         let message = GossipMessage::Heartbeat(heartbeat);
         let bytes = postcard::to_allocvec(&message);
+        let kind = message.kind();
         let GossipMessage::Heartbeat(sent_heartbeat) = message else {
             return;
         };
         heartbeat = sent_heartbeat;
-        let Ok(bytes) = bytes else {
+        let Ok(mut bytes) = bytes else {
             return;
         };
-        // A failed send counts as a lost datagram; the next heartbeat follows.
-        let _ = socket.send_to(&bytes, address).await;
+        bytes.extend(&tail);
+        send_bytes(core, socket, kind, &bytes, address).await;
+    }
+}
+
+fn heartbeat_tail(core: &EntryCore, now: Instant) -> HeartbeatTail {
+    let nodes = core.region_peers(now).len() + 1;
+    let mut fleet_size = core.fleet_size.borrow_mut();
+    fleet_size.note(&core.settings.region, nodes);
+    HeartbeatTail {
+        region_nodes: nodes as u32,
     }
 }
 
@@ -157,13 +209,17 @@
 
 /// Returns the addresses that receive a heartbeat now, and whether each is asked to reply with its
 /// own: the heartbeat targets of this node, and the nodes that have it as a target.
-fn heartbeat_receivers(core: &EntryCore, now: Instant) -> BTreeMap<SocketAddrV4, bool> {
+fn heartbeat_receivers(
+    core: &EntryCore,
+    targets: Vec<SocketAddrV4>,
+    now: Instant,
+) -> BTreeMap<SocketAddrV4, bool> {
     let members = core.members.borrow();
     let mut found: BTreeMap<SocketAddrV4, bool> = members
         .awaiting_reply(now)
         .map(|address| (address, false))
         .collect();
-    for address in core.heartbeat_targets.borrow_mut().next_targets(now) {
+    for address in targets {
         found.insert(address, true);
     }
     found
@@ -184,6 +240,12 @@
     Heartbeat(StateDiff),
     /// Account usage in another region, to be passed on within this one.
     AccountUsage(RegionUsage),
+    /// The sender requests the roster of the region.
+    RosterRequest,
+    /// Part of the roster of the region, to be applied.
+    Roster(RosterPart),
+    /// The sender requests what the nodes with these tags announced.
+    MembersRequest(Vec<ShortTag>),
 }
 
 /// Handles a received datagram.
@@ -194,8 +256,19 @@
     bytes: &[u8],
     from: SocketAddrV4,
 ) -> DatagramEffect {
-    match postcard::from_bytes(bytes) {
-        Ok(GossipMessage::Heartbeat(heartbeat)) => {
+    let Ok((message, rest)) = postcard::take_from_bytes(bytes) else {
+        core.log.write(
+            "datagram-rejected",
+            serde_json::json!({"bytes": bytes.len(), "from": from.to_string()}),
+        );
+        return DatagramEffect::Handled;
+    };
+    match message {
+        GossipMessage::Heartbeat(heartbeat) => {
+            if let Ok(tail) = postcard::from_bytes::<HeartbeatTail>(rest) {
+                let mut fleet_size = core.fleet_size.borrow_mut();
+                fleet_size.note(&heartbeat.member.region, tail.region_nodes as usize);
+            }
             let same_region = heartbeat.member.region == core.settings.region;
             let diff = StateDiff {
                 suspects: heartbeat.suspects != core.suspects.borrow().accused_digest(),
@@ -204,15 +277,15 @@
             handle_heartbeat(core, echoes, heartbeat);
             return DatagramEffect::Heartbeat(diff);
         }
-        Ok(GossipMessage::Suspects(batch)) => apply_suspects(core, &batch, source_of(core, from)),
-        Ok(GossipMessage::RateLimits(updates)) => handle_rate_limits(core, &updates, from),
-        Ok(GossipMessage::Work(report)) => reporter.handle_report(core, report, from),
-        Ok(GossipMessage::AccountUsage(usage)) => return DatagramEffect::AccountUsage(usage),
-        Ok(GossipMessage::Replicas(batch)) => apply_replica_updates(core, batch, Instant::now()),
-        Err(_) => core.log.write(
-            "datagram-rejected",
-            serde_json::json!({"bytes": bytes.len(), "from": from.to_string()}),
-        ),
+        GossipMessage::Suspects(batch) => apply_suspects(core, &batch, source_of(core, from)),
+        GossipMessage::RateLimits(updates) => handle_rate_limits(core, &updates, from),
+        GossipMessage::Work(report) => reporter.handle_report(core, report, from),
+        GossipMessage::AccountUsage(usage) => return DatagramEffect::AccountUsage(usage),
+        GossipMessage::RosterRequest => return DatagramEffect::RosterRequest,
+        GossipMessage::Roster(part) => return DatagramEffect::Roster(part),
+        GossipMessage::MembersRequest(tags) => return DatagramEffect::MembersRequest(tags),
+        GossipMessage::Members(infos) => handle_members(core, infos, from),
+        GossipMessage::Replicas(batch) => apply_replica_updates(core, batch, Instant::now()),
     }
     DatagramEffect::Handled
 }
--- a/crates/zinniahatch_entry/src/nodes/gossip_message.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip_message.rs
@@ -8,6 +8,7 @@
 use zinniahatch_route::MemberInfo;
 use zinniahatch_route::RateLimitUpdate;
 use zinniahatch_route::RegionUsage;
+use zinniahatch_route::RosterPart;
 use zinniahatch_route::SuspectUpdate;
 use zinniahatch_route::WorkUpdate;
 
@@ -26,8 +27,37 @@
     RateLimits(Vec<RateLimitUpdate>),
     /// Account usage in another region, to be passed on within this one.
     AccountUsage(RegionUsage),
+    /// Request for the roster of the region.
+    RosterRequest,
+    /// Part of the roster of the region.
+    Roster(RosterPart),
+    /// Request for what the nodes with these tags announced.
+    MembersRequest(Vec<ShortTag>),
+    /// What nodes of the region announced, without the capacity of their region.
+    Members(Vec<MemberInfo>),
 }
 
+impl GossipMessage {
+    /// Returns the kind of message as a metric label.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Work(_) => "work",
+            Self::Replicas(_) => "replicas",
+            Self::Suspects(_) => "suspects",
+            Self::RateLimits(_) => "rate-limits",
+            Self::AccountUsage(_) => "account-usage",
+            Self::RosterRequest => "roster-request",
+            Self::Roster(_) => ROSTER_KIND,
+            Self::MembersRequest(_) => "members-request",
+            Self::Members(_) => "members",
+        }
+    }
+}
+
+/// Kind of the message with a roster, which is encoded once for several receivers.
+pub(crate) const ROSTER_KIND: &str = "roster";
+
 /// Periodic message with a node's identity and state.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Heartbeat {
@@ -47,6 +77,13 @@
     pub(crate) notices: u64,
 }
 
+/// What follows a heartbeat in its datagram. Nodes of earlier versions neither send nor read it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct HeartbeatTail {
+    /// Number of nodes that the sender knows in its region, itself included.
+    pub(crate) region_nodes: u32,
+}
+
 /// Report of in-flight work.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WorkReport {
--- a/crates/zinniahatch_entry/src/nodes/work_reporter.rs
+++ b/crates/zinniahatch_entry/src/nodes/work_reporter.rs
@@ -6,6 +6,7 @@
 use crate::nodes::broadcast::broadcast_suspects;
 use crate::nodes::datagrams::broadcast;
 use crate::nodes::datagrams::is_from_own_region;
+use crate::nodes::datagrams::send_message;
 use crate::nodes::gossip_message::GossipMessage;
 use crate::nodes::gossip_message::WorkReport;
 use crate::nodes::roles::holds_role;
@@ -177,10 +178,8 @@
             WorkPath::All => broadcast(core, socket, &WorkReport::of(update, usage, relay)).await,
             WorkPath::Collector(collector) => {
                 self.collectors.note_sent(collector, now);
-                if let Ok(bytes) = postcard::to_allocvec(&WorkReport::of(update, usage, relay)) {
-                    // A failed send counts as a lost datagram; it shows by the collector's silence.
-                    let _ = socket.send_to(&bytes, collector).await;
-                }
+                let report = WorkReport::of(update, usage, relay);
+                send_message(core, socket, &report, collector).await;
             }
         }
     }
@@ -234,13 +233,9 @@
             .borrow()
             .one_per_other_region(own, &core.settings.name, now);
         for part in usage.split(MAX_REPORT_BYTES) {
-            let Ok(bytes) = postcard::to_allocvec(&GossipMessage::AccountUsage(part)) else {
-                return;
-            };
+            let message = GossipMessage::AccountUsage(part);
             for address in &receivers {
-                // A failed send counts as a lost datagram; the totals of a later report make up for
-                // it.
-                let _ = socket.send_to(&bytes, address).await;
+                send_message(core, socket, &message, *address).await;
             }
         }
     }
--- a/crates/zinniahatch_route/src/heartbeat_targets.rs
+++ b/crates/zinniahatch_route/src/heartbeat_targets.rs
@@ -1,5 +1,5 @@
-//! Selection of the nodes to which a node sends heartbeats: all of its own region, and a few of
-//! each other region.
+//! Selection of the nodes to which a node sends heartbeats: all of its own region or, in a large
+//! region, its relays; and a few of each other region.
 //!
 //! Alternatives considered:
 //!
@@ -111,6 +111,40 @@
     /// Returns the targets of the next heartbeat and marks them as polled; called once per
     /// heartbeat interval.
     pub fn next_targets(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+        self.select(None, now)
+    }
+
+    /// Returns the same, with `relays` in place of all nodes of the own region, and one other
+    /// address of the region that no heartbeat came from: nodes that were cut off for long find
+    /// each other again by it. `random` chooses it.
+    pub fn next_targets_by_relays(
+        &mut self,
+        relays: &BTreeSet<SocketAddrV4>,
+        is_live: impl Fn(SocketAddrV4) -> bool,
+        random: u64,
+        now: Instant,
+    ) -> Vec<SocketAddrV4> {
+        let mut local = relays.clone();
+        let silent: Vec<SocketAddrV4> = self
+            .rows
+            .iter()
+            .filter(|(address, row)| {
+                row.region.as_ref() == Some(&self.region) && !is_live(**address)
+            })
+            .map(|(address, _)| *address)
+            .collect();
+        if !silent.is_empty() {
+            local.insert(silent[(random % silent.len() as u64) as usize]);
+        }
+        self.select(Some(&local), now)
+    }
+
+    /// Selects the targets; `local` holds those of the own region, `None` stands for all.
+    fn select(
+        &mut self,
+        local: Option<&BTreeSet<SocketAddrV4>>,
+        now: Instant,
+    ) -> Vec<SocketAddrV4> {
         self.update_silent(now);
         let mut chosen = Vec::new();
         let mut remote: BTreeMap<&RegionId, Vec<RemoteTarget>> = BTreeMap::new();
@@ -121,6 +155,7 @@
                     let ranked = remote.entry(region).or_default();
                     ranked.push((skipped, row.silent.is_some(), Reverse(row.rank), *address));
                 }
+                Some(_) if local.is_some_and(|local| !local.contains(address)) => {}
                 _ => chosen.push(*address),
             }
         }
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -1,6 +1,7 @@
 //! The other entry VMs: which are live, where they are, and the capacity of their regions.
 
 use crate::FreshnessProof;
+use crate::roster::UnknownMembers;
 use std::net::SocketAddrV4;
 use zinniahatch_base::prelude::*;
 use zinniahatch_base::rendezvous_rank;
@@ -10,7 +11,7 @@
 const LIVE_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Time without a heartbeat for which a node that still has a key in the store may be returned to
 /// callers, if no other node is left.
-const REGISTERED_TIMEOUT: Duration = Duration::from_secs(4);
+pub(crate) const REGISTERED_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time in which a node that has started learns of the others. Heartbeats are sent every half second.
 pub const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 /// Round-trip time assumed until one is measured.
@@ -43,8 +44,8 @@
         pub rules: u64
     }
 
-    /// Lifecycle stage of a node.
-    #[derive(Copy, Eq)]
+    /// Lifecycle stage of a node; a node goes through them in this order.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
     pub enum MemberStage {
         /// Does not know enough yet to serve.
         Starting,
@@ -105,10 +106,16 @@
     pub store_reachable: bool,
 }
 
+/// What is known of one node.
 #[derive(Clone, Debug)]
-struct MemberState {
-    info: MemberInfo,
-    last_heartbeat: Instant,
+pub(crate) struct MemberState {
+    pub(crate) info: MemberInfo,
+    /// Tag of this start of the node.
+    pub(crate) tag: ShortTag,
+    /// When its last heartbeat was received, by this node or by the one that reported it.
+    pub(crate) last_heartbeat: Instant,
+    /// When this node last failed to reach it.
+    pub(crate) unreachable_at: Option<Instant>,
     round_trip: Option<Duration>,
     /// When it last asked for a reply.
     reply_wanted: Option<Instant>,
@@ -119,6 +126,9 @@
 pub struct MemberTable {
     rows: BTreeMap<NodeId, MemberState>,
     addresses: BTreeMap<SocketAddrV4, NodeId>,
+    tags: BTreeMap<ShortTag, NodeId>,
+    /// Nodes named in rosters that have no row yet.
+    pub(crate) unknown: UnknownMembers,
 }
 
 impl MemberTable {
@@ -138,17 +148,27 @@
             .map(|row| row.info.incarnation)
             .filter(|incarnation| *incarnation != info.incarnation);
         let round_trip = old.and_then(|row| row.round_trip);
+        let known_tag = old.filter(|_| !is_new).map(|row| row.tag);
         let reply_wanted = if wants_reply {
             Some(now)
         } else {
             old.and_then(|row| row.reply_wanted)
         };
+        let tag = known_tag.unwrap_or_else(|| info.tag());
+        if is_new {
+            if let Some(before) = old.map(|row| row.tag) {
+                self.tags.remove(&before);
+            }
+            self.tags.insert(tag, info.node.clone());
+        }
         self.addresses.insert(info.peer, info.node.clone());
         self.rows.insert(
             info.node.clone(),
             MemberState {
                 info,
+                tag,
                 last_heartbeat: now,
+                unreachable_at: None,
                 round_trip,
                 reply_wanted,
             },
@@ -156,6 +176,39 @@
         (is_new, replaced)
     }
 
+    /// Returns the state of all nodes that were not dropped yet.
+    pub(crate) fn rows(&self) -> impl Iterator<Item = &MemberState> {
+        self.rows.values()
+    }
+
+    pub(crate) fn row(&self, node: &str) -> Option<&MemberState> {
+        self.rows.get(node)
+    }
+
+    pub(crate) fn row_by_tag(&mut self, tag: ShortTag) -> Option<&mut MemberState> {
+        let row = self.rows.get_mut(self.tags.get(&tag)?)?;
+        (row.tag == tag).then_some(row)
+    }
+
+    /// Returns the node whose current start has a tag.
+    pub fn get_by_tag(&self, tag: ShortTag) -> Option<&MemberInfo> {
+        let row = self.rows.get(self.tags.get(&tag)?)?;
+        (row.tag == tag).then_some(&row.info)
+    }
+
+    /// Returns the nodes of a region that were heard of lately, whatever their stage, with the age
+    /// of their last heartbeat.
+    pub fn recent_in(&self, region: &str, now: Instant) -> Vec<(&MemberInfo, Duration)> {
+        let mut found = Vec::new();
+        for row in self.rows.values() {
+            let age = now.saturating_duration_since(row.last_heartbeat);
+            if *row.info.region == *region && age <= REGISTERED_TIMEOUT {
+                found.push((&row.info, age));
+            }
+        }
+        found
+    }
+
     /// Returns the node that sends from an address.
     pub fn at_address(&self, peer: SocketAddrV4) -> Option<&MemberInfo> {
         let row = self.rows.get(self.addresses.get(&peer)?)?;
@@ -226,6 +279,7 @@
     /// Records that a node could not be reached; it is tried again after its next heartbeat.
     pub fn note_unreachable(&mut self, node: &str, now: Instant) {
         if let Some(row) = self.rows.get_mut(node) {
+            row.unreachable_at = Some(now);
             row.last_heartbeat = row
                 .last_heartbeat
                 .min(now.checked_sub(LIVE_TIMEOUT).unwrap_or(now));
@@ -341,8 +395,11 @@
             }
             keep
         });
-        self.addresses
-            .retain(|_, node| self.rows.contains_key(node));
+        let rows = &self.rows;
+        self.addresses.retain(|_, node| rows.contains_key(node));
+        self.tags
+            .retain(|tag, node| rows.get(node).is_some_and(|row| row.tag == *tag));
+        self.unknown.tick(now);
         dropped
     }
 
