Read the store by region, not by node

Cause: each node listed all replicas by itself, at its start and each 10 s, all pages, and a listing of 21 pages was hedged after 400 ms like one page, so that a start in a remote region listed several times; each node registered, listed all nodes and renewed its key. After each change of the desired state every node fetched the entries of all replicas from a neighbour.

Change: a start reads the desired state and one page of the replicas; if there are more, the readers of the region list them and the others take them from any node that has them. Only the first page is hedged. A node whose digest differs from the readers' fetches the groups of entries that differ, 64 of them, and lists nothing by time. Six nodes a region register; a node that hears of nobody lists them. Nodes keep the replicas of their own region alone.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -6,6 +6,7 @@
 use crate::decision_log::DecisionLog;
 use crate::metrics::EntryMetrics;
 use crate::nodes::replica_updates::ReplicaUpdates;
+use crate::nodes::snapshot::SnapshotLimiter;
 use crate::replicas::crash_checks::CrashChecks;
 use crate::request::pool::ConnectionPool;
 use crate::store::watch_topic::WatchTopic;
@@ -66,8 +67,11 @@
     pub(crate) clock: BootClock,
     /// The store revision up to which this node has seen the operators' writes.
     pub(crate) operator_revision: Cell<Option<StoreRevision>>,
+    /// The store revision up to which this node has read the replicas.
+    pub(crate) replicas_revision: Cell<Option<StoreRevision>>,
     /// Whether the nodes of the region are so many that heartbeats go by way of relays.
     pub(crate) uses_relays: Cell<bool>,
+    pub(crate) snapshot_limiter: RefCell<SnapshotLimiter>,
     /// Remaining allowances of the client accounts.
     pub(crate) quotas: RefCell<QuotaTable>,
     pub(crate) preset: RefCell<ServingPreset>,
@@ -98,6 +102,8 @@
     pub(crate) replica_updates: RefCell<ReplicaUpdates>,
     /// For each topic, how this node's state compares with that of its region's store readers.
     pub(crate) topic_coverage: RefCell<BTreeMap<WatchTopic, ReaderCoverage>>,
+    /// For each role, how many nodes rank before this one, and when that was computed.
+    pub(crate) role_ranks: RefCell<BTreeMap<&'static str, (usize, Instant)>>,
     /// Whether this node leaves reading the desired state from the store to other nodes.
     pub(crate) skips_watch: Cell<bool>,
     pub(crate) pool: ConnectionPool,
@@ -152,7 +158,9 @@
             key_freshness: RefCell::default(),
             clock,
             operator_revision: Cell::default(),
+            replicas_revision: Cell::default(),
             uses_relays: Cell::new(false),
+            snapshot_limiter: RefCell::default(),
             quotas: RefCell::new(quotas),
             preset: RefCell::default(),
             replicas: RefCell::default(),
@@ -171,6 +179,7 @@
             counts: PendingCounts::default(),
             replica_updates: RefCell::default(),
             topic_coverage: RefCell::default(),
+            role_ranks: RefCell::default(),
             skips_watch: Cell::new(false),
             pool: ConnectionPool::default(),
             store,
@@ -221,6 +230,12 @@
         self.replicas_listed.get()
     }
 
+    /// Returns the store revisions up to which this node has read the replicas and the operators'
+    /// keys.
+    pub(crate) fn read_revisions(&self) -> Option<(StoreRevision, StoreRevision)> {
+        Some((self.replicas_revision.get()?, self.operator_revision.get()?))
+    }
+
     /// Records that the list of replicas has been read.
     pub(crate) fn mark_replicas_listed(&self) {
         self.replicas_listed.set(true);
--- a/crates/zinniahatch_entry/src/nodes/catch_up.rs
+++ b/crates/zinniahatch_entry/src/nodes/catch_up.rs
@@ -35,6 +35,7 @@
             version: core.version(),
             preset: core.preset.borrow().revision,
             store_reachable,
+            knows_replicas: core.has_listed_replicas(),
         };
         let source = {
             let members = core.members.borrow();
--- a/crates/zinniahatch_entry/src/nodes/own_info.rs
+++ b/crates/zinniahatch_entry/src/nodes/own_info.rs
@@ -13,7 +13,7 @@
 use zinniahatch_route::StoreDigest;
 
 /// Returns whether this node is an active store reader for its region.
-fn is_store_reader(core: &EntryCore, now: Instant) -> bool {
+pub(crate) fn is_store_reader(core: &EntryCore, now: Instant) -> bool {
     let store_ok = !core.replicas.borrow().store_failed_recently(now);
     store_ok && core.is_initialized() && holds_role(core, STORE_READER_ROLE, STORE_READERS)
 }
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -1,7 +1,15 @@
-//! State snapshot that a node serves to a peer that cannot reach the store.
+//! State snapshot that a node serves to its peers, so that a start or a missed update does not cost
+//! calls to the store.
+//!
+//! The request names what the peer has: the version of its desired state and digests of its replica
+//! entries by group. Only what differs is sent, since all entries of a large region take hundreds of
+//! kilobytes.
 
 use crate::auth::proofs::apply_proof;
 use crate::core::EntryCore;
+use crate::nodes::own_info::is_store_reader;
+use crate::store::updates::handle_entry_change;
+use crate::store::updates::is_in_region;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
@@ -16,11 +24,19 @@
 use zinniahatch_route::ReplicaIncarnation;
 use zinniahatch_route::SendPermit;
 use zinniahatch_route::ServingPreset;
+use zinniahatch_route::differing_groups;
 
 /// Path of the snapshot on the peer listener.
 pub(crate) const SNAPSHOT_PATH: &str = "/zinnia/snapshot";
 /// Time limit for fetching a snapshot.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Size from which a snapshot counts as large.
+const LARGE_SNAPSHOT_BYTES: usize = 64 << 10;
+/// Time in which the number of large snapshots that a node sends is limited, and the hundredths of
+/// a CPU core per snapshot: a machine with little CPU also has a slow link, and nodes that start
+/// together find more sources with each one that is ready.
+const LARGE_SNAPSHOT_WINDOW: Duration = Duration::from_millis(500);
+const CPU_PER_LARGE_SNAPSHOT: u32 = 6;
 /// Request id of internal exchanges, which belong to no caller's request.
 const EXCHANGE_ID: &str = "snapshot";
 
@@ -35,25 +51,89 @@
     proof: Option<FreshnessProof>,
 }
 
-/// Encodes the state of this node.
-pub(crate) fn encode_snapshot(core: &EntryCore) -> Vec<u8> {
+/// What the peer that requests a snapshot has already.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct SnapshotRequest {
+    /// Its region; replicas are sent only within a region.
+    region: RegionId,
+    /// The version of its desired state.
+    version: u64,
+    /// Digests of its replica entries by group.
+    groups: Vec<u64>,
+}
+
+/// What the replicas of a snapshot cover. It follows the snapshot in the body, and nodes of earlier
+/// versions neither send nor read it.
+#[derive(Debug, Serialize, Deserialize)]
+struct SnapshotScope {
+    /// The groups that are sent; the others are the same as the peer's.
+    groups: BTreeSet<usize>,
+    /// The revisions up to which the sender has read the replicas and the operators' keys; `None`
+    /// if it does not read them for its region.
+    read_at: Option<(StoreRevision, StoreRevision)>,
+}
+
+/// Large snapshots that this node sent a short time ago.
+#[derive(Debug, Default)]
+pub(crate) struct SnapshotLimiter {
+    sent: Vec<Instant>,
+}
+
+impl SnapshotLimiter {
+    /// Records a large snapshot, unless `most` were sent within the window.
+    fn try_take(&mut self, most: usize, now: Instant) -> bool {
+        self.sent
+            .retain(|at| now.saturating_duration_since(*at) < LARGE_SNAPSHOT_WINDOW);
+        let allowed = self.sent.len() < most;
+        if allowed {
+            self.sent.push(now);
+        }
+        allowed
+    }
+}
+
+/// Encodes the state of this node for a peer, as far as its request shows that it lacks it; `None`
+/// if this node has sent too many large snapshots.
+pub(crate) fn encode_snapshot(core: &EntryCore, request: &[u8], now: Instant) -> Option<Vec<u8>> {
+    // A request of an earlier version is empty and asks for everything.
+    let request: SnapshotRequest = postcard::from_bytes(request).unwrap_or_default();
     let desired = core.desired.borrow().as_deref().cloned();
     let replicas = core.replicas.borrow();
-    let entries = replicas.rows().map(|state| {
+    let settings = &core.settings;
+    let own = replicas.group_digests(&settings.regions, &settings.region);
+    let wants_replicas = request.region.is_empty() || request.region == settings.region;
+    let groups = if wants_replicas {
+        differing_groups(&own, &request.groups)
+    } else {
+        BTreeSet::new()
+    };
+    let entries = replicas.rows_in(&groups).map(|state| {
         let mut entry = state.entry.clone();
         entry.leaving |= state.leaving.is_some();
         entry
     });
     let snapshot = NodeSnapshot {
-        desired,
+        desired: desired.filter(|state| state.version > request.version),
         preset: core.preset.borrow().clone(),
         replicas: entries.collect(),
-        ended: replicas.ended_incarnations().collect(),
+        ended: replicas.ended_in(&groups).collect(),
         evacuated: replicas.evacuated().clone(),
         proof: core.key_freshness.borrow().to_share(core.clock.now()),
     };
-    // The reader treats an empty body as a failed fetch.
-    postcard::to_allocvec(&snapshot).unwrap_or_default()
+    let scope = SnapshotScope {
+        groups,
+        read_at: is_store_reader(core, now)
+            .then(|| core.read_revisions())
+            .flatten(),
+    };
+    let mut bytes = postcard::to_allocvec(&snapshot).ok()?;
+    bytes.extend(postcard::to_allocvec(&scope).ok()?);
+    let most = (settings.cpu_share / CPU_PER_LARGE_SNAPSHOT).max(1) as usize;
+    let mut limiter = core.snapshot_limiter.borrow_mut();
+    let allowed = bytes.len() < LARGE_SNAPSHOT_BYTES || limiter.try_take(most, now);
+    let outcome = if allowed { "sent" } else { "refused" };
+    core.metrics.messages.note_snapshot(outcome);
+    allowed.then_some(bytes)
 }
 
 /// Fetches and adopts the state of a peer; returns whether that succeeded.
@@ -61,7 +141,7 @@
     let sent = core.clock.now();
     let address = peer.address();
     let fetched = timeout(FETCH_TIMEOUT, read_snapshot(core, peer)).await;
-    let Ok(Some(snapshot)) = fetched else {
+    let Ok(Some((snapshot, scope))) = fetched else {
         core.log.write(
             "snapshot-failed",
             serde_json::json!({"peer": address.to_string()}),
@@ -76,25 +156,54 @@
         apply_proof(core, proof, sent);
     }
     core.apply_preset(snapshot.preset, "peer");
+    // Nodes of earlier versions send the replicas of all regions.
+    let mut entries = snapshot.replicas;
+    entries.retain(|entry| is_in_region(core, &entry.data_centre));
     let mut replicas = core.replicas.borrow_mut();
     let first_listing = !core.has_listed_replicas();
-    replicas.merge_peer_snapshot(snapshot.replicas, &snapshot.ended, now);
-    if first_listing {
-        // Evacuations that this node learned from the store or its region take precedence over
-        // those of a peer.
-        replicas.set_evacuated(&snapshot.evacuated, StoreRevision::default(), now);
+    let mut changes = Vec::new();
+    if let Some((scope, (replicas_read, operator_read))) =
+        scope.and_then(|scope| scope.read_at.map(|read_at| (scope, read_at)))
+    {
+        changes = replicas.merge_reader_groups(entries, &scope.groups, replicas_read, now);
+        replicas.merge_peer_snapshot(Vec::new(), &snapshot.ended, now);
+        replicas.set_evacuated(&snapshot.evacuated, operator_read, now);
+    } else {
+        replicas.merge_peer_snapshot(entries, &snapshot.ended, now);
+        if first_listing {
+            // Evacuations that this node learned from the store or its region take precedence over
+            // those of a peer.
+            replicas.set_evacuated(&snapshot.evacuated, StoreRevision::default(), now);
+        }
     }
     let has_replicas = replicas.rows().next().is_some();
     drop(replicas);
+    for (entry, change) in changes {
+        handle_entry_change(core, &entry, change);
+    }
     if has_replicas {
         core.mark_replicas_listed();
     }
     true
 }
 
-async fn read_snapshot(core: &Rc<EntryCore>, peer: NodePermit) -> Option<NodeSnapshot> {
-    let body = exchange(core, peer, "GET", SNAPSHOT_PATH, &[]).await?;
-    postcard::from_bytes(&body).ok()
+async fn read_snapshot(
+    core: &Rc<EntryCore>,
+    peer: NodePermit,
+) -> Option<(NodeSnapshot, Option<SnapshotScope>)> {
+    let settings = &core.settings;
+    let request = SnapshotRequest {
+        region: settings.region.clone(),
+        version: core.version(),
+        groups: core
+            .replicas
+            .borrow()
+            .group_digests(&settings.regions, &settings.region),
+    };
+    let request = postcard::to_allocvec(&request).ok()?;
+    let body = exchange(core, peer, "POST", SNAPSHOT_PATH, &request).await?;
+    let (snapshot, rest) = postcard::take_from_bytes(&body).ok()?;
+    Some((snapshot, postcard::from_bytes(rest).ok()))
 }
 
 /// Posts a body to a peer and returns the body of the response, or `None` on failure.
--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -44,6 +44,8 @@
 
 /// Maximum size of a posted body of counts. One hour of all batches kept by a node is far below it.
 const MAX_COUNTS_BYTES: usize = 4 << 20;
+/// Maximum bytes of a request for a snapshot: a digest for each group of replicas.
+const MAX_SNAPSHOT_REQUEST_BYTES: usize = 4 << 10;
 
 /// Who sends requests to a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,7 +72,7 @@
 ) -> Response<ResponseBody> {
     if source == RequestSource::Peer {
         match request.uri().path() {
-            SNAPSHOT_PATH => return Response::new(ResponseBody::whole(encode_snapshot(&core))),
+            SNAPSHOT_PATH => return send_snapshot(&core, request).await,
             COUNTS_PATH => return accept_counts(&core, request).await,
             _ => {}
         }
@@ -96,6 +98,18 @@
     response
 }
 
+async fn send_snapshot(core: &EntryCore, request: Request<Incoming>) -> Response<ResponseBody> {
+    let (parts, body) = request.into_parts();
+    let body = match read_body(&parts.headers, body, MAX_SNAPSHOT_REQUEST_BYTES).await {
+        Ok(body) => body,
+        Err(code) => return gateway_response(code, None, None),
+    };
+    match encode_snapshot(core, &body, Instant::now()) {
+        Some(snapshot) => Response::new(ResponseBody::whole(snapshot)),
+        None => gateway_response(ResultCode::QueueFull, None, None),
+    }
+}
+
 async fn accept_counts(core: &EntryCore, request: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
     let body = match read_body(&parts.headers, body, MAX_COUNTS_BYTES).await {
--- a/crates/zinniahatch_entry/src/store/registration.rs
+++ b/crates/zinniahatch_entry/src/store/registration.rs
@@ -1,8 +1,13 @@
-//! This node's registration in the store, by which nodes discover each other when all seeds are
-//! gone.
+//! Registration of a few nodes per region in the store, by which nodes discover the others when all
+//! seeds are gone.
+//!
+//! If every node registered, the calls and the length of the list would grow with the fleet: each
+//! node obtains a lease, renews it and lists all others. A node that has found one registered node
+//! learns the rest from it.
 
 use crate::core::EntryCore;
 use crate::core::StopPhase;
+use crate::nodes::roles::holds_role;
 use crate::store::updates::reject_value;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -17,6 +22,18 @@
 const NODE_PREFIX: &str = "zinniahatch/nodes/";
 /// Time limit for listing these keys.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Number of nodes per region that register; a region that loses all but one of them at once can
+/// still be found.
+const REGISTERED_NODES: usize = 6;
+/// Role name that is hashed to rank these nodes.
+const REGISTERED_ROLE: &str = "registered";
+/// Rank, as a multiple of that number, up to which a registered node stays registered, so that
+/// nodes that come and go do not cost a new registration each time.
+const STAY_REGISTERED_FACTOR: usize = 2;
+/// Interval between checks whether this node has to register.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time that a node which starts gives the seeds to answer before it lists the registered nodes.
+const SEED_TIME: Duration = Duration::from_millis(400);
 /// Lease time of the key. Liveness is detected by gossip; the key only has to be gone within nine
 /// seconds of a node's failure, after which callers must not be directed to that node.
 const LEASE_TTL: Duration = Duration::from_secs(6);
@@ -25,13 +42,33 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(900);
 
-/// Keeps the registration alive until the node leaves, then removes it.
+/// Discovers the other nodes, and keeps this node registered while it ranks among the first of its
+/// region, until it leaves.
 pub(crate) async fn run_registration(core: Rc<EntryCore>) {
     let mut phases = core.phase.subscribe();
     let leaving = phases.wait_for(|phase| *phase != StopPhase::Serving);
     tokio::pin!(leaving);
+    sleep(SEED_TIME).await;
+    let now = Instant::now();
+    let region = &core.settings.region;
+    let is_alone = core.members.borrow().recent_in(region, now).is_empty();
+    if is_alone && let Err(error) = discover_nodes(&core).await {
+        core.log.write(
+            "nodes-not-listed",
+            serde_json::json!({"error": error.to_string()}),
+        );
+    }
     let mut lease = None;
     loop {
+        if !should_register(&core, lease.is_some()) {
+            if let Some(lease) = lease.take() {
+                revoke(&core, lease).await;
+            }
+            tokio::select! {
+                _ = &mut leaving => break,
+                () = sleep(ROLE_CHECK_INTERVAL) => continue
+            }
+        }
         let pause = match renew_registration(&core, lease).await {
             Ok(renewed) => {
                 lease = renewed;
@@ -57,9 +94,22 @@
             () = sleep(pause) => {}
         }
     }
-    if let Some(lease) = lease
-        && let Err(error) = core.store.revoke(lease).await
-    {
+    if let Some(lease) = lease {
+        revoke(&core, lease).await;
+    }
+}
+
+fn should_register(core: &EntryCore, registered: bool) -> bool {
+    let nodes = if registered {
+        REGISTERED_NODES * STAY_REGISTERED_FACTOR
+    } else {
+        REGISTERED_NODES
+    };
+    holds_role(core, REGISTERED_ROLE, nodes)
+}
+
+async fn revoke(core: &EntryCore, lease: StoreLeaseId) {
+    if let Err(error) = core.store.revoke(lease).await {
         core.log.write(
             "lease-failed",
             serde_json::json!({"lease": lease.number, "error": error.to_string()}),
@@ -96,10 +146,10 @@
     }
 }
 
-/// Discovers the other nodes by their keys.
+/// Discovers other nodes by their keys.
 ///
-/// Each node does this once it is registered, so that of any two nodes at least the later one finds
-/// the other, and no node has to watch these keys.
+/// A node does this when no seed answers, and once it is registered, so that of any two registered
+/// nodes at least the later one finds the other, and no node has to watch these keys.
 async fn discover_nodes(core: &Rc<EntryCore>) -> Result<(), KvError> {
     let listing = core.store.items(NODE_PREFIX, LIST_TIMEOUT).await?;
     core.metrics.note_store("nodes", "done");
--- a/crates/zinniahatch_entry/src/store/updates.rs
+++ b/crates/zinniahatch_entry/src/store/updates.rs
@@ -40,7 +40,8 @@
                 evacuated.insert(data_centre.into());
             }
             StoreKey::Backend(id) => match decode_backend(id, item) {
-                Ok(entry) => entries.push(entry),
+                Ok(entry) if is_in_region(core, &entry.data_centre) => entries.push(entry),
+                Ok(_) => {}
                 Err(error) => reject_value(core, &error.to_string()),
             },
             StoreKey::Other => apply_preset_item(core, item),
@@ -82,6 +83,7 @@
             read_evacuation(core, data_centre, true, item.revision);
         }
         StoreKey::Backend(id) => match decode_backend(id, item) {
+            Ok(entry) if !is_in_region(core, &entry.data_centre) => {}
             Ok(entry) => {
                 queue_for_region(core, &entry.data_centre, |updates| {
                     updates.written.push(entry.clone());
@@ -131,7 +133,7 @@
 
 /// Logs what an entry changed, and closes pooled connections to an earlier incarnation of the
 /// replica.
-fn handle_entry_change(core: &EntryCore, entry: &ReplicaEntry, change: EntryChange) {
+pub(crate) fn handle_entry_change(core: &EntryCore, entry: &ReplicaEntry, change: EntryChange) {
     let kind = match change {
         EntryChange::None => return,
         EntryChange::Updated => "replica",
@@ -176,10 +178,15 @@
     apply_leaving_updates(core, &updates.leaving);
 }
 
+/// Returns whether a data centre is in this node's region. Replicas accept requests of nodes of
+/// their own region alone, so the others are not kept.
+pub(crate) fn is_in_region(core: &EntryCore, data_centre: &str) -> bool {
+    core.settings.regions.get(data_centre) == Some(&core.settings.region)
+}
+
 /// Queues a replica update for the other nodes of its region if this node is a store reader.
 fn queue_for_region(core: &EntryCore, data_centre: &str, queue: impl FnOnce(&mut ReplicaUpdates)) {
-    let same_region = core.settings.regions.get(data_centre) == Some(&core.settings.region);
-    if same_region && holds_role(core, STORE_READER_ROLE, STORE_READERS) {
+    if is_in_region(core, data_centre) && holds_role(core, STORE_READER_ROLE, STORE_READERS) {
         queue(&mut core.replica_updates.borrow_mut());
         core.work_changed.notify_one();
     }
--- a/crates/zinniahatch_entry/src/store/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -1,4 +1,7 @@
 //! Watches on the store: desired state, evacuations, replicas and the preset.
+//!
+//! A few nodes of a region read the store; the others learn the changes from them, and fetch what
+//! differs from one of them. They read the store themselves only if no such node is left.
 
 use crate::auth::proofs::note_proof;
 use crate::core::EntryCore;
@@ -6,6 +9,7 @@
 use crate::nodes::roles::STORE_READER_ROLE;
 use crate::nodes::roles::STORE_READERS;
 use crate::nodes::roles::holds_role;
+use crate::nodes::snapshot::fetch_snapshot;
 use crate::store::updates::apply_event;
 use crate::store::updates::apply_listing;
 use crate::store::watch_topic::WatchTopic;
@@ -17,7 +21,6 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::KvError;
 use zinniahatch_route::CoverageState;
-use zinniahatch_route::DISCOVERY_TIME;
 
 /// Number of nodes per region that watch the preset; the others learn it by gossip. A watch on
 /// every node cost three calls per minute and node for a value that changes a few times a day.
@@ -37,9 +40,17 @@
 /// Pause after replica changes on a node that learns them from the store readers of its region. Its
 /// own watch only covers lost datagrams, and must still deliver the changes within four seconds.
 const BACKUP_WATCH_PAUSE: Duration = Duration::from_millis(2_500);
-/// Fraction of the store's history after which a node that relies on store readers lists the topic
+/// Time for which a node of a large region waits for other nodes to read the store in its place, and
+/// the jitter that spreads those that then read it themselves. The nodes that read it take over from
+/// each other within a few seconds; if all nodes did so at once, the store would have to send each
+/// the entries of all replicas.
+const READER_WAIT: Duration = Duration::from_secs(10);
+const READER_WAIT_JITTER: std::ops::Range<f64> = 1.0..2.0;
+/// Time in which a node that has started learns whether its region is large.
+const FIRST_CONTACT_TIME: Duration = Duration::from_millis(500);
+/// Fetches in a row from store readers after which a node whose state still differs reads the store
 /// itself.
-const OWN_LISTING_FRACTION: f64 = 0.5;
+const MAX_FETCHES: usize = 3;
 /// Interval between checks whether the store readers are alive and this node has the same state.
 const COVERAGE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time limit for a page of a listing; a store that is merely slow answers within it.
@@ -95,19 +106,17 @@
 impl TopicWatcher {
     /// Lists the topic or waits for changes, and returns the revision reached.
     async fn poll(&self) -> Result<StoreRevision, KvError> {
+        // The recovery probe goes on after a failed call, since other tasks wait for its success.
+        let must_probe = self.topic == WatchTopic::RECOVERY_PROBE && !self.healthy;
+        if !must_probe && (self.revision.is_some() || self.core.is_initialized()) {
+            rely_on_readers(&self.core, self.topic).await;
+        }
         let Some(after) = self.revision else {
             if self.topic != WatchTopic::RECOVERY_PROBE {
                 wait_for_store(&self.core).await;
             }
-            return list_hedged(&self.core, self.topic).await;
+            return self.list().await;
         };
-        if self.healthy {
-            match await_coverage_end(&self.core, self.topic).await {
-                CoverageEnd::NotCovered => {}
-                CoverageEnd::Behind => return watch(&self.core, self.topic, after, NO_WAIT).await,
-                CoverageEnd::ListingDue => return list_stale(&self.core, self.topic).await,
-            }
-        }
         // After an outage, an immediate answer shows that the store is back.
         let wait = if self.healthy {
             self.core.settings.watch_wait()
@@ -117,6 +126,26 @@
         watch(&self.core, self.topic, after, wait).await
     }
 
+    /// Lists the topic, or waits for the listing of another node if it takes several pages.
+    async fn list(&self) -> Result<StoreRevision, KvError> {
+        let core = &self.core;
+        if self.topic != WatchTopic::Replicas || core.is_initialized() {
+            return list_whole(core, self.topic).await;
+        }
+        if let Some(revision) = list_one_page(core, self.topic).await? {
+            return Ok(revision);
+        }
+        let until = Instant::now() + reader_wait();
+        while Instant::now() < until
+            && !core.has_listed_replicas()
+            && !holds_role(core, STORE_READER_ROLE, STORE_READERS)
+        {
+            sleep(ROLE_CHECK_INTERVAL / 4).await;
+        }
+        rely_on_readers(core, self.topic).await;
+        list_whole(core, self.topic).await
+    }
+
     fn log(&self, kind: &'static str, key: &str, value: impl serde::Serialize) {
         let topic = format!("{:?}", self.topic);
         self.core
@@ -134,8 +163,10 @@
         if self.topic == WatchTopic::RECOVERY_PROBE {
             self.core.store_reachable.send_replace(true);
         }
-        if self.topic == WatchTopic::Operator {
-            self.core.operator_revision.set(Some(next));
+        match self.topic {
+            WatchTopic::Operator => self.core.operator_revision.set(Some(next)),
+            WatchTopic::Replicas => self.core.replicas_revision.set(Some(next)),
+            WatchTopic::Preset => {}
         }
     }
 
@@ -166,42 +197,58 @@
     }
 }
 
-/// Why a node stopped relying on the store readers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CoverageEnd {
-    /// It did not rely on them: it is a store reader itself, or no reader is active.
-    NotCovered,
-    /// The readers have state that this node lacks.
-    Behind,
-    /// The topic is due for a listing of its own.
-    ListingDue,
-}
-
-/// Leaves polling a topic to the store readers of the region while they are active and this node
-/// has the same state.
+/// Leaves reading a topic to the store readers of the region for as long as they are active and
+/// this node has the same state, or gets it from one of them.
 ///
 /// A change wakes every waiting watch: 195 nodes made 28 calls each in 34 s, mostly for changes
 /// that they had already learned from other nodes.
-async fn await_coverage_end(core: &EntryCore, topic: WatchTopic) -> CoverageEnd {
-    let starting = core.started.elapsed() < DISCOVERY_TIME;
-    if starting || topic.digest().is_none() || holds_role(core, STORE_READER_ROLE, STORE_READERS) {
-        return CoverageEnd::NotCovered;
+async fn rely_on_readers(core: &Rc<EntryCore>, topic: WatchTopic) {
+    if topic.digest().is_none() {
+        return;
     }
-    let since = Instant::now();
-    let max_wait = core.settings.store_history.mul_f64(OWN_LISTING_FRACTION);
-    let mut end = CoverageEnd::NotCovered;
-    while since.elapsed() < max_wait {
+    let mut fetches = 0;
+    let mut unread_since = None;
+    let max_unread = reader_wait();
+    while fetches < MAX_FETCHES && !holds_role(core, STORE_READER_ROLE, STORE_READERS) {
         match store_reader_coverage(core, topic, Instant::now()) {
-            CoverageState::NoReaders => return CoverageEnd::NotCovered,
-            CoverageState::Behind => return CoverageEnd::Behind,
-            CoverageState::Current => {}
+            CoverageState::NoReaders => {
+                let since = *unread_since.get_or_insert(Instant::now());
+                let is_small =
+                    !core.uses_relays.get() && core.started.elapsed() >= FIRST_CONTACT_TIME;
+                if is_small || since.elapsed() >= max_unread {
+                    return;
+                }
+            }
+            CoverageState::Behind => {
+                fetch_from_reader(core).await;
+                fetches += 1;
+            }
+            CoverageState::Current => {
+                fetches = 0;
+                unread_since = None;
+            }
         }
         set_watch_skipped(core, topic, true);
         sleep(COVERAGE_CHECK_INTERVAL).await;
         set_watch_skipped(core, topic, false);
-        end = CoverageEnd::ListingDue;
     }
-    end
+}
+
+fn reader_wait() -> Duration {
+    READER_WAIT.mul_f64(rand::rng().random_range(READER_WAIT_JITTER))
+}
+
+/// Fetches what differs from a store reader of the region.
+async fn fetch_from_reader(core: &Rc<EntryCore>) {
+    let reader = {
+        let members = core.members.borrow();
+        let random = core.next_ticket();
+        let reader = members.store_reader(&core.settings.region, random, Instant::now());
+        reader.and_then(|info| members.permit(&info.node))
+    };
+    if let Some(reader) = reader {
+        fetch_snapshot(core, reader).await;
+    }
 }
 
 fn set_watch_skipped(core: &EntryCore, topic: WatchTopic, skips: bool) {
@@ -210,14 +257,6 @@
     }
 }
 
-/// Lists a topic that the store readers poll, by a stale read at a tenth of the cost of a call.
-///
-/// The listing may be seconds old; it does not replace state of later revisions.
-async fn list_stale(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<StoreRevision, KvError> {
-    let listing = core.store.stale_items(topic.prefix(), LIST_TIMEOUT).await?;
-    Ok(apply_listing(core, topic, listing))
-}
-
 /// Returns the pause after changes.
 fn coalesce_pause(core: &EntryCore, topic: WatchTopic) -> Duration {
     if topic == WatchTopic::Replicas && !holds_role(core, STORE_READER_ROLE, STORE_READERS) {
@@ -229,15 +268,33 @@
     pause.min(MAX_COALESCE_PAUSE)
 }
 
-/// Lists a topic's keys with hedged calls, until one is answered or all of them have failed.
+/// Lists a topic's keys. Only the first page is hedged: a listing of many pages takes longer than
+/// the delay of the hedge, and each further call would list all of them again.
+async fn list_whole(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<StoreRevision, KvError> {
+    if let Some(revision) = list_one_page(core, topic).await? {
+        return Ok(revision);
+    }
+    let sent = core.clock.now();
+    let listing = core.store.items(topic.prefix(), LIST_TIMEOUT).await?;
+    let revision = apply_listing(core, topic, listing);
+    note_topic_proof(core, topic, sent);
+    Ok(revision)
+}
+
+/// Lists a topic's keys with hedged calls, until one is answered or all of them have failed; returns
+/// `None` if they do not fit on one page.
 ///
 /// At start all topics are listed at once, since a round trip to the store may take 160 ms. While
 /// the store hangs only the recovery probe sends further calls, and the others send theirs once it
 /// was answered.
-async fn list_hedged(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<StoreRevision, KvError> {
+async fn list_one_page(
+    core: &Rc<EntryCore>,
+    topic: WatchTopic,
+) -> Result<Option<StoreRevision>, KvError> {
     let send_listing = || async {
         let sent = core.clock.now();
-        let listing = core.store.items(topic.prefix(), LIST_TIMEOUT).await?;
+        let prefix = topic.prefix();
+        let listing = core.store.items_on_one_page(prefix, LIST_TIMEOUT).await?;
         Ok((listing, sent))
     };
     let mut pending = FuturesUnordered::from_iter([send_listing()]);
@@ -246,10 +303,11 @@
         let hedges = topic == WatchTopic::RECOVERY_PROBE || *reachable.borrow_and_update();
         tokio::select! {
             result = pending.next() => match result {
-                Some(Ok((listing, sent))) => {
+                Some(Ok((None, _))) => return Ok(None),
+                Some(Ok((Some(listing), sent))) => {
                     let revision = apply_listing(core, topic, listing);
                     note_topic_proof(core, topic, sent);
-                    return Ok(revision);
+                    return Ok(Some(revision));
                 }
                 Some(Err(error)) if pending.is_empty() => return Err(error),
                 _ => {}
--- /dev/null
+++ b/crates/zinniahatch_route/src/entry_groups.rs
@@ -0,0 +1,104 @@
+//! Comparison of replica entries between nodes by digests of groups, so that a node which missed an
+//! update fetches the groups that differ rather than all entries of its region.
+
+use crate::EntryChange;
+use crate::ReplicaEntry;
+use crate::ReplicaIncarnation;
+use crate::ReplicaState;
+use crate::ReplicaTable;
+use crate::prompt::rendezvous_score;
+use zinniahatch_base::prelude::*;
+
+/// Number of groups: a mismatch then costs about a sixtieth of all entries, and the digests fit in
+/// one packet.
+pub const ENTRY_GROUPS: usize = 64;
+
+/// Returns the group of a replica incarnation.
+fn group_of(tag: ShortTag) -> usize {
+    tag as usize % ENTRY_GROUPS
+}
+
+/// Returns the groups in which two lists of digests differ.
+pub fn differing_groups(own: &[u64], other: &[u64]) -> BTreeSet<usize> {
+    let groups = 0..ENTRY_GROUPS;
+    groups
+        .filter(|group| own.get(*group) != other.get(*group))
+        .collect()
+}
+
+impl ReplicaTable {
+    /// Returns the digests of the store's entries for a region's replicas by group: ids,
+    /// incarnations, and which are leaving.
+    ///
+    /// What responses state about them is left out, so that nodes that read the same entries have
+    /// the same digests.
+    pub fn group_digests(
+        &self,
+        regions: &BTreeMap<DataCentreId, RegionId>,
+        region: &RegionId,
+    ) -> Vec<u64> {
+        let mut digests = vec![0; ENTRY_GROUPS];
+        for state in self.rows() {
+            let present = state.removed_at <= state.entry.revision;
+            if present && regions.get(&state.entry.data_centre) == Some(region) {
+                let leaving = u64::from(state.entry.leaving);
+                digests[group_of(state.tag)] ^= rendezvous_score(leaving, state.tag);
+            }
+        }
+        digests
+    }
+
+    /// Returns the digest of all groups together.
+    pub fn entries_digest(
+        &self,
+        regions: &BTreeMap<DataCentreId, RegionId>,
+        region: &RegionId,
+    ) -> u64 {
+        let digests = self.group_digests(regions, region);
+        digests.into_iter().fold(0, |digest, group| digest ^ group)
+    }
+
+    /// Returns the replicas in some groups.
+    pub fn rows_in(&self, groups: &BTreeSet<usize>) -> impl Iterator<Item = &ReplicaState> {
+        self.rows()
+            .filter(|state| groups.contains(&group_of(state.tag)))
+    }
+
+    /// Returns the ended incarnations in some groups, to announce them to other nodes.
+    pub fn ended_in(&self, groups: &BTreeSet<usize>) -> impl Iterator<Item = ReplicaIncarnation> {
+        let ended = self
+            .ended
+            .iter()
+            .filter(|(_, ended)| groups.contains(&group_of(ended.tag)));
+        ended.map(|(id, ended)| ReplicaIncarnation {
+            id: id.clone(),
+            started_ms: ended.started_ms,
+        })
+    }
+
+    /// Replaces some groups by those of a node that had read the store up to a revision; returns
+    /// what changed.
+    pub fn merge_reader_groups(
+        &mut self,
+        entries: Vec<ReplicaEntry>,
+        groups: &BTreeSet<usize>,
+        read_at: StoreRevision,
+        now: Instant,
+    ) -> Vec<(ReplicaEntry, EntryChange)> {
+        let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let missing: Vec<ReplicaId> = self
+            .rows_in(groups)
+            .filter(|state| !listed.contains(&state.entry.id))
+            .map(|state| state.entry.id.clone())
+            .collect();
+        for id in missing {
+            self.remove_entry(&id, read_at, now);
+        }
+        let mut changes = Vec::new();
+        for entry in entries {
+            let change = self.upsert(entry.clone(), now);
+            changes.push((entry, change));
+        }
+        changes
+    }
+}
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -104,6 +104,8 @@
     pub preset: Revision,
     /// Whether it can reach the store.
     pub store_reachable: bool,
+    /// Whether it knows the replicas of its region.
+    pub knows_replicas: bool,
 }
 
 /// What is known of one node.
@@ -291,6 +293,21 @@
         self.at_stage(region, MemberStage::Ready, LIVE_TIMEOUT, now)
     }
 
+    /// Returns the live nodes of a region whose stage is within a range, ends included.
+    pub fn live_between(
+        &self,
+        region: &str,
+        first: MemberStage,
+        last: MemberStage,
+        now: Instant,
+    ) -> Vec<&MemberInfo> {
+        let recent = self.recent_in(region, now).into_iter();
+        recent
+            .filter(|(info, age)| *age <= LIVE_TIMEOUT && (first..=last).contains(&info.stage))
+            .map(|(info, _)| info)
+            .collect()
+    }
+
     /// Returns those live nodes of a region whose key freshness proof is younger than a bound.
     pub fn proven_in(&self, region: &str, bound: Duration, now: Instant) -> Vec<&MemberInfo> {
         let live = self.live_in(region, now);
@@ -359,6 +376,14 @@
         regions
     }
 
+    /// Returns a node that reads the store for a region; `random` chooses among them.
+    pub fn store_reader(&self, region: &str, random: u64, now: Instant) -> Option<&MemberInfo> {
+        let mut readers = self.live_in(region, now);
+        readers.retain(|info| info.store_digest.is_some());
+        let count = readers.len() as u64;
+        (count > 0).then(|| readers[(random % count) as usize])
+    }
+
     /// Returns all nodes that were not dropped yet, live or not.
     pub fn known(&self) -> impl ExactSizeIterator<Item = &MemberInfo> {
         self.rows.values().map(|row| &row.info)
@@ -403,8 +428,9 @@
         dropped
     }
 
-    /// Chooses the node from which to catch up: one with a newer desired state or preset or, if
-    /// this node cannot reach the store, any that can.
+    /// Chooses the node from which to catch up: one with a newer desired state or preset; if this
+    /// node cannot reach the store, any that can; if it does not know the replicas of its region,
+    /// any node of the region that does.
     ///
     /// Nodes of the own region are preferred, since a snapshot has tens of kilobytes. `random` is
     /// a random number, so that a change does not send all nodes to the same one.
@@ -415,8 +441,13 @@
             .filter(|row| now.saturating_duration_since(row.last_heartbeat) <= LIVE_TIMEOUT)
             .map(|row| &row.info);
         let newer = |info: &MemberInfo| info.version > own.version || info.preset > own.preset;
-        let candidates =
-            live.filter(|info| newer(info) || (!own.store_reachable && info.store_reachable));
+        let lists_replicas =
+            |info: &MemberInfo| info.region == *own.region && info.stage >= MemberStage::Ready;
+        let candidates = live.filter(|info| {
+            newer(info)
+                || (!own.store_reachable && info.store_reachable)
+                || (!own.knows_replicas && lists_replicas(info))
+        });
         let (local, remote): (Vec<_>, Vec<_>) =
             candidates.partition(|info| info.region == *own.region);
         let choices = if local.is_empty() { remote } else { local };
--- a/crates/zinniahatch_route/src/replica_table.rs
+++ b/crates/zinniahatch_route/src/replica_table.rs
@@ -198,14 +198,6 @@
         }
     }
 
-    /// Returns the ended incarnations, to announce them to other nodes.
-    pub fn ended_incarnations(&self) -> impl Iterator<Item = ReplicaIncarnation> {
-        self.ended.iter().map(|(id, ended)| ReplicaIncarnation {
-            id: id.clone(),
-            started_ms: ended.started_ms,
-        })
-    }
-
     /// Returns whether a call to the store failed a short time ago.
     pub fn store_failed_recently(&self, now: Instant) -> bool {
         self.store_failed_at
@@ -410,25 +402,6 @@
         })
     }
 
-    /// Returns a digest of the store's entries for a region's replicas: ids, incarnations, and
-    /// which are leaving.
-    ///
-    /// What responses state about them is left out, so that nodes that read the same entries have
-    /// the same digest.
-    pub fn entries_digest(
-        &self,
-        regions: &BTreeMap<DataCentreId, RegionId>,
-        region: &RegionId,
-    ) -> u64 {
-        let in_region = self.rows.values().filter(|state| {
-            let present = state.removed_at <= state.entry.revision;
-            present && regions.get(&state.entry.data_centre) == Some(region)
-        });
-        in_region
-            .map(|state| rendezvous_score(u64::from(state.entry.leaving), state.tag))
-            .fold(0, |digest, rank| digest ^ rank)
-    }
-
     /// Returns a replica.
     pub fn get(&self, id: &str) -> Option<&ReplicaState> {
         self.rows.get(id)
