Keep nodes in their role as store readers when the store discards its history

Cause: a watch whose history is gone was noted as a failure of the store, which takes a node out of the role of store reader for 4 s.

Change: lost history is noted apart. It gives missing entries the same time of grace, and the node stays reachable and in its role. What a reader's new listing changed is sent to the region, since the others would notice it by digests only a second or two later.

Test: lost_history_is_no_failure_of_the_store.

--- a/crates/zinniahatch_entry/src/store/updates.rs
+++ b/crates/zinniahatch_entry/src/store/updates.rs
@@ -22,6 +22,10 @@
 use zinniahatch_route::EntryChange;
 use zinniahatch_route::ReplicaEntry;
 
+/// Changes of one listing up to which they are sent to the region; the others take more of them by
+/// the groups that differ.
+const MAX_LISTED_UPDATES: usize = 256;
+
 /// Applies a complete listing of a topic's keys and returns the revision to watch from.
 pub(crate) fn apply_listing(
     core: &Rc<EntryCore>,
@@ -51,10 +55,15 @@
         WatchTopic::Operator => apply_evacuations(core, &evacuated, revision),
         WatchTopic::Replicas => {
             let mut replicas = core.replicas.borrow_mut();
-            let changes = replicas.apply_listing(entries, revision, now);
+            let (changes, missing) = replicas.apply_listing(entries, revision, now);
             drop(replicas);
+            if core.has_listed_replicas() && changes.len() + missing.len() <= MAX_LISTED_UPDATES {
+                queue_listed_changes(core, &changes, missing, revision);
+            }
             for (entry, change) in changes {
-                handle_entry_change(core, &entry, change);
+                if matches!(change, EntryChange::Restarted(_)) {
+                    handle_entry_change(core, &entry, change);
+                }
             }
             core.mark_replicas_listed();
         }
@@ -68,6 +77,26 @@
     revision
 }
 
+/// Queues what a listing changed for the region, if this node is a store reader: after the store
+/// discarded its history, the others would notice it by the digests a second or two later.
+fn queue_listed_changes(
+    core: &EntryCore,
+    changes: &[(ReplicaEntry, EntryChange)],
+    missing: Vec<ReplicaId>,
+    revision: StoreRevision,
+) {
+    if !holds_role(core, STORE_READER_ROLE, STORE_READERS) {
+        return;
+    }
+    let mut updates = core.replica_updates.borrow_mut();
+    let written = changes.iter().map(|(entry, _)| entry.clone());
+    updates.written.extend(written);
+    let removed = missing.into_iter().map(|id| (id, revision));
+    updates.removed.extend(removed);
+    drop(updates);
+    core.work_changed.notify_one();
+}
+
 /// Applies one change.
 pub(crate) fn apply_event(core: &Rc<EntryCore>, event: StoreEvent, now: Instant) {
     match event {
--- a/crates/zinniahatch_entry/src/store/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -172,7 +172,9 @@
 
     fn note_compacted(&mut self) {
         self.log("store-compacted", "revision", self.revision);
-        self.core.note_store_failure();
+        let mut replicas = self.core.replicas.borrow_mut();
+        replicas.note_history_lost(Instant::now());
+        drop(replicas);
         self.revision = None;
     }
 
--- a/crates/zinniahatch_route/src/replica_table.rs
+++ b/crates/zinniahatch_route/src/replica_table.rs
@@ -111,6 +111,8 @@
     /// Ended incarnations by replica id.
     pub(crate) ended: BTreeMap<ReplicaId, EndedIncarnation>,
     store_failed_at: Option<Instant>,
+    /// When the store discarded the history that this node was to read.
+    history_lost_at: Option<Instant>,
     /// When the store was restored from an older backup.
     restored_at: Option<Instant>,
 }
@@ -177,7 +179,7 @@
         ended_on_peer: &[ReplicaIncarnation],
         now: Instant,
     ) {
-        let accepts_new = self.rows.is_empty() || self.store_failed_recently(now);
+        let accepts_new = self.rows.is_empty() || self.may_lack_entries(now);
         for entry in entries {
             let ended = self.ended.get(&entry.id);
             if ended.is_some_and(|ended| ended.started_ms == entry.started_ms) {
@@ -204,6 +206,14 @@
             .is_some_and(|at| now.saturating_duration_since(at) <= STORE_FAILURE_TIME)
     }
 
+    /// Returns whether entries of live replicas may have lapsed or been missed a short time ago.
+    fn may_lack_entries(&self, now: Instant) -> bool {
+        let history_lost = self
+            .history_lost_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= STORE_FAILURE_TIME);
+        history_lost || self.store_failed_recently(now)
+    }
+
     /// Handles the removal of an entry from the store.
     ///
     /// Shortly after a store failure, the leases of live replicas may have lapsed; dropping them
@@ -212,7 +222,7 @@
     ///
     /// `revision` is the store's revision of the removal; an entry written later still stands.
     pub fn remove_entry(&mut self, id: &str, revision: StoreRevision, now: Instant) {
-        let store_failed = self.store_failed_recently(now);
+        let store_failed = self.may_lack_entries(now);
         let Some(state) = self.rows.get_mut(id) else {
             return;
         };
@@ -227,14 +237,14 @@
         state.leaving.get_or_insert(LeaveReason::EntryGone);
     }
 
-    /// Replaces all entries by a full listing of the store at a revision; returns the replicas that
-    /// restarted under the same id.
+    /// Replaces all entries by a full listing of the store at a revision; returns the entries that
+    /// changed and the ids that are no longer listed.
     pub fn apply_listing(
         &mut self,
         entries: Vec<ReplicaEntry>,
         revision: StoreRevision,
         now: Instant,
-    ) -> Vec<(ReplicaEntry, EntryChange)> {
+    ) -> (Vec<(ReplicaEntry, EntryChange)>, Vec<ReplicaId>) {
         let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id.clone()).collect();
         let missing: Vec<ReplicaId> = self
             .rows
@@ -242,17 +252,17 @@
             .filter(|id| !listed.contains(*id))
             .cloned()
             .collect();
-        for id in missing {
-            self.remove_entry(&id, revision, now);
+        for id in &missing {
+            self.remove_entry(id, revision, now);
         }
-        let mut restarted = Vec::new();
+        let mut changed = Vec::new();
         for entry in entries {
             let change = self.upsert(entry.clone(), now);
-            if matches!(change, EntryChange::Restarted(_)) {
-                restarted.push((entry, change));
+            if change != EntryChange::None {
+                changed.push((entry, change));
             }
         }
-        restarted
+        (changed, missing)
     }
 
     /// Records that the store was restored from an older backup.
@@ -260,6 +270,13 @@
         self.restored_at = Some(now);
     }
 
+    /// Records that the store discarded the history that this node was to read.
+    ///
+    /// The store still serves this node, so that it goes on reading for its region.
+    pub fn note_history_lost(&mut self, now: Instant) {
+        self.history_lost_at = Some(now);
+    }
+
     /// Records that a call to the store failed.
     pub fn note_store_failure(&mut self, now: Instant) {
         self.store_failed_at = Some(now);
--- a/crates/zinniahatch_route/tests/replica_state.rs
+++ b/crates/zinniahatch_route/tests/replica_state.rs
@@ -27,6 +27,20 @@
     assert!(table.get("r1").is_none(), "the grace period is over");
 }
 
+/// Guards against nodes that stop reading the store for their region because it discarded its
+/// history: no reader was left, and each node listed all replicas itself.
+#[test]
+fn lost_history_is_no_failure_of_the_store() {
+    let now = Instant::now();
+    let mut table = table(&["r1"], now);
+    table.note_history_lost(now);
+    assert!(!table.store_failed_recently(now));
+    table.remove_entry("r1", 0.into(), now);
+    assert_eq!(table.get("r1").unwrap().leaving, None);
+    table.tick(now + Duration::from_millis(2_600));
+    assert!(table.get("r1").is_none(), "the grace period is over");
+}
+
 #[test]
 fn remove_entry_then_return() {
     let now = Instant::now();
