Register a node that knows no other of its region at once

Cause: nodes registered only once they held that role, 2 s after their start. Where no seed is known, nodes find each other by these keys alone; a copy of the store taken before that holds none, and a node that starts after its restore takes itself for the only one, so that it need not wait for a newer version of the desired state.

Change: a node that knows no other node of its region registers at once, and does not wait for seeds where it has none. With seeds that answer nothing changes.

--- a/crates/zinniahatch_entry/src/store/registration.rs
+++ b/crates/zinniahatch_entry/src/store/registration.rs
@@ -17,6 +17,7 @@
 use zinniahatch_platform::KvError;
 use zinniahatch_platform::StoreLeaseId;
 use zinniahatch_platform::StoreTransaction;
+use zinniahatch_route::DISCOVERY_TIME;
 
 /// Prefix of the registration keys, whose values hold a node's region and address.
 const NODE_PREFIX: &str = "zinniahatch/nodes/";
@@ -48,15 +49,8 @@
     let mut phases = core.phase.subscribe();
     let leaving = phases.wait_for(|phase| *phase != StopPhase::Serving);
     tokio::pin!(leaving);
-    sleep(SEED_TIME).await;
-    let now = Instant::now();
-    let region = &core.settings.region;
-    let is_alone = core.members.borrow().recent_in(region, now).is_empty();
-    if is_alone && let Err(error) = discover_nodes(&core).await {
-        core.log.write(
-            "nodes-not-listed",
-            serde_json::json!({"error": error.to_string()}),
-        );
+    if !core.settings.seeds.is_empty() {
+        sleep(SEED_TIME).await;
     }
     let mut lease = None;
     loop {
@@ -99,7 +93,15 @@
     }
 }
 
+/// Returns whether this node has to be registered: if it ranks among the first of its region, or
+/// knows no other node of the region, which then has no other way to find it.
 fn should_register(core: &EntryCore, registered: bool) -> bool {
+    let now = Instant::now();
+    let region = &core.settings.region;
+    let is_starting = core.started.elapsed() < DISCOVERY_TIME;
+    if core.members.borrow().recent_in(region, now).is_empty() || (registered && is_starting) {
+        return true;
+    }
     let nodes = if registered {
         REGISTERED_NODES * STAY_REGISTERED_FACTOR
     } else {
