--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -38,6 +38,7 @@
 use zinniahatch_route::RouteTable;
 use zinniahatch_route::ServingPreset;
 use zinniahatch_route::SuspectTable;
+use zinniahatch_route::process_tag;
 
 /// Progress of the process's graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -137,7 +138,7 @@
         clock: BootClock,
     ) -> Self {
         let quotas = QuotaTable::new(
-            origin_tag(&settings.name, incarnation),
+            process_tag(&settings.name, incarnation),
             tag_of(&settings.region),
             settings.regions.values().map(|region| tag_of(region)),
             Instant::now(),
@@ -207,7 +208,7 @@
 
     /// Returns the tag that identifies this process in gossiped work updates.
     pub(crate) fn origin(&self) -> ShortTag {
-        origin_tag(&self.settings.name, self.incarnation)
+        process_tag(&self.settings.name, self.incarnation)
     }
 
     /// Returns the shutdown phase.
@@ -413,11 +414,6 @@
     }
 }
 
-/// Returns the tag that identifies a process in gossiped updates.
-fn origin_tag(node: &str, incarnation: Incarnation) -> ShortTag {
-    tag_of(&format!("{node}@{incarnation}"))
-}
-
 /// Time for which the collected names of the region's nodes are used.
 const PEERS_REUSE_TIME: Duration = Duration::from_millis(100);
 /// Share of a replica's connections that nodes use. The rest covers the old connections of a
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -90,7 +90,7 @@
                         }
                         DatagramEffect::Roster(part) => rosters.handle_roster(&core, &socket, &part, from).await,
                         DatagramEffect::MembersRequest(tags) => {
-                            let own = own_member_info(&core, Instant::now());
+                            let own = || own_member_info(&core, Instant::now());
                             send_members(&core, &socket, own, &tags, from).await;
                         }
                     }
--- a/crates/zinniahatch_entry/src/nodes/rosters.rs
+++ b/crates/zinniahatch_entry/src/nodes/rosters.rs
@@ -145,13 +145,13 @@
 pub(crate) async fn send_members(
     core: &EntryCore,
     socket: &UdpSocket,
-    own: MemberInfo,
+    own: impl FnOnce() -> MemberInfo,
     tags: &[ShortTag],
     to: SocketAddrV4,
 ) {
     let mut infos = core.members.borrow().infos_by_tag(tags);
     if tags.contains(&core.origin()) {
-        infos.push(own);
+        infos.push(own());
     }
     for part in infos.chunks(MAX_MEMBERS) {
         send_message(core, socket, &GossipMessage::Members(part.to_vec()), to).await;
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -97,7 +97,10 @@
 pub(crate) fn encode_snapshot(core: &EntryCore, request: &[u8], now: Instant) -> Option<Vec<u8>> {
     // A request of an earlier version is empty and asks for everything.
     let request: SnapshotRequest = postcard::from_bytes(request).unwrap_or_default();
-    let desired = core.desired.borrow().as_deref().cloned();
+    let desired = core.desired.borrow();
+    let newer = desired
+        .as_deref()
+        .filter(|state| state.version > request.version);
     let replicas = core.replicas.borrow();
     let settings = &core.settings;
     let own = replicas.group_digests(&settings.regions, &settings.region);
@@ -113,7 +116,7 @@
         entry
     });
     let snapshot = NodeSnapshot {
-        desired: desired.filter(|state| state.version > request.version),
+        desired: newer.cloned(),
         preset: core.preset.borrow().clone(),
         replicas: entries.collect(),
         ended: replicas.ended_in(&groups).collect(),
--- a/crates/zinniahatch_route/src/collectors.rs
+++ b/crates/zinniahatch_route/src/collectors.rs
@@ -82,15 +82,18 @@
         if self.rate <= 0.0 {
             return by_size;
         }
-        let collectors = others
-            .div_ceil(NODES_PER_COLLECTOR)
-            .clamp(1, MAX_COLLECTORS);
+        let collectors = collector_count(others).max(1);
         let by_rate = CHANGED_SHARE / (self.rate * collectors as f64);
         let longest = MAX_BATCH_INTERVAL.as_secs_f64();
         by_size.max(Duration::from_secs_f64(by_rate.min(longest)))
     }
 }
 
+/// Returns the number of collectors in a region with `others` other nodes.
+fn collector_count(others: usize) -> usize {
+    others.div_ceil(NODES_PER_COLLECTOR).min(MAX_COLLECTORS)
+}
+
 /// Returns the batching interval at a high rate of changes in a region with `others` other nodes.
 pub fn batch_interval(others: usize) -> Duration {
     BATCH_BASE + BATCH_PER_NODE * u32::try_from(others).unwrap_or(u32::MAX)
@@ -136,8 +139,7 @@
                 Reverse(rendezvous_rank(COLLECTOR_ROLE, node)),
             )
         });
-        let collectors = live.len().div_ceil(NODES_PER_COLLECTOR);
-        ranked.truncate(collectors.min(MAX_COLLECTORS));
+        ranked.truncate(collector_count(live.len()));
         let own_rank = |node: &NodeId| rendezvous_rank(own, node);
         ranked
             .into_iter()
--- a/crates/zinniahatch_route/src/entry_groups.rs
+++ b/crates/zinniahatch_route/src/entry_groups.rs
@@ -85,20 +85,8 @@
         read_at: StoreRevision,
         now: Instant,
     ) -> Vec<(ReplicaEntry, EntryChange)> {
-        let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id.clone()).collect();
-        let missing: Vec<ReplicaId> = self
-            .rows_in(groups)
-            .filter(|state| !listed.contains(&state.entry.id))
-            .map(|state| state.entry.id.clone())
-            .collect();
-        for id in missing {
-            self.remove_entry(&id, read_at, now);
-        }
-        let mut changes = Vec::new();
-        for entry in entries {
-            let change = self.upsert(entry.clone(), now);
-            changes.push((entry, change));
-        }
+        let in_groups = |state: &ReplicaState| groups.contains(&group_of(state.tag));
+        let (changes, _) = self.replace_entries(entries, in_groups, read_at, now);
         changes
     }
 }
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -146,6 +146,7 @@
 pub use roster::RosterEntry;
 pub use roster::RosterGroup;
 pub use roster::RosterPart;
+pub use roster::process_tag;
 pub use route_table::RouteTable;
 pub use send_ledger::SendLedger;
 pub use send_permit::NodePermit;
--- a/crates/zinniahatch_route/src/replica_table.rs
+++ b/crates/zinniahatch_route/src/replica_table.rs
@@ -244,13 +244,25 @@
         entries: Vec<ReplicaEntry>,
         revision: StoreRevision,
         now: Instant,
+    ) -> (Vec<(ReplicaEntry, EntryChange)>, Vec<ReplicaId>) {
+        self.replace_entries(entries, |_| true, revision, now)
+    }
+
+    /// Replaces the entries of the replicas that match a filter by those of the store at a revision;
+    /// returns the entries that changed and the ids that the store no longer has.
+    pub(crate) fn replace_entries(
+        &mut self,
+        entries: Vec<ReplicaEntry>,
+        filter: impl Fn(&ReplicaState) -> bool,
+        revision: StoreRevision,
+        now: Instant,
     ) -> (Vec<(ReplicaEntry, EntryChange)>, Vec<ReplicaId>) {
         let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id.clone()).collect();
         let missing: Vec<ReplicaId> = self
             .rows
-            .keys()
-            .filter(|id| !listed.contains(*id))
-            .cloned()
+            .iter()
+            .filter(|(id, state)| !listed.contains(*id) && filter(state))
+            .map(|(id, _)| id.clone())
             .collect();
         for id in &missing {
             self.remove_entry(id, revision, now);
--- a/crates/zinniahatch_route/src/roster.rs
+++ b/crates/zinniahatch_route/src/roster.rs
@@ -115,10 +115,15 @@
 impl MemberInfo {
     /// Returns the tag of this start of the node, for rosters.
     pub fn tag(&self) -> ShortTag {
-        tag_of(&format!("{}@{}", self.node, self.incarnation))
+        process_tag(&self.node, self.incarnation)
     }
 }
 
+/// Returns the tag of one start of a node, in rosters and in updates of its work and usage.
+pub fn process_tag(node: &str, incarnation: Incarnation) -> ShortTag {
+    tag_of(&format!("{node}@{incarnation}"))
+}
+
 impl MemberTable {
     /// Returns the roster of the region of `own`, this node, in parts of one datagram each.
     ///
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -86,6 +86,15 @@
     table
 }
 
+/// Creates a table of idle replicas of one data centre, named `replica-0` and so on.
+pub(crate) fn table_of(count: usize, now: Instant) -> ReplicaTable {
+    let mut table = ReplicaTable::default();
+    for number in 0..count {
+        table.upsert(entry(&format!("replica-{number}"), "a"), now);
+    }
+    table
+}
+
 pub(crate) fn regions() -> BTreeMap<DataCentreId, RegionId> {
     [("a".into(), "north".into()), ("b".into(), "south".into())].into()
 }
--- a/crates/zinniahatch_route/tests/entry_groups.rs
+++ b/crates/zinniahatch_route/tests/entry_groups.rs
@@ -4,19 +4,12 @@
 
 use common::entry;
 use common::regions;
+use common::table_of;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::ENTRY_GROUPS;
 use zinniahatch_route::ReplicaTable;
 use zinniahatch_route::differing_groups;
 
-fn table_of(count: usize, now: Instant) -> ReplicaTable {
-    let mut table = ReplicaTable::default();
-    for number in 0..count {
-        table.upsert(entry(&format!("replica-{number}"), "a"), now);
-    }
-    table
-}
-
 /// Guards against a node that fetches all entries of a large region after it missed one update.
 #[test]
 fn missed_update_costs_one_group() {
--- a/crates/zinniahatch_route/tests/placement_groups.rs
+++ b/crates/zinniahatch_route/tests/placement_groups.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::entry;
+use common::QueryParts;
 use common::regions;
+use common::table_of;
 use test_case::test_case;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::ColdLimiter;
@@ -12,17 +13,8 @@
 use zinniahatch_route::ReplicaTable;
 use zinniahatch_route::choose_local;
 
-fn table_of(count: usize, now: Instant) -> ReplicaTable {
-    let mut table = ReplicaTable::default();
-    for number in 0..count {
-        table.upsert(entry(&format!("replica-{number}"), "a"), now);
-    }
-    table
-}
-
 /// Returns how many of `requests` requests each replica gets, each while all are idle.
 fn placements(table: &ReplicaTable, requests: u64, session: bool, now: Instant) -> Vec<usize> {
-    let (service, tried, peers) = ("s".into(), BTreeSet::new(), BTreeSet::new());
     let mut counts: BTreeMap<ReplicaId, usize> = BTreeMap::new();
     for number in 0..requests {
         let size = if session {
@@ -30,18 +22,10 @@
         } else {
             PromptSize::default()
         };
+        let parts = QueryParts::new(size);
         let query = PlacementQuery {
-            service: &service,
-            region: "north",
-            size: &size,
-            urgent: false,
-            tried: &tried,
-            deadline: Duration::from_secs(5),
-            copy_token: Duration::ZERO,
-            cold_bound: 0.0,
             draw: number.wrapping_mul(0x9e37_79b9_7f4a_7c15),
-            node: "n",
-            peers: &peers,
+            ..parts.query()
         };
         let choice = choose_local(table, &ColdLimiter::default(), &regions(), &query, now);
         let choice = choice.expect("an idle replica");
--- a/crates/zinniahatch_route/tests/relays.rs
+++ b/crates/zinniahatch_route/tests/relays.rs
@@ -1,6 +1,9 @@
 //! Membership of a large region through relays, simulated with the real tables: heartbeats, rosters
 //! and requests for what they name, delivered at once.
 
+mod common;
+
+use common::member_info;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -50,24 +53,13 @@
 /// Returns a node of one of two data centres; every sixteenth has a large machine.
 fn member(number: usize) -> MemberInfo {
     MemberInfo {
-        node: format!("node-{number}").into(),
         incarnation: number as u64,
-        region: "north".into(),
         data_centre: ["a", "b"][number % 2].into(),
-        cpu_share: if number.is_multiple_of(16) || number % 16 == 1 {
-            50
-        } else {
-            12
-        },
+        cpu_share: if number % 16 < 2 { 50 } else { 12 },
         front: address(number),
         peer: address(number),
-        stage: MemberStage::Ready,
-        version: 1,
-        preset: 0,
-        store_reachable: true,
-        store_digest: None,
-        proof: None,
         services: BTreeMap::new(),
+        ..member_info(&format!("node-{number}"), "north", 0, 0)
     }
 }
 
