Log how an answer marked its end, and whether it ended inside an event

The lines stream-end and answered said that an answer was whole, not by what that was known: a length, chunks or the end of the connection. A scanner of events, for all line ends of the format, tells whether the last byte lies inside an event. No decision changes.

--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -16,8 +16,10 @@
 mod store;
 
 pub use request::connection::BackendConnection;
+pub use request::connection::BodyEnd;
 pub use request::connection::ConnectionError;
 pub use request::connection::ResponseHead;
+pub use request::event_scanner::EventScanner;
 pub use request::events::EventSplitter;
 pub use run::EntryError;
 pub use run::run_entry;
--- a/crates/zinniahatch_entry/src/request.rs
+++ b/crates/zinniahatch_entry/src/request.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod chunks;
 pub(crate) mod connection;
+pub(crate) mod event_scanner;
 pub(crate) mod events;
 pub(crate) mod gateway_response;
 pub(crate) mod in_flight;
--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -65,6 +65,38 @@
     Done,
 }
 
+/// How a response marks the end of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// By the length that it states.
+    Length,
+    /// By the last chunk.
+    LastChunk,
+    /// By the end of the connection, which a truncated body has too.
+    ConnectionClose,
+}
+
+impl BodyEnd {
+    /// Returns the name used in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::LastChunk => "chunks",
+            Self::ConnectionClose => "close",
+        }
+    }
+}
+
+impl From<BodyFraming> for BodyEnd {
+    fn from(framing: BodyFraming) -> Self {
+        match framing {
+            BodyFraming::Length(_) | BodyFraming::Done => Self::Length,
+            BodyFraming::Chunked(_) => Self::LastChunk,
+            BodyFraming::UntilClose => Self::ConnectionClose,
+        }
+    }
+}
+
 /// The head of a response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
@@ -76,6 +108,8 @@
     pub parsed_headers: ResponseHeaders,
     /// Length of the body, if known in advance.
     pub length: Option<u64>,
+    /// How the response marks the end of its body.
+    pub body_end: BodyEnd,
 }
 
 /// A connection to a backend server or another node.
@@ -318,6 +352,7 @@
         if parsed_headers.closes || is_http_1_0 || self.frame == BodyFraming::UntilClose {
             self.reusable = false;
         }
+        let body_end = BodyEnd::from(self.frame);
         let length = match self.frame {
             BodyFraming::Length(length) => Some(length),
             BodyFraming::Done => Some(0),
@@ -331,6 +366,7 @@
             headers,
             parsed_headers,
             length,
+            body_end,
         }))
     }
 
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -2,6 +2,7 @@
 
 use crate::core::EntryCore;
 use crate::request::connection::BackendConnection;
+use crate::request::connection::BodyEnd;
 use crate::request::connection::ConnectionError;
 use crate::request::connection::ResponseHead;
 use crate::request::received::ReceivedRequest;
@@ -44,6 +45,8 @@
     sent_at: Instant,
     /// When the last bytes of the response arrived.
     last_bytes_at: Option<Instant>,
+    /// How the response marks its end; `None` until its head has arrived.
+    body_end: Option<BodyEnd>,
     pub(crate) connection: Option<BackendConnection>,
 }
 
@@ -57,6 +60,7 @@
             service: service.clone(),
             sent_at: Instant::now(),
             last_bytes_at: None,
+            body_end: None,
             connection: None,
         }
     }
@@ -73,9 +77,16 @@
             return Err(ConnectionError::Broken("no connection".into()));
         };
         connection.send(permit, head, &request.body).await?;
-        connection
+        let head = connection
             .read_head(&request.method, &request.attempt)
-            .await
+            .await?;
+        self.body_end = Some(head.body_end);
+        Ok(head)
+    }
+
+    /// Returns how the response marks its end; `None` until its head has arrived.
+    pub(crate) fn body_end(&self) -> Option<BodyEnd> {
+        self.body_end
     }
 
     /// Reads some bytes of the response body. Returns `None` at its end.
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -4,6 +4,8 @@
 use crate::counts::counting::record_request;
 use crate::replicas::crash_detection::handle_connection_break;
 use crate::replicas::quarantine::note_complete_response;
+use crate::request::connection::BodyEnd;
+use crate::request::event_scanner::EventScanner;
 use crate::request::events::EventSplitter;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::plan::InFlightGuard;
@@ -41,6 +43,10 @@
     pub(crate) last_event_at: Option<Instant>,
     /// Number of chunks forwarded so far, about one per event.
     pub(crate) events: u32,
+    /// Position of the current replica's response relative to its events.
+    pub(crate) scanner: EventScanner,
+    /// How that response marks its end.
+    pub(crate) body_end: Option<BodyEnd>,
 }
 
 /// Why a stream stopped.
@@ -130,7 +136,8 @@
             "stream-end",
             serde_json::json!({"request": self.request.attempt, "direct": self.request.is_direct(),
                 "route": self.plan.route.name, "result": result.number(),
-                "end": format!("{end:?}"), "sends": self.progress.sends, "events": self.events,
+                "end": format!("{end:?}"), "framing": self.body_end.map(BodyEnd::name),
+                "inside_event": self.scanner.is_inside_event(), "sends": self.progress.sends, "events": self.events,
                 "first_ms": self.first_event.map(millis), "pause_ms": millis(self.longest_gap),
                 "took_ms": millis(self.request.arrived.elapsed()),
                 "goal_ms": millis(self.plan.route.goal),
@@ -171,6 +178,8 @@
         splitter: &mut EventSplitter,
     ) -> RelayEnd {
         let resumable = self.plan.route.resumable;
+        self.scanner = EventScanner::at_start();
+        self.body_end = in_flight.body_end();
         let mut next_check = Instant::now() + SILENCE_CHECK_INTERVAL;
         loop {
             let chunk = tokio::select! {
@@ -194,6 +203,7 @@
                 Ok(None) => return RelayEnd::Whole,
                 Err(error) => return RelayEnd::Broken(error.to_string().into()),
             };
+            self.scanner.push(&bytes);
             let ready = if resumable {
                 splitter.push(&bytes)
             } else {
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -5,6 +5,7 @@
 use crate::replicas::crash_detection::handle_connection_break;
 use crate::replicas::quarantine::note_complete_response;
 use crate::request::connection::ResponseHead;
+use crate::request::event_scanner::EventScanner;
 use crate::request::gateway_response::gateway_response;
 use crate::request::gateway_response::report_uncharged;
 use crate::request::in_flight::InFlightRequest;
@@ -110,7 +111,7 @@
     core.log.write(
         "answered",
         serde_json::json!({"request": request.attempt, "content": request.content_text(),
-            "direct": request.is_direct(), "route": plan.route.name, "status": head.status.as_u16(), "replica": replica,
+            "direct": request.is_direct(), "route": plan.route.name, "status": head.status.as_u16(), "framing": head.body_end.name(), "replica": replica,
             "took_ms": took.as_millis() as u64, "goal_ms": plan.route.goal.as_millis() as u64})
     );
     let retry = failed && plan.route.may_repeat() && head.status != StatusCode::GATEWAY_TIMEOUT;
@@ -141,6 +142,8 @@
         longest_gap: Duration::ZERO,
         last_event_at: None,
         events: 0,
+        scanner: EventScanner::at_start(),
+        body_end: None,
     };
     let length = if plan.route.resumable {
         None
