Soak answers of every framing that are broken off in every way

The soak had no streaming route that is not resumed, and its replicas framed all streams with chunks. The one cell that nothing tells apart is not drawn.

The lab's relay closed a connection in order where it reset it or had lost bytes of it; with an answer until close, that made a truncated answer look complete, as no TCP connection does. It resets now.

--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -66,6 +66,9 @@
     /// let all replicas refuse for some time
     #[argh(switch)]
     refusals: bool,
+    /// let replicas give their answers other forms, whole or broken off
+    #[argh(switch)]
+    forms: bool,
     /// retries that all nodes together may send in 10 s beyond a fifth of the requests (default: 54)
     #[argh(option, default = "USUAL_RETRY_SLACK")]
     retry_slack: f64,
@@ -186,6 +189,7 @@
                     notices: args.notices,
                 },
                 refusals: args.refusals,
+                answer_forms: args.forms,
                 retry_slack: args.retry_slack,
             };
             zinniahatch_lab::soak::run(&run).await
--- a/crates/zinniahatch_lab/src/relay.rs
+++ b/crates/zinniahatch_lab/src/relay.rs
@@ -1,15 +1,17 @@
 //! TCP relay that emulates a wide-area link and its faults: added delay, loss in one or both
 //! directions, resets, and connections that go silent.
 
+use socket2::SockRef;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::io::ReadHalf;
+use tokio::io::WriteHalf;
+use tokio::io::split;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
@@ -78,7 +80,7 @@
         self.extra_delay_ms.store(millis, Ordering::SeqCst);
     }
 
-    /// Closes the connections that are open now.
+    /// Resets the connections that are open now.
     pub fn reset_open(&self) {
         self.reset.notify_waiters();
     }
@@ -173,8 +175,9 @@
     };
     let _ = inbound.set_nodelay(true);
     let _ = outbound.set_nodelay(true);
-    let (in_read, in_write) = inbound.into_split();
-    let (out_read, out_write) = outbound.into_split();
+    let sockets = [&inbound, &outbound].map(|stream| SockRef::from(stream).try_clone());
+    let (in_read, in_write) = split(inbound);
+    let (out_read, out_write) = split(outbound);
     let outgoing = ConnectionFlow {
         link: link.clone(),
         number,
@@ -187,25 +190,26 @@
     let mut outgoing = tokio::spawn(forward(in_read, out_write, delay, outgoing));
     let mut returning = tokio::spawn(forward(out_read, in_write, delay, returning));
     let _guard = AbortOnDrop([outgoing.abort_handle(), returning.abort_handle()]);
-    // A reset ends both directions. The tasks fail only if `_guard` aborts them, which happens after
-    // this.
+    // The tasks fail only if `_guard` aborts them, which happens after this.
     let ended = async {
-        tokio::select! {
-            end = &mut outgoing => {
-                if !matches!(end, Ok(FlowEnd::Reset)) {
-                    let _ = (&mut returning).await;
-                }
-            }
-            end = &mut returning => {
-                if !matches!(end, Ok(FlowEnd::Reset)) {
-                    let _ = (&mut outgoing).await;
-                }
-            }
+        let (first, other) = tokio::select! {
+            end = &mut outgoing => (end, &mut returning),
+            end = &mut returning => (end, &mut outgoing),
+        };
+        match first {
+            Ok(FlowEnd::Closed) => other.await,
+            reset => reset,
         }
     };
-    tokio::select! {
-        () = ended => {}
-        () = link.reset.notified() => {}
+    let end = tokio::select! {
+        end = ended => end.unwrap_or(FlowEnd::Reset),
+        () = link.reset.notified() => FlowEnd::Reset,
+    };
+    if end == FlowEnd::Reset {
+        for socket in sockets.iter().flatten() {
+            // A close in order would look like the end of a response that is framed by it.
+            let _ = socket.set_linger(Some(Duration::ZERO));
+        }
     }
 }
 
@@ -214,7 +218,7 @@
 enum FlowEnd {
     /// Its sender closed it.
     Closed,
-    /// It was reset.
+    /// It was reset, or bytes of it were lost.
     Reset,
 }
 
@@ -238,8 +242,8 @@
 }
 
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<TcpStream>,
+    mut to: WriteHalf<TcpStream>,
     delay: Duration,
     flow: ConnectionFlow,
 ) -> FlowEnd {
@@ -261,20 +265,25 @@
                 continue;
             }
             if to.write_all(&bytes).await.is_err() {
-                return to;
+                return (to, FlowEnd::Reset);
             }
         }
         // The close of a silent connection is not passed on either.
         while writer_link.is_silent(number) {
             sleep(Duration::from_secs(5)).await;
             if writer_link.silent_below.load(Ordering::SeqCst) != CUT_EPOCH {
-                return to;
+                return (to, FlowEnd::Reset);
             }
         }
-        to
+        let end = if lost_bytes {
+            FlowEnd::Reset
+        } else {
+            FlowEnd::Closed
+        };
+        (to, end)
     });
     let mut buffer = vec![0_u8; CHUNK_BYTES];
-    let end = loop {
+    let read_end = loop {
         let size = match from.read(&mut buffer).await {
             Ok(0) => break FlowEnd::Closed,
             Ok(size) => size,
@@ -287,12 +296,13 @@
         }
     };
     drop(sender);
-    if let Ok(to) = writer.await
-        && end == FlowEnd::Reset
-    {
-        // A close in order would look like the end of a response that is framed by it.
-        let _ = to.as_ref().set_zero_linger();
-        to.forget();
+    let Ok((mut to, write_end)) = writer.await else {
+        return FlowEnd::Reset;
+    };
+    if read_end == FlowEnd::Reset || write_end == FlowEnd::Reset {
+        return FlowEnd::Reset;
     }
-    end
+    // The other side may be gone already.
+    let _ = to.shutdown().await;
+    FlowEnd::Closed
 }
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -21,6 +21,7 @@
 use crashing_caller::CrashingCaller;
 use injector::FaultInjector;
 use invariants::OutcomeLog;
+use invariants::RouteKind;
 use plan::SoakPlan;
 use std::sync::Arc;
 use zinniahatch_base::prelude::*;
@@ -64,6 +65,8 @@
     pub announcements: ReplicaAnnouncements,
     /// Whether all replicas refuse for some time.
     pub refusals: bool,
+    /// Whether replicas give their answers other forms, whole or broken off.
+    pub answer_forms: bool,
     /// Retries that all nodes together may send in a window in addition to a share of the requests.
     pub retry_slack: f64,
 }
@@ -106,8 +109,12 @@
     if soak.refusals {
         plan = plan.with_refusals(seed, soak.time);
     }
+    if soak.answer_forms {
+        plan = plan.with_answer_forms(seed, soak.time, &site);
+    }
     let log = Arc::new(OutcomeLog::default());
-    let callers = CallerPool::start(seed, soak.callers, &site, &log);
+    let routes = RouteKind::drawn(soak.answer_forms);
+    let callers = CallerPool::start(seed, soak.callers, routes, &site, &log);
     let crashing_caller = soak
         .crashing_request
         .then(|| CrashingCaller::start(seed, &site));
@@ -121,7 +128,8 @@
     limits::check_limits(&site, &plan, injector.started, &log);
     notices::check_notices(&site, &plan, injector.started, &log);
     retries::check_retries(&site, soak.retry_slack, &log);
-    invariants::check_runs(&site, plan.mix, soak.crashing_request, &log);
+    let replicas_fail = soak.crashing_request || soak.answer_forms;
+    invariants::check_runs(&site, plan.mix, replicas_fail, &log);
     let broken = log.take_violations();
     println!(
         "seed {seed}: {} faults ({:?}) in {:?}, {}, {} broken",
--- a/crates/zinniahatch_lab/src/soak/callers.rs
+++ b/crates/zinniahatch_lab/src/soak/callers.rs
@@ -43,6 +43,7 @@
     pub(crate) fn start(
         seed: u64,
         count: usize,
+        routes: &'static [RouteKind],
         site: &SiteCluster,
         log: &Arc<OutcomeLog>,
     ) -> Self {
@@ -58,6 +59,7 @@
         let tasks = (0..count).map(|number| {
             let caller = SoakCaller {
                 name: format!("c{number}"),
+                routes,
                 entries: addresses.clone(),
                 region: addresses[number % addresses.len()].region,
                 log: Arc::clone(log),
@@ -93,6 +95,7 @@
 
 struct SoakCaller {
     name: String,
+    routes: &'static [RouteKind],
     entries: Vec<EntryAddress>,
     region: &'static str,
     log: Arc<OutcomeLog>,
@@ -153,12 +156,10 @@
 
     /// Sends a request; returns whether the caller may go on with the same entry VM.
     async fn send(&mut self, front: &str, number: u32) -> bool {
-        let kinds = RouteKind::ALL;
-        let kind = kinds[self.random.random_range(0..kinds.len())];
+        let kind = self.routes[self.random.random_range(0..self.routes.len())];
         let attempt = format!("{}-{number}", self.name);
         let time_limit = Duration::from_millis(self.random.random_range(TIME_LIMIT_MS));
-        let abandons =
-            kind == RouteKind::Stream && self.random.random_range(0..ABANDON_ONE_IN) == 0;
+        let abandons = kind.is_stream() && self.random.random_range(0..ABANDON_ONE_IN) == 0;
         let limit = if abandons {
             Duration::from_millis(self.random.random_range(1..250))
         } else {
--- a/crates/zinniahatch_lab/src/soak/invariants.rs
+++ b/crates/zinniahatch_lab/src/soak/invariants.rs
@@ -27,11 +27,39 @@
     Stream,
     /// Bound to its home region.
     Bound,
+    /// A stream that must run at most once.
+    StreamOnce,
 }
 
 impl RouteKind {
-    /// All routes.
-    pub(crate) const ALL: [Self; 4] = [Self::Plain, Self::Once, Self::Stream, Self::Bound];
+    /// All routes. The last is drawn only in soaks with answers of several forms, so that the draws
+    /// of the others stay.
+    const ALL: [Self; 5] = [
+        Self::Plain,
+        Self::Once,
+        Self::Stream,
+        Self::Bound,
+        Self::StreamOnce,
+    ];
+
+    /// Returns the routes to which callers send.
+    pub(crate) fn drawn(answer_forms: bool) -> &'static [Self] {
+        if answer_forms {
+            &Self::ALL
+        } else {
+            &Self::ALL[..4]
+        }
+    }
+
+    /// Returns whether the answers are streams.
+    pub(crate) fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::StreamOnce)
+    }
+
+    /// Returns whether a request must run at most once.
+    fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::StreamOnce)
+    }
 
     /// Returns the route's name, which is also the first segment of its paths.
     pub(crate) fn name(self) -> &'static str {
@@ -40,6 +68,7 @@
             Self::Once => "once",
             Self::Stream => "stream",
             Self::Bound => "bound",
+            Self::StreamOnce => "stream-once",
         }
     }
 }
@@ -179,7 +208,7 @@
         return Some("got a success that no replica gave".into());
     }
     let text = String::from_utf8_lossy(body);
-    if kind != RouteKind::Stream {
+    if !kind.is_stream() {
         let own = text.split('@').next() == Some(attempt);
         return (!own).then(|| format!("got another answer: {text}"));
     }
@@ -192,14 +221,9 @@
 
 /// Compares the requests recorded by the replicas with the outcomes that callers saw.
 ///
-/// With `replicas_crashed`, replicas have crashed, so that streams cut off under planned operations
-/// are no violation.
-pub(crate) fn check_runs(
-    site: &SiteCluster,
-    mix: FaultMix,
-    replicas_crashed: bool,
-    log: &OutcomeLog,
-) {
+/// With `replicas_fail`, replicas have crashed or broken off answers, so that streams cut off under
+/// planned operations are no violation.
+pub(crate) fn check_runs(site: &SiteCluster, mix: FaultMix, replicas_fail: bool, log: &OutcomeLog) {
     let runs = site.all_runs();
     let outside_home = site.runs_outside("north");
     let mut records = log.lock();
@@ -208,16 +232,16 @@
         let Some(kind) = records.routes.get(attempt) else {
             continue;
         };
-        if *kind == RouteKind::Once && *count > 1 {
+        if kind.runs_once() && *count > 1 {
             violations.push(format!("{attempt} (once) ran {count} times"));
         }
-        if *kind == RouteKind::Once && records.not_run.contains(attempt) {
+        if kind.runs_once() && records.not_run.contains(attempt) {
             violations.push(format!("{attempt} (once) was told not run, and ran"));
         }
         if *kind == RouteKind::Bound && outside_home.contains(attempt) {
             violations.push(format!("{attempt} (bound) ran outside its home"));
         }
-        if mix == FaultMix::Planned && !replicas_crashed && records.disconnected.contains(attempt) {
+        if mix == FaultMix::Planned && !replicas_fail && records.disconnected.contains(attempt) {
             violations.push(format!(
                 "{attempt} ({}) was cut off by planned work",
                 kind.name()
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -1,6 +1,10 @@
 //! Randomized fault schedules: which faults a seed yields, when they begin and how long they last.
 
 use crate::site::SiteCluster;
+use crate::test_doubles::answer_form::AnswerBreak;
+use crate::test_doubles::answer_form::AnswerEnd;
+use crate::test_doubles::answer_form::AnswerForm;
+use crate::test_doubles::answer_form::AnswerFraming;
 use crate::test_doubles::replica::ReplicaBehaviour;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -35,6 +39,11 @@
 /// Combined with the seed by XOR, as for limits.
 const NOTICE_SEED_MASK: u64 = 0x0007_1ce5;
 
+/// Number of times that a replica gives its answers another form.
+const ANSWER_FORMS: usize = 12;
+/// Combined with the seed by XOR, as for limits.
+const FORM_SEED_MASK: u64 = 0x000f_0436;
+
 /// Number of times that all replicas refuse.
 const REFUSALS: usize = 2;
 /// Combined with the seed by XOR, as for limits.
@@ -291,6 +300,28 @@
         self
     }
 
+    /// Adds replicas whose answers have other forms, whole or broken off, drawn independently, so that
+    /// the seed's other faults stay.
+    pub(crate) fn with_answer_forms(
+        mut self,
+        seed: u64,
+        time: Duration,
+        site: &SiteCluster,
+    ) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ FORM_SEED_MASK);
+        for _ in 0..ANSWER_FORMS {
+            let replica = random.random_range(0..site.replicas.len());
+            let form = draw_answer_form(&mut random);
+            let at = time.mul_f64(random.random_range(0.0..0.8));
+            self.faults.push(PlannedFault {
+                at,
+                until: at + Duration::from_millis(random.random_range(FAULT_MS)),
+                fault: SoakFault::ReplicaIll(replica, ReplicaBehaviour::Answer(form)),
+            });
+        }
+        self
+    }
+
     /// Draws the faults of a seed; the same seed gives the same faults.
     pub(crate) fn draw(seed: u64, time: Duration, site: &SiteCluster) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
@@ -368,6 +399,35 @@
     }
 }
 
+/// Draws a form of which a caller can tell whether the answer is whole.
+fn draw_answer_form(random: &mut StdRng) -> AnswerForm {
+    let framing = match random.random_range(0..3) {
+        0 => AnswerFraming::Chunks,
+        1 => AnswerFraming::Length,
+        _ => AnswerFraming::Close,
+    };
+    if random.random_range(0..3) == 0 {
+        return AnswerForm::whole(framing);
+    }
+    // A crash is no end here: all callers send the same content, which would be quarantined for it.
+    let end = match random.random_range(0..3) {
+        0 => AnswerEnd::Close,
+        1 => AnswerEnd::Reset,
+        _ => AnswerEnd::Silence,
+    };
+    // Nothing tells where an answer without a length or chunks is closed in order between two events.
+    let undecidable = framing == AnswerFraming::Close && end == AnswerEnd::Close;
+    let broken = AnswerBreak {
+        after: random.random_range(0..super::SHAPE.events),
+        inside_event: undecidable || random.random_bool(0.5),
+        end,
+    };
+    AnswerForm {
+        framing,
+        broken: Some(broken),
+    }
+}
+
 fn draw_misbehaviour(random: &mut StdRng) -> ReplicaBehaviour {
     match random.random_range(0..5) {
         0 => ReplicaBehaviour::Shed,
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -24,6 +24,8 @@
     Notices,
     /// All replicas refuse, at the retry slack of the users' deployments.
     Refusals,
+    /// Replicas give their answers other forms, whole or broken off.
+    AnswerForms,
 }
 
 /// Runs a seed for `seconds` with `entries` entry VMs per region, and checks that no invariant is
@@ -42,6 +44,7 @@
             notices: extra == ExtraFault::Notices,
         },
         refusals: extra == ExtraFault::Refusals,
+        answer_forms: extra == ExtraFault::AnswerForms,
         retry_slack: match extra {
             ExtraFault::Refusals => USUAL_RETRY_SLACK,
             _ => AMPLE_RETRY_SLACK,
@@ -100,6 +103,15 @@
     check_seed(seed, 10, 2, 24, ExtraFault::Refusals).await;
 }
 
+/// Answers come in every framing, whole or broken off in every way, while other faults go on: none
+/// that is truncated looks complete, and every other invariant holds.
+#[test_case(30; "replicas")]
+#[test_case(33; "any")]
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_with_truncated_answers(seed: u64) {
+    check_seed(seed, 10, 2, 16, ExtraFault::AnswerForms).await;
+}
+
 /// Guards against a run that waits for ever because an entry VM was asked to stop while its program
 /// was still being loaded and did not handle the signal.
 #[tokio::test(flavor = "multi_thread")]
