Log the software version of a chosen replica, and the stream that a caller takes up

The field version of a replica's entry was dropped where it is decoded, and no line showed which stream a request takes up, so that the logs of a stream of two versions named neither. The entry keeps the version; between nodes it follows the entries, since an entry with one more field could not be decoded by nodes of the code before. Fields software and resumes of placed and away. No decision changes.

--- a/crates/zinniahatch_entry/src/nodes/broadcast.rs
+++ b/crates/zinniahatch_entry/src/nodes/broadcast.rs
@@ -2,11 +2,13 @@
 
 use crate::core::EntryCore;
 use crate::nodes::datagrams::broadcast;
+use crate::nodes::datagrams::broadcast_with_tail;
 use crate::nodes::datagrams::in_own_region;
 use crate::nodes::datagrams::send_message;
 use crate::nodes::datagrams::send_to_matching;
 use crate::nodes::gossip_message::GossipMessage;
 use crate::nodes::replica_updates::ReplicaUpdates;
+use crate::nodes::replica_updates::versions_of;
 use std::net::SocketAddrV4;
 use tokio::net::UdpSocket;
 use zinniahatch_base::prelude::*;
@@ -31,7 +33,8 @@
         if part == ReplicaUpdates::default() {
             return;
         }
-        broadcast(core, socket, &GossipMessage::Replicas(part)).await;
+        let versions = versions_of(&part.written);
+        broadcast_with_tail(core, socket, &GossipMessage::Replicas(part), &versions).await;
     }
 }
 
--- a/crates/zinniahatch_entry/src/nodes/datagrams.rs
+++ b/crates/zinniahatch_entry/src/nodes/datagrams.rs
@@ -2,6 +2,7 @@
 
 use crate::core::EntryCore;
 use crate::nodes::gossip_message::GossipMessage;
+use serde::Serialize;
 use std::net::SocketAddrV4;
 use tokio::net::UdpSocket;
 use zinniahatch_route::MemberInfo;
@@ -24,6 +25,23 @@
     send_to_matching(core, socket, message, |member| in_own_region(core, member)).await;
 }
 
+/// Sends a datagram to all known nodes of the region, with a tail that nodes of earlier versions do
+/// not read.
+pub(crate) async fn broadcast_with_tail(
+    core: &EntryCore,
+    socket: &UdpSocket,
+    message: &GossipMessage,
+    tail: &impl Serialize,
+) {
+    let encoded = (postcard::to_allocvec(message), postcard::to_allocvec(tail));
+    let (Ok(mut bytes), Ok(tail)) = encoded else {
+        return;
+    };
+    bytes.extend(tail);
+    let own_region = |member: &MemberInfo| in_own_region(core, member);
+    send_bytes_to_matching(core, socket, message.kind(), &bytes, own_region).await;
+}
+
 /// Sends a datagram to the known nodes that match a filter.
 pub(crate) async fn send_to_matching(
     core: &EntryCore,
@@ -31,9 +49,18 @@
     message: &GossipMessage,
     filter: impl Fn(&MemberInfo) -> bool,
 ) {
-    let Ok(bytes) = postcard::to_allocvec(message) else {
-        return;
-    };
+    if let Ok(bytes) = postcard::to_allocvec(message) {
+        send_bytes_to_matching(core, socket, message.kind(), &bytes, filter).await;
+    }
+}
+
+async fn send_bytes_to_matching(
+    core: &EntryCore,
+    socket: &UdpSocket,
+    kind: &str,
+    bytes: &[u8],
+    filter: impl Fn(&MemberInfo) -> bool,
+) {
     let addresses: Vec<SocketAddrV4> = {
         let members = core.members.borrow();
         members
@@ -43,7 +70,7 @@
             .collect()
     };
     for address in addresses {
-        send_bytes(core, socket, message.kind(), &bytes, address).await;
+        send_bytes(core, socket, kind, bytes, address).await;
     }
 }
 
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -13,6 +13,7 @@
 use crate::nodes::gossip_message::Heartbeat;
 use crate::nodes::gossip_message::HeartbeatTail;
 use crate::nodes::own_info::own_member_info;
+use crate::nodes::replica_updates::attach_versions;
 use crate::nodes::rosters::RosterExchange;
 use crate::nodes::rosters::handle_members;
 use crate::nodes::rosters::send_members;
@@ -285,7 +286,13 @@
         GossipMessage::Roster(part) => return DatagramEffect::Roster(part),
         GossipMessage::MembersRequest(tags) => return DatagramEffect::MembersRequest(tags),
         GossipMessage::Members(infos) => handle_members(core, infos, from),
-        GossipMessage::Replicas(batch) => apply_replica_updates(core, batch, Instant::now()),
+        GossipMessage::Replicas(mut batch) => {
+            attach_versions(
+                &mut batch.written,
+                postcard::from_bytes(rest).unwrap_or_default(),
+            );
+            apply_replica_updates(core, batch, Instant::now());
+        }
     }
     DatagramEffect::Handled
 }
--- a/crates/zinniahatch_entry/src/nodes/replica_updates.rs
+++ b/crates/zinniahatch_entry/src/nodes/replica_updates.rs
@@ -20,6 +20,25 @@
     pub(crate) leaving: Vec<ReplicaIncarnation>,
 }
 
+/// Software versions of replica entries, in their order.
+///
+/// They follow the entries, since nodes of earlier versions could not decode an entry with one more
+/// field.
+pub(crate) type EntryVersions = Vec<Option<Box<str>>>;
+
+/// Returns the software versions of entries.
+pub(crate) fn versions_of(entries: &[ReplicaEntry]) -> EntryVersions {
+    let versions = entries.iter().map(|entry| entry.version.clone());
+    versions.collect()
+}
+
+/// Sets the software versions of entries that were received without them.
+pub(crate) fn attach_versions(entries: &mut [ReplicaEntry], versions: EntryVersions) {
+    for (entry, version) in entries.iter_mut().zip(versions) {
+        entry.version = version;
+    }
+}
+
 impl ReplicaUpdates {
     /// Removes and returns up to `max` updates.
     pub(crate) fn take_batch(&mut self, max: usize) -> Self {
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -8,6 +8,8 @@
 use crate::auth::proofs::apply_proof;
 use crate::core::EntryCore;
 use crate::nodes::own_info::is_store_reader;
+use crate::nodes::replica_updates::attach_versions;
+use crate::nodes::replica_updates::versions_of;
 use crate::store::updates::handle_entry_change;
 use crate::store::updates::is_in_region;
 use http::Method;
@@ -62,8 +64,8 @@
     groups: Vec<u64>,
 }
 
-/// What the replicas of a snapshot cover. It follows the snapshot in the body, and nodes of earlier
-/// versions neither send nor read it.
+/// What the replicas of a snapshot cover. It follows the snapshot in the body, and the software
+/// versions of the replicas follow it; nodes of earlier versions neither send nor read them.
 #[derive(Debug, Serialize, Deserialize)]
 struct SnapshotScope {
     /// The groups that are sent; the others are the same as the peer's.
@@ -131,6 +133,7 @@
     };
     let mut bytes = postcard::to_allocvec(&snapshot).ok()?;
     bytes.extend(postcard::to_allocvec(&scope).ok()?);
+    bytes.extend(postcard::to_allocvec(&versions_of(&snapshot.replicas)).ok()?);
     let most = (settings.cpu_share / CPU_PER_LARGE_SNAPSHOT).max(1) as usize;
     let mut limiter = core.snapshot_limiter.borrow_mut();
     let allowed = bytes.len() < LARGE_SNAPSHOT_BYTES || limiter.try_take(most, now);
@@ -205,8 +208,15 @@
     };
     let request = postcard::to_allocvec(&request).ok()?;
     let body = exchange(core, peer, "POST", SNAPSHOT_PATH, &request).await?;
-    let (snapshot, rest) = postcard::take_from_bytes(&body).ok()?;
-    Some((snapshot, postcard::from_bytes(rest).ok()))
+    let (mut snapshot, rest): (NodeSnapshot, _) = postcard::take_from_bytes(&body).ok()?;
+    let Ok((scope, rest)) = postcard::take_from_bytes(rest) else {
+        return Some((snapshot, None));
+    };
+    attach_versions(
+        &mut snapshot.replicas,
+        postcard::from_bytes(rest).unwrap_or_default(),
+    );
+    Some((snapshot, Some(scope)))
 }
 
 /// Posts a body to a peer and returns the body of the response, or `None` on failure.
--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -183,6 +183,7 @@
         time_left: caller.time_left,
         size: caller.size,
         last_event: caller.last_event,
+        resumes: caller.resumes,
     })
 }
 
--- a/crates/zinniahatch_entry/src/request/placement.rs
+++ b/crates/zinniahatch_entry/src/request/placement.rs
@@ -321,6 +321,11 @@
     }
 }
 
+fn software_version(core: &EntryCore, replica: &str) -> Option<Box<str>> {
+    let replicas = core.replicas.borrow();
+    replicas.get(replica)?.entry.version.clone()
+}
+
 fn reported_limit(core: &EntryCore, replica: &str) -> Option<RequestRate> {
     let replicas = core.replicas.borrow();
     let tag = replicas.get(replica)?.tag;
@@ -345,7 +350,9 @@
                 serde_json::json!({"request": request.attempt, "content": request.content_text(),
                     "direct": request.is_direct(), "route": plan.route.name,
                     "tokens_in": request.size.tokens_in,
-                    "service": plan.service, "replica": choice.replica, "version": plan.version,
+                    "service": plan.service, "replica": choice.replica,
+                    "software": software_version(core, &choice.replica),
+                    "resumes": request.resumes, "version": plan.version,
                     "expected_ms": choice.expected.as_millis() as u64,
                     "answer_ms": choice.decode_time.as_millis() as u64,
                     "wait_ms": choice.wait.as_millis() as u64, "costs_ms": choice.cost.named_ms(),
@@ -362,6 +369,7 @@
                     "direct": request.is_direct(), "route": plan.route.name,
                     "tokens_in": request.size.tokens_in,
                     "service": plan.service, "to": choice.node, "region": choice.region,
+                    "resumes": request.resumes,
                     "expected_ms": choice.expected.as_millis() as u64,
                     "answer_ms": choice.decode_time.as_millis() as u64,
                     "version": plan.version, "sends": progress.sends}),
--- a/crates/zinniahatch_entry/src/request/received.rs
+++ b/crates/zinniahatch_entry/src/request/received.rs
@@ -75,6 +75,8 @@
     pub(crate) size: PromptSize,
     /// Id of the last event that the caller has received.
     pub(crate) last_event: Option<Box<str>>,
+    /// The attempt that brought the first event of the stream that the caller takes up.
+    pub(crate) resumes: Option<RequestId>,
 }
 
 impl ReceivedRequest {
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -52,6 +52,7 @@
         id: "i-1".into(),
         started_ms: 1,
         service: "s".into(),
+        version: Some("".into()),
         address,
         data_centre: "a".into(),
         slots: 8,
--- a/crates/zinniahatch_route/src/replica_entry.rs
+++ b/crates/zinniahatch_route/src/replica_entry.rs
@@ -36,6 +36,10 @@
         pub started_ms: u64,
         /// Its service.
         pub service: ServiceId,
+        /// Version of its software, empty if its entry names none. `None` if it is not known: nodes
+        /// that forward entries send it apart from them, and those of earlier versions do not.
+        #[serde(skip)]
+        pub version: Option<Box<str>>,
         /// Address at which it listens.
         pub address: SocketAddrV4,
         /// Its data centre.
--- a/crates/zinniahatch_route/src/replica_state.rs
+++ b/crates/zinniahatch_route/src/replica_state.rs
@@ -96,7 +96,10 @@
     /// The same entry comes again from a listing, or from the own watch after another node sent it.
     /// The time for which it says that the replica is cold counts from when the entry was written,
     /// not from now.
-    pub fn update(&mut self, entry: ReplicaEntry, now: Instant) {
+    pub fn update(&mut self, mut entry: ReplicaEntry, now: Instant) {
+        if entry.version.is_none() {
+            entry.version = self.entry.version.take();
+        }
         self.missing_since = None;
         let known = entry.revision.number != 0 && entry.revision == self.entry.revision;
         if entry.leaving {
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -68,6 +68,7 @@
         id: id.into(),
         started_ms: 1,
         service: "s".into(),
+        version: Some("".into()),
         address: address(1),
         data_centre: data_centre.into(),
         slots: 8,
