--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -163,6 +163,16 @@
         cluster
     }
 
+    /// Starts the entry VMs of a site that was set up, and waits until every one is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process cannot be started.
+    pub async fn start_prepared(mut self) -> Self {
+        self.start_entries().await;
+        self
+    }
+
     async fn start_entries(&mut self) {
         for index in 0..self.entries.len() {
             self.spawn(index);
@@ -258,6 +268,12 @@
         self.store.write(&key, &entry);
     }
 
+    /// Sets the version of a replica's software and writes its store entry.
+    pub fn set_version(&self, index: usize, version: &str) {
+        self.replicas[index].0.set_version(version);
+        self.register(index, "ready");
+    }
+
     /// Writes the store entry of a replica that is cold for the time `left`.
     ///
     /// # Panics
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -32,6 +32,8 @@
 
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 64;
+/// Version of the software that an entry names unless another one was set.
+const DEFAULT_VERSION: &str = "v1";
 /// Size of a read, in bytes.
 const READ_BYTES: usize = 16 << 10;
 
@@ -99,6 +101,8 @@
 #[derive(Debug, Default)]
 struct FakeReplicaState {
     behaviour: ReplicaBehaviour,
+    /// Version of its software, if its events name it.
+    version: Option<Box<str>>,
     /// Whether its responses announce that it is leaving.
     leaving: bool,
     /// Name of an undocumented header in complete responses.
@@ -188,6 +192,16 @@
         lock(&self.state).behaviour = behaviour;
     }
 
+    /// Sets the version of its software, which its entry and its events name from now on.
+    pub fn set_version(&self, version: &str) {
+        lock(&self.state).version = Some(version.into());
+    }
+
+    /// Returns the version of its software, if it was set.
+    pub fn version(&self) -> Option<Box<str>> {
+        lock(&self.state).version.clone()
+    }
+
     /// Announces a rate limit in every response from now on, or none.
     pub fn set_rate_limit(&self, rate: Option<RequestRate>) {
         lock(&self.state)
@@ -223,8 +237,9 @@
 
     /// Returns its entry in the platform's store with another address, such as that of a relay.
     pub fn entry_at(&self, address: &str, service: &str, zone: &str, state: &str) -> String {
+        let version = self.version().unwrap_or_else(|| DEFAULT_VERSION.into());
         serde_json::json!({"service": service, "address": address,
-            "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
+            "zone": zone, "version": version, "slots": 8, "state": state, "cold_left_ms": 0,
             "sequence": 1, "born": self.started_ms})
         .to_string()
     }
@@ -465,9 +480,11 @@
         request: &ReplicaRequest,
         form: AnswerForm,
     ) -> bool {
+        let version = lock(&self.state).version.clone();
+        let version = version.map_or_else(String::new, |version| format!(" {version}"));
         let mut events = Vec::new();
         for id in request.last_event + 1..=self.shape.events {
-            events.push(format!("id: {id}\ndata: {}\n\n", request.attempt));
+            events.push(format!("id: {id}\ndata: {}{version}\n\n", request.attempt));
         }
         let head = format!(
             "{}X-Server-Seal: {}\r\nContent-Type: text/event-stream\r\n{}\r\n",
--- /dev/null
+++ b/crates/zinniahatch_lab/tests/stream_versions.rs
@@ -0,0 +1,315 @@
+//! Streams of a service whose replicas run several software versions side by side: a stream goes on
+//! only at the version that began it, and most streams do go on.
+
+use reqwest::Response;
+use reqwest::StatusCode;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use test_case::test_case;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
+use zinniahatch_lab::test_doubles::replica::ReplicaBehaviour;
+use zinniahatch_lab::test_doubles::replica::StreamShape;
+
+const SHAPE: StreamShape = StreamShape {
+    events: 40,
+    pause: Duration::from_millis(20),
+};
+/// Path of a stream that may be resumed.
+const PATH: &str = "/stream/v";
+/// Number of streams that callers take up in a test.
+const STREAMS: u32 = 16;
+/// Number of requests until a stream begins at a replica of a version.
+const MAX_TRIES: u32 = 200;
+/// Header with the number of the result code.
+const CODE: &str = "x-zinnia-code";
+/// No replica of the version that began the stream is left.
+const VERSION_GONE: &str = "236";
+/// It is not known which version began the stream.
+const VERSION_UNKNOWN: &str = "235";
+
+/// A part of a stream as its caller got it.
+#[derive(Debug, Default)]
+struct StreamPart {
+    /// Ids of the events.
+    ids: Vec<u32>,
+    /// Versions that the events name.
+    versions: BTreeSet<String>,
+}
+
+impl StreamPart {
+    /// Parses the complete events of a text.
+    fn parse(text: &str) -> Self {
+        let mut part = Self::default();
+        for event in text.split_inclusive("\n\n") {
+            let Some(event) = event.strip_suffix("\n\n") else {
+                continue;
+            };
+            let (id, data) = event.split_once('\n').expect("an event has two lines");
+            let id = id.strip_prefix("id: ").and_then(|id| id.parse().ok());
+            part.ids.push(id.expect("an event has an id"));
+            let (_, version) = data.rsplit_once(' ').expect("an event names a version");
+            part.versions.insert(version.into());
+        }
+        part
+    }
+
+    /// Returns the version of its events.
+    fn version(&self) -> &str {
+        assert_eq!(self.versions.len(), 1, "{:?}", self.versions);
+        self.versions.first().expect("one version")
+    }
+}
+
+/// Starts a site in which the replicas of each region have these versions.
+async fn start_site(nodes: usize, regions: &[(&'static str, &[&str])]) -> SiteCluster {
+    let site_regions: Vec<SiteRegion> = regions
+        .iter()
+        .map(|(name, versions)| SiteRegion::new(name, nodes, versions.len()))
+        .collect();
+    let site = SiteCluster::prepare(&site_regions, SHAPE).await;
+    let versions = regions.iter().flat_map(|(_, versions)| versions.iter());
+    for (index, version) in versions.enumerate() {
+        site.set_version(index, version);
+    }
+    site.start_prepared().await
+}
+
+/// Sends a request for a stream, for a new one or after the events of an earlier attempt.
+async fn request_stream(
+    site: &SiteCluster,
+    node: usize,
+    attempt: &str,
+    taken_up: Option<(&str, u32)>,
+) -> Response {
+    let mut request = site.request(node, PATH, attempt);
+    if let Some((began, last_event)) = taken_up {
+        request = request
+            .header("resumes", began)
+            .header("last-event-id", last_event.to_string());
+    }
+    request.send().await.expect("the node answers")
+}
+
+/// Begins a stream at a version and leaves it after a few events; returns its attempt too.
+///
+/// The replicas of the other versions refuse meanwhile.
+async fn begin_stream(
+    site: &SiteCluster,
+    node: usize,
+    version: &str,
+    tag: &str,
+) -> (String, StreamPart) {
+    for (replica, _) in &site.replicas {
+        let serves = replica.version().as_deref() == Some(version);
+        replica.set_behaviour(if serves {
+            ReplicaBehaviour::Serve
+        } else {
+            ReplicaBehaviour::Shed
+        });
+    }
+    let mut tries = 0;
+    let (attempt, mut response) = loop {
+        tries += 1;
+        let attempt = format!("{tag}-{tries}");
+        let response = request_stream(site, node, &attempt, None).await;
+        if response.status() == StatusCode::OK {
+            break (attempt, response);
+        }
+        assert!(tries < MAX_TRIES, "no stream begins at {version}");
+    };
+    let mut text = String::new();
+    while StreamPart::parse(&text).ids.len() < 3 {
+        let chunk = response.chunk().await.expect("the stream goes on");
+        text += std::str::from_utf8(&chunk.expect("it is not over")).expect("events are text");
+    }
+    for (replica, _) in &site.replicas {
+        replica.set_behaviour(ReplicaBehaviour::Serve);
+    }
+    let part = StreamPart::parse(&text);
+    assert_eq!(part.version(), version);
+    (attempt, part)
+}
+
+/// Returns the version at which a stream begins.
+fn version_of(number: u32) -> &'static str {
+    if number.is_multiple_of(2) {
+        "v1"
+    } else {
+        "v1.1"
+    }
+}
+
+/// Takes up a stream at a node and returns the rest of it, or the code of the refusal.
+async fn take_up(
+    site: &SiteCluster,
+    node: usize,
+    began: &str,
+    part: &StreamPart,
+    attempt: &str,
+) -> Result<StreamPart, String> {
+    let last = *part.ids.last().expect("it has events");
+    let response = request_stream(site, node, attempt, Some((began, last))).await;
+    if response.status() != StatusCode::OK {
+        assert!(response.headers().contains_key("retry-after"));
+        let code = response.headers()[CODE].to_str().expect("a code is text");
+        return Err(code.into());
+    }
+    let text = response.text().await.expect("the stream is whole");
+    let rest = StreamPart::parse(&text);
+    assert_eq!(rest.ids, (last + 1..=SHAPE.events).collect::<Vec<u32>>());
+    Ok(rest)
+}
+
+/// Guards against an answer that holds events of two versions after a replica broke off: it goes on
+/// at another replica of its version, or is truncated if there is none.
+#[test_case(&["v1", "v1.1", "v1.1", "v1.1"], false => ignore["KNOWN-RED.txt"] (); "alone_of_its_version")]
+#[test_case(&["v1", "v1", "v1.1", "v1.1"], true => ignore["KNOWN-RED.txt"] (); "with_another_of_its_version")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_goes_on_at_its_version(versions: &[&str], goes_on: bool) {
+    let site = start_site(1, &[("north", versions)]).await;
+    site.replicas[0]
+        .0
+        .set_behaviour(ReplicaBehaviour::BreakAfter(3));
+    let mut broken = 0;
+    for number in 0..40 {
+        let attempt = format!("a{number}");
+        let mut response = request_stream(&site, 0, &attempt, None).await;
+        if response.status() != StatusCode::OK {
+            continue;
+        }
+        let mut text = String::new();
+        while let Ok(Some(chunk)) = response.chunk().await {
+            text += std::str::from_utf8(&chunk).expect("events are text");
+        }
+        let part = StreamPart::parse(&text);
+        part.version();
+        broken += u32::from(part.ids.len() == 3);
+        assert!(!goes_on || part.ids.len() == SHAPE.events as usize);
+    }
+    assert_eq!(broken > 0, !goes_on);
+}
+
+/// Guards against streams that go on at another version when their callers take them up, and against
+/// refusing those that could go on: at the same node, at another one of the region, and at one of
+/// another region.
+#[test_case(0 => ignore["KNOWN-RED.txt"] (); "at_the_same_node")]
+#[test_case(1 => ignore["KNOWN-RED.txt"] (); "at_another_node")]
+#[test_case(2 => ignore["KNOWN-RED.txt"] (); "in_another_region")]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_taken_up_goes_on_at_its_version(node: usize) {
+    let regions: [(&str, &[&str]); 2] = [
+        ("north", &["v1", "v1.1", "v1", "v1.1"]),
+        ("south", &["v1.1", "v1"]),
+    ];
+    let site = start_site(2, &regions).await;
+    for number in 0..STREAMS {
+        let version = version_of(number);
+        let (attempt, part) = begin_stream(&site, 0, version, &format!("s{number}")).await;
+        let rest = take_up(&site, node, &attempt, &part, &format!("t{number}")).await;
+        let rest = rest.expect("the stream goes on");
+        assert_eq!(rest.version(), part.version());
+    }
+}
+
+/// Guards against a stream that goes on at another version when it is taken up for the second time,
+/// at a node that saw neither the first attempt nor the second.
+#[ignore = "KNOWN-RED.txt"]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_taken_up_twice_goes_on_at_its_version() {
+    let regions: [(&str, &[&str]); 2] = [("north", &["v1", "v1.1"]), ("south", &["v1.1", "v1"])];
+    let site = start_site(2, &regions).await;
+    for number in 0..STREAMS {
+        let version = version_of(number);
+        let (attempt, part) = begin_stream(&site, 0, version, &format!("s{number}")).await;
+        let last = *part.ids.last().expect("it has events");
+        let again = format!("t{number}");
+        let mut second = request_stream(&site, 1, &again, Some((&attempt, last))).await;
+        let chunk = second.chunk().await.expect("the stream goes on");
+        let chunk = chunk.expect("it is not over");
+        let second = StreamPart::parse(std::str::from_utf8(&chunk).expect("events are text"));
+        assert_eq!(second.version(), part.version());
+        let third = take_up(&site, 2, &attempt, &second, &format!("u{number}")).await;
+        assert_eq!(third.expect("the stream goes on").version(), part.version());
+    }
+}
+
+/// Guards against a stream that goes on at another version because the node that began it has ended.
+#[ignore = "KNOWN-RED.txt"]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_goes_on_at_its_version_after_its_node_ended() {
+    let regions: [(&str, &[&str]); 2] = [
+        ("north", &["v1", "v1.1", "v1", "v1.1"]),
+        ("south", &["v1.1", "v1"]),
+    ];
+    let mut site = start_site(2, &regions).await;
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let version = version_of(number);
+        begun.push(begin_stream(&site, 0, version, &format!("s{number}")).await);
+    }
+    site.kill(0);
+    for (number, (attempt, part)) in begun.iter().enumerate() {
+        let node = 1 + number % 3;
+        let rest = take_up(&site, node, attempt, part, &format!("t{number}")).await;
+        let rest = rest.expect("the stream goes on");
+        assert_eq!(rest.version(), part.version());
+    }
+}
+
+/// Guards against a stream that goes on at another version once no replica of its own is left. Its
+/// caller is refused at once and can begin anew.
+#[ignore = "KNOWN-RED.txt"]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_version_that_left_is_refused() {
+    let regions: [(&str, &[&str]); 2] = [("north", &["v1", "v1.1"]), ("south", &["v1.1"])];
+    let site = start_site(1, &regions).await;
+    let mut begun = Vec::new();
+    for number in 0..STREAMS / 4 {
+        begun.push(begin_stream(&site, 0, "v1", &format!("s{number}")).await);
+    }
+    site.register(0, "draining");
+    wait_until("new streams begin at the new version alone", async || {
+        let text = site.log(0);
+        text.lines()
+            .any(|line| line.contains("\"leaving\":true") && line.contains("i-north-0"))
+    })
+    .await;
+    for (number, (attempt, part)) in begun.iter().enumerate() {
+        for node in 0..2 {
+            let again = format!("t{number}-{node}");
+            let refused = take_up(&site, node, attempt, part, &again).await;
+            assert_eq!(refused.unwrap_err(), VERSION_GONE, "node {node}");
+        }
+    }
+}
+
+/// Guards against a guess: where several versions serve, a stream of which no node knows the version
+/// is refused; where there is but one, it goes on.
+#[test_case("v1.1", false => ignore["KNOWN-RED.txt"] (); "two_versions")]
+#[test_case("v1", true; "one_version")]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_unknown_version_is_not_guessed(other: &str, goes_on: bool) {
+    let regions: [(&str, &[&str]); 2] = [("north", &["v1"]), ("south", &[other])];
+    let site = start_site(1, &regions).await;
+    let part = StreamPart {
+        ids: vec![1, 2, 3],
+        versions: BTreeSet::new(),
+    };
+    for node in 0..2 {
+        let attempt = format!("t{node}");
+        wait_until(
+            "the node knows how long it has seen the versions",
+            async || {
+                let tried = take_up(&site, node, "nobody-saw-it", &part, &attempt).await;
+                !goes_on || tried.is_ok()
+            },
+        )
+        .await;
+        if !goes_on {
+            let refused = take_up(&site, node, "nobody-saw-it", &part, &attempt).await;
+            assert_eq!(refused.unwrap_err(), VERSION_UNKNOWN);
+        }
+    }
+}
