--- a/crates/zinniahatch_entry/src/request/event_scanner.rs
+++ b/crates/zinniahatch_entry/src/request/event_scanner.rs
@@ -21,10 +21,9 @@
     line: LineKind,
     /// Whether the current event has complete lines.
     has_fields: bool,
-    /// Whether the last byte was a carriage return. A line feed after it ends the same line.
-    after_return: bool,
-    /// Whether that carriage return ended an empty line.
-    after_empty_line: bool,
+    /// The line that the last byte ended, if that was a carriage return. A line feed after it ends
+    /// the same line.
+    returned: Option<LineKind>,
     /// Whether lines end with both characters, as far as the stream has shown.
     ends_with_both: bool,
     /// Number of bytes of the byte order mark read; `None` after the first other byte.
@@ -56,10 +55,9 @@
             if self.skips_mark(*byte) {
                 continue;
             }
-            if self.after_return {
-                self.after_return = false;
+            if let Some(line) = self.returned.take() {
                 let is_pair = *byte == b'\n';
-                if self.after_empty_line {
+                if line == LineKind::Empty {
                     end = Some(index + usize::from(is_pair));
                 }
                 self.ends_with_both = is_pair;
@@ -69,11 +67,10 @@
             }
             match byte {
                 b'\r' | b'\n' => {
-                    let is_empty = self.line == LineKind::Empty;
-                    self.end_line();
-                    self.after_return = *byte == b'\r';
-                    self.after_empty_line = is_empty;
-                    if is_empty && !(self.after_return && self.ends_with_both) {
+                    let line = self.end_line();
+                    self.returned = (*byte == b'\r').then_some(line);
+                    let awaits_feed = self.returned.is_some() && self.ends_with_both;
+                    if line == LineKind::Empty && !awaits_feed {
                         end = Some(index + 1);
                     }
                 }
@@ -85,13 +82,15 @@
         end
     }
 
-    fn end_line(&mut self) {
-        match self.line {
+    /// Ends the current line and returns what it held.
+    fn end_line(&mut self) -> LineKind {
+        let line = std::mem::take(&mut self.line);
+        match line {
             LineKind::Empty => self.has_fields = false,
             LineKind::Comment => {}
             LineKind::Field => self.has_fields = true,
         }
-        self.line = LineKind::Empty;
+        line
     }
 
     /// Returns whether a byte belongs to the byte order mark at the beginning of the stream.
