--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -4,7 +4,7 @@
 use crate::replicas::limit_metrics::LimitMetrics;
 use crate::replicas::notice_metrics::NoticeMetrics;
 use crate::request::retry_metrics::RetryMetrics;
-use crate::request::truncation::Truncation;
+use crate::request::stream_metrics::StreamMetrics;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
@@ -23,8 +23,6 @@
 pub(crate) struct EntryMetrics {
     registry: Registry,
     responses: IntCounterVec,
-    truncated: IntCounterVec,
-    taken_up: IntCounterVec,
     remote_sends: IntCounterVec,
     store_calls: IntCounterVec,
     first_event: HistogramVec,
@@ -35,6 +33,8 @@
     pub(crate) limits: LimitMetrics,
     /// Metrics of retries.
     pub(crate) retries: RetryMetrics,
+    /// Metrics of streams that end early or are taken up.
+    pub(crate) streams: StreamMetrics,
     /// Metrics of replica notices.
     pub(crate) notices: NoticeMetrics,
     /// Metrics of the messages between nodes.
@@ -70,16 +70,6 @@
             "Answers to callers and other nodes, by service and result.",
             &["service", "result"],
         )?;
-        let truncated = counter(
-            "zinniahatch_truncated_answers_total",
-            "Answers of replicas that ended early, by service and what showed it.",
-            &["service", "reason"],
-        )?;
-        let taken_up = counter(
-            "zinniahatch_streams_taken_up_total",
-            "Requests that take up a stream, by service and how the version that began it was found.",
-            &["service", "source"],
-        )?;
         let remote_sends = counter(
             "zinniahatch_away_total",
             "Requests sent to a node of another region, by service and region.",
@@ -143,12 +133,11 @@
         Ok(Self {
             limits: LimitMetrics::new(&registry)?,
             retries: RetryMetrics::new(&registry)?,
+            streams: StreamMetrics::new(&registry)?,
             notices: NoticeMetrics::new(&registry)?,
             messages: MessageMetrics::new(&registry)?,
             registry,
             responses,
-            truncated,
-            taken_up,
             remote_sends,
             store_calls,
             first_event,
@@ -169,18 +158,6 @@
         self.responses.with_label_values(&[service, result]).inc();
     }
 
-    /// Counts a response of a replica that ended early.
-    pub(crate) fn note_truncated(&self, service: &str, truncation: &Truncation) {
-        self.truncated
-            .with_label_values(&[service, truncation.name()])
-            .inc();
-    }
-
-    /// Counts a request that takes up a stream.
-    pub(crate) fn note_taken_up(&self, service: &str, source: &str) {
-        self.taken_up.with_label_values(&[service, source]).inc();
-    }
-
     /// Counts a request that is sent to another region.
     pub(crate) fn note_remote(&self, service: &str, region: &str) {
         self.remote_sends
--- a/crates/zinniahatch_entry/src/request.rs
+++ b/crates/zinniahatch_entry/src/request.rs
@@ -21,5 +21,6 @@
 pub(crate) mod send;
 pub(crate) mod serve;
 pub(crate) mod startup;
+pub(crate) mod stream_metrics;
 pub(crate) mod take_up;
 pub(crate) mod truncation;
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -81,6 +81,7 @@
             };
             self.core
                 .metrics
+                .streams
                 .note_truncated(&self.plan.service, truncation);
             let reason = truncation.to_string();
             in_flight.record_failure();
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -94,7 +94,9 @@
     let body = match timeout_at(limit.into(), reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(truncation)) => {
-            core.metrics.note_truncated(&plan.service, &truncation);
+            core.metrics
+                .streams
+                .note_truncated(&plan.service, &truncation);
             let reason = truncation.to_string();
             in_flight.record_failure();
             handle_connection_break(core, request, &in_flight, &reason).await;
--- /dev/null
+++ b/crates/zinniahatch_entry/src/request/stream_metrics.rs
@@ -0,0 +1,55 @@
+//! Metrics of answers that end early, and of streams that callers take up.
+
+use crate::request::truncation::Truncation;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+
+/// Counters of truncated answers and of streams that are taken up.
+#[derive(Debug)]
+pub(crate) struct StreamMetrics {
+    truncated: IntCounterVec,
+    taken_up: IntCounterVec,
+}
+
+impl StreamMetrics {
+    /// Creates and registers the counters.
+    ///
+    /// # Errors
+    ///
+    /// A metric name is already registered.
+    pub(crate) fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let truncated = IntCounterVec::new(
+            Opts::new(
+                "zinniahatch_truncated_answers_total",
+                "Answers of replicas that ended early, by service and what showed it.",
+            ),
+            &["service", "reason"],
+        )?;
+        registry.register(Box::new(truncated.clone()))?;
+        let taken_up = IntCounterVec::new(
+            Opts::new(
+                "zinniahatch_streams_taken_up_total",
+                "Requests that take up a stream, by service and how the version that began it was found.",
+            ),
+            &["service", "source"],
+        )?;
+        registry.register(Box::new(taken_up.clone()))?;
+        Ok(Self {
+            truncated,
+            taken_up,
+        })
+    }
+
+    /// Counts an answer of a replica that ended early.
+    pub(crate) fn note_truncated(&self, service: &str, truncation: &Truncation) {
+        self.truncated
+            .with_label_values(&[service, truncation.name()])
+            .inc();
+    }
+
+    /// Counts a request that takes up a stream.
+    pub(crate) fn note_taken_up(&self, service: &str, source: &str) {
+        self.taken_up.with_label_values(&[service, source]).inc();
+    }
+}
--- a/crates/zinniahatch_entry/src/request/take_up.rs
+++ b/crates/zinniahatch_entry/src/request/take_up.rs
@@ -62,7 +62,9 @@
     if gone {
         source = OriginSource::Gone;
     }
-    core.metrics.note_taken_up(&plan.service, source.name());
+    core.metrics
+        .streams
+        .note_taken_up(&plan.service, source.name());
     core.log.write(
         "taken-up",
         serde_json::json!({"request": request.attempt, "resumes": request.resumes,
