--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -7,6 +7,7 @@
 use zinniahatch_lab::experiments::faults::FaultKind;
 use zinniahatch_lab::experiments::faults::FaultRun;
 use zinniahatch_lab::soak::ReplicaAnnouncements;
+use zinniahatch_lab::soak::ReplicaAnswers;
 use zinniahatch_lab::soak::SoakRun;
 use zinniahatch_lab::soak::USUAL_RETRY_SLACK;
 
@@ -69,6 +70,9 @@
     /// let replicas give their answers other forms, whole or broken off
     #[argh(switch)]
     forms: bool,
+    /// let replicas of two software versions serve side by side, and replace the older one
+    #[argh(switch)]
+    versions: bool,
     /// retries that all nodes together may send in 10 s beyond a fifth of the requests (default: 54)
     #[argh(option, default = "USUAL_RETRY_SLACK")]
     retry_slack: f64,
@@ -188,8 +192,11 @@
                     limits: args.limits,
                     notices: args.notices,
                 },
-                refusals: args.refusals,
-                answer_forms: args.forms,
+                answers: ReplicaAnswers {
+                    refusals: args.refusals,
+                    forms: args.forms,
+                    versions: args.versions,
+                },
                 retry_slack: args.retry_slack,
             };
             zinniahatch_lab::soak::run(&run).await
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -41,6 +41,17 @@
     pub notices: bool,
 }
 
+/// How replicas answer beside the faults that a seed draws.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaAnswers {
+    /// All replicas refuse for some time.
+    pub refusals: bool,
+    /// Replicas give their answers other forms, whole or broken off.
+    pub forms: bool,
+    /// Replicas of two software versions serve side by side, and are replaced by the newer one.
+    pub versions: bool,
+}
+
 /// Retry slack of the users' deployments, in retries of all nodes within a window.
 pub const USUAL_RETRY_SLACK: f64 = 54.0;
 
@@ -63,10 +74,8 @@
     pub store_restore: bool,
     /// Which notices replicas send in their response headers.
     pub announcements: ReplicaAnnouncements,
-    /// Whether all replicas refuse for some time.
-    pub refusals: bool,
-    /// Whether replicas give their answers other forms, whole or broken off.
-    pub answer_forms: bool,
+    /// How replicas answer.
+    pub answers: ReplicaAnswers,
     /// Retries that all nodes together may send in a window in addition to a share of the requests.
     pub retry_slack: f64,
 }
@@ -106,14 +115,14 @@
     if soak.announcements.notices {
         plan = plan.with_notices(seed, soak.time, &site);
     }
-    if soak.refusals {
+    if soak.answers.refusals {
         plan = plan.with_refusals(seed, soak.time);
     }
-    if soak.answer_forms {
+    if soak.answers.forms {
         plan = plan.with_answer_forms(seed, soak.time, &site);
     }
     let log = Arc::new(OutcomeLog::default());
-    let routes = RouteKind::drawn(soak.answer_forms);
+    let routes = RouteKind::drawn(soak.answers.forms);
     let callers = CallerPool::start(seed, soak.callers, routes, &site, &log);
     let crashing_caller = soak
         .crashing_request
@@ -128,7 +137,7 @@
     limits::check_limits(&site, &plan, injector.started, &log);
     notices::check_notices(&site, &plan, injector.started, &log);
     retries::check_retries(&site, soak.retry_slack, &log);
-    let replicas_fail = soak.crashing_request || soak.answer_forms;
+    let replicas_fail = soak.crashing_request || soak.answers.forms;
     invariants::check_runs(&site, plan.mix, replicas_fail, &log);
     let broken = log.take_violations();
     println!(
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -5,6 +5,7 @@
 use test_case::test_case;
 use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
 use zinniahatch_lab::soak::ReplicaAnnouncements;
+use zinniahatch_lab::soak::ReplicaAnswers;
 use zinniahatch_lab::soak::SoakRun;
 use zinniahatch_lab::soak::USUAL_RETRY_SLACK;
 use zinniahatch_lab::soak::run_seed;
@@ -26,6 +27,8 @@
     Refusals,
     /// Replicas give their answers other forms, whole or broken off.
     AnswerForms,
+    /// Replicas of two software versions serve side by side, and are replaced by the newer one.
+    Versions,
 }
 
 /// Runs a seed for `seconds` with `entries` entry VMs per region, and checks that no invariant is
@@ -43,8 +46,11 @@
             limits: extra == ExtraFault::RateLimits,
             notices: extra == ExtraFault::Notices,
         },
-        refusals: extra == ExtraFault::Refusals,
-        answer_forms: extra == ExtraFault::AnswerForms,
+        answers: ReplicaAnswers {
+            refusals: extra == ExtraFault::Refusals,
+            forms: extra == ExtraFault::AnswerForms,
+            versions: extra == ExtraFault::Versions,
+        },
         retry_slack: match extra {
             ExtraFault::Refusals => USUAL_RETRY_SLACK,
             _ => AMPLE_RETRY_SLACK,
