Soak a release of versions while callers take streams up again

Replicas of v1 and v1.1 serve side by side and are replaced by v1.2 one after the other; callers follow each stream to its end, over up to five requests at any entry VM, after breaks and after leaving it themselves. No stream may hold events of two versions, skip or repeat one, or look whole before its end; the summary counts how many of the requests that take a stream up bring further events.

--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -110,6 +110,8 @@
     /// The observations of replicas that were replaced or restarted.
     retired: Vec<RetiredReplica>,
     shape: StreamShape,
+    /// Version of the software of replicas that start from now on, if their events name one.
+    released: Option<Box<str>>,
     /// Whether the site has client accounts, so that revoked keys must be refused after a bounded time.
     has_accounts: bool,
     /// Retries that all nodes together may send in a window in addition to a share of the requests.
@@ -140,10 +142,8 @@
         shape: StreamShape,
         slack: f64,
     ) -> Self {
-        let mut cluster = Self::prepare(regions, shape).await;
-        cluster.retry_slack = slack;
-        cluster.start_entries().await;
-        cluster
+        let cluster = Self::prepare(regions, shape).await;
+        cluster.start_prepared(slack).await
     }
 
     /// Starts a site with client accounts, and waits until every entry VM is ready.
@@ -163,12 +163,14 @@
         cluster
     }
 
-    /// Starts the entry VMs of a site that was set up, and waits until every one is ready.
+    /// Starts the entry VMs of a site that was set up, with a retry slack of all nodes together, and
+    /// waits until every one is ready.
     ///
     /// # Panics
     ///
     /// Panics if a process cannot be started.
-    pub async fn start_prepared(mut self) -> Self {
+    pub async fn start_prepared(mut self, slack: f64) -> Self {
+        self.retry_slack = slack;
         self.start_entries().await;
         self
     }
@@ -231,6 +233,7 @@
             store_links,
             retired: Vec::new(),
             shape,
+            released: None,
             has_accounts: false,
             retry_slack: AMPLE_RETRY_SLACK,
             server,
@@ -274,6 +277,11 @@
         self.register(index, "ready");
     }
 
+    /// Sets the version of the software of replicas that start from now on.
+    pub fn release_version(&mut self, version: &str) {
+        self.released = Some(version.into());
+    }
+
     /// Writes the store entry of a replica that is cold for the time `left`.
     ///
     /// # Panics
@@ -345,6 +353,9 @@
     async fn start_replica(&mut self, index: usize, id: &str) {
         let region = self.replicas[index].1;
         let replica = FakeReplica::start(id, self.shape, &self.crashing_requests).await;
+        if let Some(version) = &self.released {
+            replica.set_version(version);
+        }
         self.links[index] = start_replica_link(&replica).await;
         let old = std::mem::replace(&mut self.replicas[index].0, replica);
         self.retired.push(RetiredReplica {
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod plan;
 mod retries;
+mod stream_follower;
 
 use crate::site::SiteCluster;
 use crate::site::SiteRegion;
@@ -32,6 +33,10 @@
     pause: Duration::from_millis(40),
 };
 
+/// Software versions that serve side by side at first, and the one of replicas that start later.
+const VERSIONS: [&str; 2] = ["v1", "v1.1"];
+const NEW_VERSION: &str = "v1.2";
+
 /// Which notices replicas send in their response headers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaAnnouncements {
@@ -104,7 +109,14 @@
         entries: soak.entries,
         replicas,
     });
-    let mut site = SiteCluster::start_with_retry_slack(&regions, SHAPE, soak.retry_slack).await;
+    let mut site = SiteCluster::prepare(&regions, SHAPE).await;
+    if soak.answers.versions {
+        for index in 0..site.replicas.len() {
+            site.set_version(index, VERSIONS[index % VERSIONS.len()]);
+        }
+        site.release_version(NEW_VERSION);
+    }
+    let mut site = site.start_prepared(soak.retry_slack).await;
     let mut plan = SoakPlan::draw(seed, soak.time, &site);
     if soak.store_restore {
         plan = plan.with_store_restore(seed, soak.time);
@@ -121,9 +133,19 @@
     if soak.answers.forms {
         plan = plan.with_answer_forms(seed, soak.time, &site);
     }
+    if soak.answers.versions {
+        plan = plan.with_release(seed, soak.time, &site);
+    }
     let log = Arc::new(OutcomeLog::default());
     let routes = RouteKind::drawn(soak.answers.forms);
-    let callers = CallerPool::start(seed, soak.callers, routes, &site, &log);
+    let callers = CallerPool::start(
+        seed,
+        soak.callers,
+        routes,
+        soak.answers.versions,
+        &site,
+        &log,
+    );
     let crashing_caller = soak
         .crashing_request
         .then(|| CrashingCaller::start(seed, &site));
--- a/crates/zinniahatch_lab/src/soak/callers.rs
+++ b/crates/zinniahatch_lab/src/soak/callers.rs
@@ -3,6 +3,7 @@
 use super::invariants::CallOutcome;
 use super::invariants::OutcomeLog;
 use super::invariants::RouteKind;
+use super::stream_follower::StreamFollower;
 use crate::site::HOST;
 use crate::site::SiteCluster;
 use rand::RngExt;
@@ -44,6 +45,7 @@
         seed: u64,
         count: usize,
         routes: &'static [RouteKind],
+        follows: bool,
         site: &SiteCluster,
         log: &Arc<OutcomeLog>,
     ) -> Self {
@@ -60,6 +62,12 @@
             let caller = SoakCaller {
                 name: format!("c{number}"),
                 routes,
+                follows,
+                fronts: site
+                    .entries
+                    .iter()
+                    .map(|entry| entry.addresses[0].clone())
+                    .collect(),
                 entries: addresses.clone(),
                 region: addresses[number % addresses.len()].region,
                 log: Arc::clone(log),
@@ -96,6 +104,10 @@
 struct SoakCaller {
     name: String,
     routes: &'static [RouteKind],
+    /// Whether it takes streams up again that are broken off.
+    follows: bool,
+    /// Addresses of all entry VMs for callers.
+    fronts: Vec<Box<str>>,
     entries: Vec<EntryAddress>,
     region: &'static str,
     log: Arc<OutcomeLog>,
@@ -154,11 +166,30 @@
         None
     }
 
+    /// Follows a stream to its end; returns whether the caller may go on with the same entry VM.
+    async fn follow(&mut self, front: &str, attempt: &str, time_limit: Duration) -> bool {
+        self.log.record_sent(attempt);
+        let follower = StreamFollower {
+            client: &self.client,
+            fronts: &self.fronts,
+            random: &mut self.random,
+            attempt,
+            time_limit,
+            hang_timeout: time_limit + HANG_TIMEOUT,
+        };
+        let followed = follower.run(front).await;
+        self.log.record_followed(attempt, &followed);
+        followed.whole
+    }
+
     /// Sends a request; returns whether the caller may go on with the same entry VM.
     async fn send(&mut self, front: &str, number: u32) -> bool {
         let kind = self.routes[self.random.random_range(0..self.routes.len())];
         let attempt = format!("{}-{number}", self.name);
         let time_limit = Duration::from_millis(self.random.random_range(TIME_LIMIT_MS));
+        if self.follows && kind == RouteKind::Stream {
+            return self.follow(front, &attempt, time_limit).await;
+        }
         let abandons = kind.is_stream() && self.random.random_range(0..ABANDON_ONE_IN) == 0;
         let limit = if abandons {
             Duration::from_millis(self.random.random_range(1..250))
--- a/crates/zinniahatch_lab/src/soak/invariants.rs
+++ b/crates/zinniahatch_lab/src/soak/invariants.rs
@@ -90,6 +90,66 @@
     Abandoned,
 }
 
+/// An event of a stream whose replicas name their version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct StreamEvent {
+    /// Its id; 0 if it has none.
+    pub(crate) id: u32,
+    /// The attempt that brought the first event of the stream.
+    pub(crate) first_attempt: Box<str>,
+    /// The version of the replica that made it.
+    pub(crate) version: Box<str>,
+}
+
+impl StreamEvent {
+    /// Parses an event; `first` is the first one of its stream, if this is another one.
+    pub(crate) fn parse(text: &str, first: Option<&Self>) -> Self {
+        let (id, data) = text.split_once('\n').unwrap_or_default();
+        let id = id.strip_prefix("id: ").and_then(|id| id.parse().ok());
+        let data = data.strip_prefix("data: ").unwrap_or_default();
+        let (attempt, version) = data.rsplit_once(' ').unwrap_or_default();
+        Self {
+            id: id.unwrap_or(0),
+            first_attempt: first
+                .map_or_else(|| attempt.into(), |first| first.first_attempt.clone()),
+            version: version.into(),
+        }
+    }
+}
+
+/// A stream that its caller followed over several requests.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FollowedStream {
+    /// All events, in the order in which they came.
+    pub(crate) events: Vec<StreamEvent>,
+    /// Requests that took the stream up again, and how many of them brought further events.
+    pub(crate) taken_up: u32,
+    pub(crate) went_on: u32,
+    /// Whether the last request ended as complete.
+    pub(crate) whole: bool,
+    /// Whether it was never answered.
+    pub(crate) hung: bool,
+}
+
+impl FollowedStream {
+    /// Returns what is wrong with the stream, if anything is.
+    fn problem(&self) -> Option<String> {
+        if self.hung {
+            return Some("was never answered".into());
+        }
+        let versions: BTreeSet<&str> = self.events.iter().map(|event| &*event.version).collect();
+        if versions.len() > 1 {
+            return Some(format!("holds events of versions {versions:?}"));
+        }
+        let ids = self.events.iter().map(|event| event.id);
+        if !ids.eq(1..=self.events.len() as u32) {
+            return Some(format!("has a gap or a repetition: {:?}", self.events));
+        }
+        let short = self.whole && self.events.len() < EVENTS as usize;
+        short.then(|| format!("looks whole after {} events", self.events.len()))
+    }
+}
+
 #[derive(Debug, Default)]
 struct OutcomeRecords {
     /// Entry VMs that were asked to stop before they could handle the signal.
@@ -103,6 +163,9 @@
     refused: usize,
     disconnected: BTreeSet<Box<str>>,
     abandoned: usize,
+    /// Requests that took a stream up again, and how many of them brought further events.
+    taken_up: u32,
+    went_on: u32,
     violations: Vec<String>,
 }
 
@@ -146,16 +209,37 @@
     pub(crate) fn summary(&self) -> String {
         let records = self.lock();
         format!(
-            "{} calls: {} served, {} refused or failed, {} broken off, {} left, {} stops unheard",
+            "{} calls: {} served, {} refused or failed, {} broken off, {} left, {} stops unheard, {} of {} \
+             went on",
             records.routes.len(),
             records.served,
             records.refused,
             records.disconnected.len(),
             records.abandoned,
-            records.missed_stops
+            records.missed_stops,
+            records.went_on,
+            records.taken_up
         )
     }
 
+    /// Records a stream that its caller followed, and checks it.
+    pub(crate) fn record_followed(&self, attempt: &str, followed: &FollowedStream) {
+        let mut records = self.lock();
+        records.routes.insert(attempt.into(), RouteKind::Stream);
+        records.taken_up += followed.taken_up;
+        records.went_on += followed.went_on;
+        if followed.whole {
+            records.served += 1;
+        } else {
+            records.refused += 1;
+        }
+        if let Some(problem) = followed.problem() {
+            records
+                .violations
+                .push(format!("{attempt} (followed stream) {problem}"));
+        }
+    }
+
     /// Records the outcome of a request and checks it.
     pub(crate) fn record(&self, attempt: &str, kind: RouteKind, outcome: &CallOutcome) {
         let mut records = self.lock();
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -39,6 +39,9 @@
 /// Combined with the seed by XOR, as for limits.
 const NOTICE_SEED_MASK: u64 = 0x0007_1ce5;
 
+/// Combined with the seed by XOR, as for limits.
+const RELEASE_SEED_MASK: u64 = 0x00fe_1ea5;
+
 /// Number of times that a replica gives its answers another form.
 const ANSWER_FORMS: usize = 12;
 /// Combined with the seed by XOR, as for limits.
@@ -300,6 +303,26 @@
         self
     }
 
+    /// Adds replicas that leave or are replaced one after the other, drawn independently, so that the
+    /// seed's other faults stay.
+    pub(crate) fn with_release(mut self, seed: u64, time: Duration, site: &SiteCluster) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ RELEASE_SEED_MASK);
+        for replica in 0..site.replicas.len() {
+            let at = time.mul_f64(random.random_range(0.1..0.9));
+            let fault = if random.random_bool(0.5) {
+                SoakFault::ReplicaDrains(replica)
+            } else {
+                SoakFault::ReplicaReplaced(replica)
+            };
+            self.faults.push(PlannedFault {
+                at,
+                until: at + DRAIN_TIME,
+                fault,
+            });
+        }
+        self
+    }
+
     /// Adds replicas whose answers have other forms, whole or broken off, drawn independently, so that
     /// the seed's other faults stay.
     pub(crate) fn with_answer_forms(
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -118,6 +118,17 @@
     check_seed(seed, 10, 2, 16, ExtraFault::AnswerForms).await;
 }
 
+/// Replicas of two software versions serve side by side and are replaced by a third while callers take
+/// streams up again at any entry VM and other faults go on: no stream holds events of two versions,
+/// and every other invariant holds.
+#[test_case(36; "any")]
+#[test_case(38; "replicas")]
+#[test_case(39; "planned")]
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_during_a_release(seed: u64) {
+    check_seed(seed, 10, 2, 16, ExtraFault::Versions).await;
+}
+
 /// Guards against a run that waits for ever because an entry VM was asked to stop while its program
 /// was still being loaded and did not handle the signal.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/zinniahatch_lab/tests/stream_versions.rs
+++ b/crates/zinniahatch_lab/tests/stream_versions.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use test_case::test_case;
+use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
@@ -73,7 +74,7 @@
     for (index, version) in versions.enumerate() {
         site.set_version(index, version);
     }
-    site.start_prepared().await
+    site.start_prepared(AMPLE_RETRY_SLACK).await
 }
 
 /// Sends a request for a stream, for a new one or after the events of an earlier attempt.
