Keep in the store which versions have lately served in a region

Cause: whether a service has had a single version is known only to processes that have followed their region for as long as a stream may last. When all end at once, nobody has.

Change: one node of each region writes the versions that have lately served there whenever they change, a call or two for each; a process reads them once after its start or after it lost the store, and adds them to what it sees.

Tests: versions_outlive_all_nodes, both cases: after all processes ended at once a stream of a service with one version goes on, and one whose version left meanwhile is refused. Before, the first case was refused until the longest time of a stream had passed.

--- a/crates/zinniahatch_entry/src/request/take_up.rs
+++ b/crates/zinniahatch_entry/src/request/take_up.rs
@@ -95,18 +95,28 @@
     if known.is_some() {
         return (known, OriginSource::Known);
     }
-    // Where a route is split, the weights may have changed since the stream began.
-    if !plan.route.is_split()
-        && let Some(origin) = sole_version(core, tag_of(&plan.service))
-    {
+    if let Some(origin) = only_origin(core, plan) {
         return (Some(origin), OriginSource::SoleVersion);
     }
-    match ask_origin(core, stream).await {
-        Some(origin) => (Some(origin), OriginSource::Asked),
+    if let Some(origin) = ask_origin(core, stream).await {
+        return (Some(origin), OriginSource::Asked);
+    }
+    // A node that has just started may have heard from the other regions meanwhile.
+    match only_origin(core, plan) {
+        Some(origin) => (Some(origin), OriginSource::SoleVersion),
         None => (None, OriginSource::Unknown),
     }
 }
 
+/// Returns what alone can have begun a stream of a route.
+fn only_origin(core: &EntryCore, plan: &RequestPlan) -> Option<StreamOrigin> {
+    // Where a route is split, the weights may have changed since the stream began.
+    if plan.route.is_split() {
+        return None;
+    }
+    sole_version(core, tag_of(&plan.service))
+}
+
 /// Returns whether the route has left the service of a stream, or no replica of its version takes
 /// work in any region that may serve it. A region that this node has not heard from may have one.
 fn is_gone(core: &EntryCore, plan: &RequestPlan, origin: StreamOrigin) -> bool {
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -25,6 +25,7 @@
 use crate::store::quarantine_keys::run_quarantine_writer;
 use crate::store::registration::run_registration;
 use crate::store::restore_recovery::run_restore_recovery;
+use crate::store::version_keys::run_version_keeper;
 use crate::store::watch::run_watch;
 use crate::store::watch_topic::WatchTopic;
 use rand::RngExt;
@@ -182,6 +183,7 @@
     tokio::task::spawn_local(run_registration(Rc::clone(&core)));
     tokio::task::spawn_local(run_quarantine_reader(Rc::clone(&core)));
     tokio::task::spawn_local(run_quarantine_writer(Rc::clone(&core)));
+    tokio::task::spawn_local(run_version_keeper(Rc::clone(&core)));
     tokio::task::spawn_local(run_probes(Rc::clone(&core)));
     tokio::task::spawn_local(run_freshness_prover(Rc::clone(&core)));
     tokio::task::spawn_local(run_restore_recovery(Rc::clone(&core)));
--- a/crates/zinniahatch_entry/src/store.rs
+++ b/crates/zinniahatch_entry/src/store.rs
@@ -5,5 +5,6 @@
 pub(crate) mod registration;
 pub(crate) mod restore_recovery;
 pub(crate) mod updates;
+pub(crate) mod version_keys;
 pub(crate) mod watch;
 pub(crate) mod watch_topic;
--- a/crates/zinniahatch_lab/tests/stream_versions.rs
+++ b/crates/zinniahatch_lab/tests/stream_versions.rs
@@ -23,6 +23,9 @@
 const STREAMS: u32 = 16;
 /// Number of requests until a stream begins at a replica of a version.
 const MAX_TRIES: u32 = 200;
+/// Number of times that a stream is taken up at processes that have just started. Each waits for
+/// other nodes to answer; a stream may last far longer than all of them take.
+const TRIES_AFTER_START: u32 = 8;
 /// Header with the number of the result code.
 const CODE: &str = "x-zinnia-code";
 /// No replica of the version that began the stream is left.
@@ -319,3 +322,40 @@
         }
     }
 }
+
+/// Guards against processes that know no version after all have ended at once: where a service has
+/// had a single version, streams go on; where another one left meanwhile, nobody guesses.
+#[test_case("v1", true; "one_version")]
+#[test_case("v1.1", false; "version_left_meanwhile")]
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_outlive_all_nodes(other: &str, goes_on: bool) {
+    let regions: [(&str, &[&str]); 2] = [("north", &["v1", other]), ("south", &[other])];
+    let mut site = start_site(1, &regions).await;
+    for node in 0..2 {
+        wait_until("the versions are in the store", async || {
+            site.log(node).contains("versions-kept")
+        })
+        .await;
+    }
+    let (attempt, part) = begin_stream(&site, 0, "v1", "s").await;
+    for node in 0..2 {
+        site.kill(node);
+    }
+    if !goes_on {
+        site.unregister(0);
+    }
+    for node in 0..2 {
+        site.spawn(node);
+        site.wait_ready(node).await;
+    }
+    let mut outcome = Err(String::new());
+    for number in 0..TRIES_AFTER_START {
+        outcome = take_up(&site, 1, &attempt, &part, &format!("t{number}")).await;
+        if goes_on && outcome.is_ok() {
+            break;
+        }
+        let refused = outcome.as_ref().map(|_| ()).expect_err("nobody guesses");
+        assert_eq!(refused, VERSION_UNKNOWN);
+    }
+    assert_eq!(outcome.is_ok(), goes_on);
+}
--- a/crates/zinniahatch_route/src/version_table.rs
+++ b/crates/zinniahatch_route/src/version_table.rs
@@ -28,6 +28,28 @@
     }
 }
 
+impl VersionReport {
+    /// Adds a version unless it is there.
+    fn add(&mut self, count: VersionCount) {
+        let mut known = self.versions.iter();
+        if known.all(|other| other.origin != count.origin) {
+            self.versions.push(count);
+        }
+    }
+}
+
+/// What a node knows of the versions in the store.
+#[derive(Clone, Debug, Default)]
+enum StoredView {
+    /// It has not read them since it began to follow its region.
+    #[default]
+    Unread,
+    /// The store has none.
+    Missing,
+    /// All that have served in the region lately.
+    Read(Vec<StreamOrigin>),
+}
+
 /// The versions that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct VersionTable {
@@ -35,6 +57,8 @@
     own: BTreeMap<(ShortTag, ShortTag), (Instant, u16)>,
     /// Since when this node has followed the replicas of its region without a gap.
     followed_since: Option<Instant>,
+    /// The versions that the store had after that.
+    stored: StoredView,
     /// What nodes of each region last reported, and when.
     reports: BTreeMap<RegionId, (VersionReport, Instant)>,
 }
@@ -47,6 +71,7 @@
             self.followed_since.get_or_insert(now);
         } else {
             self.followed_since = None;
+            self.stored = StoredView::Unread;
         }
         for (_, ready) in self.own.values_mut() {
             *ready = 0;
@@ -62,6 +87,24 @@
             .retain(|_, (seen, _)| now.saturating_duration_since(*seen) <= keep);
     }
 
+    /// Returns whether this node should read the versions in the store: it has not followed its region
+    /// for `keep`, the longest time of a stream.
+    pub fn wants_stored(&self, keep: Duration, now: Instant) -> bool {
+        matches!(self.stored, StoredView::Unread)
+            && self.followed_since.is_some()
+            && !self.has_followed(keep, now)
+    }
+
+    /// Records the versions in the store; `None` if it has none.
+    pub fn note_stored(&mut self, versions: Option<Vec<StreamOrigin>>) {
+        self.stored = versions.map_or(StoredView::Missing, StoredView::Read);
+    }
+
+    fn has_followed(&self, keep: Duration, now: Instant) -> bool {
+        self.followed_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= keep)
+    }
+
     /// Returns the report on the own region; `keep` is how long a stream may last.
     pub fn report(&self, keep: Duration, now: Instant) -> VersionReport {
         let versions = self.own.iter().map(|((service, version), (_, ready))| {
@@ -74,12 +117,22 @@
                 ready: *ready,
             }
         });
-        VersionReport {
-            complete: self
-                .followed_since
-                .is_some_and(|since| now.saturating_duration_since(since) >= keep),
+        let mut report = VersionReport {
+            complete: self.has_followed(keep, now),
             versions: versions.collect(),
+        };
+        if let StoredView::Read(stored) = &self.stored
+            && !report.complete
+        {
+            report.complete = self.followed_since.is_some();
+            for origin in stored {
+                report.add(VersionCount {
+                    origin: *origin,
+                    ready: 0,
+                });
+            }
         }
+        report
     }
 
     /// Applies the report of a node of any region.
@@ -93,13 +146,7 @@
             && now.saturating_duration_since(*at) <= REPORT_TIME
         {
             for count in report.versions {
-                if known
-                    .versions
-                    .iter()
-                    .all(|other| other.origin != count.origin)
-                {
-                    known.versions.push(count);
-                }
+                known.add(count);
             }
             return;
         }
