Copy cached parts of a prompt within one software version alone

The same cause elsewhere: a replica was told to copy cached parts from whichever replica had most of them, also from one of another software version. What two versions write does not fit together, and nothing says that one can read the other's memory. The best holder is now looked for by version; with a single version nothing changes. choose_local_copies_within_one_version failed before (3,000 tokens and a copy from the other version).

--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -157,7 +157,7 @@
     let session = query.size.session();
     let group = candidate_group(table, regions, query, session.unwrap_or(query.draw), now);
     let (choices, considered) = session_choices(table, regions, query, &group, now);
-    let cache_holder = best_cache_holder(query, &group);
+    let cache_holders = best_cache_holders(query, &group);
     let mut best: Option<LocalPlacement> = None;
     for state in considered {
         let rank = choices.iter().position(|id| **id == *state.entry.id);
@@ -170,7 +170,8 @@
             }
         }
         let work = state.total_work(now);
-        let prompt = prompt_plan(state, cache_holder.as_ref(), query);
+        let cache_holder = cache_holders.get(&state.version);
+        let prompt = prompt_plan(state, cache_holder, query);
         let slots = f64::from(state.entry.slots.max(1));
         let slot_wait = expected_slot_wait(
             f64::from(work.slots_ahead(query.urgent)),
@@ -246,25 +247,30 @@
     }
 }
 
-/// Returns the replica of a group that caches most of a prompt, where replicas can copy cached parts.
-fn best_cache_holder(
+/// Returns the replicas of a group that cache most of a prompt by their software versions, where
+/// replicas can copy cached parts. What one version has cached is of no use to another.
+fn best_cache_holders(
     query: &PlacementQuery<'_>,
     group: &[&ReplicaState],
-) -> Option<(ReplicaId, usize)> {
+) -> BTreeMap<Option<ShortTag>, (ReplicaId, usize)> {
+    let mut best = BTreeMap::new();
     if query.copy_token.is_zero() || query.size.parts.len() < 2 {
-        return None;
+        return best;
     }
     let shared = &query.size.parts[..query.size.parts.len() - 1];
-    group
-        .iter()
-        .map(|state| {
-            (
-                state.entry.id.clone(),
-                state.prefix_cache.cached_prefix(shared),
-            )
-        })
-        .filter(|(_, parts)| *parts > 0)
-        .max_by_key(|(_, parts)| *parts)
+    for state in group {
+        let parts = state.prefix_cache.cached_prefix(shared);
+        if parts == 0 {
+            continue;
+        }
+        let holder = best
+            .entry(state.version)
+            .or_insert_with(|| (state.entry.id.clone(), parts));
+        if parts >= holder.1 {
+            *holder = (state.entry.id.clone(), parts);
+        }
+    }
+    best
 }
 
 /// Returns the expected wait for a slot: zero while one is free, then one slot time per round of
--- a/crates/zinniahatch_route/tests/placement.rs
+++ b/crates/zinniahatch_route/tests/placement.rs
@@ -18,6 +18,7 @@
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::PromptSize;
 use zinniahatch_route::RemoteAttempts;
+use zinniahatch_route::ReplicaEntry;
 use zinniahatch_route::ReplicaTable;
 use zinniahatch_route::choose_local;
 use zinniahatch_route::choose_remote;
@@ -141,6 +142,33 @@
     assert_eq!(elsewhere.copy_from, Some(first));
 }
 
+/// Guards against a replica that copies cached parts from one of another software version, whose
+/// memory it may not be able to read.
+#[test]
+fn choose_local_copies_within_one_version() {
+    let now = Instant::now();
+    let mut table = ReplicaTable::default();
+    for (id, version) in [("r1", "v1"), ("r2", "v1.1")] {
+        let entry = ReplicaEntry {
+            version: Some(version.into()),
+            ..entry(id, "a")
+        };
+        table.upsert(entry, now);
+    }
+    let mut parts = QueryParts::new(prompt(7, 1));
+    parts.copy_token = Duration::from_micros(2);
+    let first = choose(&table, &parts, now).unwrap().replica;
+    let prefix = CachedPrefix {
+        replica: entry(&first, "a").incarnation().tag(),
+        parts: parts.size.parts[..2].to_vec(),
+    };
+    table.apply_cached_prefixes(&[prefix], |_| 100_000);
+    table.get_mut(&first).unwrap().local_work.tokens = 60_000;
+    let elsewhere = choose(&table, &parts, now).unwrap();
+    assert_ne!(elsewhere.replica, first);
+    assert_eq!((elsewhere.tokens, elsewhere.copy_from), (9_000, None));
+}
+
 #[test]
 fn choose_local_without_eligible_replicas() {
     let now = Instant::now();
