Ask again for software versions that came from a node without them

During a roll-out, a node of this code may get its entries from one of the code before, which sends no versions; the digests by which nodes compare entries leave versions out, since they would never match between the two. Such a node would know no version for as long as the entries stay, and refuse every stream that is taken up. It now asks every 5 s, for the groups concerned alone, until a node that knows has answered. wanted_digests_ask_for_unknown_versions.

--- a/crates/zinniahatch_entry/src/nodes/catch_up.rs
+++ b/crates/zinniahatch_entry/src/nodes/catch_up.rs
@@ -23,9 +23,14 @@
 /// Pause after a snapshot while the store is still unreachable from this node.
 const OUTAGE_PAUSE: Duration = Duration::from_secs(1);
 
+/// Interval between requests for software versions that this node does not know. Nodes of an earlier
+/// version do not have them either.
+const VERSIONS_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Runs the catch-up loop until the process ends.
 pub(crate) async fn run_catch_up(core: Rc<EntryCore>) {
     let mut behind_since = None;
+    let mut versions_due = core.started + VERSIONS_INTERVAL;
     loop {
         sleep(CHECK_INTERVAL).await;
         let now = Instant::now();
@@ -35,7 +40,8 @@
             version: core.version(),
             preset: core.preset.borrow().revision,
             store_reachable,
-            knows_replicas: core.has_listed_replicas(),
+            knows_replicas: core.has_listed_replicas()
+                && (now < versions_due || knows_versions(&core)),
         };
         let source = {
             let members = core.members.borrow();
@@ -51,6 +57,7 @@
             continue;
         }
         fetch_snapshot(&core, peer).await;
+        versions_due = Instant::now() + VERSIONS_INTERVAL;
         behind_since = None;
         if !store_reachable {
             sleep(OUTAGE_PAUSE).await;
@@ -58,6 +65,11 @@
     }
 }
 
+fn knows_versions(core: &EntryCore) -> bool {
+    let replicas = core.replicas.borrow();
+    replicas.groups_without_version().is_empty()
+}
+
 /// Returns how long this node waits for its own watch before it fetches a snapshot from a peer.
 fn lag_allowance(core: &EntryCore, store_reachable: bool) -> Duration {
     if !store_reachable || !core.is_initialized() {
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -204,7 +204,7 @@
         groups: core
             .replicas
             .borrow()
-            .group_digests(&settings.regions, &settings.region),
+            .wanted_digests(&settings.regions, &settings.region),
     };
     let request = postcard::to_allocvec(&request).ok()?;
     let body = exchange(core, peer, "POST", SNAPSHOT_PATH, &request).await?;
--- a/crates/zinniahatch_route/src/entry_groups.rs
+++ b/crates/zinniahatch_route/src/entry_groups.rs
@@ -58,6 +58,28 @@
         digests.into_iter().fold(0, |digest, group| digest ^ group)
     }
 
+    /// Returns the groups with replicas whose software version is not known, since their entries came
+    /// from a node of an earlier version.
+    pub fn groups_without_version(&self) -> BTreeSet<usize> {
+        let unknown = self.rows().filter(|state| state.version.is_none());
+        unknown.map(|state| group_of(state.tag)).collect()
+    }
+
+    /// Returns the digests to compare with those of another node: the own ones, but none that can
+    /// match for a group with a version that is not known. The digests leave the versions out, since
+    /// nodes of earlier versions do not have them.
+    pub fn wanted_digests(
+        &self,
+        regions: &BTreeMap<DataCentreId, RegionId>,
+        region: &RegionId,
+    ) -> Vec<u64> {
+        let mut digests = self.group_digests(regions, region);
+        for group in self.groups_without_version() {
+            digests[group] = !digests[group];
+        }
+        digests
+    }
+
     /// Returns the replicas in some groups.
     pub fn rows_in(&self, groups: &BTreeSet<usize>) -> impl Iterator<Item = &ReplicaState> {
         self.rows()
--- a/crates/zinniahatch_route/tests/entry_groups.rs
+++ b/crates/zinniahatch_route/tests/entry_groups.rs
@@ -56,3 +56,26 @@
             .is_some_and(|row| row.leaving.is_none())
     );
 }
+
+/// Guards against a node that never learns a software version because it got the entry from a node
+/// that does not know versions: the entries are the same, so that it would ask for none.
+#[test]
+fn wanted_digests_ask_for_unknown_versions() {
+    let now = Instant::now();
+    let (reader, mut other) = (table_of(5, now), table_of(4, now));
+    let mut unversioned = entry("replica-4", "a");
+    unversioned.version = None;
+    other.upsert(unversioned.clone(), now);
+    let north = RegionId::from("north");
+    let own = reader.group_digests(&regions(), &north);
+    let wanted = other.wanted_digests(&regions(), &north);
+    let groups = differing_groups(&own, &wanted);
+    assert_eq!(groups, other.groups_without_version());
+    let entries = reader.rows_in(&groups).map(|row| row.entry.clone());
+    other.merge_reader_groups(entries.collect(), &groups, StoreRevision::from(1), now);
+    assert!(other.groups_without_version().is_empty());
+    // The same entry from a node without versions does not take the version away.
+    other.upsert(unversioned, now);
+    assert!(other.groups_without_version().is_empty());
+    assert_eq!(other.wanted_digests(&regions(), &north), own);
+}
