Choose the nodes that are told of streams apart from sending to them

Which nodes are told and asked is a decision; sending is I/O. A simulation can use the one without the other. No decision changes; stream_versions.rs passes.

--- a/crates/zinniahatch_entry/src/nodes/stream_origins.rs
+++ b/crates/zinniahatch_entry/src/nodes/stream_origins.rs
@@ -10,13 +10,10 @@
 use std::net::SocketAddrV4;
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::LookupTarget;
 use zinniahatch_route::OriginRecord;
 use zinniahatch_route::StreamOrigin;
 
-/// Nodes of the own region that are told of a stream.
-const HOLDERS: usize = 2;
-/// Nodes of a region that are asked: two nodes may disagree on one of the first three.
-const ASKED: usize = 3;
 /// Time after which the question is repeated, since datagrams may be lost; longer than a round trip
 /// between regions.
 const REPEAT_AFTER: Duration = Duration::from_millis(250);
@@ -112,31 +109,25 @@
 }
 
 fn share_records(core: &EntryCore, records: impl Iterator<Item = OriginRecord>, now: Instant) {
-    let mut batches: BTreeMap<(SocketAddrV4, bool), Vec<OriginRecord>> = BTreeMap::new();
+    let mut batches: BTreeMap<LookupTarget, Vec<OriginRecord>> = BTreeMap::new();
     let members = core.members.borrow();
+    let own = &core.settings.region;
     for record in records {
-        for holder in members.holders_of(record.stream, &core.settings.region, HOLDERS, now) {
-            batches.entry((holder, false)).or_default().push(record);
-        }
-        let elsewhere: Vec<SocketAddrV4> = other_regions(core)
-            .into_iter()
-            .flat_map(|region| members.holders_of(record.stream, region, 1, now))
-            .collect();
-        if let Some(count) = std::num::NonZeroU64::new(elsewhere.len() as u64) {
-            let contact = elsewhere[(record.stream % count) as usize];
-            batches.entry((contact, true)).or_default().push(record);
+        let others = other_regions(core).into_iter();
+        for target in members.told_of(record.stream, own, others, now) {
+            batches.entry(target).or_default().push(record);
         }
     }
     drop(members);
-    for ((to, remote), batch) in batches {
+    for (target, batch) in batches {
         for part in batch.chunks(MAX_RECORDS) {
             let part = part.to_vec();
-            let message = if remote {
+            let message = if target.passes_on {
                 GossipMessage::RemoteOrigins(part)
             } else {
                 GossipMessage::StreamOrigins(part)
             };
-            send(core, &message, to);
+            send(core, &message, target.address);
         }
     }
 }
@@ -155,8 +146,7 @@
     }
     let members = core.members.borrow();
     for record in records {
-        let holders = members.holders_of(record.stream, &core.settings.region, 1, now);
-        for holder in holders {
+        if let Some(holder) = members.passed_on_to(record.stream, &core.settings.region, now) {
             send(core, &GossipMessage::StreamOrigins(vec![*record]), holder);
         }
     }
@@ -175,21 +165,19 @@
         return;
     }
     if query.relay {
-        let relayed = OriginQuery {
-            relay: false,
-            ..query
-        };
-        ask_region(core, relayed, &core.settings.region, ASKED, now);
+        let members = core.members.borrow();
+        let asked = members.asked_here(query.stream, &core.settings.region, now);
+        ask(core, query, asked);
     }
 }
 
-fn ask_region(core: &EntryCore, query: OriginQuery, region: &str, count: usize, now: Instant) {
-    let asked = core
-        .members
-        .borrow()
-        .holders_of(query.stream, region, count, now);
-    for to in asked {
-        send(core, &GossipMessage::OriginQuery(query), to);
+fn ask(core: &EntryCore, query: OriginQuery, asked: Vec<LookupTarget>) {
+    for target in asked {
+        let query = OriginQuery {
+            relay: target.passes_on,
+            ..query
+        };
+        send(core, &GossipMessage::OriginQuery(query), target.address);
     }
 }
 
@@ -208,16 +196,15 @@
         }
         if now >= repeat_at {
             repeat_at = now + REPEAT_AFTER;
-            let mut query = OriginQuery {
+            let query = OriginQuery {
                 stream,
                 reply_to: core.settings.listen.peer,
                 relay: false,
             };
-            ask_region(core, query, &core.settings.region, ASKED, now);
-            query.relay = true;
-            for region in other_regions(core) {
-                ask_region(core, query, region, 1, now);
-            }
+            let own = &core.settings.region;
+            let others = other_regions(core).into_iter();
+            let members = core.members.borrow();
+            ask(core, query, members.asked_for(stream, own, others, now));
         }
         tokio::select! {
             () = learned => {}
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -297,7 +297,7 @@
 
     /// Returns the addresses of the first few live nodes of a region for a stream, by the hash of
     /// both. All nodes that know the same others choose the same ones.
-    pub fn holders_of(
+    pub(crate) fn holders_of(
         &self,
         stream: ContentDigest,
         region: &str,
