Simulate streams, releases, cuts and restarts over many schedules

Nodes with their real tables, without sockets: replicas are released version by version, nodes end singly or all at once, lose the store unnoticed for up to 3 s or each other, a twentieth of the datagrams is lost, and callers take each stream up at any node.

--- /dev/null
+++ b/crates/zinniahatch_route/tests/stream_version_simulation.rs
@@ -0,0 +1,516 @@
+//! Streams, releases, cuts and restarts in a simulated fleet without sockets, in which callers take
+//! their streams up at any node: no stream goes on at another version, and most go on.
+
+mod common;
+
+use common::entry;
+use common::member_info;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+use test_case::test_case;
+use zinniahatch_base::prelude::*;
+use zinniahatch_route::MemberTable;
+use zinniahatch_route::OriginRecord;
+use zinniahatch_route::ReplicaEntry;
+use zinniahatch_route::ReplicaTable;
+use zinniahatch_route::StreamOrigin;
+use zinniahatch_route::StreamOriginTable;
+use zinniahatch_route::VersionTable;
+
+/// Schedules of each test; `ZINNIA_SCHEDULES` sets another number.
+const SCHEDULES: u64 = 60;
+const STEP: Duration = Duration::from_millis(100);
+const SIMULATED: Duration = Duration::from_secs(40);
+/// Longest time of a stream.
+const KEEP: Duration = Duration::from_secs(8);
+/// Time from the beginning of a stream until its caller takes it up, in ms.
+const TAKE_UP_MS: std::ops::Range<u64> = 50..4_000;
+/// Streams that begin in a step.
+const STREAMS: u32 = 2;
+/// Time after which a node without disturbance counts as in touch.
+const CONTACT: Duration = Duration::from_secs(6);
+/// Time for which a node that is cut off from the store may not notice it, in ms.
+const UNNOTICED_MS: std::ops::Range<u64> = 0..3_000;
+/// Share of datagrams that are lost.
+const LOSS: f64 = 0.05;
+const REGIONS: [&str; 3] = ["north", "south", "west"];
+const SERVICE: &str = "s";
+
+/// Which disturbances a schedule has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disturbance {
+    /// Releases alone.
+    Releases,
+    /// Nodes end one after the other, too.
+    Restarts,
+    /// All nodes end at once, too.
+    MassRestarts,
+    /// Nodes are cut off from the store or from each other, too.
+    Cuts,
+}
+
+/// A replica and its entry in the store.
+#[derive(Clone, Debug)]
+struct Replica {
+    region: usize,
+    version: u32,
+    entry: ReplicaEntry,
+    ends_at: Option<Instant>,
+}
+
+/// A node and what it knows.
+struct Node {
+    region: usize,
+    address: SocketAddrV4,
+    starts_at: Instant,
+    incarnation: u64,
+    store_cut: Option<(Instant, Instant)>,
+    net_cut_until: Instant,
+    disturbed_at: Instant,
+    replicas: ReplicaTable,
+    versions: VersionTable,
+    origins: StreamOriginTable,
+    members: MemberTable,
+}
+
+/// A stream that waits to be taken up.
+struct Stream {
+    digest: ContentDigest,
+    version: u32,
+    due: Instant,
+}
+
+struct Fleet {
+    random: StdRng,
+    start: Instant,
+    now: Instant,
+    kind: Disturbance,
+    nodes: Vec<Node>,
+    replicas: BTreeMap<ReplicaId, Replica>,
+    newest: u32,
+    stored: BTreeMap<usize, Vec<StreamOrigin>>,
+    streams: Vec<Stream>,
+    /// Streams taken up at nodes in touch while two replicas of their version served, and how many of
+    /// them went on.
+    due: u32,
+    went_on: u32,
+}
+
+fn origin(version: u32) -> StreamOrigin {
+    StreamOrigin::new(SERVICE, Some(tag_of(&format!("v{version}"))))
+}
+
+fn others(region: usize) -> Vec<RegionId> {
+    let others = REGIONS.iter().enumerate();
+    let others = others.filter(|(index, _)| *index != region);
+    others.map(|(_, name)| (*name).into()).collect()
+}
+
+impl Node {
+    fn new(region: usize, number: u16, start: Instant) -> Self {
+        Self {
+            region,
+            address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number),
+            starts_at: start,
+            incarnation: 0,
+            store_cut: None,
+            net_cut_until: start,
+            disturbed_at: start,
+            replicas: ReplicaTable::default(),
+            versions: VersionTable::default(),
+            origins: StreamOriginTable::default(),
+            members: MemberTable::default(),
+        }
+    }
+
+    fn restart(&mut self, now: Instant, down: Duration) {
+        *self = Self {
+            starts_at: now + down,
+            incarnation: self.incarnation + 1,
+            store_cut: self.store_cut,
+            net_cut_until: self.net_cut_until,
+            disturbed_at: now + down,
+            ..Self::new(self.region, self.address.port(), now)
+        };
+    }
+
+    fn runs(&self, now: Instant) -> bool {
+        now >= self.starts_at
+    }
+
+    fn reaches_store(&self, now: Instant) -> bool {
+        self.store_cut.is_none_or(|(_, until)| now >= until)
+    }
+
+    fn sole_version(&self, now: Instant) -> Option<StreamOrigin> {
+        let own = RegionId::from(REGIONS[self.region]);
+        let others = others(self.region);
+        let service = tag_of(SERVICE);
+        self.versions
+            .sole_version(service, &own, others.iter(), KEEP, now)
+    }
+}
+
+impl Fleet {
+    fn new(seed: u64, kind: Disturbance) -> Self {
+        let start = Instant::now();
+        let mut fleet = Self {
+            random: StdRng::seed_from_u64(seed),
+            start,
+            now: start,
+            kind,
+            nodes: Vec::new(),
+            replicas: BTreeMap::new(),
+            newest: 1,
+            stored: BTreeMap::new(),
+            streams: Vec::new(),
+            due: 0,
+            went_on: 0,
+        };
+        let mut number = 1;
+        for region in 0..REGIONS.len() {
+            for _ in 0..fleet.random.random_range(1..4) {
+                fleet.nodes.push(Node::new(region, number, start));
+                number += 1;
+            }
+            for _ in 0..fleet.random.random_range(2..5) {
+                fleet.add_replica(region, 1);
+            }
+        }
+        fleet
+    }
+
+    fn add_replica(&mut self, region: usize, version: u32) {
+        let id = format!("r{}", self.replicas.len());
+        let replica = Replica {
+            region,
+            version,
+            entry: ReplicaEntry {
+                version: Some(format!("v{version}").into()),
+                ..entry(&id, REGIONS[region])
+            },
+            ends_at: None,
+        };
+        self.replicas.insert(id.into(), replica);
+    }
+
+    fn runs(&self, replica: &Replica) -> bool {
+        replica.ends_at.is_none_or(|at| self.now < at)
+    }
+
+    /// Replaces some replica by one of the newest version, which now and then is a further one.
+    fn release(&mut self) {
+        if !self.random.random_bool(0.06) {
+            return;
+        }
+        if self.random.random_bool(0.3) {
+            self.newest += 1;
+        }
+        let running: Vec<ReplicaId> = self
+            .replicas
+            .iter()
+            .filter(|(_, replica)| replica.ends_at.is_none())
+            .map(|(id, _)| id.clone())
+            .collect();
+        let id = &running[self.random.random_range(0..running.len())];
+        let drain = Duration::from_millis(self.random.random_range(0..4_000));
+        let now = self.now;
+        let Some(replica) = self.replicas.get_mut(id) else {
+            return;
+        };
+        replica.ends_at = Some(now + drain);
+        replica.entry.leaving = true;
+        let region = replica.region;
+        self.add_replica(region, self.newest);
+    }
+
+    fn disturb(&mut self) {
+        let (now, kind) = (self.now, self.kind);
+        let index = self.random.random_range(0..self.nodes.len());
+        let down = Duration::from_millis(self.random.random_range(200..2_000));
+        match kind {
+            Disturbance::Restarts if self.random.random_bool(0.05) => {
+                self.nodes[index].restart(now, down);
+            }
+            Disturbance::MassRestarts if self.random.random_bool(0.01) => {
+                for node in &mut self.nodes {
+                    node.restart(now, down);
+                }
+            }
+            Disturbance::Cuts if self.random.random_bool(0.04) => {
+                let until = now + down * 4;
+                let unnoticed = Duration::from_millis(self.random.random_range(UNNOTICED_MS));
+                let node = &mut self.nodes[index];
+                node.disturbed_at = until;
+                node.store_cut = Some((now + unnoticed, until));
+                if self.random.random_bool(0.5) {
+                    node.net_cut_until = until;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets nodes read the store, and write the versions that have served.
+    fn sync_store(&mut self) {
+        let now = self.now;
+        for node in &mut self.nodes {
+            if !node.runs(now) {
+                continue;
+            }
+            let reaches = node.reaches_store(now);
+            if reaches {
+                for (id, replica) in &self.replicas {
+                    let listed = replica.ends_at.is_none_or(|at| now < at);
+                    if replica.region == node.region && listed {
+                        node.replicas.upsert(replica.entry.clone(), now);
+                    } else {
+                        node.replicas
+                            .remove_entry(id, StoreRevision::default(), now);
+                    }
+                }
+                node.replicas.tick(now);
+            }
+            let notices = node.store_cut.is_some_and(|(noticed, _)| now >= noticed);
+            node.versions
+                .update(&node.replicas, reaches || !notices, KEEP, now);
+            node.origins.tick(now);
+            if reaches && node.versions.wants_stored(KEEP, now) {
+                let stored = self.stored.get(&node.region).cloned();
+                node.versions.note_stored(stored);
+            }
+            let report = node.versions.report(KEEP, now);
+            if reaches && report.complete {
+                let origins = report.versions.iter().map(|count| count.origin);
+                self.stored.insert(node.region, origins.collect());
+            }
+        }
+    }
+
+    /// Returns whether a datagram between two nodes arrives.
+    fn arrives(&mut self, from: usize, to: usize) -> bool {
+        let now = self.now;
+        let connected = [from, to].into_iter().all(|index| {
+            let node = &self.nodes[index];
+            node.runs(now) && now >= node.net_cut_until
+        });
+        connected && !self.random.random_bool(LOSS)
+    }
+
+    fn send_heartbeats(&mut self) {
+        let now = self.now;
+        for from in 0..self.nodes.len() {
+            for to in 0..self.nodes.len() {
+                if from == to || !self.arrives(from, to) {
+                    continue;
+                }
+                let sender = &self.nodes[from];
+                let region = RegionId::from(REGIONS[sender.region]);
+                let mut info = member_info(&format!("n{from}"), &region, 0, 1);
+                info.peer = sender.address;
+                info.incarnation = sender.incarnation;
+                let report = sender.versions.report(KEEP, now);
+                let receiver = &mut self.nodes[to];
+                receiver.members.update(info, false, now);
+                receiver.versions.apply(&region, report, now);
+            }
+        }
+    }
+
+    fn node_at(&self, address: SocketAddrV4) -> usize {
+        usize::from(address.port()) - 1
+    }
+
+    /// Tells other nodes of the streams of a node whose version they could not tell.
+    fn share(&mut self, from: usize) {
+        let now = self.now;
+        let sole = self.nodes[from].sole_version(now).is_some();
+        let records = self.nodes[from].origins.take_unshared(|_| !sole, now);
+        for record in records {
+            let node = &self.nodes[from];
+            let own = RegionId::from(REGIONS[node.region]);
+            let others = others(node.region);
+            let told = node
+                .members
+                .told_of(record.stream, &own, others.iter(), now);
+            for target in told {
+                let to = self.node_at(target.address);
+                if !self.arrives(from, to) {
+                    continue;
+                }
+                self.nodes[to].origins.apply(&record, now);
+                if target.passes_on {
+                    self.pass_on(to, &record);
+                }
+            }
+        }
+    }
+
+    fn pass_on(&mut self, from: usize, record: &OriginRecord) {
+        let now = self.now;
+        let node = &self.nodes[from];
+        let own = RegionId::from(REGIONS[node.region]);
+        if let Some(next) = node.members.passed_on_to(record.stream, &own, now) {
+            let to = self.node_at(next);
+            if self.arrives(from, to) {
+                self.nodes[to].origins.apply(record, now);
+            }
+        }
+    }
+
+    fn running_nodes(&self) -> Vec<usize> {
+        let indices = 0..self.nodes.len();
+        let running = indices.filter(|index| self.nodes[*index].runs(self.now));
+        running.collect()
+    }
+
+    fn begin_streams(&mut self) {
+        let now = self.now;
+        for _ in 0..STREAMS {
+            let running = self.running_nodes();
+            if running.is_empty() {
+                return;
+            }
+            let index = running[self.random.random_range(0..running.len())];
+            let known: Vec<ReplicaId> = self.nodes[index]
+                .replicas
+                .rows()
+                .filter(|state| state.leaving.is_none())
+                .map(|state| state.entry.id.clone())
+                .collect();
+            let usable: Vec<&Replica> = known
+                .iter()
+                .filter_map(|id| self.replicas.get(id))
+                .filter(|replica| self.runs(replica))
+                .collect();
+            if usable.is_empty() {
+                continue;
+            }
+            let version = usable[self.random.random_range(0..usable.len())].version;
+            let digest = self.random.random();
+            let node = &mut self.nodes[index];
+            node.origins.note_begun(digest, origin(version), now + KEEP);
+            self.share(index);
+            let wait = Duration::from_millis(self.random.random_range(TAKE_UP_MS));
+            self.streams.push(Stream {
+                digest,
+                version,
+                due: now + wait,
+            });
+        }
+    }
+
+    /// Returns what a node finds out about a stream.
+    fn look_up(&mut self, index: usize, stream: ContentDigest) -> Option<StreamOrigin> {
+        let now = self.now;
+        let node = &self.nodes[index];
+        let known = node.origins.get(stream, now);
+        if let Some(found) = known.or_else(|| node.sole_version(now)) {
+            return Some(found);
+        }
+        let own = RegionId::from(REGIONS[node.region]);
+        let others = others(node.region);
+        let asked = node.members.asked_for(stream, &own, others.iter(), now);
+        for target in asked {
+            let to = self.node_at(target.address);
+            if !self.arrives(index, to) {
+                continue;
+            }
+            let mut answering = vec![to];
+            if target.passes_on {
+                let contact = &self.nodes[to];
+                let region = RegionId::from(REGIONS[contact.region]);
+                let further = contact.members.asked_here(stream, &region, now);
+                answering.extend(further.iter().map(|target| self.node_at(target.address)));
+            }
+            for other in answering {
+                let found = self.nodes[other].origins.get(stream, now);
+                if found.is_some() && self.arrives(to, other) && self.arrives(other, index) {
+                    return found;
+                }
+            }
+        }
+        None
+    }
+
+    fn take_up_streams(&mut self) {
+        let now = self.now;
+        let (due, waiting) = std::mem::take(&mut self.streams)
+            .into_iter()
+            .partition(|stream| stream.due <= now);
+        self.streams = waiting;
+        let due: Vec<Stream> = due;
+        for stream in due {
+            let running = self.running_nodes();
+            if running.is_empty() {
+                continue;
+            }
+            let index = running[self.random.random_range(0..running.len())];
+            let found = self.look_up(index, stream.digest);
+            if let Some(found) = found {
+                assert_eq!(
+                    found,
+                    origin(stream.version),
+                    "a stream changes its version"
+                );
+            }
+            let in_touch = now >= self.nodes[index].disturbed_at + CONTACT;
+            let serving = self
+                .replicas
+                .values()
+                .filter(|replica| replica.version == stream.version && replica.ends_at.is_none());
+            if in_touch && serving.count() >= 2 {
+                self.due += 1;
+                self.went_on += u32::from(found.is_some());
+            }
+        }
+    }
+
+    fn run(&mut self) {
+        let steps = (SIMULATED.as_millis() / STEP.as_millis()) as u32;
+        for step in 0..steps {
+            self.now = self.start + STEP * step;
+            self.release();
+            self.disturb();
+            self.sync_store();
+            if step.is_multiple_of(5) {
+                self.send_heartbeats();
+            }
+            for index in 0..self.nodes.len() {
+                self.share(index);
+            }
+            self.begin_streams();
+            self.take_up_streams();
+        }
+    }
+}
+
+/// Guards against streams that go on at another version whatever happens to the nodes, and against
+/// refusing most of those that could go on.
+#[test_case(Disturbance::Releases; "releases")]
+#[test_case(Disturbance::Restarts; "restarts")]
+#[test_case(Disturbance::MassRestarts; "mass_restarts")]
+#[test_case(Disturbance::Cuts; "cuts")]
+fn streams_keep_their_version(kind: Disturbance) {
+    let schedules = std::env::var("ZINNIA_SCHEDULES");
+    let schedules = schedules.ok().and_then(|number| number.parse().ok());
+    let mut shares = BTreeSet::new();
+    for seed in 0..schedules.unwrap_or(SCHEDULES) {
+        println!("seed {seed}");
+        let mut fleet = Fleet::new(seed, kind);
+        fleet.run();
+        if fleet.due >= 12 {
+            let share = fleet.went_on * 100 / fleet.due;
+            assert!(share >= 50, "{} of {} went on", fleet.went_on, fleet.due);
+            shares.insert(share);
+        }
+    }
+    println!("went on, in 100: {shares:?}");
+}
