Count each version that a region reported, and announce a new one before streams begin at it

Found by the simulation: in 3 of 4,000 schedules (1,000 of each kind; one each of releases, restarts and cuts) a stream changed its version. Two causes: a stream began at a version of which another region had not heard yet, where a node took the old version for the only one; and of two nodes of a region the report of the one that had not heard of a version took the place of the other's.

Change: what nodes of a region report adds up for as long as a report counts; a node that sees a new version sends its heartbeats at once; and a stream that may be taken up begins at a new version only after 3 s, while another version serves.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -91,6 +91,8 @@
     pub(crate) origin_learned: Notify,
     /// The software versions that serve in each region.
     pub(crate) versions: RefCell<VersionTable>,
+    /// Signalled when this node sees a new software version in its region.
+    pub(crate) version_seen: Notify,
     /// Longest time that a stream may last and be taken up again.
     pub(crate) stream_time: Cell<Duration>,
     /// The socket for datagrams to other nodes.
@@ -185,6 +187,7 @@
             stream_origins: RefCell::default(),
             origin_learned: Notify::new(),
             versions: RefCell::default(),
+            version_seen: Notify::new(),
             stream_time: Cell::default(),
             peer_socket: OnceCell::new(),
             retry_queues: RefCell::default(),
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -99,6 +99,12 @@
                     }
                 }
             }
+            () = core.version_seen.notified() => {
+                let now = Instant::now();
+                let own = own_member_info(&core, now);
+                let targets = rosters.choose_targets(&core, &own, now);
+                send_heartbeats(&core, &socket, &echoes, own, targets).await;
+            }
             () = core.work_changed.notified() => reporter.schedule_changes(Instant::now()),
             () = sleep_until(due.unwrap_or_else(Instant::now).into()), if due.is_some() => {
                 reporter.send_due(&core, &socket).await;
--- a/crates/zinniahatch_entry/src/nodes/stream_origins.rs
+++ b/crates/zinniahatch_entry/src/nodes/stream_origins.rs
@@ -19,8 +19,8 @@
 const REPEAT_AFTER: Duration = Duration::from_millis(250);
 /// Time for which the answer is awaited.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum number of streams in a datagram: about 16 bytes each, so that they fit in one packet.
-const MAX_RECORDS: usize = 64;
+/// Maximum number of streams in a datagram: about 24 bytes each, so that they fit in one packet.
+const MAX_RECORDS: usize = 48;
 
 /// Question of a node for the origin of a stream.
 #[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
@@ -65,7 +65,9 @@
         let replicas = core.replicas.borrow();
         let follows = core.has_listed_replicas() && !replicas.store_failed_recently(now);
         let mut versions = core.versions.borrow_mut();
-        versions.update(&replicas, follows, longest, now);
+        if versions.update(&replicas, follows, longest, now) {
+            core.version_seen.notify_one();
+        }
     }
     core.stream_origins.borrow_mut().tick(now);
     share_origins(core, now);
--- a/crates/zinniahatch_entry/src/request/placement.rs
+++ b/crates/zinniahatch_entry/src/request/placement.rs
@@ -30,6 +30,8 @@
 /// Retry time given to callers when no replica is usable.
 pub(crate) const NO_BACKEND_RETRY: Duration = Duration::from_millis(700);
 
+static NO_VERSIONS: BTreeSet<ShortTag> = BTreeSet::new();
+
 /// Where the next try goes.
 #[derive(Debug)]
 pub(crate) enum Placement {
@@ -72,9 +74,7 @@
     let peers = core.region_peers(now);
     let query = placement_query(core, request, plan, progress, &peers, now);
     let local = if plan.allows(&core.settings.region) {
-        let replicas = core.replicas.borrow();
-        let limiter = core.cold_limiter.borrow();
-        choose_local(&replicas, &limiter, &core.settings.regions, &query, now)
+        choose_here(core, plan, progress, &query, now)
     } else {
         None
     };
@@ -126,6 +126,35 @@
     }
 }
 
+/// Chooses a replica of this region.
+///
+/// A stream that may be taken up does not begin at a version that other regions may not have heard of,
+/// as long as another version serves: a node there would take the other one for the only one.
+fn choose_here(
+    core: &EntryCore,
+    plan: &RequestPlan,
+    progress: &RequestProgress,
+    query: &PlacementQuery<'_>,
+    now: Instant,
+) -> Option<LocalPlacement> {
+    let replicas = core.replicas.borrow();
+    let limiter = core.cold_limiter.borrow();
+    let regions = &core.settings.regions;
+    if plan.route.resumable && progress.began.is_none() {
+        let versions = core.versions.borrow();
+        let unannounced = versions.unannounced(tag_of(&plan.service), now);
+        let known_versions = PlacementQuery {
+            avoided: &unannounced,
+            ..query.clone()
+        };
+        let choice = choose_local(&replicas, &limiter, regions, &known_versions, now);
+        if unannounced.is_empty() || choice.is_some() {
+            return choice;
+        }
+    }
+    choose_local(&replicas, &limiter, regions, query, now)
+}
+
 /// Refuses a request that no replica of this region can take now, with the time until one takes
 /// work again, if that is known.
 fn refuse_without_replica(
@@ -209,6 +238,7 @@
         urgent: plan.urgent,
         tried: &progress.tried,
         version: progress.began.map(|began| began.version),
+        avoided: &NO_VERSIONS,
         deadline: plan.deadline.saturating_duration_since(now),
         copy_token: plan.spec.copy_token,
         cold_bound: plan.cold_bound,
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -56,6 +56,8 @@
     pub tried: &'a BTreeSet<ReplicaId>,
     /// Tag of the only software version that may serve the request.
     pub version: Option<ShortTag>,
+    /// Software versions that are not to serve the request.
+    pub avoided: &'a BTreeSet<ShortTag>,
     /// Longest time that the whole response may take.
     pub deadline: Duration,
     /// Time to copy one cached token between replicas; zero if they cannot.
@@ -73,7 +75,10 @@
 impl PlacementQuery<'_> {
     /// Returns whether the software version of a replica may serve the request.
     pub(crate) fn allows_version(&self, state: &ReplicaState) -> bool {
-        self.version.is_none() || self.version == state.version
+        let avoided = state
+            .version
+            .is_some_and(|version| self.avoided.contains(&version));
+        !avoided && (self.version.is_none() || self.version == state.version)
     }
 }
 
--- a/crates/zinniahatch_route/src/stream_origins.rs
+++ b/crates/zinniahatch_route/src/stream_origins.rs
@@ -21,7 +21,7 @@
 
 domain! {
     /// What began a stream.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, PartialOrd, Ord)]
     pub struct StreamOrigin {
         /// Tag of the service.
         pub service: ShortTag,
--- a/crates/zinniahatch_route/src/version_table.rs
+++ b/crates/zinniahatch_route/src/version_table.rs
@@ -6,6 +6,9 @@
 
 /// Age up to which a report counts; reports come with the heartbeats, every 200 to 500 ms.
 const REPORT_TIME: Duration = Duration::from_millis(1800);
+/// Time after which a new version counts as known in all regions: until then an older report may
+/// stand, or the node that reports may not have learned of it.
+const ANNOUNCE_TIME: Duration = Duration::from_secs(3);
 
 domain! {
     /// Replicas of one software version of a service in a region.
@@ -50,41 +53,87 @@
     Read(Vec<StreamOrigin>),
 }
 
+/// A version that serves or has served in the own region.
+#[derive(Clone, Copy, Debug)]
+struct OwnVersion {
+    first_seen: Instant,
+    last_seen: Instant,
+    /// Number of its replicas that may get new work.
+    ready: u16,
+}
+
+/// What the nodes of a region last reported.
+#[derive(Clone, Debug, Default)]
+struct ReportedVersions {
+    /// When a node last reported that it has followed the region for long enough.
+    complete_at: Option<Instant>,
+    /// Each version with the last count of its replicas that may get new work.
+    versions: BTreeMap<StreamOrigin, (u16, Instant)>,
+}
+
 /// The versions that a node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct VersionTable {
-    /// When each version of the own region was last seen, and how many replicas may get new work.
-    own: BTreeMap<(ShortTag, ShortTag), (Instant, u16)>,
+    own: BTreeMap<StreamOrigin, OwnVersion>,
     /// Since when this node has followed the replicas of its region without a gap.
     followed_since: Option<Instant>,
     /// The versions that the store had after that.
     stored: StoredView,
-    /// What nodes of each region last reported, and when.
-    reports: BTreeMap<RegionId, (VersionReport, Instant)>,
+    reports: BTreeMap<RegionId, ReportedVersions>,
 }
 
 impl VersionTable {
     /// Takes over the replicas of the own region; `follows` tells whether this node knows them as
-    /// they are now.
-    pub fn update(&mut self, replicas: &ReplicaTable, follows: bool, keep: Duration, now: Instant) {
+    /// they are now. Returns whether a version is new.
+    pub fn update(
+        &mut self,
+        replicas: &ReplicaTable,
+        follows: bool,
+        keep: Duration,
+        now: Instant,
+    ) -> bool {
         if follows {
             self.followed_since.get_or_insert(now);
         } else {
             self.followed_since = None;
             self.stored = StoredView::Unread;
         }
-        for (_, ready) in self.own.values_mut() {
-            *ready = 0;
+        for version in self.own.values_mut() {
+            version.ready = 0;
         }
+        let known = self.own.len();
         for state in replicas.rows() {
             let origin = StreamOrigin::new(&state.entry.service, state.version);
-            let key = (origin.service, origin.version);
-            let (seen, ready) = self.own.entry(key).or_insert((now, 0));
-            *seen = now;
-            *ready = ready.saturating_add(u16::from(state.leaving.is_none()));
+            let version = self.own.entry(origin).or_insert(OwnVersion {
+                first_seen: now,
+                last_seen: now,
+                ready: 0,
+            });
+            version.last_seen = now;
+            version.ready = version
+                .ready
+                .saturating_add(u16::from(state.leaving.is_none()));
         }
+        let is_new = self.own.len() > known;
         self.own
-            .retain(|_, (seen, _)| now.saturating_duration_since(*seen) <= keep);
+            .retain(|_, version| now.saturating_duration_since(version.last_seen) <= keep);
+        is_new
+    }
+
+    /// Returns the versions of a service that this node has first seen a short time ago, so that nodes
+    /// of other regions may not have heard of them.
+    pub fn unannounced(&self, service: ShortTag, now: Instant) -> BTreeSet<ShortTag> {
+        let is_fresh = |version: &OwnVersion| {
+            now.saturating_duration_since(version.first_seen) < ANNOUNCE_TIME
+        };
+        let of_service = self
+            .own
+            .iter()
+            .filter(|(origin, _)| origin.service == service);
+        of_service
+            .filter(|(_, version)| is_fresh(version))
+            .map(|(origin, _)| origin.version)
+            .collect()
     }
 
     /// Returns whether this node should read the versions in the store: it has not followed its region
@@ -107,15 +156,9 @@
 
     /// Returns the report on the own region; `keep` is how long a stream may last.
     pub fn report(&self, keep: Duration, now: Instant) -> VersionReport {
-        let versions = self.own.iter().map(|((service, version), (_, ready))| {
-            let origin = StreamOrigin {
-                service: *service,
-                version: *version,
-            };
-            VersionCount {
-                origin,
-                ready: *ready,
-            }
+        let versions = self.own.iter().map(|(origin, version)| VersionCount {
+            origin: *origin,
+            ready: version.ready,
         });
         let mut report = VersionReport {
             complete: self.has_followed(keep, now),
@@ -137,26 +180,35 @@
 
     /// Applies the report of a node of any region.
     ///
-    /// A node that has just started does not know what has left before; what it does know is added
-    /// to the report of one that does.
+    /// Nodes of a region learn of a version at different times, so that a version which any of them
+    /// has reported lately counts.
     pub fn apply(&mut self, region: &RegionId, report: VersionReport, now: Instant) {
-        if let Some((known, at)) = self.reports.get_mut(region)
-            && known.complete
-            && !report.complete
-            && now.saturating_duration_since(*at) <= REPORT_TIME
-        {
-            for count in report.versions {
-                known.add(count);
-            }
-            return;
+        let known = self.reports.entry(region.clone()).or_default();
+        if report.complete {
+            known.complete_at = Some(now);
         }
-        self.reports.insert(region.clone(), (report, now));
+        for count in report.versions {
+            known.versions.insert(count.origin, (count.ready, now));
+        }
+        known
+            .versions
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) <= REPORT_TIME);
     }
 
-    /// Returns the newest report of a region, unless it is old.
-    fn recent(&self, region: &str, now: Instant) -> Option<&VersionReport> {
-        let (report, at) = self.reports.get(region)?;
-        (now.saturating_duration_since(*at) <= REPORT_TIME).then_some(report)
+    /// Returns what the nodes of a region have reported lately; `None` if that is nothing.
+    fn recent(&self, region: &str, now: Instant) -> Option<VersionReport> {
+        let known = self.reports.get(region)?;
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= REPORT_TIME;
+        let versions = known.versions.iter();
+        let versions = versions.filter(|(_, (_, at))| is_recent(*at));
+        let versions: Vec<VersionCount> = versions
+            .map(|(origin, (ready, _))| VersionCount {
+                origin: *origin,
+                ready: *ready,
+            })
+            .collect();
+        let complete = known.complete_at.is_some_and(is_recent);
+        (complete || !versions.is_empty()).then_some(VersionReport { complete, versions })
     }
 
     /// Returns the only version of a service that has served in the own region and any of some others
@@ -173,7 +225,7 @@
         // Another node of the region may have followed it for longer.
         if let Some(report) = self.recent(own_region, now) {
             own.complete |= report.complete;
-            own.versions.extend(&report.versions);
+            own.versions.extend(report.versions);
         }
         let mut found = None;
         let mut agrees = |report: &VersionReport| {
@@ -186,7 +238,7 @@
             return None;
         }
         for region in others {
-            if !agrees(self.recent(region, now)?) {
+            if !agrees(&self.recent(region, now)?) {
                 return None;
             }
         }
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -124,6 +124,8 @@
     }
 }
 
+static NO_VERSIONS: BTreeSet<ShortTag> = BTreeSet::new();
+
 pub(crate) struct QueryParts {
     pub(crate) service: ServiceId,
     pub(crate) tried: BTreeSet<ReplicaId>,
@@ -151,6 +153,7 @@
             urgent: false,
             tried: &self.tried,
             version: None,
+            avoided: &NO_VERSIONS,
             deadline: Duration::from_secs(5),
             copy_token: self.copy_token,
             cold_bound: 6.0,
--- a/crates/zinniahatch_route/tests/earliest_retry.rs
+++ b/crates/zinniahatch_route/tests/earliest_retry.rs
@@ -64,6 +64,7 @@
         urgent: false,
         tried: &tried,
         version: None,
+        avoided: &BTreeSet::new(),
         deadline: Duration::from_secs(5),
         copy_token: Duration::ZERO,
         cold_bound: 0.0,
--- a/crates/zinniahatch_route/tests/stream_version_simulation.rs
+++ b/crates/zinniahatch_route/tests/stream_version_simulation.rs
@@ -74,6 +74,8 @@
     store_cut: Option<(Instant, Instant)>,
     net_cut_until: Instant,
     disturbed_at: Instant,
+    /// Whether it has seen a new version, and not told others yet.
+    sees_new: bool,
     replicas: ReplicaTable,
     versions: VersionTable,
     origins: StreamOriginTable,
@@ -113,6 +115,11 @@
     others.map(|(_, name)| (*name).into()).collect()
 }
 
+/// Returns the index of the node at an address.
+fn node_at(address: SocketAddrV4) -> usize {
+    usize::from(address.port()) - 1
+}
+
 impl Node {
     fn new(region: usize, number: u16, start: Instant) -> Self {
         Self {
@@ -123,6 +130,7 @@
             store_cut: None,
             net_cut_until: start,
             disturbed_at: start,
+            sees_new: false,
             replicas: ReplicaTable::default(),
             versions: VersionTable::default(),
             origins: StreamOriginTable::default(),
@@ -279,7 +287,8 @@
                 node.replicas.tick(now);
             }
             let notices = node.store_cut.is_some_and(|(noticed, _)| now >= noticed);
-            node.versions
+            node.sees_new |= node
+                .versions
                 .update(&node.replicas, reaches || !notices, KEEP, now);
             node.origins.tick(now);
             if reaches && node.versions.wants_stored(KEEP, now) {
@@ -304,9 +313,13 @@
         connected && !self.random.random_bool(LOSS)
     }
 
-    fn send_heartbeats(&mut self) {
+    /// Lets nodes send heartbeats: all of them, or those that have seen a new version.
+    fn send_heartbeats(&mut self, all: bool) {
         let now = self.now;
         for from in 0..self.nodes.len() {
+            if !std::mem::take(&mut self.nodes[from].sees_new) && !all {
+                continue;
+            }
             for to in 0..self.nodes.len() {
                 if from == to || !self.arrives(from, to) {
                     continue;
@@ -324,10 +337,6 @@
         }
     }
 
-    fn node_at(&self, address: SocketAddrV4) -> usize {
-        usize::from(address.port()) - 1
-    }
-
     /// Tells other nodes of the streams of a node whose version they could not tell.
     fn share(&mut self, from: usize) {
         let now = self.now;
@@ -341,7 +350,7 @@
                 .members
                 .told_of(record.stream, &own, others.iter(), now);
             for target in told {
-                let to = self.node_at(target.address);
+                let to = node_at(target.address);
                 if !self.arrives(from, to) {
                     continue;
                 }
@@ -358,7 +367,7 @@
         let node = &self.nodes[from];
         let own = RegionId::from(REGIONS[node.region]);
         if let Some(next) = node.members.passed_on_to(record.stream, &own, now) {
-            let to = self.node_at(next);
+            let to = node_at(next);
             if self.arrives(from, to) {
                 self.nodes[to].origins.apply(record, now);
             }
@@ -385,11 +394,17 @@
                 .filter(|state| state.leaving.is_none())
                 .map(|state| state.entry.id.clone())
                 .collect();
-            let usable: Vec<&Replica> = known
+            let mut usable: Vec<&Replica> = known
                 .iter()
                 .filter_map(|id| self.replicas.get(id))
                 .filter(|replica| self.runs(replica))
                 .collect();
+            let unannounced = self.nodes[index].versions.unannounced(tag_of(SERVICE), now);
+            let is_announced =
+                |replica: &&Replica| !unannounced.contains(&origin(replica.version).version);
+            if usable.iter().any(is_announced) {
+                usable.retain(is_announced);
+            }
             if usable.is_empty() {
                 continue;
             }
@@ -419,7 +434,7 @@
         let others = others(node.region);
         let asked = node.members.asked_for(stream, &own, others.iter(), now);
         for target in asked {
-            let to = self.node_at(target.address);
+            let to = node_at(target.address);
             if !self.arrives(index, to) {
                 continue;
             }
@@ -428,7 +443,7 @@
                 let contact = &self.nodes[to];
                 let region = RegionId::from(REGIONS[contact.region]);
                 let further = contact.members.asked_here(stream, &region, now);
-                answering.extend(further.iter().map(|target| self.node_at(target.address)));
+                answering.extend(further.iter().map(|target| node_at(target.address)));
             }
             for other in answering {
                 let found = self.nodes[other].origins.get(stream, now);
@@ -480,9 +495,7 @@
             self.release();
             self.disturb();
             self.sync_store();
-            if step.is_multiple_of(5) {
-                self.send_heartbeats();
-            }
+            self.send_heartbeats(step.is_multiple_of(5));
             for index in 0..self.nodes.len() {
                 self.share(index);
             }
