--- a/crates/zinniahatch_entry/src/request/placement.rs
+++ b/crates/zinniahatch_entry/src/request/placement.rs
@@ -30,6 +30,7 @@
 /// Retry time given to callers when no replica is usable.
 pub(crate) const NO_BACKEND_RETRY: Duration = Duration::from_millis(700);
 
+/// Stands for the versions that a request avoids where there are none.
 static NO_VERSIONS: BTreeSet<ShortTag> = BTreeSet::new();
 
 /// Where the next try goes.
--- a/crates/zinniahatch_entry/src/request/take_up.rs
+++ b/crates/zinniahatch_entry/src/request/take_up.rs
@@ -126,9 +126,9 @@
     let now = Instant::now();
     let versions = core.versions.borrow();
     let replicas = core.replicas.borrow();
-    let serves_here = replicas.rows().any(|state| {
-        state.leaving.is_none() && StreamOrigin::new(&state.entry.service, state.version) == origin
-    });
+    let serves_here = replicas
+        .rows()
+        .any(|state| state.leaving.is_none() && state.origin == origin);
     let regions: BTreeSet<&RegionId> = core.settings.regions.values().collect();
     let may_serve = |region: &&RegionId| {
         if **region == core.settings.region {
--- a/crates/zinniahatch_route/src/replica_state.rs
+++ b/crates/zinniahatch_route/src/replica_state.rs
@@ -5,6 +5,7 @@
 use crate::PrefixCache;
 use crate::ReplicaEntry;
 use crate::ReplicaHealth;
+use crate::StreamOrigin;
 use zinniahatch_base::prelude::*;
 
 /// Age up to which the in-flight work announced by another node counts; it is announced again every
@@ -37,6 +38,8 @@
     pub tag: ShortTag,
     /// Tag of the version of its software, if it is known.
     pub version: Option<ShortTag>,
+    /// What streams that it begins have for an origin.
+    pub origin: StreamOrigin,
     /// When it stops being cold.
     pub cold_until: Option<Instant>,
     /// Why it gets no new work.
@@ -73,6 +76,7 @@
     pub fn new(entry: ReplicaEntry, now: Instant) -> Self {
         let mut state = Self {
             version: None,
+            origin: StreamOrigin::new(&entry.service, None),
             cold_until: None,
             leaving: None,
             terminates_at: None,
@@ -104,6 +108,7 @@
             entry.version = self.entry.version.take();
         }
         self.version = entry.version.as_deref().map(tag_of);
+        self.origin = StreamOrigin::new(&entry.service, self.version);
         self.missing_since = None;
         let known = entry.revision.number != 0 && entry.revision == self.entry.revision;
         if entry.leaving {
--- a/crates/zinniahatch_route/src/version_table.rs
+++ b/crates/zinniahatch_route/src/version_table.rs
@@ -67,7 +67,7 @@
 struct ReportedVersions {
     /// When a node last reported that it has followed the region for long enough.
     complete_at: Option<Instant>,
-    /// Each version with the last count of its replicas that may get new work.
+    /// Each version with the last count of its replicas that may get new work, and its time.
     versions: BTreeMap<StreamOrigin, (u16, Instant)>,
 }
 
@@ -103,8 +103,7 @@
         }
         let known = self.own.len();
         for state in replicas.rows() {
-            let origin = StreamOrigin::new(&state.entry.service, state.version);
-            let version = self.own.entry(origin).or_insert(OwnVersion {
+            let version = self.own.entry(state.origin).or_insert(OwnVersion {
                 first_seen: now,
                 last_seen: now,
                 ready: 0,
@@ -250,7 +249,10 @@
     pub fn ready_in(&self, region: &str, origin: StreamOrigin, now: Instant) -> Option<u16> {
         let report = self.recent(region, now)?;
         let mut counts = report.versions.iter();
-        let count = counts.find(|count| count.origin == origin);
-        Some(count.map_or(0, |count| count.ready))
+        match counts.find(|count| count.origin == origin) {
+            Some(count) => Some(count.ready),
+            // A node that has just started may not know all replicas yet.
+            None => report.complete.then_some(0),
+        }
     }
 }
--- a/crates/zinniahatch_route/tests/stream_versions.rs
+++ b/crates/zinniahatch_route/tests/stream_versions.rs
@@ -152,6 +152,22 @@
     assert_eq!(sole(&versions, later), Some(origin("v1.1")));
 }
 
+/// Guards against a version that counts as gone because a node that has just started, and knows no
+/// replicas yet, does not report it; and against reports of nodes that know less taking the place of
+/// others.
+#[test]
+fn ready_in_needs_a_complete_report() {
+    let now = Instant::now();
+    let south = RegionId::from("south");
+    let mut versions = VersionTable::default();
+    versions.apply(&south, report(false, &["v1.1"]), now);
+    assert_eq!(versions.ready_in("south", origin("v1"), now), None);
+    versions.apply(&south, report(true, &["v1"]), now);
+    versions.apply(&south, report(true, &["v1.1"]), now);
+    assert_eq!(versions.ready_in("south", origin("v1"), now), Some(1));
+    assert_eq!(versions.ready_in("south", origin("v2"), now), Some(0));
+}
+
 /// Guards against a version that counts as gone while its streams may still be taken up.
 #[test]
 fn version_is_reported_for_as_long_as_its_streams_last() {
