--- a/crates/zinniahatch_entry/src/nodes/stream_origins.rs
+++ b/crates/zinniahatch_entry/src/nodes/stream_origins.rs
@@ -7,6 +7,8 @@
 
 use crate::core::EntryCore;
 use crate::nodes::gossip_message::GossipMessage;
+use serde::Deserialize;
+use serde::Serialize;
 use std::net::SocketAddrV4;
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
@@ -23,7 +25,7 @@
 const MAX_RECORDS: usize = 48;
 
 /// Question of a node for the origin of a stream.
-#[derive(Clone, Copy, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct OriginQuery {
     /// The stream.
     stream: ContentDigest,
