Log the parts of prompts, and how long an answer had been written

The lines could not show what requests of different contents have in common that crash replicas one after the other, nor whether an answer had begun when its connection broke. Each part of a prompt is now also known by itself, whatever precedes it and also where its list cannot be parsed; `placed`, `away`, `refused` and `channel-broke` name the first six, and `channel-broke` says since when the head of the answer was there. No decision reads either.

--- a/crates/zinniahatch_base/src/ids.rs
+++ b/crates/zinniahatch_base/src/ids.rs
@@ -26,6 +26,8 @@
 pub type RequestId = Box<str>;
 /// The digest of a request's content and caller, shared by repeats of the request whatever their ids.
 pub type ContentDigest = u64;
+/// The hash of the id of a prompt part, whatever precedes the part in the prompt.
+pub type PromptPartId = u64;
 /// The revision of the configuration, which increases monotonically.
 pub type Revision = u64;
 /// A random number drawn at each start of a process.
--- a/crates/zinniahatch_base/src/lib.rs
+++ b/crates/zinniahatch_base/src/lib.rs
@@ -24,6 +24,7 @@
 pub use ids::OperatorId;
 pub use ids::PartHash;
 pub use ids::PresetId;
+pub use ids::PromptPartId;
 pub use ids::RegionId;
 pub use ids::ReplicaId;
 pub use ids::RequestId;
--- a/crates/zinniahatch_base/src/prelude.rs
+++ b/crates/zinniahatch_base/src/prelude.rs
@@ -13,6 +13,7 @@
 pub use crate::OperatorId;
 pub use crate::PartHash;
 pub use crate::PresetId;
+pub use crate::PromptPartId;
 pub use crate::RegionId;
 pub use crate::ReplicaId;
 pub use crate::RequestId;
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -43,6 +43,8 @@
     pub(crate) assigned: Option<AssignedWork>,
     service: ServiceId,
     sent_at: Instant,
+    /// When the head of the response arrived.
+    answer_began: Option<Instant>,
     /// When the last bytes of the response arrived.
     last_bytes_at: Option<Instant>,
     /// How the response marks its end; `None` until its head has arrived.
@@ -61,6 +63,7 @@
             assigned: None,
             service: service.clone(),
             sent_at: Instant::now(),
+            answer_began: None,
             last_bytes_at: None,
             body_end: None,
             software: None,
@@ -84,6 +87,7 @@
             .read_head(&request.method, &request.attempt)
             .await?;
         self.body_end = Some(head.body_end);
+        self.answer_began = Some(Instant::now());
         Ok(head)
     }
 
@@ -225,6 +229,11 @@
         self.sent_at.elapsed()
     }
 
+    /// Returns the time since the response began; `None` if its head has not arrived.
+    pub(crate) fn answered_for(&self) -> Option<Duration> {
+        self.answer_began.map(|began| began.elapsed())
+    }
+
     /// Logs that the connection broke during the request, and how many requests of this node the
     /// replica had.
     pub(crate) fn log_break(&self, request: &ReceivedRequest, reason: &str) {
@@ -239,8 +248,9 @@
         };
         self.core.log.write(
             "channel-broke",
-            serde_json::json!({"request": request.attempt, "content": request.content_text(),
+            serde_json::json!({"request": request.attempt, "content": request.content_text(), "parts": request.parts_text(),
                 "replica": assigned.replica, "reason": reason, "began": assigned.response_began,
+                "answered_ms": self.answered_for().map(|time| time.as_millis() as u64),
                 "ran_ms": self.time_in_flight().as_millis() as u64,
                 "own_requests": local_work.map(|work| work.requests)}),
         );
--- a/crates/zinniahatch_entry/src/request/placement.rs
+++ b/crates/zinniahatch_entry/src/request/placement.rs
@@ -391,7 +391,7 @@
             core.log.write(
                 "placed",
                 serde_json::json!({"request": request.attempt, "content": request.content_text(),
-                    "direct": request.is_direct(), "route": plan.route.name,
+                    "parts": request.parts_text(), "direct": request.is_direct(), "route": plan.route.name,
                     "tokens_in": request.size.tokens_in,
                     "service": plan.service, "replica": choice.replica,
                     "software": software_version(core, &choice.replica),
@@ -409,7 +409,7 @@
             core.log.write(
                 "away",
                 serde_json::json!({"request": request.attempt, "content": request.content_text(),
-                    "direct": request.is_direct(), "route": plan.route.name,
+                    "parts": request.parts_text(), "direct": request.is_direct(), "route": plan.route.name,
                     "tokens_in": request.size.tokens_in,
                     "service": plan.service, "to": choice.node, "region": choice.region,
                     "resumes": request.resumes,
--- a/crates/zinniahatch_entry/src/request/received.rs
+++ b/crates/zinniahatch_entry/src/request/received.rs
@@ -9,6 +9,9 @@
 use zinniahatch_platform::Credential;
 use zinniahatch_route::PromptSize;
 
+/// Largest number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 6;
+
 /// How a request reached this node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum RequestOrigin {
@@ -102,12 +105,23 @@
         content_text(self.content)
     }
 
+    /// Returns the first parts of the prompt as they are written to log lines.
+    pub(crate) fn parts_text(&self) -> Vec<Box<str>> {
+        let ids = self.size.part_ids.iter().take(MAX_LOGGED_PARTS);
+        ids.map(|id| part_text(*id)).collect()
+    }
+
     /// Returns whether the request came directly from its caller and may therefore be forwarded.
     pub(crate) fn is_direct(&self) -> bool {
         self.origin == RequestOrigin::Direct
     }
 }
 
+/// Formats the id of a prompt part as it is written to log lines.
+pub(crate) fn part_text(id: PromptPartId) -> Box<str> {
+    format!("{id:016x}").into()
+}
+
 /// Formats a content digest as it is written to log lines and store keys.
 pub(crate) fn content_text(content: ContentDigest) -> Box<str> {
     format!("{content:016x}").into()
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -55,7 +55,7 @@
     core.log.write(
         "refused",
         serde_json::json!({"request": request.attempt, "content": request.content_text(),
-            "direct": request.is_direct(), "route": plan.route.name, "tokens_in": request.size.tokens_in,
+            "parts": request.parts_text(), "direct": request.is_direct(), "route": plan.route.name, "tokens_in": request.size.tokens_in,
             "service": plan.service, "result": code.number(), "sends": progress.sends,
             "uncharged": progress.ledger.uncharged(),
             "connects": progress.unsent_tries, "retry_ms": retry.map(|after| after.as_millis() as u64),
--- a/crates/zinniahatch_route/src/prompt.rs
+++ b/crates/zinniahatch_route/src/prompt.rs
@@ -22,8 +22,13 @@
     pub tokens_out: u32,
     /// Number of generated tokens that the caller expects; 0 if not given.
     pub expected_out: u32,
-    /// Parts in order; the last belongs to the request itself or to its session.
+    /// Parts in order; the last belongs to the request itself or to its session. Empty if the list
+    /// cannot be parsed.
     pub parts: Vec<PromptPart>,
+    /// Each different part by itself, in order, also those of a list that cannot be parsed.
+    pub part_ids: Vec<PromptPartId>,
+    /// Tag of the model that reads the prompt.
+    pub model: ShortTag,
 }
 
 impl PromptSize {
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -121,6 +121,7 @@
                 tokens: 3_000,
             },
         ],
+        ..PromptSize::default()
     }
 }
 
