Reproduce the prompt part that crashes replica after replica

24 requests, each with a path of its own and one prompt part in common, crash 47 replicas of a site of seven (first case; 42 requests reached replicas after the fifth crash); behind other parts each time, and in first place at times, it is the same. The replica double knows parts now: it crashes under one and records when requests with it arrive.

--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -272,6 +272,8 @@
 /// A request as parsed by the replica.
 struct ReplicaRequest {
     content: RequestContent,
+    /// Ids of the parts of its prompt, without the last.
+    parts: Vec<Box<str>>,
     attempt: Box<str>,
     /// The client account named by the entry VM.
     account: Option<Box<str>>,
@@ -306,6 +308,7 @@
         }
         let arrival = (Instant::now(), request.attempt.clone());
         lock(&self.state).observations.arrivals.push(arrival);
+        self.crashing.note_arrival(&request.parts);
         let misdirected = request
             .expected
             .as_deref()
@@ -344,7 +347,10 @@
                 accounts.insert(request.attempt.clone(), account.clone());
             }
         }
-        if self.crashing.count_crash(&request.content) {
+        if self
+            .crashing
+            .count_crash(&request.content, &request.parts, &self.id)
+        {
             return self.crash_during(stream, request).await;
         }
         match behaviour {
@@ -579,7 +585,14 @@
         std::str::from_utf8(header.value).ok().map(Box::<str>::from)
     };
     let number = |name: &str| text(name).and_then(|value| value.parse::<u32>().ok());
+    let mut parts: Vec<Box<str>> = text("x-prompt-prefix")
+        .unwrap_or_default()
+        .split(',')
+        .filter_map(|part| part.split(':').next().map(Box::from))
+        .collect();
+    parts.pop();
     let request = ReplicaRequest {
+        parts,
         content: RequestContent {
             path: parsed.path.unwrap_or_default().into(),
             caller: text("authorization").unwrap_or_default(),
