Keep the updates on suspects in a queue of their own, and answers by any key

Prompt parts need the same queue, with its limit and repeats, and the same memory of recent answers.

--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -16,6 +16,9 @@
 //! loss do not.
 
 use crate::recent_responses::RecentResponses;
+use crate::update_queue::UpdateBatch;
+use crate::update_queue::UpdateQueue;
+use crate::update_queue::UpdateTarget;
 use std::cmp::Reverse;
 use zinniahatch_base::prelude::*;
 
@@ -46,12 +49,6 @@
 /// Crashes from which updates of a content are sent to all nodes at once and repeated: a single
 /// node that learns late may cost another replica.
 const BROADCAST_CRASHES: usize = 2;
-/// Number of times that such updates are sent: two of three datagrams may be lost.
-const BROADCAST_REPEATS: u8 = 3;
-/// Largest number of contents with pending updates; a node that loses more at once leaves the rest
-/// to other nodes.
-const MAX_PENDING: usize = 256;
-
 /// Crash of a replica incarnation while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ReplicaCrash {
@@ -172,20 +169,8 @@
     }
 }
 
-/// Updates that are due, by recipients.
-///
-/// Most requests on a crashed replica did not cause the crash, and the loss of a region makes
-/// thousands suspect; sent by all nodes to all nodes, their updates would take more bandwidth than
-/// the heartbeats.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct SuspectUpdateBatch {
-    /// For all known nodes.
-    pub broadcast: Vec<SuspectUpdate>,
-    /// For the own region and one node of each other region.
-    pub local: Vec<SuspectUpdate>,
-    /// For the own region only, since another region sent them here.
-    pub relayed: Vec<SuspectUpdate>,
-}
+/// Updates on contents that are due, by recipients.
+pub type SuspectUpdateBatch = UpdateBatch<SuspectUpdate>;
 
 /// Effect of an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -217,10 +202,10 @@
     rows: BTreeMap<ContentDigest, SuspectRow>,
     /// Contents that were quarantined at the last review.
     quarantined: BTreeSet<ContentDigest>,
-    /// Contents with pending updates, and how many times each is still to be sent.
-    pending: BTreeMap<ContentDigest, u8>,
+    /// Contents with pending updates.
+    pending: UpdateQueue<ContentDigest>,
     /// Recent complete responses, which clear their contents.
-    recent_responses: RecentResponses,
+    recent_responses: RecentResponses<ContentDigest>,
 }
 
 impl SuspectTable {
@@ -348,6 +333,15 @@
         })
     }
 
+    /// Returns the replica incarnations whose crashes quarantined contents explain.
+    pub fn explained_replicas(&self, now: Instant) -> BTreeSet<ShortTag> {
+        let accused = self.rows.iter().filter(|(_, row)| row.is_accused());
+        accused
+            .filter(|(content, _)| self.quarantine_left(**content, now).is_some())
+            .flat_map(|(_, row)| row.crashes.iter().map(|crash| crash.replica))
+            .collect()
+    }
+
     /// Returns the contents whose quarantine began or ended since the last review.
     pub fn review(&mut self, now: Instant) -> Vec<QuarantineChange> {
         let known = self.rows.iter().filter(|(_, row)| row.is_accused());
@@ -415,33 +409,16 @@
     /// Returns up to `max` pending updates: those never sent and, with `again`, those that are
     /// still to be repeated.
     pub fn take_updates(&mut self, again: bool, max: usize, now: Instant) -> SuspectUpdateBatch {
-        let due = self
-            .pending
-            .iter()
-            .filter(|(_, left)| again || **left == BROADCAST_REPEATS);
-        let due: Vec<ContentDigest> = due.map(|(content, _)| *content).take(max).collect();
-        let mut batch = SuspectUpdateBatch::default();
-        for content in due {
-            let left = self.pending.remove(&content).unwrap_or(0).saturating_sub(1);
-            let Some(row) = self.rows.get(&content) else {
-                continue;
+        let rows = &self.rows;
+        self.pending.take(again, max, |content| {
+            let row = rows.get(&content)?;
+            let target = match (row.broadcast, row.local) {
+                (true, _) => UpdateTarget::Broadcast,
+                (_, true) => UpdateTarget::Local,
+                _ => UpdateTarget::Relayed,
             };
-            let update = update_of(content, row, now);
-            if !row.broadcast {
-                let target = if row.local {
-                    &mut batch.local
-                } else {
-                    &mut batch.relayed
-                };
-                target.push(update);
-                continue;
-            }
-            batch.broadcast.push(update);
-            if left > 0 {
-                self.pending.insert(content, left);
-            }
-        }
-        batch
+            Some((update_of(content, row, now), target))
+        })
     }
 
     /// Returns a digest of the contents with enough crashes for quarantine; nodes whose digests
@@ -470,17 +447,13 @@
     pub fn tick(&mut self, now: Instant) {
         self.rows.retain(|_, row| row.is_current(now));
         let rows = &self.rows;
-        self.pending.retain(|content, _| rows.contains_key(content));
+        self.pending.retain(|content| rows.contains_key(content));
         self.recent_responses.evict(now);
     }
 
     fn add_pending(&mut self, content: ContentDigest) {
-        // Contents that may be quarantined are few and bypass the limit, which the loss of many
-        // replicas reaches.
         let broadcast = self.rows.get(&content).is_some_and(|row| row.broadcast);
-        if broadcast || self.pending.len() < MAX_PENDING || self.pending.contains_key(&content) {
-            self.pending.insert(content, BROADCAST_REPEATS);
-        }
+        self.pending.add(content, broadcast);
     }
 
     /// Evicts the row with fewest crashes, the oldest among equals, if there are too many rows.
@@ -514,11 +487,11 @@
 }
 
 /// Returns the time until a moment; `None` if it has passed.
-fn time_until(at: Instant, now: Instant) -> Option<Duration> {
+pub(crate) fn time_until(at: Instant, now: Instant) -> Option<Duration> {
     at.checked_duration_since(now)
         .filter(|left| !left.is_zero())
 }
 
-fn millis(time: Duration) -> u32 {
+pub(crate) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
