Test suspect prompt parts, and let an operator free one

DELETE /quarantined-parts/ID at a node's control address clears a part of its crashes at all nodes. A part is preferred to a wider one only if that was sound shortly before: of two parts that crashed together three times, the one that then crashed a replica without the other was passed over (found by inseparable_parts_are_refused_together).

--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -2,11 +2,13 @@
 
 use crate::core::EntryCore;
 use crate::core::StopPhase;
+use crate::replicas::part_quarantine::release_part;
 use crate::request::ingress::RequestSource;
 use crate::request::ingress::handle_request;
 use crate::request::ingress::limits;
 use crate::request::response_body::ResponseBody;
 use http::HeaderValue;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -42,6 +44,8 @@
 const BACKLOG: u32 = 1024;
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
+/// Path under which an operator frees a prompt part from quarantine, followed by its id.
+const QUARANTINED_PARTS_PATH: &str = "/quarantined-parts/";
 /// Smallest head buffer that the HTTP library accepts.
 const MIN_HEAD_BUFFER: usize = 8 << 10;
 
@@ -54,7 +58,7 @@
     Directory,
     /// Whether this entry VM accepts callers.
     Readiness,
-    /// Metrics.
+    /// Metrics, and what operators ask of the node.
     Control,
 }
 
@@ -135,7 +139,7 @@
         ListenerKind::Calls(source) => handle_request(core, source, request).await,
         ListenerKind::Directory => resolve(&core, &request),
         ListenerKind::Readiness => readiness(&core, request.uri().path()),
-        ListenerKind::Control => control(&core, request.uri().path()),
+        ListenerKind::Control => control(&core, request.method(), request.uri().path()),
     }
 }
 
@@ -163,7 +167,10 @@
     plain(status, "text/plain", "")
 }
 
-fn control(core: &EntryCore, path: &str) -> Response<ResponseBody> {
+fn control(core: &EntryCore, method: &Method, path: &str) -> Response<ResponseBody> {
+    if let Some(part) = path.strip_prefix(QUARANTINED_PARTS_PATH) {
+        return free_part(core, method, part);
+    }
     if path != METRICS_PATH {
         return plain(StatusCode::NOT_FOUND, "text/plain", "");
     }
@@ -173,6 +180,18 @@
     plain(StatusCode::OK, "text/plain; version=0.0.4", text)
 }
 
+/// Frees a prompt part from quarantine.
+fn free_part(core: &EntryCore, method: &Method, part: &str) -> Response<ResponseBody> {
+    const HEXADECIMAL: u32 = 16;
+    let status = match PromptPartId::from_str_radix(part, HEXADECIMAL) {
+        _ if method != Method::DELETE => StatusCode::METHOD_NOT_ALLOWED,
+        Ok(id) if release_part(core, id) => StatusCode::OK,
+        Ok(_) => StatusCode::NOT_FOUND,
+        Err(_) => StatusCode::BAD_REQUEST,
+    };
+    plain(status, "text/plain", "")
+}
+
 /// Responds with live nodes of the caller's region, or of other regions if it has none.
 fn resolve(core: &EntryCore, request: &Request<Incoming>) -> Response<ResponseBody> {
     if request.uri().path() != RESOLVE_PATH {
--- a/crates/zinniahatch_entry/src/replicas/part_quarantine.rs
+++ b/crates/zinniahatch_entry/src/replicas/part_quarantine.rs
@@ -75,6 +75,19 @@
     core.work_changed.notify_one();
 }
 
+/// Frees a part from quarantine at all nodes; returns whether replicas had crashed under it.
+pub(crate) fn release_part(core: &EntryCore, id: PromptPartId) -> bool {
+    let now = Instant::now();
+    let released = core.part_suspects.borrow_mut().release(id);
+    core.log.write(
+        "part-freed",
+        serde_json::json!({"part": part_text(id), "known": released}),
+    );
+    publish_part_changes(core, now);
+    core.work_changed.notify_one();
+    released
+}
+
 /// Merges updates on suspect parts; `relay` says whether to pass on what is new.
 pub(crate) fn apply_part_updates(
     core: &EntryCore,
--- a/crates/zinniahatch_route/src/part_suspects.rs
+++ b/crates/zinniahatch_route/src/part_suspects.rs
@@ -326,7 +326,7 @@
             .filter(|crash| time_until(self.counts_from(crash), now).is_none());
         let crashes: Vec<PartCrash> = counted.copied().collect();
         let companions = self.companions.clone().unwrap_or_default();
-        let was_sound = self.was_sound_before(crashes.first()?);
+        let was_sound = self.may_be_sound || self.was_sound_before(crashes.first()?);
         Some(PartSuspicion::new(part, crashes, companions, was_sound))
     }
 
@@ -507,6 +507,26 @@
         cleared
     }
 
+    /// Clears a part of all its crashes, as an operator asks; returns whether it had any.
+    pub fn release(&mut self, id: PromptPartId) -> bool {
+        let scopes = self
+            .rows
+            .range_mut(ScopedPart { id, scope: 0 }..)
+            .take_while(|(part, _)| part.id == id);
+        let mut released = Vec::new();
+        for (part, row) in scopes {
+            let replicas: Vec<ShortTag> = row.crashes.iter().map(|crash| crash.replica).collect();
+            if row.clear_replicas(&replicas) {
+                row.local = true;
+                released.push(*part);
+            }
+        }
+        for part in &released {
+            self.add_pending(*part);
+        }
+        !released.is_empty()
+    }
+
     /// Applies an update of another node or the store; `relay` says whether to pass on what is new.
     pub fn apply_update(
         &mut self,
--- a/crates/zinniahatch_route/src/part_verdict.rs
+++ b/crates/zinniahatch_route/src/part_verdict.rs
@@ -27,6 +27,8 @@
     crashes: Vec<PartCrash>,
     /// Parts that all its requests there had too.
     companions: BTreeSet<PromptPartId>,
+    /// Whether it was sound shortly before.
+    was_sound: bool,
     rank: SuspicionRank,
     /// How most of the crashes fit.
     fits: Vec<CrashFit>,
@@ -46,6 +48,7 @@
             part,
             crashes,
             companions,
+            was_sound,
         }
     }
 
@@ -132,12 +135,12 @@
 
 /// Compares two parts as explanations.
 ///
-/// The requests beside a deadly one crash as often as it only by chance. A part that each deadly
-/// request has, such as that of everybody's prompts, is on every replica that they crash and on
-/// others; it is to blame only if many crash without the deadly one.
+/// The requests beside a deadly one crash as often as it only by chance. A part that was sound and that
+/// each deadly request has, such as that of everybody's prompts, is on every replica that they crash
+/// and on others; it is to blame only if many crash without the deadly one.
 fn compare(one: &PartSuspicion, other: &PartSuspicion) -> Comparison {
-    let is_wider = one.companions.contains(&other.part.id);
-    let is_narrower = other.companions.contains(&one.part.id);
+    let is_wider = other.was_sound && one.companions.contains(&other.part.id);
+    let is_narrower = one.was_sound && other.companions.contains(&one.part.id);
     let factor = WIDER_PART_FACTOR;
     match (is_wider, is_narrower) {
         (true, false) if other.crashes.len() > one.crashes.len() * factor => Comparison::Better,
