--- a/crates/zinniahatch_route/src/part_verdict.rs
+++ b/crates/zinniahatch_route/src/part_verdict.rs
@@ -1,6 +1,7 @@
 //! Decides whether a prompt part explains the crashes of replicas that had it.
 
 use crate::ScopedPart;
+use crate::part_suspects::ACCUSED_CRASHES;
 use crate::part_suspects::CrashFit;
 use crate::part_suspects::PartCrash;
 use zinniahatch_base::prelude::*;
@@ -215,6 +216,10 @@
         let mut equals = Vec::new();
         for other in sharing.into_iter().filter(|other| *other != position) {
             let other = &self.suspicions[other];
+            // A part that could not be blamed by itself explains nothing either.
+            if !suffices(&other.crashes.iter().collect::<Vec<_>>(), ACCUSED_CRASHES) {
+                continue;
+            }
             match compare(suspicion, other) {
                 Comparison::Better => unexplained.retain(|crash| !other.explains(crash)),
                 Comparison::Equal => equals.push(other),
