Do not count crashes that a deadly part explains against the requests beside

A request is now judged without the crashes of replicas that a part which it does not have may explain; those that a part in quarantine explains count against no request. The soak has callers that share a crashing part, in any place of their prompts, and sound callers beside them (--fatal-part); it checks both bounds from outside.

--- a/crates/zinniahatch_entry/src/replicas/part_quarantine.rs
+++ b/crates/zinniahatch_entry/src/replicas/part_quarantine.rs
@@ -132,9 +132,14 @@
         }
         log_change(core, change);
     }
-    core.metrics
-        .parts
-        .set_quarantined(core.part_suspects.borrow().quarantined_count());
+    {
+        let parts = core.part_suspects.borrow();
+        core.metrics
+            .parts
+            .set_quarantined(parts.quarantined_count());
+        let explained = parts.explained_replicas();
+        core.suspects.borrow_mut().set_explained_by_parts(explained);
+    }
     core.quarantine_changed.send_replace(());
 }
 
--- a/crates/zinniahatch_entry/src/replicas/quarantine.rs
+++ b/crates/zinniahatch_entry/src/replicas/quarantine.rs
@@ -148,13 +148,24 @@
     request: &ReceivedRequest,
     plan: &RequestPlan,
 ) -> Option<Duration> {
-    let by_content = {
-        let suspects = core.suspects.borrow();
-        suspects.quarantine_left(request.content, Instant::now())
-    };
+    let by_content = content_quarantine_left(core, request, plan);
     by_content.or_else(|| Some(part_quarantine(core, request, plan)?.left))
 }
 
+fn content_quarantine_left(
+    core: &EntryCore,
+    request: &ReceivedRequest,
+    plan: &RequestPlan,
+) -> Option<Duration> {
+    let now = Instant::now();
+    let suspects = core.suspects.borrow();
+    suspects.quarantine_left(request.content, now)?;
+    // The requests beside it may share a deadly part that is not in quarantine yet.
+    let parts = core.part_suspects.borrow();
+    let explained = parts.replicas_explained_beside(&plan.parts);
+    suspects.quarantine_left_beside(request.content, &explained, now)
+}
+
 /// Returns the same and logs why a request is refused.
 pub(crate) fn check_quarantine(
     core: &EntryCore,
--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -55,6 +55,9 @@
     /// add a caller that repeats a request which crashes each replica that runs it
     #[argh(switch)]
     fatal: bool,
+    /// prompts of further callers share a part that crashes each replica that begins an answer on it
+    #[argh(switch)]
+    fatal_part: bool,
     /// restore the store from an older backup
     #[argh(switch)]
     returns: bool,
@@ -187,6 +190,7 @@
                 entries: args.entries,
                 callers: args.callers,
                 crashing_request: args.fatal,
+                crashing_part: args.fatal_part,
                 store_restore: args.returns,
                 announcements: ReplicaAnnouncements {
                     limits: args.limits,
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod crashing_caller;
+mod crashing_part;
 mod injector;
 mod invariants;
 mod limits;
@@ -20,6 +21,7 @@
 use crate::test_doubles::replica::StreamShape;
 use callers::CallerPool;
 use crashing_caller::CrashingCaller;
+use crashing_part::PartCallers;
 use injector::FaultInjector;
 use invariants::OutcomeLog;
 use invariants::RouteKind;
@@ -75,6 +77,9 @@
     pub callers: usize,
     /// Whether one more caller repeats a request that crashes each replica that runs it.
     pub crashing_request: bool,
+    /// Whether further callers share a prompt part that crashes each replica that begins an answer on
+    /// it.
+    pub crashing_part: bool,
     /// Whether the store is restored from an older backup.
     pub store_restore: bool,
     /// Which notices replicas send in their response headers.
@@ -149,6 +154,7 @@
     let crashing_caller = soak
         .crashing_request
         .then(|| CrashingCaller::start(seed, &site));
+    let part_callers = soak.crashing_part.then(|| PartCallers::start(seed, &site));
     let mut injector = FaultInjector::new(&plan);
     injector.run(&mut site, &log).await;
     callers.stop().await;
@@ -156,10 +162,14 @@
     if let Some(crashing_caller) = crashing_caller {
         crashing_caller.check(&mut site, &plan, &log).await;
     }
+    if let Some(part_callers) = part_callers {
+        let started = injector.started;
+        part_callers.check(&mut site, &plan, started, &log).await;
+    }
     limits::check_limits(&site, &plan, injector.started, &log);
     notices::check_notices(&site, &plan, injector.started, &log);
     retries::check_retries(&site, soak.retry_slack, &log);
-    let replicas_fail = soak.crashing_request || soak.answers.forms;
+    let replicas_fail = soak.crashing_request || soak.crashing_part || soak.answers.forms;
     invariants::check_runs(&site, plan.mix, replicas_fail, &log);
     let broken = log.take_violations();
     println!(
--- a/crates/zinniahatch_lab/src/test_doubles/crashing.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/crashing.rs
@@ -80,11 +80,6 @@
         self.lock().parts.entry(id.into()).or_default();
     }
 
-    /// Makes a prompt part a harmless one again.
-    pub fn remove_part(&self, id: &str) -> Option<PartRecord> {
-        self.lock().parts.remove(id)
-    }
-
     /// Records that a request reached a replica.
     pub(crate) fn note_arrival(&self, parts: &[Box<str>]) {
         let mut table = self.lock();
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -17,6 +17,8 @@
     None,
     /// A request that crashes each replica that runs it.
     CrashingRequest,
+    /// A prompt part that crashes each replica that begins an answer on it.
+    CrashingPart,
     /// The store is restored from an older backup.
     StoreRestore,
     /// Replicas announce rate limits.
@@ -41,6 +43,7 @@
         entries,
         callers,
         crashing_request: extra == ExtraFault::CrashingRequest,
+        crashing_part: extra == ExtraFault::CrashingPart,
         store_restore: extra == ExtraFault::StoreRestore,
         announcements: ReplicaAnnouncements {
             limits: extra == ExtraFault::RateLimits,
@@ -151,6 +154,16 @@
     check_seed(seed, 8, 2, 8, ExtraFault::CrashingRequest).await;
 }
 
+/// Callers share a prompt part that crashes each replica which begins an answer on it, in any place of
+/// their prompts and while other faults go on; few of their requests reach replicas once it is known,
+/// and requests that share other parts are served.
+#[test_case(41; "one")]
+#[test_case(42; "another")]
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_with_a_crashing_part(seed: u64) {
+    check_seed(seed, 14, 2, 8, ExtraFault::CrashingPart).await;
+}
+
 /// Guards against quarantining an innocent request that all callers send and that ran beside the
 /// crashing one.
 ///
--- a/crates/zinniahatch_route/src/part_suspects.rs
+++ b/crates/zinniahatch_route/src/part_suspects.rs
@@ -319,6 +319,11 @@
         self.sound.is_some_and(|sound| since(sound) <= RECENT_TIME)
     }
 
+    fn last_crash_found_sound(&self) -> bool {
+        let last = self.crashes.last();
+        last.is_some_and(|crash| self.was_sound_before(crash))
+    }
+
     /// Returns what counts against the part by now; `None` if nothing does.
     fn suspicion(&self, part: ScopedPart, now: Instant) -> Option<PartSuspicion> {
         let counted = self
@@ -723,6 +728,28 @@
         quarantined
     }
 
+    /// Returns the replica incarnations whose crashes a part may explain that a request does not have,
+    /// also before it is decided whether the part is quarantined.
+    pub fn replicas_explained_beside(&self, own: &[ScopedPart]) -> BTreeSet<ShortTag> {
+        let accused = self.rows.iter().filter(|(part, row)| {
+            let sound = row.last_crash_found_sound();
+            row.is_accused() && !sound && !own.contains(part)
+        });
+        accused
+            .flat_map(|(_, row)| row.suspicious().map(|crash| crash.replica))
+            .collect()
+    }
+
+    /// Returns the replica incarnations whose crashes the parts in quarantine explain.
+    pub fn explained_replicas(&self) -> BTreeSet<ShortTag> {
+        let rows = self
+            .quarantined
+            .keys()
+            .filter_map(|part| self.rows.get(part));
+        rows.flat_map(|row| row.suspicious().map(|crash| crash.replica))
+            .collect()
+    }
+
     /// Returns how many parts were quarantined at the last review.
     pub fn quarantined_count(&self) -> usize {
         self.quarantined.len()
--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -200,6 +200,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
     rows: BTreeMap<ContentDigest, SuspectRow>,
+    /// Replica incarnations whose crashes prompt parts in quarantine explain.
+    explained_by_parts: BTreeSet<ShortTag>,
     /// Contents that were quarantined at the last review.
     quarantined: BTreeSet<ContentDigest>,
     /// Contents with pending updates.
@@ -299,6 +301,16 @@
 
     /// Returns the remaining quarantine of a content; `None` if it may run.
     pub fn quarantine_left(&self, content: ContentDigest, now: Instant) -> Option<Duration> {
+        self.quarantine_left_beside(content, &self.explained_by_parts, now)
+    }
+
+    /// Returns the same if the crashes of `explained` replica incarnations do not count.
+    pub fn quarantine_left_beside(
+        &self,
+        content: ContentDigest,
+        explained: &BTreeSet<ShortTag>,
+        now: Instant,
+    ) -> Option<Duration> {
         let (row, last) = self.accused_row(content, now)?;
         if time_until(last + SETTLE_TIME, now).is_some() {
             return None;
@@ -306,6 +318,7 @@
         let unexplained = row
             .crashes
             .iter()
+            .filter(|crash| !explained.contains(&crash.replica))
             .filter(|crash| !self.is_explained(row, crash));
         if unexplained.count() < ACCUSED_CRASHES {
             return None;
@@ -333,6 +346,12 @@
         })
     }
 
+    /// Sets the replica incarnations whose crashes prompt parts in quarantine explain, so that they do
+    /// not count against the requests beside.
+    pub fn set_explained_by_parts(&mut self, replicas: BTreeSet<ShortTag>) {
+        self.explained_by_parts = replicas;
+    }
+
     /// Returns the replica incarnations whose crashes quarantined contents explain.
     pub fn explained_replicas(&self, now: Instant) -> BTreeSet<ShortTag> {
         let accused = self.rows.iter().filter(|(_, row)| row.is_accused());
--- a/crates/zinniahatch_route/tests/part_simulation/node.rs
+++ b/crates/zinniahatch_route/tests/part_simulation/node.rs
@@ -111,6 +111,8 @@
         self.contents.review(now);
         let explained = self.contents.explained_replicas(now);
         self.parts.review(&explained, now);
+        let explained_by_parts = self.parts.explained_replicas();
+        self.contents.set_explained_by_parts(explained_by_parts);
     }
 
     /// Takes the messages that are due.
--- a/crates/zinniahatch_route/tests/suspects.rs
+++ b/crates/zinniahatch_route/tests/suspects.rs
@@ -184,6 +184,16 @@
     assert!(is_quarantined(&table, CRASHING, now));
 }
 
+/// Guards against quarantine of a request that ran beside others which share a deadly part of their
+/// prompts: each of these has too few crashes to explain those of the innocent one.
+#[test]
+fn crashes_under_a_quarantined_part_do_not_count() {
+    let (mut table, now) = with_crashes(INNOCENT, 0..4, Instant::now());
+    assert!(is_quarantined(&table, INNOCENT, now));
+    table.set_explained_by_parts((0..3).collect());
+    assert!(!is_quarantined(&table, INNOCENT, now));
+}
+
 /// A request ran on three replicas that were killed one after the other, and the fourth answered it
 /// completely. A content that was answered does not crash replicas.
 #[test]
