Decide on suspect parts at intervals, and compare no parts for each update

Each update decided anew on all suspect parts, each heartbeat walked them for their digest, and each new one beyond the limit sought the weakest. It is decided on each round of maintenance and for requests that may be refused, 100 ms apart at least; the digest is kept; 256 parts are evicted at once.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -106,6 +106,10 @@
     pub(crate) suspects: RefCell<SuspectTable>,
     /// Prompt parts that were on replicas when those crashed.
     pub(crate) part_suspects: RefCell<PartSuspectTable>,
+    /// When it was last decided which parts are in quarantine.
+    pub(crate) part_reviewed: Cell<Instant>,
+    /// Digest of the parts with enough crashes for quarantine, as of the last tick.
+    pub(crate) part_digest: Cell<u64>,
     /// Signalled when a request or a prompt part enters or leaves quarantine.
     pub(crate) quarantine_changed: watch::Sender<()>,
     /// Requests released from quarantine whose key in the store has to be removed.
@@ -198,6 +202,8 @@
             peer_socket: OnceCell::new(),
             retry_queues: RefCell::default(),
             suspects: RefCell::default(),
+            part_reviewed: Cell::new(Instant::now()),
+            part_digest: Cell::default(),
             part_suspects: RefCell::new(PartSuspectTable::new(Instant::now())),
             quarantine_changed: watch::Sender::new(()),
             released_requests: RefCell::default(),
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -171,8 +171,7 @@
     let mut tail = postcard::to_allocvec(&heartbeat_tail(core, now)).unwrap_or_default();
     let report = core.versions.borrow().report(core.stream_time.get(), now);
     tail.extend(postcard::to_allocvec(&report).unwrap_or_default());
-    let parts = core.part_suspects.borrow().accused_digest();
-    tail.extend(postcard::to_allocvec(&parts).unwrap_or_default());
+    tail.extend(postcard::to_allocvec(&core.part_digest.get()).unwrap_or_default());
     for (address, wants_reply) in heartbeat_receivers(core, targets, now) {
         let node = core.members.borrow().at_address(address).cloned();
         heartbeat.wants_reply = wants_reply;
@@ -290,8 +289,7 @@
             let same_region = heartbeat.member.region == core.settings.region;
             let diff = StateDiff {
                 suspects: heartbeat.suspects != core.suspects.borrow().accused_digest(),
-                parts: parts
-                    .is_some_and(|digest| digest != core.part_suspects.borrow().accused_digest()),
+                parts: parts.is_some_and(|digest| digest != core.part_digest.get()),
                 notices: same_region && heartbeat.notices != notices_digest(core),
             };
             handle_heartbeat(core, echoes, heartbeat);
--- a/crates/zinniahatch_entry/src/replicas/part_quarantine.rs
+++ b/crates/zinniahatch_entry/src/replicas/part_quarantine.rs
@@ -71,7 +71,6 @@
         serde_json::json!({"parts": texts(&cleared), "request": request.attempt,
             "began_ms": began.elapsed().as_millis() as u64}),
     );
-    publish_part_changes(core, now);
     core.work_changed.notify_one();
 }
 
@@ -115,12 +114,20 @@
         );
         core.work_changed.notify_one();
     }
-    publish_part_changes(core, now);
 }
 
-/// Logs the quarantines of parts that began, changed or ended since the last call, and wakes the
-/// requests that wait for such a change.
+/// Decides which parts are in quarantine, logs what changed since the last call, and wakes the requests
+/// that wait for such a change.
+///
+/// Called on every tick rather than on every update: the loss of many replicas brings hundreds of
+/// updates a second, and each decision compares all suspect parts.
 pub(crate) fn publish_part_changes(core: &EntryCore, now: Instant) {
+    core.part_reviewed.set(now);
+    core.part_digest
+        .set(core.part_suspects.borrow().accused_digest());
+    if !core.part_suspects.borrow().needs_review() {
+        return;
+    }
     let explained = core.suspects.borrow().explained_replicas(now);
     let changes = core.part_suspects.borrow_mut().review(&explained, now);
     if changes.is_empty() {
--- a/crates/zinniahatch_entry/src/replicas/quarantine.rs
+++ b/crates/zinniahatch_entry/src/replicas/quarantine.rs
@@ -13,6 +13,9 @@
 use zinniahatch_route::SuspectUpdate;
 use zinniahatch_route::SuspectUpdateEffect;
 
+/// Shortest time between two decisions on suspect parts, which compare all of them.
+const MIN_REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Where an update on a suspect request comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpdateSource {
@@ -192,9 +195,12 @@
         let by_content = core.suspects.borrow().decision_delay(request.content, now);
         let by_part = core.part_suspects.borrow().decision_delay(&plan.parts, now);
         let Some(due) = by_content.max(by_part) else {
-            return;
+            break;
         };
         sleep(due).await;
+    }
+    let undecided = core.part_suspects.borrow().may_refuse(&plan.parts);
+    if undecided && core.part_reviewed.get().elapsed() >= MIN_REVIEW_INTERVAL {
         publish_part_changes(core, Instant::now());
     }
 }
--- a/crates/zinniahatch_route/src/part_suspects.rs
+++ b/crates/zinniahatch_route/src/part_suspects.rs
@@ -53,6 +53,8 @@
 const LEARNING_TIME: Duration = Duration::from_secs(10);
 /// Largest number of parts remembered, some 500 KB; those with fewest crashes are evicted first.
 const MAX_ROWS: usize = 4_096;
+/// Parts evicted at once beyond that.
+const EVICTED_ROWS: usize = 256;
 /// Largest number of parts that one request makes suspect, so that a caller with a long list does not
 /// evict the parts of others.
 const MAX_SUSPECTS_PER_REQUEST: usize = 32;
@@ -611,6 +613,15 @@
         }
     }
 
+    /// Returns whether any of these parts has been on crashed replicas often enough that the request
+    /// may be refused.
+    pub fn may_refuse(&self, parts: &[ScopedPart]) -> bool {
+        parts.iter().any(|part| {
+            let row = self.rows.get(part);
+            row.is_some_and(|row| row.suspicious().count() >= self.required_crashes(*part))
+        })
+    }
+
     /// Returns why a request is refused; `None` if it may run.
     pub fn quarantine(
         &self,
@@ -652,6 +663,13 @@
         settled.max()
     }
 
+    /// Returns whether a review may find any part in quarantine, or one that no longer is.
+    pub fn needs_review(&self) -> bool {
+        let mut rows = self.rows.iter();
+        !self.quarantined.is_empty()
+            || rows.any(|(part, row)| row.suspicious().count() >= self.required_crashes(*part))
+    }
+
     /// Decides which parts are in quarantine; returns those for which that began, changed or ended.
     ///
     /// `explained` holds the replica incarnations whose crashes requests in quarantine explain.
@@ -848,16 +866,19 @@
         self.pending.add(part, broadcast);
     }
 
-    /// Evicts the row with fewest crashes, the oldest among equals, while there are too many rows.
+    /// Evicts the rows with fewest crashes, the oldest among equals, if there are too many.
+    ///
+    /// Many at a time, since finding them takes a look at all.
     fn evict_excess(&mut self) {
-        while self.rows.len() > MAX_ROWS {
-            let weakest = self
-                .rows
-                .iter()
-                .min_by_key(|(_, row)| (row.crashes.len(), row.last_crash()));
-            let Some(part) = weakest.map(|(part, _)| *part) else {
-                return;
-            };
+        if self.rows.len() <= MAX_ROWS {
+            return;
+        }
+        let rows = self.rows.iter();
+        let ranked = rows.map(|(part, row)| (row.crashes.len(), row.last_crash(), *part));
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable();
+        let excess = self.rows.len() - MAX_ROWS + EVICTED_ROWS;
+        for (_, _, part) in ranked.into_iter().take(excess) {
             self.rows.remove(&part);
             self.pending.remove(&part);
         }
