--- a/crates/zinniahatch_route/src/part_suspects.rs
+++ b/crates/zinniahatch_route/src/part_suspects.rs
@@ -715,14 +715,12 @@
         explained: &BTreeSet<ShortTag>,
         now: Instant,
     ) -> BTreeMap<ScopedPart, QuarantinedPart> {
-        let accused = |(part, row): (&ScopedPart, &PartRow)| {
-            row.suspicious().count() >= self.required_crashes(*part)
-        };
-        if !self.rows.iter().any(accused) {
-            return BTreeMap::new();
-        }
-        let rows = self.rows.iter();
-        let suspicions = rows.filter_map(|(part, row)| row.suspicion(*part, now));
+        // Parts with fewer crashes are neither to blame nor explain those of others.
+        let accused = self
+            .rows
+            .iter()
+            .filter(|(part, row)| row.suspicious().count() >= self.required_crashes(**part));
+        let suspicions = accused.filter_map(|(part, row)| row.suspicion(*part, now));
         let index = SuspicionIndex::new(suspicions.collect());
         let verdicts = index.verdicts(explained, |part| self.required_crashes(part));
         let mut quarantined = BTreeMap::new();
