Wake the reporter for updates on parts only if it has something to send

apply_part_updates woke it for each update that was heard, where its twin for contents, apply_suspects, does so only for updates to pass on or to correct. Each wake makes a node look for changed work and drain three queues, hundreds of times a second where many replicas are lost. What is sent stays the same.

--- a/crates/zinniahatch_entry/src/replicas/part_quarantine.rs
+++ b/crates/zinniahatch_entry/src/replicas/part_quarantine.rs
@@ -95,6 +95,7 @@
     relay: bool,
 ) {
     let now = Instant::now();
+    let mut pending = false;
     for update in updates {
         let effect = core
             .part_suspects
@@ -112,6 +113,9 @@
                 "age_ms": update.crashes.iter().map(|crash| crash.age_ms).min(),
                 "sound_ms": update.sound, "source": source.as_str(), "outcome": outcome}),
         );
+        pending |= relay || effect == SuspectUpdateEffect::Outdated;
+    }
+    if pending {
         core.work_changed.notify_one();
     }
 }
--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -49,6 +49,7 @@
 /// Crashes from which updates of a content are sent to all nodes at once and repeated: a single
 /// node that learns late may cost another replica.
 const BROADCAST_CRASHES: usize = 2;
+
 /// Crash of a replica incarnation while it ran a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ReplicaCrash {
