--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -254,6 +254,16 @@
         self.store.write(DESIRED_KEY, &state.to_string());
     }
 
+    /// Returns a desired state without client accounts, to be changed and written.
+    pub fn desired_state(&self, version: u64) -> Value {
+        desired_state(version, &[])
+    }
+
+    /// Writes a desired state, as the operator does.
+    pub fn write_desired_state(&self, state: &Value) {
+        self.store.write(DESIRED_KEY, &state.to_string());
+    }
+
     /// Writes a desired state with client accounts.
     pub fn configure_accounts(&self, version: u64, accounts: &Value) {
         let mut state = desired_state(version, &[]);
