Log what was heard of a replica when a stream's connection falls silent

Nothing told a replica that is still, a connection that is dead at a live replica and a pause of the entry VM itself apart: `stream-end` says `Broken(Silent)` for all three.

New are the log line `stream-silent` (for how long nothing came on the connection, when the replica was last heard on any connection, how late the check itself was) and the counter `zinniahatch_stream_silences_total` by what was heard of the replica. No change of logic.

--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -119,11 +119,11 @@
 
     /// Records that response bytes arrived. The first of them train the latency model.
     fn record_bytes(&mut self) {
+        let now = Instant::now();
+        let previous = self.last_bytes_at.replace(now);
         let Some(assigned) = self.assigned.as_mut() else {
             return;
         };
-        let now = Instant::now();
-        let previous = self.last_bytes_at.replace(now);
         let mut replicas = self.core.replicas.borrow_mut();
         // Only engines have prompt tokens, and only their gaps between events depend on the batch.
         let gap = previous
@@ -219,6 +219,20 @@
             .is_none_or(|state| state.health.is_suspect(Instant::now()))
     }
 
+    /// Returns when bytes last arrived on the connection, or when the request was sent.
+    pub(crate) fn last_bytes_at(&self) -> Instant {
+        self.last_bytes_at.unwrap_or(self.sent_at)
+    }
+
+    /// Returns when bytes last arrived from the replica, on any connection; `None` if the request was
+    /// forwarded or the replica has restarted since.
+    pub(crate) fn replica_heard_at(&self) -> Option<Instant> {
+        let assigned = self.assigned.as_ref()?;
+        let mut replicas = self.core.replicas.borrow_mut();
+        let state = replicas.replica_for_ticket(&assigned.replica, assigned.ticket)?;
+        Some(state.health.last_heard())
+    }
+
     /// Returns when the request was sent.
     pub(crate) fn sent_at(&self) -> Instant {
         self.sent_at
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -209,8 +209,10 @@
                 chunk = in_flight.read_body() => chunk,
                 () = sleep_until(self.plan.deadline_tokio()) => return RelayEnd::Deadline,
                 () = sleep_until(next_check.into()), if resumable => {
+                    let late = next_check.elapsed();
                     next_check = Instant::now() + SILENCE_CHECK_INTERVAL;
                     if in_flight.is_suspect() {
+                        self.log_silence(in_flight, late);
                         return RelayEnd::Broken(Truncation::Silent);
                     }
                     continue;
@@ -244,6 +246,27 @@
         }
     }
 
+    /// Logs that the connection is silent, with what tells a replica that is still, a connection that
+    /// is dead at a live replica, and a pause of this node apart: when the replica was last heard on
+    /// any connection, and how late the check was.
+    fn log_silence(&self, in_flight: &InFlightRequest, late: Duration) {
+        let millis = |time: Duration| time.as_millis() as u64;
+        let heard = in_flight.replica_heard_at().map(|at| at.elapsed());
+        let streams = &self.core.metrics.streams;
+        let silent = in_flight.last_bytes_at().elapsed();
+        streams.note_silence(
+            &self.plan.service,
+            heard.is_some_and(|heard| heard < silent),
+        );
+        self.core.log.write(
+            "stream-silent",
+            serde_json::json!({"request": self.request.attempt, "replica": in_flight.replica(),
+                "region": self.progress.region, "silent_ms": millis(silent),
+                "replica_heard_ms": heard.map(millis), "check_late_ms": millis(late),
+                "events": self.events, "sends": self.progress.sends}),
+        );
+    }
+
     /// Records what began the stream, whose first event its caller gets now.
     fn record_origin(&mut self, in_flight: &InFlightRequest) {
         let (core, request, plan) = (&self.core, &self.request, &self.plan);
--- a/crates/zinniahatch_entry/src/request/stream_metrics.rs
+++ b/crates/zinniahatch_entry/src/request/stream_metrics.rs
@@ -10,6 +10,7 @@
 pub(crate) struct StreamMetrics {
     truncated: IntCounterVec,
     taken_up: IntCounterVec,
+    silences: IntCounterVec,
 }
 
 impl StreamMetrics {
@@ -35,9 +36,18 @@
             &["service", "source"],
         )?;
         registry.register(Box::new(taken_up.clone()))?;
+        let silences = IntCounterVec::new(
+            Opts::new(
+                "zinniahatch_stream_silences_total",
+                "Silences of streams' connections, by service and whether the replica was heard elsewhere meanwhile.",
+            ),
+            &["service", "replica"],
+        )?;
+        registry.register(Box::new(silences.clone()))?;
         Ok(Self {
             truncated,
             taken_up,
+            silences,
         })
     }
 
@@ -48,6 +58,12 @@
             .inc();
     }
 
+    /// Counts a silence of a stream's connection.
+    pub(crate) fn note_silence(&self, service: &str, replica_heard: bool) {
+        let replica = if replica_heard { "heard" } else { "silent" };
+        self.silences.with_label_values(&[service, replica]).inc();
+    }
+
     /// Counts a request that takes up a stream.
     pub(crate) fn note_taken_up(&self, service: &str, source: &str) {
         self.taken_up.with_label_values(&[service, source]).inc();
--- a/crates/zinniahatch_route/src/replica_health.rs
+++ b/crates/zinniahatch_route/src/replica_health.rs
@@ -77,6 +77,11 @@
         self.last_bytes = now;
     }
 
+    /// Returns when bytes last arrived from the replica, on any connection.
+    pub fn last_heard(&self) -> Instant {
+        self.last_bytes
+    }
+
     /// Sets when the oldest in-flight request was sent, and how long the replica may be silent
     /// while it prefills prompts.
     pub fn set_oldest_in_flight(&mut self, oldest: Option<Instant>, prefill_allowance: Duration) {
