Resume a broken stream at the same replica, and wait for a place

Callers got streams that were cut off when a connection broke although its replica ran on and was the only one, and when no replica could take the stream at that very moment.

Cause, the same class: what the stream could still have was given up at the first look that found no other place. A replica whose connection had broken was never considered again.

Change: where no other replica takes a broken stream, the same one may get the request on a new connection, at the version that began it, if it answers a probe. If none takes it, a place is looked for every 250 ms for up to 1.5 s, while the caller stays. Tries and the retry budget bound it as before.

--- a/crates/zinniahatch_entry/src/request/failover.rs
+++ b/crates/zinniahatch_entry/src/request/failover.rs
@@ -25,6 +25,7 @@
 use std::net::SocketAddrV4;
 use std::pin::pin;
 use std::rc::Rc;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::FailoverStep;
@@ -34,6 +35,8 @@
 /// Age up to which bytes of a replica show that it is alive. Others are probed before a connection is
 /// given up for them.
 const ALIVE_TIME: Duration = Duration::from_millis(400);
+/// Time for which a silent connection is watched after its replica was heard on another one.
+const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// Reason of such a retry in logs and counters.
 pub(crate) const SILENT_REASON: &str = "silent";
 
@@ -74,6 +77,17 @@
         }
     }
 
+    /// Describes the connection of a stream.
+    pub(crate) fn of_stream(in_flight: &InFlightRequest, progress: &RequestProgress) -> Self {
+        Self {
+            replica: in_flight.replica().cloned(),
+            node: progress.place.node().cloned(),
+            address: Some(in_flight.address()),
+            since: in_flight.last_bytes_at(),
+            expected: Duration::ZERO,
+        }
+    }
+
     /// Returns whether the other end can probably be reached on a new connection: its replica was
     /// heard on another one meanwhile, or its node sends heartbeats, as those do that are chosen.
     fn may_reconnect(&self, core: &EntryCore) -> bool {
@@ -85,33 +99,27 @@
         self.node.is_some() || state.is_some_and(|state| state.health.last_heard() > self.since)
     }
 
-    /// Returns the progress of the request without the try on this connection.
-    fn without_try(&self, progress: &RequestProgress) -> PlacesTried {
-        let mut places = PlacesTried {
-            replicas: progress.tried.clone(),
-            nodes: progress.remote.nodes.clone(),
-        };
+    /// Chooses a place for a request as if it had not been sent to the other end of this connection.
+    pub(crate) fn choose_again(
+        &self,
+        core: &EntryCore,
+        request: &ReceivedRequest,
+        plan: &RequestPlan,
+        progress: &mut RequestProgress,
+        check_admission: bool,
+    ) -> Placement {
+        let tried = progress.tried.clone();
+        let nodes = progress.remote.nodes.clone();
         if let Some(replica) = &self.replica {
-            places.replicas.remove(replica);
+            progress.tried.remove(replica);
         }
         if let Some(node) = &self.node {
-            places.nodes.remove(node);
+            progress.remote.nodes.remove(node);
         }
-        places
-    }
-}
-
-/// The places that a request was sent to.
-struct PlacesTried {
-    replicas: BTreeSet<ReplicaId>,
-    nodes: BTreeSet<NodeId>,
-}
-
-impl PlacesTried {
-    /// Exchanges these places with those of a request.
-    fn swap(&mut self, progress: &mut RequestProgress) {
-        std::mem::swap(&mut progress.tried, &mut self.replicas);
-        std::mem::swap(&mut progress.remote.nodes, &mut self.nodes);
+        let placement = choose_placement(core, request, plan, progress, check_admission);
+        progress.tried = tried;
+        progress.remote.nodes = nodes;
+        placement
     }
 }
 
@@ -131,20 +139,15 @@
     }
     await_quarantine_decision(core, request, plan).await;
     let mut placement = choose_placement(core, request, plan, progress, true);
-    if matches!(placement, Placement::Refuse(..)) && silent.may_reconnect(core) {
-        let mut places = silent.without_try(progress);
-        places.swap(progress);
-        placement = choose_placement(core, request, plan, progress, true);
-        places.swap(progress);
+    let refused = matches!(placement, Placement::Refuse(..));
+    if refused && silent.may_reconnect(core) {
+        placement = silent.choose_again(core, request, plan, progress, true);
+        // A replica that goes on after a silence sends on all its connections within this time.
+        sleep(RECONNECT_DELAY).await;
     }
-    let alive = match &placement {
-        Placement::Local(choice) => {
-            was_heard(core, &choice.replica) || is_alive(core, &choice.replica).await
-        }
-        Placement::Remote(_) => true,
-        Placement::Refuse(..) => false,
-    };
-    if !alive || !plan.charge_send(core, request, progress, SILENT_REASON) {
+    if !may_take(core, &placement).await
+        || !plan.charge_send(core, request, progress, SILENT_REASON)
+    {
         return None;
     }
     // The idle connections to the same address may be dead too.
@@ -154,6 +157,18 @@
     Some(placement)
 }
 
+/// Returns whether a place can be expected to answer: its replica was heard a moment ago, or answers
+/// a probe.
+pub(crate) async fn may_take(core: &Rc<EntryCore>, placement: &Placement) -> bool {
+    match placement {
+        Placement::Local(choice) => {
+            was_heard(core, &choice.replica) || is_alive(core, &choice.replica).await
+        }
+        Placement::Remote(_) => true,
+        Placement::Refuse(..) => false,
+    }
+}
+
 /// Returns whether bytes of a replica arrived a moment ago.
 fn was_heard(core: &EntryCore, replica: &str) -> bool {
     let replicas = core.replicas.borrow();
@@ -187,13 +202,7 @@
 impl StreamRelay {
     /// Looks for another replica for a stream whose connection is silent, and moves it there.
     pub(crate) async fn leave_silent(&mut self, mut current: InFlightRequest) -> FailoverEnd {
-        let silent = SilentConnection {
-            replica: current.replica().cloned(),
-            node: self.progress.place.node().cloned(),
-            address: Some(current.address()),
-            since: current.last_bytes_at(),
-            expected: Duration::ZERO,
-        };
+        let silent = SilentConnection::of_stream(&current, &self.progress);
         let deadline = self.plan.deadline_tokio();
         let (core, request, plan) = (&self.core, &self.request, &self.plan);
         let seeking = find_place(core, request, plan, &mut self.progress, &silent);
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -9,11 +9,13 @@
 use crate::request::connection::BodyEnd;
 use crate::request::events::EventSplitter;
 use crate::request::failover::FailoverEnd;
+use crate::request::failover::SilentConnection;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::plan::InFlightGuard;
 use crate::request::plan::RequestPlan;
 use crate::request::plan::RequestProgress;
 use crate::request::received::ReceivedRequest;
+use crate::request::resume::BrokenStream;
 use crate::request::resume::resume;
 use crate::request::truncation::Truncation;
 use crate::request::truncation::check_end;
@@ -90,6 +92,7 @@
     /// Forwards a stream to its end.
     pub(crate) async fn run(mut self, mut in_flight: InFlightRequest) {
         let end = loop {
+            let connection = SilentConnection::of_stream(&in_flight, &self.progress);
             let end = match self.forward_events(&mut in_flight).await {
                 ForwardStop::Silent => match self.leave_silent(in_flight).await {
                     FailoverEnd::Follow(next) => {
@@ -109,7 +112,7 @@
                     break end;
                 }
             };
-            let Some(next) = self.resume_elsewhere(&end).await else {
+            let Some(next) = self.resume(&end, connection).await else {
                 break end;
             };
             in_flight = next;
@@ -131,8 +134,12 @@
         }
     }
 
-    /// Resumes a broken stream at another replica, if its route allows that.
-    async fn resume_elsewhere(&mut self, end: &RelayEnd) -> Option<InFlightRequest> {
+    /// Resumes a broken stream, if its route allows that.
+    async fn resume(
+        &mut self,
+        end: &RelayEnd,
+        connection: SilentConnection,
+    ) -> Option<InFlightRequest> {
         let RelayEnd::Broken(truncation) = end else {
             return None;
         };
@@ -140,15 +147,14 @@
             return None;
         }
         self.splitter.discard_partial();
-        let resumed = resume(
-            &self.core,
-            &self.request,
-            &self.plan,
-            &mut self.progress,
-            self.splitter.last_id(),
-            &truncation.to_string(),
-        )
-        .await?;
+        let broken = BrokenStream {
+            connection,
+            last_event: self.splitter.last_id(),
+            reason: &truncation.to_string(),
+            caller: &self.sender,
+        };
+        let (core, request, plan) = (&self.core, &self.request, &self.plan);
+        let resumed = resume(core, request, plan, &mut self.progress, &broken).await?;
         self.failover = StreamFailover::new(resumed.expected, Instant::now());
         Some(resumed)
     }
--- a/crates/zinniahatch_entry/src/request/resume.rs
+++ b/crates/zinniahatch_entry/src/request/resume.rs
@@ -1,8 +1,10 @@
-//! Resumes a broken stream at another replica.
+//! Resumes a broken stream.
 
 use crate::core::EntryCore;
 use crate::replicas::quarantine::await_quarantine_decision;
 use crate::request::connection::ResponseHead;
+use crate::request::failover::SilentConnection;
+use crate::request::failover::may_take;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::placement::Placement;
 use crate::request::placement::choose_placement;
@@ -15,37 +17,59 @@
 use crate::request::received::ReceivedRequest;
 use crate::request::send::ResumePoint;
 use crate::request::send::SendFailure;
+use bytes::Bytes;
 use std::rc::Rc;
+use tokio::sync::mpsc::Sender;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::SEEK_INTERVAL;
 
-/// Resumes a broken stream at another replica, after the last event that the caller has.
+/// Time for which a place is looked for after a break. Callers wait two seconds or more for an event.
+const RESUME_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// A stream whose connection broke.
+pub(crate) struct BrokenStream<'a> {
+    /// The connection that broke.
+    pub(crate) connection: SilentConnection,
+    /// Id of the last event that the caller has.
+    pub(crate) last_event: Option<&'a str>,
+    /// Why it broke.
+    pub(crate) reason: &'a str,
+    /// Closed when the caller leaves.
+    pub(crate) caller: &'a Sender<Bytes>,
+}
+
+/// Resumes a broken stream, after the last event that the caller has, at another replica or on a new
+/// connection to the same one. Waits for a while if none takes it at once.
 pub(crate) async fn resume(
     core: &Rc<EntryCore>,
     request: &ReceivedRequest,
     plan: &RequestPlan,
     progress: &mut RequestProgress,
-    last_event: Option<&str>,
-    reason: &str,
+    broken: &BrokenStream<'_>,
 ) -> Option<InFlightRequest> {
     let point = ResumePoint {
-        last_event,
+        last_event: broken.last_event,
         began: progress.began,
     };
+    let until = plan.deadline.min(Instant::now() + RESUME_PATIENCE);
     loop {
-        if Instant::now() >= plan.deadline || progress.unsent_tries >= MAX_UNSENT_TRIES {
+        if progress.sends >= plan.max_sends || progress.unsent_tries >= MAX_UNSENT_TRIES {
             return None;
         }
         await_quarantine_decision(core, request, plan).await;
-        let placement = choose_placement(core, request, plan, progress, false);
-        let refused = matches!(placement, Placement::Refuse(..));
-        if refused
-            || progress.sends >= plan.max_sends
-            || !plan.charge_send(core, request, progress, "resumed")
-        {
-            return None;
-        }
-        log_resume(core, request, progress, point, reason);
+        let Some(placement) = choose_resumption(core, request, plan, progress, broken).await else {
+            let seek_at = Instant::now() + SEEK_INTERVAL;
+            if seek_at > until {
+                return None;
+            }
+            tokio::select! {
+                () = broken.caller.closed() => return None,
+                () = sleep_until(seek_at.into()) => continue,
+            }
+        };
+        log_resume(core, request, progress, point, broken.reason);
         record_try(core, request, plan, progress, &placement);
         let sending = send_to(core, request, plan, &placement, point);
         let Ok(sent) = timeout_at(plan.deadline_tokio(), sending).await else {
@@ -59,6 +83,27 @@
     }
 }
 
+/// Chooses where a broken stream goes on, and charges the retry.
+async fn choose_resumption(
+    core: &Rc<EntryCore>,
+    request: &ReceivedRequest,
+    plan: &RequestPlan,
+    progress: &mut RequestProgress,
+    broken: &BrokenStream<'_>,
+) -> Option<Placement> {
+    let mut placement = choose_placement(core, request, plan, progress, false);
+    if matches!(placement, Placement::Refuse(..)) {
+        placement = broken
+            .connection
+            .choose_again(core, request, plan, progress, false);
+        if !may_take(core, &placement).await {
+            return None;
+        }
+    }
+    plan.charge_send(core, request, progress, "resumed")
+        .then_some(placement)
+}
+
 /// Logs that a stream is to go on elsewhere.
 pub(crate) fn log_resume(
     core: &EntryCore,
--- a/crates/zinniahatch_lab/tests/silent_replica.rs
+++ b/crates/zinniahatch_lab/tests/silent_replica.rs
@@ -191,3 +191,13 @@
     let whole = count_whole(&site, 0, "/stream/t", || {}).await;
     assert_eq!(whole, STREAMS);
 }
+
+/// Guards against streams that are cut off because their connections were reset, although their only
+/// replica goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_outlives_reset_at_only_replica() {
+    let site = start_site(1).await;
+    let disturb = || site.link(0).reset_open();
+    let whole = count_whole(&site, 0, "/stream/t", disturb).await;
+    assert_eq!(whole, STREAMS);
+}
