Keep why a connection broke for the next read

A stream without a length or chunks could look complete although its connection had been reset: the reset was read while another place was looked for, the error was dropped, and the next read of the same socket returns an orderly end.

Cause: the system reports a reset once.

Change: a connection keeps the error of its first failed read and returns it again.

--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -123,6 +123,8 @@
     idle_since: Instant,
     reusable: bool,
     used: bool,
+    /// Why it broke. A reset is reported once by the system, and then looks like an orderly close.
+    broken: Option<ConnectionError>,
 }
 
 impl BackendConnection {
@@ -153,6 +155,7 @@
             idle_since: Instant::now(),
             reusable: true,
             used: false,
+            broken: None,
         })
     }
 
@@ -435,9 +438,11 @@
     }
 
     async fn fill(&mut self) -> Result<usize, ConnectionError> {
-        read_more(&self.stream, &mut self.buffer)
-            .await
-            .map_err(broken)
+        if let Some(error) = &self.broken {
+            return Err(error.clone());
+        }
+        let read = read_more(&self.stream, &mut self.buffer).await;
+        read.map_err(|error| self.broken.insert(broken(error)).clone())
     }
 }
 
