--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -7,7 +7,7 @@
 use crate::metrics::EntryMetrics;
 use crate::nodes::replica_updates::ReplicaUpdates;
 use crate::nodes::snapshot::SnapshotLimiter;
-use crate::replicas::crash_checks::CrashChecks;
+use crate::replicas::address_checks::AddressChecks;
 use crate::request::pool::ConnectionPool;
 use crate::store::watch_topic::WatchTopic;
 use std::cell::Cell;
@@ -116,7 +116,9 @@
     pub(crate) released_requests: RefCell<Vec<ContentDigest>>,
     /// Prompt parts released from quarantine whose key in the store has to be removed.
     pub(crate) released_parts: RefCell<Vec<ScopedPart>>,
-    pub(crate) crash_checks: CrashChecks,
+    pub(crate) crash_checks: AddressChecks,
+    /// Probes of replicas that requests may move to.
+    pub(crate) alive_checks: AddressChecks,
     pub(crate) retry_budgets: RefCell<BTreeMap<ServiceId, RetryBudget>>,
     /// Peer addresses of other nodes, learned from the store and from other nodes.
     pub(crate) heartbeat_targets: RefCell<HeartbeatTargets>,
@@ -208,7 +210,8 @@
             quarantine_changed: watch::Sender::new(()),
             released_requests: RefCell::default(),
             released_parts: RefCell::default(),
-            crash_checks: CrashChecks::default(),
+            crash_checks: AddressChecks::default(),
+            alive_checks: AddressChecks::default(),
             retry_budgets: RefCell::default(),
             heartbeat_targets: RefCell::new(heartbeat_targets),
             fleet_size: RefCell::default(),
--- a/crates/zinniahatch_entry/src/replicas.rs
+++ b/crates/zinniahatch_entry/src/replicas.rs
@@ -1,7 +1,7 @@
 //! State that this node observes of replicas: health, crashes, rate limits and the requests behind
 //! crashes.
 
-pub(crate) mod crash_checks;
+pub(crate) mod address_checks;
 pub(crate) mod crash_detection;
 pub(crate) mod limit_metrics;
 pub(crate) mod notice;
--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -58,8 +58,21 @@
     }
 }
 
-/// Returns whether a replica answers a probe.
+/// Returns whether a replica answers a probe, which all requests share that ask within a moment.
 pub(crate) async fn is_alive(core: &Rc<EntryCore>, replica: &str) -> bool {
+    let address = core
+        .replicas
+        .borrow()
+        .get(replica)
+        .map(|state| state.entry.address);
+    let Some(address) = address else {
+        return false;
+    };
+    let check = core.alive_checks.check(address, Instant::now());
+    *check.get_or_init(|| probe_now(core, replica)).await
+}
+
+async fn probe_now(core: &Rc<EntryCore>, replica: &str) -> bool {
     let known = core.replicas.borrow().get(replica).map(probe_target(core));
     let Some((incarnation, path)) = known else {
         return false;
--- a/crates/zinniahatch_entry/src/request/failover.rs
+++ b/crates/zinniahatch_entry/src/request/failover.rs
@@ -1,12 +1,12 @@
-//! Moves a request whose connection is silent to another replica.
+//! Moves a request that waits on a silent connection to another replica.
 //!
-//! The connection is kept until another replica can take the request, and under a stream until that
-//! replica has answered or had time to refuse.
+//! What the request has is kept until another place answers it, or has taken it and had time to
+//! refuse.
 
 use crate::core::EntryCore;
 use crate::replicas::probe::is_alive;
 use crate::replicas::quarantine::await_quarantine_decision;
-use crate::request::connection::ConnectionError;
+use crate::request::connection::ResponseHead;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::placement::Placement;
 use crate::request::placement::choose_placement;
@@ -15,88 +15,102 @@
 use crate::request::plan::MAX_UNSENT_TRIES;
 use crate::request::plan::RequestPlan;
 use crate::request::plan::RequestProgress;
-use crate::request::plan::ServingPlace;
 use crate::request::received::ReceivedRequest;
-use crate::request::relay::StreamRelay;
 use crate::request::resume::log_resume;
 use crate::request::resume::record_outcome;
 use crate::request::send::ResumePoint;
 use std::future::pending;
-use std::net::SocketAddrV4;
+use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::FailoverStep;
-use zinniahatch_route::SendPermit;
+use zinniahatch_route::StreamFailover;
 use zinniahatch_route::first_event_limit;
 
 /// Age up to which bytes of a replica show that it is alive. Others are probed before a connection is
 /// given up for them.
 const ALIVE_TIME: Duration = Duration::from_millis(400);
-/// Time for which a silent connection is watched after its replica was heard on another one.
+/// Time by which bytes of a replica must be younger than those of a connection to show that the
+/// connection is dead. Streams send at different moments.
+const HEARD_MARGIN: Duration = Duration::from_millis(500);
+/// Time for which a silent connection is watched after its replica was heard on another one. A
+/// replica that goes on after a silence sends on all of them within it.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// Reason of such a retry in logs and counters.
-pub(crate) const SILENT_REASON: &str = "silent";
+const SILENT_REASON: &str = "silent";
 
 /// The connection that a request waits on, and where it leads.
 #[derive(Clone, Debug)]
-pub(crate) struct SilentConnection {
+pub(crate) struct WaitedConnection {
     /// The replica, unless the request was forwarded.
-    pub(crate) replica: Option<ReplicaId>,
+    replica: Option<ReplicaId>,
     /// The node that the request was forwarded to.
-    pub(crate) node: Option<NodeId>,
-    /// The address that it leads to, if it is known.
-    pub(crate) address: Option<SocketAddrV4>,
+    node: Option<NodeId>,
     /// When bytes last arrived, or when the request was sent.
-    pub(crate) since: Instant,
+    since: Instant,
     /// Expected time until the next bytes.
-    pub(crate) expected: Duration,
+    expected: Duration,
+    /// Whether the send is recorded in the progress of the request.
+    pub(crate) recorded: bool,
 }
 
-impl SilentConnection {
+impl WaitedConnection {
     /// Describes the connection of a try that begins now.
-    pub(crate) fn of_try(core: &EntryCore, placement: &Placement) -> Self {
+    pub(crate) fn of_try(placement: &Placement) -> Self {
         let (replica, node) = match placement {
             Placement::Local(choice) => (Some(choice.replica.clone()), None),
             Placement::Remote(choice) => (None, Some(choice.node.clone())),
             Placement::Refuse(..) => (None, None),
         };
-        let replicas = core.replicas.borrow();
-        let state = replica.as_ref().and_then(|id| replicas.get(id));
-        let members = core.members.borrow();
-        let permit = node.as_ref().and_then(|node| members.permit(node));
-        let node_address = permit.map(|permit| permit.address());
         Self {
-            address: state.map(|state| state.entry.address).or(node_address),
             replica,
             node,
             since: Instant::now(),
             expected: placement.expected(),
+            recorded: false,
         }
     }
 
-    /// Describes the connection of a stream.
-    pub(crate) fn of_stream(in_flight: &InFlightRequest, progress: &RequestProgress) -> Self {
+    /// Describes the connection of a request whose response has begun.
+    pub(crate) fn of_response(in_flight: &InFlightRequest, progress: &RequestProgress) -> Self {
         Self {
             replica: in_flight.replica().cloned(),
             node: progress.place.node().cloned(),
-            address: Some(in_flight.address()),
             since: in_flight.last_bytes_at(),
             expected: Duration::ZERO,
+            recorded: true,
         }
     }
 
-    /// Returns whether the other end can probably be reached on a new connection: its replica was
-    /// heard on another one meanwhile, or its node sends heartbeats, as those do that are chosen.
+    /// Returns whether the replica was heard on another connection well after this one.
+    fn heard_elsewhere(&self, core: &EntryCore) -> bool {
+        let replicas = core.replicas.borrow();
+        let state = self.replica.as_ref().and_then(|id| replicas.get(id));
+        state.is_some_and(|state| state.health.last_heard() >= self.since + HEARD_MARGIN)
+    }
+
+    /// Returns whether the other end can probably be reached on a new connection. A node that can be
+    /// chosen sends heartbeats.
     fn may_reconnect(&self, core: &EntryCore) -> bool {
-        if self.since.elapsed() < first_event_limit(self.expected) {
+        self.since.elapsed() >= first_event_limit(self.expected)
+            && (self.node.is_some() || self.heard_elsewhere(core))
+    }
+
+    /// Returns whether the request may be silent because it waits for a slot at its replica, or was
+    /// preempted there, while others are served.
+    fn may_be_queued(&self, core: &EntryCore, placement: &Placement) -> bool {
+        let Placement::Local(choice) = placement else {
             return false;
-        }
+        };
         let replicas = core.replicas.borrow();
-        let state = self.replica.as_ref().and_then(|id| replicas.get(id));
-        self.node.is_some() || state.is_some_and(|state| state.health.last_heard() > self.since)
+        let state = replicas.get(&choice.replica);
+        let margin = self.since + HEARD_MARGIN;
+        let serves = state.is_some_and(|state| state.health.last_responded() >= margin);
+        serves && !choice.slot_wait.is_zero()
     }
 
     /// Chooses a place for a request as if it had not been sent to the other end of this connection.
@@ -121,40 +135,82 @@
         progress.remote.nodes = nodes;
         placement
     }
+
+    /// Records the send on this connection, unless that was done.
+    pub(crate) fn record(
+        &mut self,
+        core: &EntryCore,
+        plan: &RequestPlan,
+        progress: &mut RequestProgress,
+    ) {
+        if !std::mem::replace(&mut self.recorded, true) {
+            plan.record_send(core, progress);
+        }
+    }
+
+    /// Records that the replica was left, which counts as its failure.
+    fn record_failure(&self, core: &EntryCore) {
+        let mut replicas = core.replicas.borrow_mut();
+        if let Some(state) = self.replica.as_ref().and_then(|id| replicas.get_mut(id)) {
+            state.health.note_failure(Instant::now());
+        }
+    }
+
+    /// Logs what tells a replica that is still, a connection that is dead at a live replica, and a
+    /// pause of this node apart.
+    fn log_silence(
+        &self,
+        core: &EntryCore,
+        request: &ReceivedRequest,
+        plan: &RequestPlan,
+        late: Duration,
+    ) {
+        let millis = |time: Duration| time.as_millis() as u64;
+        let heard = self.heard_elsewhere(core);
+        let replicas = core.replicas.borrow();
+        let state = self.replica.as_ref().and_then(|id| replicas.get(id));
+        core.metrics.streams.note_silence(&plan.service, heard);
+        core.log.write(
+            "connection-silent",
+            serde_json::json!({"request": request.attempt, "service": plan.service,
+                "replica": self.replica, "node": self.node,
+                "silent_ms": millis(self.since.elapsed()),
+                "replica_heard_ms": state.map(|state| millis(state.health.last_heard().elapsed())),
+                "heard_elsewhere": heard, "check_late_ms": millis(late)}),
+        );
+    }
 }
 
 /// Finds another place for a request that waits on a silent connection, and charges the retry.
 ///
 /// The place admits the request, and its replica is alive. If there is none, the same replica may get
-/// the request on a new connection, provided that it was heard meanwhile.
-pub(crate) async fn find_place(
+/// the request on a new connection, provided that it was heard meanwhile and nothing waits there.
+async fn find_place(
     core: &Rc<EntryCore>,
     request: &ReceivedRequest,
     plan: &RequestPlan,
     progress: &mut RequestProgress,
-    silent: &SilentConnection,
+    waited: &WaitedConnection,
 ) -> Option<Placement> {
-    if progress.sends >= plan.max_sends || progress.unsent_tries >= MAX_UNSENT_TRIES {
+    let tries_left = progress.sends < plan.max_sends && progress.unsent_tries < MAX_UNSENT_TRIES;
+    if !tries_left || !plan.has_charge(core, progress) {
         return None;
     }
     await_quarantine_decision(core, request, plan).await;
     let mut placement = choose_placement(core, request, plan, progress, true);
-    let refused = matches!(placement, Placement::Refuse(..));
-    if refused && silent.may_reconnect(core) {
-        placement = silent.choose_again(core, request, plan, progress, true);
-        // A replica that goes on after a silence sends on all its connections within this time.
+    if matches!(placement, Placement::Refuse(..)) {
+        if !waited.may_reconnect(core) {
+            return None;
+        }
+        placement = waited.choose_again(core, request, plan, progress, true);
+        if waited.may_be_queued(core, &placement) {
+            return None;
+        }
         sleep(RECONNECT_DELAY).await;
     }
-    if !may_take(core, &placement).await
-        || !plan.charge_send(core, request, progress, SILENT_REASON)
-    {
-        return None;
-    }
-    // The idle connections to the same address may be dead too.
-    if let Some(address) = silent.address {
-        core.pool.close_idle(address);
-    }
-    Some(placement)
+    let granted = may_take(core, &placement).await
+        && plan.charge_send(core, request, progress, SILENT_REASON);
+    granted.then_some(placement)
 }
 
 /// Returns whether a place can be expected to answer: its replica was heard a moment ago, or answers
@@ -176,144 +232,196 @@
     state.is_some_and(|state| state.health.last_heard().elapsed() < ALIVE_TIME)
 }
 
-/// What becomes of a stream whose connection was silent.
+/// How a silence ended, with what the connection delivered, if anything.
 #[derive(Debug)]
-pub(crate) enum FailoverEnd {
-    /// It goes on on a connection, the same as before or another one.
-    Follow(Box<InFlightRequest>),
-    /// Its connection was closed, and the next replica failed.
+pub(crate) enum SilenceEnd<T> {
+    /// The connection delivered, or broke and nothing else is left.
+    Spoke(T),
+    /// Another place answered. The connection was closed or had broken.
+    Moved {
+        answer: Box<(ResponseHead, InFlightRequest)>,
+        broken: Option<T>,
+    },
+    /// The connection was closed for another place that failed.
     Lost,
-    /// The caller closed its connection.
-    CallerGone,
-    /// The deadline passed.
-    Deadline,
 }
 
-/// Why a move ended before the next replica answered.
-enum MoveStop {
-    /// Bytes arrived on the connection from before.
-    CurrentSpoke,
-    /// The caller closed its connection.
-    CallerGone,
-    /// The deadline passed.
-    Deadline,
+/// A request that waits for bytes, and what is to be done about their absence.
+pub(crate) struct SilenceWait<'a> {
+    pub(crate) core: &'a Rc<EntryCore>,
+    pub(crate) request: &'a ReceivedRequest,
+    pub(crate) plan: &'a RequestPlan,
+    pub(crate) progress: &'a mut RequestProgress,
+    pub(crate) failover: &'a mut StreamFailover,
+    pub(crate) connection: &'a mut WaitedConnection,
+    /// Id of the last event that the caller has.
+    pub(crate) last_event: Option<&'a str>,
 }
 
-impl StreamRelay {
-    /// Looks for another replica for a stream whose connection is silent, and moves it there.
-    pub(crate) async fn leave_silent(&mut self, mut current: InFlightRequest) -> FailoverEnd {
-        let silent = SilentConnection::of_stream(&current, &self.progress);
-        let deadline = self.plan.deadline_tokio();
-        let (core, request, plan) = (&self.core, &self.request, &self.plan);
-        let seeking = find_place(core, request, plan, &mut self.progress, &silent);
-        let place = tokio::select! {
-            biased;
-            () = self.sender.closed() => return FailoverEnd::CallerGone,
-            _ = current.wait_for_bytes() => {
-                self.failover.on_bytes(Instant::now());
-                return FailoverEnd::Follow(Box::new(current));
+impl SilenceWait<'_> {
+    /// Waits until `current` delivers; when it is due, looks for another place meanwhile and sends the
+    /// request there.
+    ///
+    /// `broke` tells whether what was delivered is a failure. Dropping `current` closes its
+    /// connection.
+    pub(crate) async fn run<F: Future>(
+        mut self,
+        current: F,
+        broke: impl Fn(&F::Output) -> bool,
+    ) -> SilenceEnd<F::Output> {
+        let mut current = Some(Box::pin(current));
+        let before = self.progress.places();
+        let mut logged = false;
+        loop {
+            let due = self.failover.due_at();
+            let place = tokio::select! {
+                biased;
+                done = poll_current(&mut current) => Err(done),
+                place = self.seek_when_due(due, &mut logged) => Ok(place),
+            };
+            let end = match place {
+                Err(done) => SilenceEnd::Spoke(done),
+                Ok(None) => continue,
+                Ok(Some(placement)) => {
+                    match self.hand_over(&placement, &mut current, &broke).await {
+                        Some(end) => end,
+                        None => continue,
+                    }
+                }
+            };
+            match &end {
+                SilenceEnd::Spoke(done) if !broke(done) => {
+                    self.failover.on_bytes(Instant::now());
+                    self.progress.restore(before);
+                }
+                _ => {}
             }
-            () = sleep_until(deadline) => return FailoverEnd::Deadline,
-            place = seeking => place,
-        };
-        let Some(placement) = place else {
+            return end;
+        }
+    }
+
+    /// Waits until another place is to be looked for, and looks once.
+    async fn seek_when_due(
+        &mut self,
+        due: Option<Instant>,
+        logged: &mut bool,
+    ) -> Option<Placement> {
+        wait_until(due).await;
+        let late = due.map_or(Duration::ZERO, |due| due.elapsed());
+        let step = self.failover.on_time(Instant::now());
+        let (core, request, plan) = (self.core, self.request, self.plan);
+        if step == FailoverStep::Wait || !std::mem::replace(logged, true) {
+            self.connection.log_silence(core, request, plan, late);
+        }
+        if step != FailoverStep::Seek {
+            return None;
+        }
+        self.connection.record(core, plan, self.progress);
+        let place = find_place(core, request, plan, self.progress, self.connection).await;
+        if place.is_none() {
             self.failover.on_no_place(Instant::now());
-            return FailoverEnd::Follow(Box::new(current));
-        };
-        self.move_to(&placement, current).await
+        }
+        place
     }
 
-    /// Sends the request for the rest of a stream to another replica, and goes on where bytes arrive
-    /// first.
-    async fn move_to(&mut self, placement: &Placement, current: InFlightRequest) -> FailoverEnd {
-        let (core, request, plan) = (
-            Rc::clone(&self.core),
-            Rc::clone(&self.request),
-            Rc::clone(&self.plan),
-        );
-        let last_event: Option<Box<str>> = self.splitter.last_id().map(Into::into);
+    /// Sends the request to another place while the current connection stays open for a while; returns
+    /// `None` if the place did not take it and the connection is still open.
+    async fn hand_over<F: Future>(
+        &mut self,
+        placement: &Placement,
+        current: &mut Option<Pin<Box<F>>>,
+        broke: &impl Fn(&F::Output) -> bool,
+    ) -> Option<SilenceEnd<F::Output>> {
+        let (core, request, plan) = (self.core, self.request, self.plan);
+        let written = Notify::new();
         let point = ResumePoint {
-            last_event: last_event.as_deref(),
+            last_event: self.last_event,
             began: self.progress.began,
+            new_connection: true,
+            written: Some(&written),
         };
         let place_before = self.progress.place.clone();
-        log_resume(&core, &request, &self.progress, point, SILENT_REASON);
-        record_try(&core, &request, &plan, &mut self.progress, placement);
-        self.failover.on_sent(Instant::now());
-        let mut current = Some(current);
-        let mut sending = pin!(send_to(&core, &request, &plan, placement, point));
+        log_resume(core, request, self.progress, point, SILENT_REASON);
+        record_try(core, request, plan, self.progress, placement);
+        let mut guard = WrittenGuard {
+            core,
+            plan,
+            progress: self.progress,
+            written: false,
+        };
+        let mut sending = pin!(send_to(core, request, plan, placement, point));
+        let mut broken = None;
         let sent = loop {
             let due = self.failover.due_at();
-            let step = tokio::select! {
+            tokio::select! {
                 biased;
-                () = self.sender.closed() => break Err(MoveStop::CallerGone),
-                read = wait_for_current(current.as_mut()) => match read {
-                    Ok(()) => self.failover.on_bytes(Instant::now()),
-                    Err(_) => self.failover.on_break(),
-                },
-                () = sleep_until(plan.deadline_tokio()) => break Err(MoveStop::Deadline),
-                () = wait_until_due(due) => self.failover.on_time(Instant::now()),
-                sent = &mut sending => break Ok(sent),
-            };
-            match step {
-                FailoverStep::CloseCurrent => close_silent(current.take()),
-                FailoverStep::KeepCurrent => break Err(MoveStop::CurrentSpoke),
-                _ => {}
-            }
-        };
-        let sent = match sent {
-            Ok(sent) => sent,
-            Err(stop) => {
-                // The other replica may have received the request.
-                plan.record_received(&core, &mut self.progress, 1);
-                self.progress.sends += 1;
-                return match stop {
-                    MoveStop::CurrentSpoke => self.stay(current, place_before),
-                    MoveStop::CallerGone => FailoverEnd::CallerGone,
-                    MoveStop::Deadline => FailoverEnd::Deadline,
-                };
+                done = poll_current(current) => {
+                    *current = None;
+                    if !broke(&done) {
+                        return Some(SilenceEnd::Spoke(done));
+                    }
+                    broken = Some(done);
+                }
+                sent = &mut sending => break sent,
+                () = written.notified(), if !guard.written => {
+                    guard.written = true;
+                    self.failover.on_sent(Instant::now());
+                }
+                () = wait_until(due) => {
+                    if self.failover.on_time(Instant::now()) == FailoverStep::CloseCurrent {
+                        *current = None;
+                    }
+                }
             }
         };
-        let next = record_outcome(&core, &request, &plan, &mut self.progress, placement, sent);
-        let Some(next) = next else {
+        guard.written = false;
+        drop(guard);
+        let answer = record_outcome(core, request, plan, self.progress, placement, sent);
+        if let Some(answer) = answer {
+            *current = None;
+            self.connection.record_failure(core);
+            let expected = answer.1.expected;
+            self.failover.on_answered(expected, Instant::now());
+            let answer = Box::new(answer);
+            return Some(SilenceEnd::Moved { answer, broken });
+        }
+        if current.is_some() {
             self.failover.on_refused(Instant::now());
-            return self.stay(current, place_before);
-        };
-        close_silent(current);
-        self.splitter.discard_partial();
-        self.failover.on_answered(next.expected, Instant::now());
-        FailoverEnd::Follow(Box::new(next))
+            self.progress.place = place_before;
+            return None;
+        }
+        Some(broken.map_or(SilenceEnd::Lost, SilenceEnd::Spoke))
     }
+}
 
-    /// Goes on with the connection from before, if it is still open.
-    fn stay(&mut self, current: Option<InFlightRequest>, place: ServingPlace) -> FailoverEnd {
-        let Some(current) = current else {
-            return FailoverEnd::Lost;
-        };
-        self.progress.place = place;
-        FailoverEnd::Follow(Box::new(current))
+/// Records a send that was written, if the request ends before its outcome is known.
+struct WrittenGuard<'a> {
+    core: &'a EntryCore,
+    plan: &'a RequestPlan,
+    progress: &'a mut RequestProgress,
+    written: bool,
+}
+
+impl Drop for WrittenGuard<'_> {
+    fn drop(&mut self) {
+        if self.written {
+            self.plan.record_send(self.core, self.progress);
+        }
     }
 }
 
-/// Waits until bytes arrive on the current connection; for ever if it was closed.
-async fn wait_for_current(current: Option<&mut InFlightRequest>) -> Result<(), ConnectionError> {
+/// Waits for what the current connection delivers; for ever if it was closed.
+async fn poll_current<F: Future>(current: &mut Option<Pin<Box<F>>>) -> F::Output {
     match current {
-        Some(current) => current.wait_for_bytes().await,
+        Some(current) => current.await,
         None => pending().await,
     }
 }
 
 /// Waits until a time; for ever if there is none.
-async fn wait_until_due(due: Option<Instant>) {
+async fn wait_until(due: Option<Instant>) {
     match due {
         Some(due) => sleep_until(due.into()).await,
         None => pending().await,
     }
 }
-
-/// Closes a connection that was silent, which counts as a failure of its replica.
-fn close_silent(current: Option<InFlightRequest>) {
-    if let Some(current) = current {
-        current.record_failure();
-    }
-}
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -6,16 +6,21 @@
 use crate::request::connection::ConnectionError;
 use crate::request::connection::ResponseHead;
 use crate::request::received::ReceivedRequest;
+use crate::request::truncation::Truncation;
 use bytes::Bytes;
 use bytes::BytesMut;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::InFlightWork;
 use zinniahatch_route::ModelSample;
 use zinniahatch_route::ReplicaState;
 use zinniahatch_route::SendPermit;
 
+/// How often a waiting request checks whether its replica has restarted.
+pub(crate) const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Work that a request puts on a replica, and the estimates made when it was assigned.
 #[derive(Debug)]
 pub(crate) struct AssignedWork {
@@ -117,10 +122,22 @@
     }
 
     /// Waits until bytes of the response body arrive, and keeps them to be read.
-    pub(crate) async fn wait_for_bytes(&mut self) -> Result<(), ConnectionError> {
-        match self.connection.as_mut() {
-            Some(connection) => connection.wait_for_bytes().await,
-            None => Ok(()),
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, or the replica has restarted.
+    pub(crate) async fn wait_for_bytes(&mut self) -> Result<(), Truncation> {
+        loop {
+            let Some(connection) = self.connection.as_mut() else {
+                return Ok(());
+            };
+            tokio::select! {
+                read = connection.wait_for_bytes() => return Ok(read?),
+                () = sleep(RESTART_CHECK_INTERVAL) => {}
+            }
+            if self.is_replica_restarted() {
+                return Err(Truncation::ReplicaRestarted);
+            }
         }
     }
 
@@ -239,15 +256,6 @@
         self.last_bytes_at.unwrap_or(self.sent_at)
     }
 
-    /// Returns when bytes last arrived from the replica, on any connection; `None` if the request was
-    /// forwarded or the replica has restarted since.
-    pub(crate) fn replica_heard_at(&self) -> Option<Instant> {
-        let assigned = self.assigned.as_ref()?;
-        let mut replicas = self.core.replicas.borrow_mut();
-        let state = replicas.replica_for_ticket(&assigned.replica, assigned.ticket)?;
-        Some(state.health.last_heard())
-    }
-
     /// Returns when the request was sent.
     pub(crate) fn sent_at(&self) -> Instant {
         self.sent_at
--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -279,6 +279,20 @@
         }
     }
 
+    /// Returns whether the next send is free, charged already, or within the retry budget now.
+    pub(crate) fn has_charge(&self, core: &EntryCore, progress: &RequestProgress) -> bool {
+        !progress.ledger.needs_charge()
+            || core.with_retry_budget(&self.service, |budget| {
+                budget.level(Instant::now()).left >= 1.0
+            })
+    }
+
+    /// Records a send that a replica may have received and run.
+    pub(crate) fn record_send(&self, core: &EntryCore, progress: &mut RequestProgress) {
+        self.record_received(core, progress, 1);
+        progress.sends += 1;
+    }
+
     /// Records sends that replicas may have received.
     pub(crate) fn record_received(
         &self,
@@ -301,7 +315,34 @@
     ids.map(|id| ScopedPart { id: *id, scope }).collect()
 }
 
+/// The places that a request was sent to.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacesTried {
+    replicas: BTreeSet<ReplicaId>,
+    remote: RemoteAttempts,
+    place: ServingPlace,
+    unsent_tries: u32,
+}
+
 impl RequestProgress {
+    /// Returns the places that the request was sent to so far.
+    pub(crate) fn places(&self) -> PlacesTried {
+        PlacesTried {
+            replicas: self.tried.clone(),
+            remote: self.remote.clone(),
+            place: self.place.clone(),
+            unsent_tries: self.unsent_tries,
+        }
+    }
+
+    /// Forgets the places that the request was sent to since, as they did not take it.
+    pub(crate) fn restore(&mut self, places: PlacesTried) {
+        self.tried = places.replicas;
+        self.remote = places.remote;
+        self.place = places.place;
+        self.unsent_tries = places.unsent_tries;
+    }
+
     /// Returns the region that served or refused the request.
     pub(crate) fn serving_region(&self, core: &EntryCore) -> RegionId {
         let own = &core.settings.region;
--- a/crates/zinniahatch_entry/src/request/pool.rs
+++ b/crates/zinniahatch_entry/src/request/pool.rs
@@ -61,11 +61,23 @@
         if let Some(connection) = self.acquire_idle(address, now) {
             return Ok(connection);
         }
+        self.open(address, limit).await
+    }
+
+    /// Opens a new connection in place of an idle one if there are `limit`.
+    ///
+    /// Idle connections may have gone silent for good, which shows only once they are used.
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddrV4,
+        limit: usize,
+    ) -> Result<BackendConnection, PoolError> {
         {
             let mut rows = self.rows.borrow_mut();
             let row = rows.entry(address).or_default();
             if row.open >= limit {
-                return Err(PoolError::Full);
+                row.idle.pop().ok_or(PoolError::Full)?;
+                row.open -= 1;
             }
             row.open += 1;
         }
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -8,9 +8,11 @@
 use crate::replicas::quarantine::note_complete_response;
 use crate::request::connection::BodyEnd;
 use crate::request::events::EventSplitter;
-use crate::request::failover::FailoverEnd;
-use crate::request::failover::SilentConnection;
+use crate::request::failover::SilenceEnd;
+use crate::request::failover::SilenceWait;
+use crate::request::failover::WaitedConnection;
 use crate::request::in_flight::InFlightRequest;
+use crate::request::in_flight::RESTART_CHECK_INTERVAL;
 use crate::request::plan::InFlightGuard;
 use crate::request::plan::RequestPlan;
 use crate::request::plan::RequestProgress;
@@ -26,14 +28,10 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 use zinniahatch_base::prelude::*;
-use zinniahatch_route::FailoverStep;
 use zinniahatch_route::SURVIVAL_TIME;
 use zinniahatch_route::StreamFailover;
 use zinniahatch_route::StreamOrigin;
 
-/// How often a stream checks whether its replica has restarted.
-const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Time for which a stream may be taken up after its caller's time is over, for the clocks and
 /// connections between them.
 const TAKE_UP_SLACK: Duration = Duration::from_secs(5);
@@ -92,16 +90,14 @@
     /// Forwards a stream to its end.
     pub(crate) async fn run(mut self, mut in_flight: InFlightRequest) {
         let end = loop {
-            let connection = SilentConnection::of_stream(&in_flight, &self.progress);
+            let connection = WaitedConnection::of_response(&in_flight, &self.progress);
             let end = match self.forward_events(&mut in_flight).await {
-                ForwardStop::Silent => match self.leave_silent(in_flight).await {
-                    FailoverEnd::Follow(next) => {
-                        in_flight = *next;
+                ForwardStop::Silent => match self.outlast_silence(in_flight).await {
+                    Ok(next) => {
+                        in_flight = next;
                         continue;
                     }
-                    FailoverEnd::CallerGone => break RelayEnd::CallerGone,
-                    FailoverEnd::Deadline => break RelayEnd::Deadline,
-                    FailoverEnd::Lost => RelayEnd::Broken(Truncation::Silent),
+                    Err(end) => end,
                 },
                 ForwardStop::Ended(RelayEnd::Broken(truncation)) => {
                     self.handle_break(in_flight, &truncation).await;
@@ -120,13 +116,62 @@
         self.finish(&end);
     }
 
+    /// Waits until a silent stream goes on, on its connection or another one.
+    async fn outlast_silence(
+        &mut self,
+        in_flight: InFlightRequest,
+    ) -> Result<InFlightRequest, RelayEnd> {
+        let (core, request, plan) = (&self.core, &self.request, &self.plan);
+        let mut connection = WaitedConnection::of_response(&in_flight, &self.progress);
+        let wait = SilenceWait {
+            core,
+            request,
+            plan,
+            progress: &mut self.progress,
+            failover: &mut self.failover,
+            connection: &mut connection,
+            last_event: self.splitter.last_id(),
+        };
+        let reading = async move {
+            let mut in_flight = in_flight;
+            let read = in_flight.wait_for_bytes().await;
+            (read, in_flight)
+        };
+        let end = tokio::select! {
+            biased;
+            () = self.sender.closed() => return Err(RelayEnd::CallerGone),
+            end = wait.run(reading, |(read, _)| read.is_err()) => end,
+            () = sleep_until(plan.deadline_tokio()) => return Err(RelayEnd::Deadline),
+        };
+        let (answer, broken) = match end {
+            SilenceEnd::Spoke((Ok(()), in_flight)) => return Ok(in_flight),
+            SilenceEnd::Spoke(broken) => (None, Some(broken)),
+            SilenceEnd::Moved { answer, broken } => (Some(answer), broken),
+            SilenceEnd::Lost => (None, None),
+        };
+        let mut truncation = Truncation::Silent;
+        if let Some((Err(error), in_flight)) = broken {
+            truncation = error;
+            self.handle_break(in_flight, &truncation).await;
+        } else if answer.is_none() {
+            self.note_truncated(&truncation);
+        }
+        self.splitter.discard_partial();
+        answer
+            .map(|answer| answer.1)
+            .ok_or(RelayEnd::Broken(truncation))
+    }
+
+    fn note_truncated(&self, truncation: &Truncation) {
+        let streams = &self.core.metrics.streams;
+        streams.note_truncated(&self.plan.service, truncation);
+    }
+
     /// Handles a connection that broke, and closes it: its run must have stopped before another
     /// replica goes on.
     async fn handle_break(&self, in_flight: InFlightRequest, truncation: &Truncation) {
         let (core, request, plan) = (&self.core, &self.request, &self.plan);
-        core.metrics
-            .streams
-            .note_truncated(&plan.service, truncation);
+        self.note_truncated(truncation);
         in_flight.record_failure();
         if *truncation != Truncation::ReplicaRestarted {
             let reason = truncation.to_string();
@@ -138,7 +183,7 @@
     async fn resume(
         &mut self,
         end: &RelayEnd,
-        connection: SilentConnection,
+        connection: WaitedConnection,
     ) -> Option<InFlightRequest> {
         let RelayEnd::Broken(truncation) = end else {
             return None;
@@ -257,14 +302,7 @@
                 () = sleep_until(self.plan.deadline_tokio()) => {
                     return ForwardStop::Ended(RelayEnd::Deadline);
                 }
-                () = sleep_until(seek_at.into()), if resumable => {
-                    let step = self.failover.on_time(Instant::now());
-                    self.log_silence(in_flight, step, seek_at.elapsed());
-                    if step == FailoverStep::Seek {
-                        return ForwardStop::Silent;
-                    }
-                    continue;
-                }
+                () = sleep_until(seek_at.into()), if resumable => return ForwardStop::Silent,
                 () = sleep_until(restart_check.into()), if resumable => {
                     restart_check = Instant::now() + RESTART_CHECK_INTERVAL;
                     if in_flight.is_replica_restarted() {
@@ -307,27 +345,6 @@
         }
     }
 
-    /// Logs that the connection is silent, with what tells a replica that is still, a connection that
-    /// is dead at a live replica, and a pause of this node apart: when the replica was last heard on
-    /// any connection, and how late the check was.
-    fn log_silence(&self, in_flight: &InFlightRequest, step: FailoverStep, late: Duration) {
-        let millis = |time: Duration| time.as_millis() as u64;
-        let heard = in_flight.replica_heard_at().map(|at| at.elapsed());
-        let streams = &self.core.metrics.streams;
-        let silent = in_flight.last_bytes_at().elapsed();
-        streams.note_silence(
-            &self.plan.service,
-            heard.is_some_and(|heard| heard < silent),
-        );
-        self.core.log.write(
-            "stream-silent",
-            serde_json::json!({"request": self.request.attempt, "replica": in_flight.replica(),
-                "node": self.progress.place.node(), "step": format!("{step:?}"), "silent_ms": millis(silent),
-                "replica_heard_ms": heard.map(millis), "check_late_ms": millis(late),
-                "events": self.events, "sends": self.progress.sends}),
-        );
-    }
-
     /// Records what began the stream, whose first event its caller gets now.
     fn record_origin(&mut self, in_flight: &InFlightRequest) {
         let (core, request, plan) = (&self.core, &self.request, &self.plan);
--- a/crates/zinniahatch_entry/src/request/resume.rs
+++ b/crates/zinniahatch_entry/src/request/resume.rs
@@ -3,7 +3,7 @@
 use crate::core::EntryCore;
 use crate::replicas::quarantine::await_quarantine_decision;
 use crate::request::connection::ResponseHead;
-use crate::request::failover::SilentConnection;
+use crate::request::failover::WaitedConnection;
 use crate::request::failover::may_take;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::placement::Placement;
@@ -25,13 +25,14 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::SEEK_INTERVAL;
 
-/// Time for which a place is looked for after a break. Callers wait two seconds or more for an event.
-const RESUME_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time for which a place is looked for after a break. A replica that could not be reached is tried
+/// again within it.
+const RESUME_PATIENCE: Duration = Duration::from_secs(2);
 
 /// A stream whose connection broke.
 pub(crate) struct BrokenStream<'a> {
     /// The connection that broke.
-    pub(crate) connection: SilentConnection,
+    pub(crate) connection: WaitedConnection,
     /// Id of the last event that the caller has.
     pub(crate) last_event: Option<&'a str>,
     /// Why it broke.
@@ -52,6 +53,8 @@
     let point = ResumePoint {
         last_event: broken.last_event,
         began: progress.began,
+        new_connection: true,
+        written: None,
     };
     let until = plan.deadline.min(Instant::now() + RESUME_PATIENCE);
     loop {
@@ -73,11 +76,11 @@
         record_try(core, request, plan, progress, &placement);
         let sending = send_to(core, request, plan, &placement, point);
         let Ok(sent) = timeout_at(plan.deadline_tokio(), sending).await else {
-            plan.record_received(core, progress, 1);
+            plan.record_send(core, progress);
             return None;
         };
-        let next = record_outcome(core, request, plan, progress, &placement, sent);
-        if let Some(in_flight) = next {
+        let answer = record_outcome(core, request, plan, progress, &placement, sent);
+        if let Some((_, in_flight)) = answer {
             return Some(in_flight);
         }
     }
@@ -96,9 +99,9 @@
         placement = broken
             .connection
             .choose_again(core, request, plan, progress, false);
-        if !may_take(core, &placement).await {
-            return None;
-        }
+    }
+    if !may_take(core, &placement).await {
+        return None;
     }
     plan.charge_send(core, request, progress, "resumed")
         .then_some(placement)
@@ -119,7 +122,7 @@
     );
 }
 
-/// Records how a try to go on with a stream ended; returns the request if a replica goes on.
+/// Records how a try to go on elsewhere ended; returns the response if a replica goes on.
 pub(crate) fn record_outcome(
     core: &EntryCore,
     request: &ReceivedRequest,
@@ -127,16 +130,16 @@
     progress: &mut RequestProgress,
     placement: &Placement,
     sent: Result<(ResponseHead, InFlightRequest), SendFailure>,
-) -> Option<InFlightRequest> {
+) -> Option<(ResponseHead, InFlightRequest)> {
     let received = match &sent {
         Ok(_) => 1,
         Err(failure) => failure.sends_received(),
     };
     plan.record_received(core, progress, received);
     let failure = match sent {
-        Ok((head, in_flight)) if head.status.is_success() => {
+        Ok(answer) if answer.0.status.is_success() => {
             progress.sends += 1;
-            return Some(in_flight);
+            return Some(answer);
         }
         Ok((head, _)) => SendFailure::Unknown(format!("status {}", head.status).into()),
         Err(failure) => failure,
--- a/crates/zinniahatch_entry/src/request/send.rs
+++ b/crates/zinniahatch_entry/src/request/send.rs
@@ -8,6 +8,7 @@
 use crate::replicas::quarantine::check_quarantine;
 use crate::replicas::send_admission::permit_send;
 use crate::replicas::send_admission::reserve_send;
+use crate::request::connection::BackendConnection;
 use crate::request::connection::ResponseHead;
 use crate::request::gateway_response::gateway_code;
 use crate::request::gateway_response::reports_not_run;
@@ -21,7 +22,9 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::StatusCode;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
+use tokio::sync::Notify;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::ReplicaRequestHeaders;
 use zinniahatch_platform::write_forwarded_request;
@@ -58,9 +61,32 @@
     pub(crate) last_event: Option<&'a str>,
     /// What began the stream.
     pub(crate) began: Option<StreamOrigin>,
+    /// Whether the request goes on a connection that is not known to have worked before.
+    pub(crate) new_connection: bool,
+    /// Notified when the request is about to be written.
+    pub(crate) written: Option<&'a Notify>,
 }
 
 impl ResumePoint<'_> {
+    /// Opens or reuses a connection for the request.
+    async fn connect(
+        &self,
+        core: &EntryCore,
+        address: SocketAddrV4,
+        limit: usize,
+    ) -> Result<BackendConnection, PoolError> {
+        if self.new_connection {
+            return core.pool.open(address, limit).await;
+        }
+        core.pool.acquire(address, limit, Instant::now()).await
+    }
+
+    fn note_written(&self) {
+        if let Some(written) = self.written {
+            written.notify_one();
+        }
+    }
+
     /// Returns whether a replica of a software version may go on with the stream.
     fn allows(&self, version: Option<ShortTag>) -> bool {
         self.began
@@ -162,7 +188,7 @@
     in_flight.software = version;
     in_flight.assigned = Some(assign(core, request, plan, choice, now));
     let limit = core.connection_share(&plan.service);
-    let connection = match core.pool.acquire(address, limit, now).await {
+    let connection = match point.connect(core, address, limit).await {
         Ok(connection) => connection,
         Err(error) => return Err(connect_failure(core, &in_flight, &error)),
     };
@@ -197,6 +223,7 @@
             return Err(not_sent(refusal));
         }
     };
+    point.note_written();
     let exchanged = tokio::select! {
         biased;
         exchanged = in_flight.exchange(permit, request, &head) => exchanged,
@@ -333,7 +360,7 @@
     let permit = permit.ok_or_else(|| SendFailure::NotSent("the node is gone".into()))?;
     let address = permit.address();
     let mut in_flight = InFlightRequest::new(core, address, &plan.service, choice.expected);
-    let connection = match core.pool.acquire(address, MAX_PEER_CONNECTIONS, now).await {
+    let connection = match point.connect(core, address, MAX_PEER_CONNECTIONS).await {
         Ok(connection) => connection,
         Err(error) => {
             core.members
@@ -371,6 +398,7 @@
     );
     in_flight.connection = Some(connection);
     let pending = PendingForward::new(core, &choice.region);
+    point.note_written();
     let response = in_flight.exchange(permit, request, &head).await;
     if response.is_ok() {
         pending.note_response();
--- a/crates/zinniahatch_entry/src/request/serve.rs
+++ b/crates/zinniahatch_entry/src/request/serve.rs
@@ -5,8 +5,9 @@
 use crate::core::EntryCore;
 use crate::replicas::quarantine::await_quarantine_decision;
 use crate::request::connection::ResponseHead;
-use crate::request::failover::SilentConnection;
-use crate::request::failover::find_place;
+use crate::request::failover::SilenceEnd;
+use crate::request::failover::SilenceWait;
+use crate::request::failover::WaitedConnection;
 use crate::request::gateway_response::gateway_response;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::placement::NO_BACKEND_RETRY;
@@ -31,12 +32,11 @@
 use crate::request::startup::wait_for_state;
 use crate::request::take_up::find_origin;
 use http::Response;
-use std::pin::pin;
 use std::rc::Rc;
 use tokio::time::timeout_at;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::RepeatKind;
-use zinniahatch_route::SEEK_INTERVAL;
+use zinniahatch_route::StreamFailover;
 
 /// Retry time given to callers when this node does not know the desired state. A start takes a few
 /// ms if the store is in the same region and 0.4 s if it is in another. If it takes longer, the
@@ -87,7 +87,6 @@
         progress,
         fallback: None,
         units: None,
-        reserved: None,
     };
     let guard = InFlightGuard::new(core);
     match runner.run(guard).await {
@@ -137,21 +136,10 @@
     fallback: Option<Response<ResponseBody>>,
     /// The units taken from the account's allowance.
     units: Option<ChargedUnits>,
-    /// Where the next try goes, if the last one was given up for it.
-    reserved: Option<Placement>,
 }
 
-/// Failure of a try without a response.
-const NO_RESPONSE: &str = "no response in time";
-
-/// How long a try is waited for.
-struct TryWait {
-    connection: SilentConnection,
-    /// When another place is looked for.
-    limit: Instant,
-    /// Whether the try was counted as sent before it ended.
-    counted: bool,
-}
+/// The response to a send, or why there is none.
+type SendOutcome = Result<(ResponseHead, InFlightRequest), SendFailure>;
 
 /// Result of one try.
 enum TryOutcome {
@@ -163,6 +151,12 @@
     Failed(SendFailure),
 }
 
+impl TryOutcome {
+    fn without_response() -> Self {
+        Self::Failed(SendFailure::Unknown("no response in time".into()))
+    }
+}
+
 impl RequestRunner<'_> {
     async fn run(&mut self, guard: InFlightGuard) -> Result<Response<ResponseBody>, Refusal> {
         let mut guard = Some(guard);
@@ -175,9 +169,7 @@
             let (core, request) = (self.core, &self.request);
             await_quarantine_decision(core, request, &self.plan).await;
             let first = !self.progress.admitted;
-            let placement = self.reserved.take().unwrap_or_else(|| {
-                choose_placement(core, request, &self.plan, &self.progress, first)
-            });
+            let placement = choose_placement(core, request, &self.plan, &self.progress, first);
             if matches!(placement, Placement::Refuse(ResultCode::NoBackend, _))
                 && first
                 && wait_for_members(core, request).await
@@ -235,103 +227,110 @@
         guard: &mut Option<InFlightGuard>,
     ) -> TryOutcome {
         let (core, request, plan) = (self.core, Rc::clone(&self.request), Rc::clone(&self.plan));
-        let mut waiting = TryWait {
-            connection: SilentConnection::of_try(core, placement),
-            limit: plan.try_limit(&self.progress, placement.expected()),
-            counted: false,
-        };
+        let mut connection = WaitedConnection::of_try(placement);
+        let limit = plan.try_limit(&self.progress, placement.expected());
+        let mut failover = StreamFailover::with_limit(limit, Instant::now());
         let point = ResumePoint {
             last_event: request.last_event.as_deref(),
             began: self.progress.began,
+            new_connection: false,
+            written: None,
         };
         let sending = send_to(core, &request, &plan, placement, point);
-        let sent = self.wait_or_leave(&mut waiting, sending).await;
-        let sent = sent.unwrap_or_else(|| Err(SendFailure::Unknown(NO_RESPONSE.into())));
+        let end = self.outlast(&mut failover, &mut connection, sending).await;
+        let (mut head, mut in_flight) = match end {
+            Some(SilenceEnd::Spoke(sent)) => match self.record_sent(sent, connection.recorded) {
+                Ok(answer) => answer,
+                Err(failure) => return TryOutcome::Failed(failure),
+            },
+            Some(SilenceEnd::Moved { answer, .. }) => *answer,
+            Some(SilenceEnd::Lost) => return TryOutcome::without_response(),
+            None => {
+                connection.record(core, &plan, &mut self.progress);
+                return TryOutcome::without_response();
+            }
+        };
+        self.progress.admitted = true;
+        if plan.route.repeat == RepeatKind::Streaming {
+            if head.status.is_success()
+                && request.accepts_chunks
+                && let Some(guard) = guard.take()
+            {
+                let progress = std::mem::take(&mut self.progress);
+                let response =
+                    start_stream(core, &request, &plan, progress, &head, in_flight, guard);
+                return TryOutcome::Answered(response);
+            }
+            // All of it has to arrive before the caller gets any.
+            failover = StreamFailover::with_limit(plan.deadline, Instant::now());
+        }
+        loop {
+            let mut connection = WaitedConnection::of_response(&in_flight, &self.progress);
+            let served = self.progress.serving_region(core);
+            let buffering = buffer_response(core, &request, &plan, &served, head, in_flight);
+            match self
+                .outlast(&mut failover, &mut connection, buffering)
+                .await
+            {
+                Some(SilenceEnd::Spoke(Ok((response, is_final)))) => {
+                    return self.settle(response, is_final);
+                }
+                Some(SilenceEnd::Spoke(Err(reason))) => {
+                    return TryOutcome::Failed(SendFailure::Unknown(reason));
+                }
+                Some(SilenceEnd::Moved { answer, .. }) => (head, in_flight) = *answer,
+                Some(SilenceEnd::Lost) | None => return TryOutcome::without_response(),
+            }
+        }
+    }
+
+    /// Waits for a response until the deadline, and moves the request if another place can take it;
+    /// returns `None` at the deadline.
+    async fn outlast<T, E>(
+        &mut self,
+        failover: &mut StreamFailover,
+        connection: &mut WaitedConnection,
+        response: impl Future<Output = Result<T, E>>,
+    ) -> Option<SilenceEnd<Result<T, E>>> {
+        let wait = SilenceWait {
+            core: self.core,
+            request: &self.request,
+            plan: &self.plan,
+            progress: &mut self.progress,
+            failover,
+            connection,
+            last_event: self.request.last_event.as_deref(),
+        };
+        let waiting = wait.run(response, Result::is_err);
+        timeout_at(self.plan.deadline_tokio(), waiting).await.ok()
+    }
+
+    /// Records the outcome of a send; `recorded` tells whether it was recorded as received while another
+    /// place was looked for.
+    fn record_sent(&mut self, sent: SendOutcome, recorded: bool) -> SendOutcome {
         let received = match &sent {
             Ok(_) => 1,
             Err(failure) => failure.sends_received(),
         };
-        if !waiting.counted {
-            plan.record_received(core, &mut self.progress, received);
-        }
+        let unrecorded = received.saturating_sub(u32::from(recorded));
+        self.plan
+            .record_received(self.core, &mut self.progress, unrecorded);
         let misdirected = matches!(sent, Err(SendFailure::WrongReplica));
         if received > 0 && !misdirected {
-            self.progress.sends += u32::from(!waiting.counted);
+            self.progress.sends += u32::from(!recorded);
             self.progress.admitted |= !matches!(sent, Err(SendFailure::RefusedByNode { .. }));
         }
-        match sent {
-            Ok((head, in_flight)) => self.handle_response(head, in_flight, waiting, guard).await,
-            Err(failure) => TryOutcome::Failed(failure),
-        }
+        sent
     }
 
-    /// Waits for a response. Before the deadline it is given up only once another place has been found
-    /// that can take the request, which is kept for the next try.
-    async fn wait_or_leave<T>(
-        &mut self,
-        waiting: &mut TryWait,
-        response: impl Future<Output = T>,
-    ) -> Option<T> {
-        let (request, plan) = (Rc::clone(&self.request), Rc::clone(&self.plan));
-        let mut response = pin!(response);
-        loop {
-            let limit = waiting.limit;
-            if let Ok(done) = timeout_at(limit.into(), &mut response).await {
-                return Some(done);
-            }
-            if limit >= plan.deadline {
-                return None;
-            }
-            if !waiting.counted {
-                waiting.counted = true;
-                plan.record_received(self.core, &mut self.progress, 1);
-                self.progress.sends += 1;
-            }
-            let (core, progress) = (self.core, &mut self.progress);
-            let seeking = find_place(core, &request, &plan, progress, &waiting.connection);
-            tokio::select! {
-                biased;
-                done = &mut response => return Some(done),
-                place = seeking => self.reserved = place,
-            }
-            if self.reserved.is_some() {
-                return None;
-            }
-            waiting.limit = plan.deadline.min(Instant::now() + SEEK_INTERVAL);
-        }
-    }
-
-    async fn handle_response(
-        &mut self,
-        head: ResponseHead,
-        in_flight: InFlightRequest,
-        mut waiting: TryWait,
-        guard: &mut Option<InFlightGuard>,
-    ) -> TryOutcome {
-        let (core, request, plan) = (self.core, Rc::clone(&self.request), Rc::clone(&self.plan));
-        if plan.route.repeat == RepeatKind::Streaming
-            && head.status.is_success()
-            && request.accepts_chunks
-            && let Some(guard) = guard.take()
-        {
-            let progress = std::mem::take(&mut self.progress);
-            let response = start_stream(core, &request, &plan, progress, &head, in_flight, guard);
+    /// Decides whether a whole response is the last word.
+    fn settle(&mut self, response: Response<ResponseBody>, is_final: bool) -> TryOutcome {
+        if is_final || !self.may_send_again("status") {
             return TryOutcome::Answered(response);
         }
-        let served = self.progress.serving_region(core);
-        let buffering = buffer_response(core, &request, &plan, &served, head, in_flight);
-        match self.wait_or_leave(&mut waiting, buffering).await {
-            Some(Ok((response, is_final))) if is_final || !self.may_send_again("status") => {
-                TryOutcome::Answered(response)
-            }
-            Some(Ok((response, _))) => {
-                self.progress.may_have_run = true;
-                self.fallback = Some(response);
-                TryOutcome::Again
-            }
-            Some(Err(reason)) => TryOutcome::Failed(SendFailure::Unknown(reason)),
-            None => TryOutcome::Failed(SendFailure::Unknown(NO_RESPONSE.into())),
-        }
+        self.progress.may_have_run = true;
+        self.fallback = Some(response);
+        TryOutcome::Again
     }
 
     /// Records a failed try and returns whether another may follow.
--- a/crates/zinniahatch_entry/src/request/stream_metrics.rs
+++ b/crates/zinniahatch_entry/src/request/stream_metrics.rs
@@ -38,8 +38,8 @@
         registry.register(Box::new(taken_up.clone()))?;
         let silences = IntCounterVec::new(
             Opts::new(
-                "zinniahatch_stream_silences_total",
-                "Silences of streams' connections, by service and whether the replica was heard elsewhere meanwhile.",
+                "zinniahatch_silences_total",
+                "Silences of connections under a request, by service and whether the replica was heard elsewhere meanwhile.",
             ),
             &["service", "replica"],
         )?;
@@ -58,7 +58,7 @@
             .inc();
     }
 
-    /// Counts a silence of a stream's connection.
+    /// Counts a silence of a connection under a request.
     pub(crate) fn note_silence(&self, service: &str, replica_heard: bool) {
         let replica = if replica_heard { "heard" } else { "silent" };
         self.silences.with_label_values(&[service, replica]).inc();
--- a/crates/zinniahatch_lab/tests/silent_replica.rs
+++ b/crates/zinniahatch_lab/tests/silent_replica.rs
@@ -8,6 +8,10 @@
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
+use zinniahatch_lab::test_doubles::answer_form::AnswerBreak;
+use zinniahatch_lab::test_doubles::answer_form::AnswerEnd;
+use zinniahatch_lab::test_doubles::answer_form::AnswerForm;
+use zinniahatch_lab::test_doubles::answer_form::AnswerFraming;
 use zinniahatch_lab::test_doubles::replica::ReplicaBehaviour;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
 
@@ -68,6 +72,18 @@
     whole.into_iter().filter(|whole| *whole).count()
 }
 
+/// Gives the plain route a short goal.
+async fn set_plain_goal(site: &SiteCluster) {
+    const GOAL_MS: u64 = 500;
+    let mut state = site.desired_state(2);
+    state["routes"][0]["target_latency_ms"] = GOAL_MS.into();
+    site.write_desired_state(&state);
+    wait_until("the new goal is in force", async || {
+        site.log(0).contains("\"to\":2")
+    })
+    .await;
+}
+
 fn delay_links(site: &SiteCluster, replicas: usize, silence: u64) {
     for index in 0..replicas {
         site.link(index).slow(Duration::from_millis(silence));
@@ -99,14 +115,16 @@
 
 /// Guards against the same for streams that were forwarded to another region, whose node may not move
 /// them itself.
+#[test_case(1_200; "briefly")]
+#[test_case(2_400; "for_longer")]
 #[tokio::test(flavor = "multi_thread")]
-async fn forwarded_stream_outlives_silence() {
+async fn forwarded_stream_outlives_silence(silence: u64) {
     let regions = [
         SiteRegion::new("north", 1, 0),
         SiteRegion::new("south", 1, 2),
     ];
     let site = SiteCluster::start(&regions, SHAPE).await;
-    let disturb = || delay_links(&site, 2, 1_200);
+    let disturb = || delay_links(&site, 2, silence);
     let whole = count_whole(&site, 0, "/stream/t", disturb).await;
     assert_eq!(whole, STREAMS);
 }
@@ -146,16 +164,9 @@
 /// other replica can take it.
 #[tokio::test(flavor = "multi_thread")]
 async fn idempotent_request_outlives_silence() {
-    const GOAL_MS: u64 = 500;
     const SILENCE_MS: u64 = 1_200;
     let site = start_site(1).await;
-    let mut state = site.desired_state(2);
-    state["routes"][0]["target_latency_ms"] = GOAL_MS.into();
-    site.write_desired_state(&state);
-    wait_until("the new goal is in force", async || {
-        site.log(0).contains("\"to\":2")
-    })
-    .await;
+    set_plain_goal(&site).await;
     site.link(0).slow(Duration::from_millis(SILENCE_MS));
     let response = site.request(0, "/plain/t", "p").send().await;
     let response = response.expect("the node answers");
@@ -201,3 +212,68 @@
     let whole = count_whole(&site, 0, "/stream/t", disturb).await;
     assert_eq!(whole, STREAMS);
 }
+
+/// Guards against streams that move to a connection that is silent for good too.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_leaves_dead_connections_everywhere() {
+    let site = start_site(3).await;
+    assert_eq!(count_whole(&site, 0, "/stream/t", || {}).await, STREAMS);
+    let disturb = || (0..3).for_each(|index| site.link(index).silence_open());
+    let whole = count_whole(&site, 0, "/stream/u", disturb).await;
+    assert_eq!(whole, STREAMS);
+}
+
+/// Guards against an idempotent request that waits until its deadline because its replica stopped
+/// inside the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn idempotent_request_leaves_silent_body() {
+    let site = start_site(2).await;
+    set_plain_goal(&site).await;
+    let form = AnswerForm {
+        framing: AnswerFraming::Length,
+        broken: Some(AnswerBreak {
+            after: 0,
+            inside_event: false,
+            end: AnswerEnd::Silence,
+        }),
+    };
+    site.replicas[0]
+        .0
+        .set_behaviour(ReplicaBehaviour::Answer(form));
+    for number in 0..STREAMS {
+        let attempt = format!("p-{number}");
+        let request = site.request_with_timeout(0, "/plain/t", &attempt, CALLER_TIME);
+        let response = request.send().await.expect("the node answers");
+        let body = response.text().await.expect("the answer is whole");
+        assert_eq!(body, format!("{attempt}@i-north-1"));
+    }
+}
+
+/// Guards against a stream that looks complete because its connection was reset while another replica
+/// was looked for, where the end of the connection is the end of the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_during_silence_does_not_look_whole() {
+    let site = start_site(1).await;
+    let form = AnswerForm::whole(AnswerFraming::Close);
+    site.replicas[0]
+        .0
+        .set_behaviour(ReplicaBehaviour::Answer(form));
+    let mut response = site.request(0, "/stream/t", "r").send().await;
+    let response = response.as_mut().expect("the node answers");
+    let mut body = Vec::new();
+    let first = response.chunk().await.expect("the stream begins");
+    body.extend(first.expect("it has events"));
+    delay_links(&site, 1, 60_000);
+    wait_until("the silence was noticed", async || {
+        site.log(0).contains("connection-silent")
+    })
+    .await;
+    site.link(0).reset_open();
+    let ended = loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) => body.extend(chunk),
+            ended => break ended,
+        }
+    };
+    assert!(ended.is_err() || body == whole_stream("r").as_bytes());
+}
--- a/crates/zinniahatch_route/src/replica_health.rs
+++ b/crates/zinniahatch_route/src/replica_health.rs
@@ -24,6 +24,8 @@
     failures: f64,
     updated: Instant,
     last_bytes: Instant,
+    /// When bytes of a response last arrived, as opposed to those of a probe.
+    last_response_bytes: Instant,
     oldest_in_flight: Option<Instant>,
     prefill_allowance: Duration,
     suspect_until: Option<Instant>,
@@ -37,6 +39,7 @@
             failures: 0.0,
             updated: now,
             last_bytes: now,
+            last_response_bytes: now,
             oldest_in_flight: None,
             prefill_allowance: Duration::ZERO,
             suspect_until: None,
@@ -75,6 +78,7 @@
     /// Records that bytes arrived from the replica.
     pub fn note_bytes(&mut self, now: Instant) {
         self.last_bytes = now;
+        self.last_response_bytes = now;
     }
 
     /// Returns when bytes last arrived from the replica, on any connection.
@@ -82,6 +86,11 @@
         self.last_bytes
     }
 
+    /// Returns when bytes of a response to a request last arrived from the replica.
+    pub fn last_responded(&self) -> Instant {
+        self.last_response_bytes
+    }
+
     /// Sets when the oldest in-flight request was sent, and how long the replica may be silent
     /// while it prefills prompts.
     pub fn set_oldest_in_flight(&mut self, oldest: Option<Instant>, prefill_allowance: Duration) {
--- a/crates/zinniahatch_route/src/stream_failover.rs
+++ b/crates/zinniahatch_route/src/stream_failover.rs
@@ -3,7 +3,7 @@
 //! A replica may be still for a second and go on, a connection may be silent for good while its
 //! replica serves others, and a machine may have lost its power without a sign. As long as nothing
 //! tells these apart, a stream keeps the connection that it has: that one is closed only after
-//! another replica was found that can go on, and was sent the request.
+//! another replica was sent the request and had time to refuse it.
 
 use zinniahatch_base::prelude::*;
 
@@ -13,8 +13,10 @@
 /// Multiple of the expected time to the first event for which silence before that event is no reason
 /// to look; the longer of the two times applies.
 const EXPECTED_FACTOR: u32 = 3;
-/// Time after which another replica is looked for again.
+/// Time after which another replica is looked for again. It doubles up to the largest one.
 pub const SEEK_INTERVAL: Duration = Duration::from_millis(250);
+/// Largest time after which another replica is looked for again.
+pub const MAX_SEEK_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time for which a request is open at two replicas. A refusal comes within it, and the
 /// replica that is left has to stop within 400 ms.
 const OVERLAP_LIMIT: Duration = Duration::from_millis(250);
@@ -52,13 +54,14 @@
     Waiting,
 }
 
-/// Connections of one stream and the silence of the current one.
+/// Connections of one request and the silence of the current one.
 #[derive(Clone, Debug)]
 pub struct StreamFailover {
     phase: FailoverPhase,
-    silent_since: Instant,
     /// When the next look for another replica is due.
     seek_at: Instant,
+    /// Time until the look after that.
+    seek_interval: Duration,
 }
 
 impl StreamFailover {
@@ -66,8 +69,16 @@
     pub fn new(expected: Duration, now: Instant) -> Self {
         Self {
             phase: FailoverPhase::Following,
-            silent_since: now,
             seek_at: now + first_event_limit(expected),
+            seek_interval: SEEK_INTERVAL,
+        }
+    }
+
+    /// Starts with a connection on which something is expected until `limit`.
+    pub fn with_limit(limit: Instant, now: Instant) -> Self {
+        Self {
+            seek_at: limit,
+            ..Self::new(Duration::ZERO, now)
         }
     }
 
@@ -80,11 +91,6 @@
         }
     }
 
-    /// Returns how long the current connection has been silent.
-    pub fn silent_for(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.silent_since)
-    }
-
     /// Handles the time that `due_at` returned.
     pub fn on_time(&mut self, now: Instant) -> FailoverStep {
         match self.phase {
@@ -129,7 +135,8 @@
     /// Records that no other replica can take the stream now.
     pub fn on_no_place(&mut self, now: Instant) {
         self.phase = FailoverPhase::Following;
-        self.seek_at = now + SEEK_INTERVAL;
+        self.seek_at = now + self.seek_interval;
+        self.seek_interval = MAX_SEEK_INTERVAL.min(self.seek_interval * 2);
     }
 
     /// Records that the next replica is being sent the request.
