Do not take a pause of the node itself for a silence of its replicas

A node that was stopped or got no processor time for a second or more refused requests when it ran again, although all its replicas were sound.

Cause: the silence of a replica counts while requests are in flight, from its last bytes to now. After a pause that is the whole pause, at every replica with requests, until what they sent meanwhile is read; a request that is placed before finds none.

Change: `PauseDetector` (pure) sees from the gap between two maintenance ticks, 700 ms instead of 200, that the node stood still. Silence then counts from the first tick after the pause, and before that tick there is none, so that the order in which tasks run after it does not matter. A replica that is really gone is found 0.9 s after the node runs again.

Evidence: pause_of_node_is_no_silence failed before in all three cases (before, at and after the first tick); the tests of zinniahatch_route pass.

--- a/crates/zinniahatch_route/src/replica_health.rs
+++ b/crates/zinniahatch_route/src/replica_health.rs
@@ -4,6 +4,7 @@
 //! its connections. The record is therefore kept from responses alone: failures decay within
 //! seconds, and silence counts while requests are in flight.
 
+use crate::PauseDetector;
 use zinniahatch_base::prelude::*;
 
 /// Half-life of a failure; a replica with partial failures gets new work after a few seconds and is
@@ -29,6 +30,7 @@
     oldest_in_flight: Option<Instant>,
     prefill_allowance: Duration,
     suspect_until: Option<Instant>,
+    pauses: PauseDetector,
 }
 
 impl ReplicaHealth {
@@ -43,6 +45,7 @@
             oldest_in_flight: None,
             prefill_allowance: Duration::ZERO,
             suspect_until: None,
+            pauses: PauseDetector::default(),
         }
     }
 
@@ -91,6 +94,11 @@
         self.last_response_bytes
     }
 
+    /// Notices pauses of this node. Called on every tick.
+    pub fn tick(&mut self, now: Instant) {
+        self.pauses.tick(now);
+    }
+
     /// Sets when the oldest in-flight request was sent, and how long the replica may be silent
     /// while it prefills prompts.
     pub fn set_oldest_in_flight(&mut self, oldest: Option<Instant>, prefill_allowance: Duration) {
@@ -120,6 +128,6 @@
             return false;
         };
         let silent_since = oldest.max(self.last_bytes);
-        now.saturating_duration_since(silent_since) > SILENCE_LIMIT + self.prefill_allowance
+        self.pauses.silence(silent_since, now) > SILENCE_LIMIT + self.prefill_allowance
     }
 }
--- a/crates/zinniahatch_route/src/replica_table.rs
+++ b/crates/zinniahatch_route/src/replica_table.rs
@@ -377,6 +377,7 @@
             });
             let oldest = state.in_flight_requests.values().min().copied();
             state.health.set_oldest_in_flight(oldest, prefill_allowance);
+            state.health.tick(now);
             let ended = match state.leaving {
                 None => false,
                 Some(LeaveReason::Draining) => state.removed_at > state.entry.revision,
--- a/crates/zinniahatch_route/tests/replica_state.rs
+++ b/crates/zinniahatch_route/tests/replica_state.rs
@@ -7,9 +7,12 @@
 use test_case::test_case;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::EntryChange;
+use zinniahatch_route::InFlightWork;
 use zinniahatch_route::PrefixCache;
 use zinniahatch_route::PromptPart;
+use zinniahatch_route::PromptSize;
 use zinniahatch_route::ReplicaHealth;
+use zinniahatch_route::ReplicaTable;
 
 /// Guards against an outage of the store for some seconds in which all entries expire and callers
 /// are refused although every replica runs. Entries removed around an outage stay valid for a grace
@@ -147,6 +150,37 @@
     assert!(!health.is_suspect(now + Duration::from_secs(1)));
 }
 
+/// Guards against a node that takes its own pause for a silence of its replicas and refuses requests
+/// until it has read what they sent meanwhile.
+#[test_case(None; "before_the_first_tick")]
+#[test_case(Some(0); "after_the_first_tick")]
+#[test_case(Some(800); "until_a_silence_has_passed")]
+fn pause_of_node_is_no_silence(ticking_for: Option<u64>) {
+    const STEP: u64 = 200;
+    let start = Instant::now();
+    let mut table = table(&["r1"], start);
+    let work = InFlightWork {
+        requests: 1,
+        ..InFlightWork::default()
+    };
+    table.note_sent("r1", 1, &PromptSize::default(), work, 0, start);
+    table.tick(start);
+    let resumed = start + Duration::from_secs(3);
+    let ticks = ticking_for.map_or(0, |time| time / STEP + 1);
+    let mut now = resumed;
+    for tick in 0..ticks {
+        now = resumed + Duration::from_millis(tick * STEP);
+        table.tick(now);
+    }
+    let is_suspect = |table: &ReplicaTable, now| table.get("r1").unwrap().health.is_suspect(now);
+    assert!(!is_suspect(&table, now));
+    for tick in ticks..=ticks + 5 {
+        now = resumed + Duration::from_millis(tick * STEP);
+        table.tick(now);
+    }
+    assert!(is_suspect(&table, now), "silence counts again");
+}
+
 #[test]
 fn cached_prefix_counts_from_first_part() {
     let part = |tag, tokens| PromptPart { tag, tokens };
