Do not take a pause of the node itself for a partition from the other regions

A node that had stood still for two seconds or more sent nothing to other regions when it ran again, and refused what its own region could not serve.

Cause: a path counts as working for 1.8 s after the sending time of the last heartbeat that was confirmed. After a longer pause that time is past, and the confirmations that wait to be read are of heartbeats from before it; only the reply to a later one, up to 0.5 s and a round trip on, opened the path again. Requests in flight count for 0.9 s in the same way.

Change: `RegionPaths` leaves pauses of the node out, as the health of replicas does. A partition that begins during the pause is found 1.8 s after it.

--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -208,6 +208,7 @@
             core.log
                 .write("replica-dropped", serde_json::json!({"replica": replica}));
         }
+        core.region_paths.borrow_mut().tick(now);
         let forgotten = core.members.borrow_mut().tick(now);
         for member in forgotten {
             // Nodes of other regions send heartbeats to only some nodes here, and at irregular
--- a/crates/zinniahatch_route/src/region_paths.rs
+++ b/crates/zinniahatch_route/src/region_paths.rs
@@ -4,6 +4,7 @@
 //! only one direction, the heartbeats of that region keep arriving and show it as idle, while the
 //! requests sent there are lost until their callers give up.
 
+use crate::PauseDetector;
 use zinniahatch_base::prelude::*;
 
 /// Time without confirmation of both directions after which a region gets no requests. A node
@@ -26,8 +27,8 @@
 }
 
 impl PathState {
-    fn works(&self, now: Instant) -> bool {
-        let since = |at: Instant| now.saturating_duration_since(at);
+    fn works(&self, pauses: &PauseDetector, now: Instant) -> bool {
+        let since = |at: Instant| pauses.silence(at, now);
         if self
             .delivered
             .is_some_and(|at| since(at) > CONFIRMATION_TIMEOUT)
@@ -47,6 +48,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RegionPaths {
     paths: BTreeMap<RegionId, PathState>,
+    pauses: PauseDetector,
 }
 
 impl RegionPaths {
@@ -54,6 +56,11 @@
         self.paths.entry(region.clone()).or_default()
     }
 
+    /// Notices pauses of this node. Called on every tick.
+    pub fn tick(&mut self, now: Instant) {
+        self.pauses.tick(now);
+    }
+
     /// Records that a node of the region received a message sent at that time.
     pub fn note_delivered(&mut self, region: &RegionId, sent: Instant) {
         let path = self.path(region);
@@ -84,7 +91,7 @@
     pub fn unreachable(&self, now: Instant) -> BTreeSet<RegionId> {
         let paths = self.paths.iter();
         paths
-            .filter(|(_, path)| !path.works(now))
+            .filter(|(_, path)| !path.works(&self.pauses, now))
             .map(|(region, _)| region.clone())
             .collect()
     }
--- a/crates/zinniahatch_route/tests/region_paths.rs
+++ b/crates/zinniahatch_route/tests/region_paths.rs
@@ -56,3 +56,26 @@
     paths.note_delivered(&south, start);
     assert!(paths.unreachable(after(start, 2_500)).is_empty());
 }
+
+/// Guards against a node that takes its own pause for a partition and sends nothing to other regions
+/// until one of them has confirmed a heartbeat that was sent after it.
+#[test_case(false; "before_the_first_tick")]
+#[test_case(true; "after_the_first_tick")]
+fn pause_of_node_is_no_partition(ticked: bool) {
+    let start = Instant::now();
+    let south: RegionId = "south".into();
+    let mut paths = RegionPaths::default();
+    paths.note_delivered(&south, start);
+    paths.note_sent(&south, 1, start);
+    paths.tick(start);
+    let resumed = after(start, 4_000);
+    if ticked {
+        paths.tick(resumed);
+    }
+    assert!(paths.unreachable(resumed).is_empty());
+    for millis in (4_000..=6_000).step_by(200) {
+        paths.tick(after(start, millis));
+    }
+    let later = after(start, 6_000);
+    assert!(paths.unreachable(later).contains("south"));
+}
