Do not take a pause of the node itself for the end of the other nodes

A node that had stood still directed callers to itself alone when it ran again, and knew no node to forward to, until it had read the heartbeats that had arrived meanwhile; after a pause of 30 s it dropped all nodes and recorded their failure in the counts.

Cause: the age of a heartbeat includes the pause.

Change: `MemberTable` leaves pauses of the node out of the ages by which it judges the others. Two things stay as strict as before: the ages of key freshness proofs and those in rosters, which other nodes rely on; and a node that could not be reached since.

The other tests of zinniahatch_route pass.

--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -1,6 +1,7 @@
 //! The other entry VMs: which are live, where they are, and the capacity of their regions.
 
 use crate::FreshnessProof;
+use crate::PauseDetector;
 use crate::prompt::rendezvous_score;
 use crate::roster::UnknownMembers;
 use std::cmp::Reverse;
@@ -133,6 +134,7 @@
     tags: BTreeMap<ShortTag, NodeId>,
     /// Nodes named in rosters that have no row yet.
     pub(crate) unknown: UnknownMembers,
+    pauses: PauseDetector,
 }
 
 impl MemberTable {
@@ -180,6 +182,19 @@
         (is_new, replaced)
     }
 
+    /// Returns the time since the last heartbeat of a node, without pauses of this node. Those that
+    /// arrived during a pause are yet to be read.
+    fn silence(&self, row: &MemberState, now: Instant) -> Duration {
+        if row.unreachable_at.is_some() {
+            return now.saturating_duration_since(row.last_heartbeat);
+        }
+        self.pauses.silence(row.last_heartbeat, now)
+    }
+
+    fn is_live(&self, row: &MemberState, now: Instant) -> bool {
+        self.silence(row, now) <= LIVE_TIMEOUT
+    }
+
     /// Returns the state of all nodes that were not dropped yet.
     pub(crate) fn rows(&self) -> impl Iterator<Item = &MemberState> {
         self.rows.values()
@@ -205,7 +220,7 @@
     pub fn recent_in(&self, region: &str, now: Instant) -> Vec<(&MemberInfo, Duration)> {
         let mut found = Vec::new();
         for row in self.rows.values() {
-            let age = now.saturating_duration_since(row.last_heartbeat);
+            let age = self.silence(row, now);
             if *row.info.region == *region && age <= REGISTERED_TIMEOUT {
                 found.push((&row.info, age));
             }
@@ -236,7 +251,7 @@
     pub fn one_per_region(&self, node: &NodeId, now: Instant) -> BTreeSet<SocketAddrV4> {
         let mut first: BTreeMap<&RegionId, (u64, SocketAddrV4)> = BTreeMap::new();
         for row in self.rows.values() {
-            if now.saturating_duration_since(row.last_heartbeat) > LIVE_TIMEOUT {
+            if !self.is_live(row, now) {
                 continue;
             }
             let ranked = (rendezvous_rank(node, &row.info.node), row.info.peer);
@@ -307,7 +322,7 @@
         let live = |row: &&MemberState| {
             *row.info.region == *region
                 && row.info.stage == MemberStage::Ready
-                && now.saturating_duration_since(row.last_heartbeat) <= LIVE_TIMEOUT
+                && self.is_live(row, now)
         };
         let rows = self.rows.values().filter(live);
         let mut ranked: Vec<(u64, SocketAddrV4)> = rows
@@ -351,7 +366,7 @@
     /// Returns the newest version of the desired state that a live node uses; 0 if none is known.
     pub fn newest_version(&self, now: Instant) -> u64 {
         let live = self.rows.values();
-        live.filter(|row| now.saturating_duration_since(row.last_heartbeat) <= LIVE_TIMEOUT)
+        live.filter(|row| self.is_live(row, now))
             .map(|row| row.info.version)
             .max()
             .unwrap_or(0)
@@ -378,7 +393,7 @@
         self.rows
             .values()
             .filter(|row| *row.info.region == *region && row.info.stage == stage)
-            .filter(|row| now.saturating_duration_since(row.last_heartbeat) <= bound)
+            .filter(|row| self.silence(row, now) <= bound)
             .map(|row| &row.info)
             .collect()
     }
@@ -390,7 +405,7 @@
             if *row.info.region == *own || row.info.stage != MemberStage::Ready {
                 continue;
             }
-            if now.saturating_duration_since(row.last_heartbeat) > LIVE_TIMEOUT {
+            if !self.is_live(row, now) {
                 continue;
             }
             regions
@@ -438,8 +453,10 @@
     /// Drops nodes that were silent for long, and returns their last state.
     pub fn tick(&mut self, now: Instant) -> Vec<MemberInfo> {
         let mut dropped = Vec::new();
+        self.pauses.tick(now);
+        let pauses = self.pauses;
         self.rows.retain(|_, row| {
-            let keep = now.saturating_duration_since(row.last_heartbeat) <= DROP_AFTER;
+            let keep = pauses.silence(row.last_heartbeat, now) <= DROP_AFTER;
             if !keep {
                 dropped.push(row.info.clone());
             }
@@ -463,7 +480,7 @@
         let live = self
             .rows
             .values()
-            .filter(|row| now.saturating_duration_since(row.last_heartbeat) <= LIVE_TIMEOUT)
+            .filter(|row| self.is_live(row, now))
             .map(|row| &row.info);
         let newer = |info: &MemberInfo| info.version > own.version || info.preset > own.preset;
         let lists_replicas =
--- a/crates/zinniahatch_route/tests/directory.rs
+++ b/crates/zinniahatch_route/tests/directory.rs
@@ -9,6 +9,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::DirectoryAnswer;
 use zinniahatch_route::DirectoryQuery;
+use zinniahatch_route::FreshnessProof;
 use zinniahatch_route::MemberStage;
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::select_nodes;
@@ -119,3 +120,37 @@
     let selected = select_nodes(&MemberTable::default(), &query, now);
     assert_eq!(selected, DirectoryAnswer::Local(vec![address(50)]));
 }
+
+/// Guards against a node that takes its own pause for the end of all others and directs every caller to
+/// itself. What it knows of their keys is as old as it is.
+#[test_case(false; "before_the_first_tick")]
+#[test_case(true; "after_the_first_tick")]
+fn pause_of_node_ends_no_member(ticked: bool) {
+    const PAUSE: Duration = Duration::from_secs(40);
+    let start = Instant::now();
+    let rows: NodeRows<'_> = &[
+        ("w1", "west", MemberStage::Ready, 1),
+        ("n1", "north", MemberStage::Ready, 2),
+    ];
+    let mut members = members(rows, start);
+    let proof = FreshnessProof {
+        version: 1,
+        age_ms: 0,
+    };
+    let mut proven = member_info("w1", "west", 0, 1);
+    proven.proof = Some(proof);
+    members.update(proven, false, start);
+    members.tick(start);
+    assert_eq!(members.proven_in("west", PAUSE / 2, start).len(), 1);
+    let resumed = start + PAUSE;
+    if ticked {
+        assert!(members.tick(resumed).is_empty(), "no node is gone");
+    }
+    assert_eq!(members.live_in("west", resumed).len(), 1);
+    assert_eq!(members.live_elsewhere("west", resumed).len(), 1);
+    let proven = members.proven_in("west", PAUSE / 2, resumed);
+    assert!(proven.is_empty(), "a proof expires during a pause");
+    members.note_unreachable("w1", resumed);
+    let later = resumed + Duration::from_millis(1);
+    assert!(members.live_in("west", later).is_empty());
+}
