Use a replica again as soon as it is heard after a probe without an answer

After all replicas of a region had been silent for a second or two, requests were refused for half a second more although all went on.

Cause: a silent replica is probed, and a probe without an answer in 0.5 s marks it as unreachable for 1.5 s, or until the next probe, 0.6 s later, is answered. The bytes of its streams, by which it is known to go on, did not end that, and neither did bytes that had come while the probe waited.

Change: a probe that had no answer in time keeps a replica out of use only until it is heard, and counts for nothing if it was heard since the probe was sent. A refused or broken connection counts as before, since a replica that closes its port goes on with its streams.

--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -6,6 +6,7 @@
 use crate::replicas::send_admission::permit_send;
 use crate::replicas::send_admission::reserve_send;
 use crate::request::connection::BackendConnection;
+use crate::request::connection::ConnectionError;
 use crate::request::connection::ResponseHead;
 use http::Method;
 use std::rc::Rc;
@@ -94,15 +95,19 @@
     path: Box<str>,
 ) -> bool {
     let sent = Instant::now();
-    let response = timeout(PROBE_TIMEOUT, send_probe(&core, reservation, &path))
-        .await
-        .unwrap_or(None);
-    let alive = response.is_some();
-    if let Some(head) = response {
-        apply_probe_notice(&core, &incarnation, &head, sent);
+    let response = timeout(PROBE_TIMEOUT, send_probe(&core, reservation, &path)).await;
+    let alive = matches!(response, Ok(Ok(_)));
+    if let Ok(Ok(head)) = &response {
+        apply_probe_notice(&core, &incarnation, head, sent);
     }
+    let now = Instant::now();
     let mut replicas = core.replicas.borrow_mut();
-    replicas.note_probe(&incarnation, alive, Instant::now());
+    match response {
+        Err(_) | Ok(Err(ConnectionError::Connect(_))) => {
+            replicas.note_unanswered_probe(&incarnation, sent, now);
+        }
+        Ok(result) => replicas.note_probe(&incarnation, result.is_ok(), now),
+    }
     drop(replicas);
     core.log.write(
         "probe",
@@ -111,21 +116,19 @@
     alive
 }
 
-/// Sends a probe to a replica and returns the head of the response, or `None` if there was none.
+/// Sends a probe to a replica and returns the head of the response.
 async fn send_probe(
     core: &EntryCore,
     reservation: SendReservation,
     path: &str,
-) -> Option<ResponseHead> {
+) -> Result<ResponseHead, ConnectionError> {
     let address = reservation.address();
-    let mut connection = BackendConnection::connect(address, PROBE_TIMEOUT)
-        .await
-        .ok()?;
+    let mut connection = BackendConnection::connect(address, PROBE_TIMEOUT).await?;
     let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
-    let permit = permit_send(core, reservation).ok()?;
-    connection.send(permit, head.as_bytes(), &[]).await.ok()?;
+    let permit = permit_send(core, reservation)
+        .map_err(|refusal| ConnectionError::Broken(refusal.name().into()))?;
+    connection.send(permit, head.as_bytes(), &[]).await?;
     // Any response shows that the replica is alive. The health status that it reports may be wrong
     // either way, so whether it serves is judged by its answers to requests.
-    let head = connection.read_head(&Method::GET, "").await.ok()?;
-    Some(head)
+    connection.read_head(&Method::GET, "").await
 }
--- a/crates/zinniahatch_route/src/replica_health.rs
+++ b/crates/zinniahatch_route/src/replica_health.rs
@@ -30,6 +30,8 @@
     oldest_in_flight: Option<Instant>,
     prefill_allowance: Duration,
     suspect_until: Option<Instant>,
+    /// Until when it is suspect because a probe had no answer, unless bytes arrive before.
+    unanswered_until: Option<Instant>,
     pauses: PauseDetector,
 }
 
@@ -45,6 +47,7 @@
             oldest_in_flight: None,
             prefill_allowance: Duration::ZERO,
             suspect_until: None,
+            unanswered_until: None,
             pauses: PauseDetector::default(),
         }
     }
@@ -61,7 +64,7 @@
     pub fn note_success(&mut self, now: Instant) {
         self.decay(now);
         self.successes += 1.0;
-        self.last_bytes = now;
+        self.note_bytes(now);
         self.suspect_until = None;
     }
 
@@ -82,6 +85,7 @@
     pub fn note_bytes(&mut self, now: Instant) {
         self.last_bytes = now;
         self.last_response_bytes = now;
+        self.unanswered_until = None;
     }
 
     /// Returns when bytes last arrived from the replica, on any connection.
@@ -108,10 +112,20 @@
 
     /// Records that a probe on a new connection was answered.
     pub fn note_probe_success(&mut self, now: Instant) {
-        self.last_bytes = now;
+        self.note_bytes(now);
         self.suspect_until = None;
     }
 
+    /// Records that a probe sent at `sent` had no answer in time, which means nothing if bytes arrived
+    /// since.
+    pub fn note_unanswered_probe(&mut self, sent: Instant, now: Instant) {
+        if self.last_bytes > sent {
+            return;
+        }
+        self.note_failure(now);
+        self.unanswered_until = Some(now + SUSPECT_TIME);
+    }
+
     /// Returns the failure rate, 0 to 1.
     pub fn failure_rate(&self, now: Instant) -> f64 {
         let mut decayed = self.clone();
@@ -121,7 +135,8 @@
 
     /// Returns whether the replica should get no new work for now.
     pub fn is_suspect(&self, now: Instant) -> bool {
-        if self.suspect_until.is_some_and(|until| now < until) {
+        let until = self.suspect_until.max(self.unanswered_until);
+        if until.is_some_and(|until| now < until) {
             return true;
         }
         let Some(oldest) = self.oldest_in_flight else {
--- a/crates/zinniahatch_route/src/replica_table.rs
+++ b/crates/zinniahatch_route/src/replica_table.rs
@@ -525,12 +525,9 @@
     /// Records the result of probing a replica incarnation; ignored if a later incarnation has
     /// taken its place.
     pub fn note_probe(&mut self, incarnation: &ReplicaIncarnation, succeeded: bool, now: Instant) {
-        let Some(state) = self.rows.get_mut(&incarnation.id) else {
+        let Some(state) = self.incarnation_mut(incarnation) else {
             return;
         };
-        if state.entry.started_ms != incarnation.started_ms {
-            return;
-        }
         if succeeded {
             state.health.note_probe_success(now);
         } else {
@@ -538,6 +535,24 @@
         }
     }
 
+    /// Records that a probe sent to a replica incarnation at `sent` had no answer in time; ignored
+    /// likewise.
+    pub fn note_unanswered_probe(
+        &mut self,
+        incarnation: &ReplicaIncarnation,
+        sent: Instant,
+        now: Instant,
+    ) {
+        if let Some(state) = self.incarnation_mut(incarnation) {
+            state.health.note_unanswered_probe(sent, now);
+        }
+    }
+
+    fn incarnation_mut(&mut self, incarnation: &ReplicaIncarnation) -> Option<&mut ReplicaState> {
+        let state = self.rows.get_mut(&incarnation.id)?;
+        (state.entry.started_ms == incarnation.started_ms).then_some(state)
+    }
+
     /// Returns the replica that serves an in-flight request, for modification; `None` if that
     /// incarnation has ended.
     ///
--- a/crates/zinniahatch_route/tests/replica_state.rs
+++ b/crates/zinniahatch_route/tests/replica_state.rs
@@ -150,6 +150,29 @@
     assert!(!health.is_suspect(now + Duration::from_secs(1)));
 }
 
+/// Guards against replicas that go on after a silence and stay out of use because probes had no answer
+/// during it.
+#[test_case(100, 300; "bytes_after_the_probe")]
+#[test_case(300, 100; "bytes_before_its_time_is_over")]
+fn bytes_refute_unanswered_probe(verdict: u64, bytes: u64) {
+    let sent = Instant::now();
+    let after = |millis| sent + Duration::from_millis(millis);
+    let mut health = ReplicaHealth::new(sent);
+    for millis in [100, 300] {
+        if millis == bytes {
+            health.note_bytes(after(millis));
+        }
+        if millis == verdict {
+            health.note_unanswered_probe(sent, after(millis));
+            assert_eq!(health.is_suspect(after(millis)), bytes > verdict);
+        }
+    }
+    assert!(!health.is_suspect(after(400)));
+    health.note_unreachable(after(500));
+    health.note_bytes(after(600));
+    assert!(health.is_suspect(after(700)), "it refuses connections");
+}
+
 /// Guards against a node that takes its own pause for a silence of its replicas and refuses requests
 /// until it has read what they sent meanwhile.
 #[test_case(None; "before_the_first_tick")]
