Keep a stalled engine stream's connection until another one goes on

Callers of the other gateway lost streams, and got 502 before the first event, when the only engine stood still for longer than a stall and an unanswered probe, although it went on afterwards.

Cause: a stalled stream whose probe had no answer in time cancelled its run first and looked for another place afterwards; without a place, attempts or retry budget it was cut off. One that may run only once was cut off at once.

Change: while a stalled stream probes its replica or opens another attempt, it goes on reading the connection that it has, and takes what comes first. The run is cancelled only once another replica has answered. Without another place the stream waits, and looks again after the next stall, until its deadline. Connections that broke or ended are handled as before. The engines of the lab can stand still and go on.

Open: the plain services of that gateway (`read_complete`) still give up a response after one stall.

--- a/crates/zinniahatch_gateway/src/engine_stream.rs
+++ b/crates/zinniahatch_gateway/src/engine_stream.rs
@@ -8,6 +8,7 @@
 use crate::refusal::Refusal;
 use crate::response::TokenUsage;
 use crate::run::AttemptState;
+use crate::run::AvoidedSource;
 use crate::run::OpenResponse;
 use crate::run::ResponseSource;
 use crate::run::avoid_source;
@@ -37,6 +38,16 @@
 /// Time after the deadline at which the watchdog releases the slot.
 const WATCHDOG_DELAY: Duration = Duration::from_secs(1);
 
+/// What happened while the stream waited for events.
+enum StreamStep {
+    /// The current connection delivered bytes, ended or broke.
+    Read(reqwest::Result<Option<Bytes>>),
+    /// The stream goes on on another connection.
+    Moved,
+    /// The stream goes on waiting on the current connection.
+    Stayed,
+}
+
 /// A streamed model response in progress.
 pub(crate) struct EngineStream {
     core: Arc<GatewayCore>,
@@ -115,21 +126,9 @@
                 self.finish();
                 return Ok(None);
             }
-            let reason = tokio::select! {
+            let step = tokio::select! {
                 biased;
-                chunk = self.response.chunk() => match chunk {
-                    Ok(Some(chunk)) => {
-                        self.last_progress = Instant::now();
-                        self.probes = 0;
-                        let events = self.splitter.push(chunk);
-                        if events.is_empty() {
-                            continue;
-                        }
-                        return Ok(Some(events));
-                    }
-                    Ok(None) => "ended early",
-                    Err(_) => "broken"
-                },
+                chunk = self.response.chunk() => StreamStep::Read(chunk),
                 () = &mut self.stall_timer => {
                     let now = Instant::now();
                     if now >= self.outbound.deadline {
@@ -141,26 +140,122 @@
                         self.stall_timer.as_mut().reset(next.into());
                         continue;
                     }
-                    "stalled"
+                    self.leave_stalled().await
                 }
             };
-            self.recover(reason).await?;
+            match step {
+                StreamStep::Read(Ok(Some(chunk))) => {
+                    self.last_progress = Instant::now();
+                    self.probes = 0;
+                    let events = self.splitter.push(chunk);
+                    if events.is_empty() {
+                        continue;
+                    }
+                    return Ok(Some(events));
+                }
+                StreamStep::Read(Ok(None)) => self.recover("ended early").await?,
+                StreamStep::Read(Err(_)) => self.recover("broken").await?,
+                StreamStep::Moved | StreamStep::Stayed => {}
+            }
             self.last_progress = Instant::now();
             self.stall_timer.as_mut().reset(self.last_progress.into());
         }
     }
 
-    /// Continues after the last event, on the same replica over a new connection or on another
-    /// replica.
+    /// Looks for a way on from a connection that delivers nothing: a new connection to the same
+    /// replica, or another replica. The connection is kept until one of them goes on.
+    async fn leave_stalled(&mut self) -> StreamStep {
+        self.count_resume("stalled");
+        self.probes += 1;
+        if self.probes <= MAX_PROBES {
+            let probe = self.probe_replica();
+            tokio::select! {
+                biased;
+                chunk = self.response.chunk() => return StreamStep::Read(chunk),
+                resumed = probe => if let Some(response) = resumed {
+                    self.splitter.reset();
+                    self.response = response;
+                    return StreamStep::Moved;
+                }
+            }
+        }
+        if self.outbound.at_most_once {
+            return StreamStep::Stayed;
+        }
+        self.move_elsewhere().await
+    }
+
+    /// Requests the remainder from another replica, and cancels the current run once that one has
+    /// answered.
+    async fn move_elsewhere(&mut self) -> StreamStep {
+        let avoided = {
+            let source = lock(&self.source);
+            source
+                .as_ref()
+                .map(|source| avoid_source(&mut self.state, source))
+        };
+        let granted = take_retry(
+            &self.core,
+            &self.outbound,
+            &mut self.state,
+            "resume",
+            ResultCode::AnswerCutOff,
+        );
+        if granted.is_err() {
+            return self.stay(avoided);
+        }
+        let resume = self.outbound.resume + self.splitter.events;
+        let opened = tokio::select! {
+            biased;
+            chunk = self.response.chunk() => {
+                self.stay(avoided);
+                return StreamStep::Read(chunk);
+            }
+            opened = open_response(&self.core, &self.outbound, &mut self.state, resume) => opened,
+        };
+        let Some(open) = opened
+            .ok()
+            .filter(|open| open.response.status().is_success())
+        else {
+            return self.stay(avoided);
+        };
+        self.cancel("resumed elsewhere");
+        self.switch_to(open);
+        StreamStep::Moved
+    }
+
+    /// Goes on waiting for the current source, which may be chosen again.
+    fn stay(&mut self, avoided: Option<AvoidedSource>) -> StreamStep {
+        if let Some(avoided) = avoided {
+            avoided.allow(&mut self.state);
+        }
+        self.probes = 0;
+        StreamStep::Stayed
+    }
+
+    fn switch_to(&mut self, open: OpenResponse) {
+        self.splitter.reset();
+        self.served = served_region(&self.core, &open.response);
+        self.response = open.response;
+        *lock(&self.source) = Some(open.source);
+        self.probes = 0;
+    }
+
+    fn count_resume(&self, reason: &str) {
+        let resumes = &self.core.counters.resumes;
+        resumes.with_label_values(&[reason]).inc();
+    }
+
+    /// Continues after the last event of a connection that is gone, on the same replica over a new
+    /// one or on another replica.
     async fn recover(&mut self, reason: &str) -> Result<(), Box<Refusal>> {
-        self.core
-            .counters
-            .resumes
-            .with_label_values(&[reason])
-            .inc();
+        self.count_resume(reason);
         self.splitter.reset();
         self.probes += 1;
-        if self.probes <= MAX_PROBES && self.resume_same_replica().await {
+        if self.probes <= MAX_PROBES
+            && let Some(response) = self.probe_replica().await
+        {
+            self.response = response;
             return Ok(());
         }
         if self.outbound.at_most_once {
@@ -179,15 +274,11 @@
             ResultCode::AnswerCutOff,
         )?;
         let resume = self.outbound.resume + self.splitter.events;
-        let OpenResponse { response, source } =
-            open_response(&self.core, &self.outbound, &mut self.state, resume).await?;
-        if !response.status().is_success() {
+        let open = open_response(&self.core, &self.outbound, &mut self.state, resume).await?;
+        if !open.response.status().is_success() {
             return Err(Box::new(Refusal::new(ResultCode::AnswerCutOff)));
         }
-        self.served = served_region(&self.core, &response);
-        self.response = response;
-        *lock(&self.source) = Some(source);
-        self.probes = 0;
+        self.switch_to(open);
         Ok(())
     }
 
@@ -195,25 +286,20 @@
     ///
     /// A connection whose state a middlebox has dropped delivers nothing and reports no error,
     /// while new connections work. The connection pool is therefore not used here.
-    async fn resume_same_replica(&mut self) -> bool {
-        let Some((address, id)) = self.replica_and_attempt() else {
-            return false;
-        };
+    fn probe_replica(&self) -> impl Future<Output = Option<Response>> + use<> {
+        let limit = self.stall_after();
         let from = self.outbound.resume + self.splitter.events;
-        let request = self
-            .core
-            .unpooled_client
-            .get(format!("{address}/v1/requests/{id}/stream"))
-            .query(&[("from", from)]);
-        let Ok(Ok(response)) = timeout(self.stall_after(), request.send()).await else {
-            return false;
-        };
-        let same = headers::text(response.headers(), headers::BACKEND_REQUEST) == Some(&*id);
-        if !response.status().is_success() || !same {
-            return false;
+        let sent = self.replica_and_attempt().map(|(address, id)| {
+            let url = format!("{address}/v1/requests/{id}/stream");
+            let request = self.core.unpooled_client.get(url).query(&[("from", from)]);
+            (id, request.send())
+        });
+        async move {
+            let (id, sending) = sent?;
+            let response = timeout(limit, sending).await.ok()?.ok()?;
+            let same = headers::text(response.headers(), headers::BACKEND_REQUEST) == Some(&*id);
+            (response.status().is_success() && same).then_some(response)
         }
-        self.response = response;
-        true
     }
 
     /// Returns the time without data after which the stream is probed.
--- a/crates/zinniahatch_gateway/src/run.rs
+++ b/crates/zinniahatch_gateway/src/run.rs
@@ -129,17 +129,36 @@
 }
 
 /// Excludes the source of a failed response from further attempts.
-pub(crate) fn avoid_source(state: &mut AttemptState, source: &ResponseSource) {
+pub(crate) fn avoid_source(state: &mut AttemptState, source: &ResponseSource) -> AvoidedSource {
     match source {
         ResponseSource::Slot(guard, _, _) => {
-            state.avoid.insert(tag_of(guard.replica()));
+            let tag = tag_of(guard.replica());
+            state.avoid.insert(tag);
+            AvoidedSource::Replica(tag)
         }
         ResponseSource::Remote(data_centre) => {
             state.avoid_data_centres.insert(data_centre.clone());
+            AvoidedSource::DataCentre(data_centre.clone())
         }
     }
 }
 
+/// A source that was excluded from further attempts.
+pub(crate) enum AvoidedSource {
+    Replica(ShortTag),
+    DataCentre(DataCentreId),
+}
+
+impl AvoidedSource {
+    /// Allows it again.
+    pub(crate) fn allow(&self, state: &mut AttemptState) {
+        match self {
+            Self::Replica(tag) => state.avoid.remove(tag),
+            Self::DataCentre(data_centre) => state.avoid_data_centres.remove(data_centre),
+        };
+    }
+}
+
 /// Takes a retry from the budget, or returns the refusal that ends the request.
 pub(crate) fn take_retry(
     core: &GatewayCore,
--- a/crates/zinniahatch_lab/src/test_doubles/backend.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/backend.rs
@@ -12,6 +12,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use tokio::sync::Semaphore;
+use tokio::sync::watch;
 use zinniahatch_base::prelude::*;
 
 /// Faults of one backend server.
@@ -43,6 +44,8 @@
     pub permits: Arc<Semaphore>,
     leaving: Mutex<Option<Instant>>,
     faults: Mutex<BackendFaults>,
+    /// Whether it does nothing for now, and keeps all connections.
+    still: watch::Sender<bool>,
 }
 
 impl FakeBackend {
@@ -56,6 +59,7 @@
             permits: Arc::new(Semaphore::new(usize::from(slots))),
             leaving: Mutex::default(),
             faults: Mutex::default(),
+            still: watch::Sender::new(false),
         })
     }
 
@@ -88,6 +92,18 @@
         *lock(&self.faults)
     }
 
+    /// Makes it stand still, or go on where it stood.
+    pub fn set_still(&self, still: bool) {
+        self.still.send_replace(still);
+    }
+
+    /// Waits while it stands still.
+    pub(crate) async fn wait_while_still(&self) {
+        let mut still = self.still.subscribe();
+        // The sender lives as long as `self`.
+        let _ = still.wait_for(|still| !still).await;
+    }
+
     /// Returns whether to lose the next response, and counts it if so.
     pub fn take_response_loss(&self) -> bool {
         let mut faults = lock(&self.faults);
--- a/crates/zinniahatch_lab/src/test_doubles/engine.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/engine.rs
@@ -250,6 +250,7 @@
 
 /// State of one stream of a run's events.
 struct RunStream {
+    backend: Arc<FakeBackend>,
     run: Arc<EngineRun>,
     produced: watch::Receiver<u64>,
     next: u64,
@@ -279,6 +280,7 @@
             return Some((Err(std::io::Error::other("cancelled")), state));
         }
     }
+    state.backend.wait_while_still().await;
     let produced = (*state.produced.borrow()).min(state.next + MAX_CHUNK_EVENTS);
     let mut events = String::new();
     while state.next < produced.min(state.run.total) {
@@ -325,6 +327,7 @@
             response.status_code(StatusCode::BAD_REQUEST);
             return;
         };
+        engine.backend.wait_while_still().await;
         let faults = engine.backend.faults();
         if faults.frozen {
             sleep(SILENT_TIME).await;
@@ -332,6 +335,7 @@
         let run = engine.start_run(&id, &chat, resume);
         let produced = run.produced.subscribe();
         let state = RunStream {
+            backend: Arc::clone(&engine.backend),
             run,
             produced,
             next: resume,
@@ -351,6 +355,7 @@
     async fn handle(&self, request: &mut Request, response: &mut Response) {
         let id = request.param::<String>("id").unwrap_or_default();
         let from = request.query::<u64>("from").unwrap_or(0);
+        self.0.backend.wait_while_still().await;
         let found = lock(&self.0.runs).0.get(id.as_str()).cloned();
         let Some(run) = found.filter(|run| from >= run.from && !*run.cancelled.borrow()) else {
             response.status_code(StatusCode::NOT_FOUND);
@@ -359,6 +364,7 @@
         let produced = run.produced.subscribe();
         // Stream faults do not apply to resumed streams.
         let state = RunStream {
+            backend: Arc::clone(&self.0.backend),
             run,
             produced,
             next: from,
@@ -377,6 +383,7 @@
 impl CancelHandler {
     async fn handle(&self, request: &mut Request, response: &mut Response) {
         let id = request.param::<String>("id").unwrap_or_default();
+        self.0.backend.wait_while_still().await;
         let found = lock(&self.0.runs).0.get(id.as_str()).cloned();
         match found {
             Some(run) => {
