Do not count a probe whose time passed while the node itself stood still

A node that had stood still kept a sound replica out of use for up to 0.6 s when a probe of it was under way during the pause.

Cause: the time limit of the probe is over when the node runs again, and a probe takes several steps (connect, send, read), of which only one can end before the limit is checked.

Change: a probe without an answer counts for nothing if the node stood still since it was sent.

Not seen in a run with real processes.

--- a/crates/zinniahatch_route/src/pause_detector.rs
+++ b/crates/zinniahatch_route/src/pause_detector.rs
@@ -35,6 +35,11 @@
         now.saturating_duration_since(since)
     }
 
+    /// Returns whether the node stood still at some time since `at`.
+    pub fn has_paused_since(&self, at: Instant, now: Instant) -> bool {
+        self.is_resuming(now) || self.resumed_at.is_some_and(|resumed| resumed > at)
+    }
+
     /// Returns whether the node runs again after a pause and has not ticked since.
     fn is_resuming(&self, now: Instant) -> bool {
         self.ticked_at
--- a/crates/zinniahatch_route/src/replica_health.rs
+++ b/crates/zinniahatch_route/src/replica_health.rs
@@ -117,9 +117,9 @@
     }
 
     /// Records that a probe sent at `sent` had no answer in time, which means nothing if bytes arrived
-    /// since.
+    /// or this node stood still since.
     pub fn note_unanswered_probe(&mut self, sent: Instant, now: Instant) {
-        if self.last_bytes > sent {
+        if self.last_bytes > sent || self.pauses.has_paused_since(sent, now) {
             return;
         }
         self.note_failure(now);
--- a/crates/zinniahatch_route/tests/replica_state.rs
+++ b/crates/zinniahatch_route/tests/replica_state.rs
@@ -173,6 +173,29 @@
     assert!(health.is_suspect(after(700)), "it refuses connections");
 }
 
+/// Guards against a probe whose time passes while the node itself stands still, and which keeps a sound
+/// replica out of use afterwards.
+#[test_case(false; "before_the_first_tick")]
+#[test_case(true; "after_the_first_tick")]
+fn pause_of_node_is_no_unanswered_probe(ticked: bool) {
+    let sent = Instant::now();
+    let mut health = ReplicaHealth::new(sent);
+    health.tick(sent);
+    let resumed = sent + Duration::from_secs(3);
+    if ticked {
+        health.tick(resumed);
+    }
+    health.note_unanswered_probe(sent, resumed);
+    assert!(!health.is_suspect(resumed));
+    health.tick(resumed);
+    let later = resumed + Duration::from_millis(600);
+    health.note_unanswered_probe(resumed, later);
+    assert!(
+        health.is_suspect(later),
+        "a probe sent after the pause counts"
+    );
+}
+
 /// Guards against a node that takes its own pause for a silence of its replicas and refuses requests
 /// until it has read what they sent meanwhile.
 #[test_case(None; "before_the_first_tick")]
