Count the connections of callers that a node closes, by reason

Nothing told why a connection of a caller was closed: the HTTP library ends it the same way whether the caller left, the connection was idle for too long or the head of a request did not end.

Now the stream and the answers of a connection record its progress (idle, a head arriving, a request in flight, an answer not entirely sent), and the counter `zinniahatch_closed_connections_total` tells `idle`, `slow-head`, `large-head` and `stopping` apart. `run_connection` moves into a file of its own. No change of logic.

The counter says by which limit a connection was closed, and which limits were in force follows from the `version` lines.

--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -1,12 +1,16 @@
 //! Listeners for callers, other nodes, the directory, readiness checks and control requests.
 
+mod caller_metrics;
+mod caller_stream;
+mod connection;
+
 use crate::core::EntryCore;
-use crate::core::StopPhase;
 use crate::replicas::part_quarantine::release_part;
 use crate::request::ingress::RequestSource;
 use crate::request::ingress::handle_request;
-use crate::request::ingress::limits;
 use crate::request::response_body::ResponseBody;
+pub(crate) use caller_metrics::CallerMetrics;
+use connection::run_connection;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -14,16 +18,10 @@
 use http::StatusCode;
 use http::header;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use rand::seq::SliceRandom;
-use std::convert::Infallible;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::READINESS_PATH;
 use zinniahatch_platform::RESOLVE_PATH;
@@ -37,8 +35,6 @@
 
 /// Maximum number of addresses in one directory response.
 const MAX_ADDRESSES: usize = 64;
-/// Time for which an idle connection stays open beyond the idle timeout announced to callers.
-const IDLE_SLACK: Duration = Duration::from_secs(2);
 /// Length of the accept queue. In a burst beyond it, connections are delayed by a retransmitted
 /// SYN.
 const BACKLOG: u32 = 1024;
@@ -46,9 +42,6 @@
 const METRICS_PATH: &str = "/metrics";
 /// Path under which an operator frees a prompt part from quarantine, followed by its id.
 const QUARANTINED_PARTS_PATH: &str = "/quarantined-parts/";
-/// Smallest head buffer that the HTTP library accepts.
-const MIN_HEAD_BUFFER: usize = 8 << 10;
-
 /// What a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ListenerKind {
@@ -93,43 +86,6 @@
     }
 }
 
-async fn run_connection(core: Rc<EntryCore>, stream: TcpStream, kind: ListenerKind) {
-    // Without this option the connection still works, with higher latency.
-    let _ = stream.set_nodelay(true);
-    let limits = limits(&core);
-    let mut phases = core.phase.subscribe();
-    let service = {
-        let core = Rc::clone(&core);
-        service_fn(move |request| {
-            let core = Rc::clone(&core);
-            async move { Ok::<_, Infallible>(respond(core, kind, request).await) }
-        })
-    };
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER) + MIN_HEAD_BUFFER)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let closing = async {
-        // Shutdown does not close connections to the directory, readiness and metrics listeners. If
-        // directories closed theirs, callers of a region whose nodes stop one after the other would
-        // be left without any.
-        if !matches!(kind, ListenerKind::Calls(_)) {
-            std::future::pending::<()>().await;
-        }
-        // Cannot fail: the sender lives as long as the process.
-        let _ = phases.wait_for(|phase| *phase == StopPhase::Closing).await;
-    };
-    // A connection that ends with an error was closed by its caller, which is not worth logging.
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = closing => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
-}
-
 async fn respond(
     core: Rc<EntryCore>,
     kind: ListenerKind,
--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of an entry VM.
 
+use crate::listeners::CallerMetrics;
 use crate::nodes::message_metrics::MessageMetrics;
 use crate::replicas::limit_metrics::LimitMetrics;
 use crate::replicas::notice_metrics::NoticeMetrics;
@@ -36,6 +37,8 @@
     pub(crate) retries: RetryMetrics,
     /// Metrics of streams that end early or are taken up.
     pub(crate) streams: StreamMetrics,
+    /// Metrics of connections of callers and other nodes.
+    pub(crate) callers: CallerMetrics,
     /// Metrics of replica notices.
     pub(crate) notices: NoticeMetrics,
     /// Suspect prompt parts.
@@ -137,6 +140,7 @@
             limits: LimitMetrics::new(&registry)?,
             retries: RetryMetrics::new(&registry)?,
             streams: StreamMetrics::new(&registry)?,
+            callers: CallerMetrics::new(&registry)?,
             notices: NoticeMetrics::new(&registry)?,
             parts: PartMetrics::new(&registry)?,
             messages: MessageMetrics::new(&registry)?,
