Hold a caller's connection to what its last answer said

Callers lost requests on open connections after a change of the limits: a connection that had been told `timeout=15` was closed after 5 s, and the request that arrived then got neither an answer nor a refusal.

Cause: the HTTP library takes its limits when it is given a connection, and the listener passed those in force at that moment, while every answer announced the ones in force later. The class is a value that is read once and promised anew. Besides, the time of a head included the idle time before it, and `header_timeout_ms` was applied nowhere.

Change: the library gets no limits. `CallerConnection` (pure) says when a connection is due: idle, after the longer of what its last answer announced and the limit in force; a head, after the header timeout in force since its first byte; a request in flight, never. 2 s are added to both. The task of the connection asks it after each poll and keeps one timer. Before an idle connection is closed the kernel is asked for bytes that have arrived. A head that is too large by the limit in force gets 431 (result 214), one that is too slow 408 (215).

--- a/crates/zinniahatch_base/src/result_code.rs
+++ b/crates/zinniahatch_base/src/result_code.rs
@@ -75,6 +75,8 @@
     KeyBuried = 211, 409, NotRun, "The request under this key was answered as not run and stays so; take a new key.";
     NoRoute = 212, 404, NotRun, "No route of the desired state matches the host and path.";
     NoCommonHome = 213, 421, NotRun, "No region may serve this route for this account: their homes have none in common.";
+    HeadTooLarge = 214, 431, NotRun, "The head of the request is larger than allowed.";
+    HeadTooSlow = 215, 408, NotRun, "The head of the request did not arrive in time.";
     QueueFull = 220, 503, NotRun, "The queue for this service is full.";
     WaitTooLong = 221, 503, NotRun, "The expected wait passes the deadline.";
     DeadlinePassed = 222, 504, NotRun, "The deadline passed before a backend server was free.";
--- a/crates/zinniahatch_entry/src/listeners/caller_stream.rs
+++ b/crates/zinniahatch_entry/src/listeners/caller_stream.rs
@@ -6,34 +6,62 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use socket2::SockRef;
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
 use std::io::IoSlice;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
 use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::io::Take;
 use tokio::net::TcpStream;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::CallerConnection;
 
+/// Bytes per read. The HTTP library grows its buffer as long as reads fill it.
+const READ_BYTES: u64 = 16 << 10;
+
 /// The progress of a connection, shared by its stream and its answers.
-pub(super) type SharedConnection = Rc<RefCell<CallerConnection>>;
+#[derive(Debug)]
+pub(super) struct ConnectionRecord {
+    pub(super) connection: RefCell<CallerConnection>,
+    /// Maximum size of a head in force.
+    pub(super) max_head_bytes: Cell<usize>,
+    /// Whether to ask the kernel for bytes that the runtime has not announced yet.
+    pub(super) confirms_idle: Cell<bool>,
+}
 
 /// The stream of a caller's connection.
 #[derive(Debug)]
 pub(super) struct CallerStream {
-    stream: TcpStream,
-    connection: SharedConnection,
+    stream: Take<TcpStream>,
+    record: Rc<ConnectionRecord>,
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: TcpStream, connection: SharedConnection) -> Self {
-        Self { stream, connection }
+    pub(super) fn new(stream: TcpStream, record: Rc<ConnectionRecord>) -> Self {
+        Self {
+            stream: stream.take(READ_BYTES),
+            record,
+        }
+    }
+
+    pub(super) fn into_inner(self) -> TcpStream {
+        self.stream.into_inner()
+    }
+
+    fn has_bytes(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(self.stream.get_ref()).peek(&mut byte);
+        peeked.is_ok_and(|count| count > 0)
     }
 }
 
@@ -43,12 +71,21 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let limit = self.record.max_head_bytes.get();
+        if self.record.connection.borrow().has_large_head(limit) {
+            // The connection is closed after this poll, so that nothing has to wake its task.
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() > before {
-            self.connection.borrow_mut().on_bytes();
+        self.stream.set_limit(READ_BYTES);
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let count = buffer.filled().len() - before;
+        let waits = read.is_pending() && self.record.confirms_idle.get() && self.has_bytes();
+        if count > 0 || waits {
+            let mut connection = self.record.connection.borrow_mut();
+            connection.on_bytes(count, Instant::now());
         }
-        Poll::Ready(Ok(()))
+        read
     }
 }
 
@@ -58,7 +95,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(self.stream.get_mut()).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -66,22 +103,23 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        Pin::new(self.stream.get_mut()).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 
     /// The HTTP library calls this once its own buffers are empty.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        self.connection.borrow_mut().on_flushed(Instant::now());
+        ready!(Pin::new(self.stream.get_mut()).poll_flush(context))?;
+        let mut connection = self.record.connection.borrow_mut();
+        connection.on_flushed(Instant::now());
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(self.stream.get_mut()).poll_shutdown(context)
     }
 }
 
@@ -89,12 +127,12 @@
 #[derive(Debug)]
 pub(super) struct AnswerBody {
     body: ResponseBody,
-    connection: SharedConnection,
+    record: Rc<ConnectionRecord>,
 }
 
 impl AnswerBody {
-    pub(super) fn new(body: ResponseBody, connection: SharedConnection) -> Self {
-        Self { body, connection }
+    pub(super) fn new(body: ResponseBody, record: Rc<ConnectionRecord>) -> Self {
+        Self { body, record }
     }
 }
 
@@ -120,6 +158,6 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        self.connection.borrow_mut().on_answered();
+        self.record.connection.borrow_mut().on_answered();
     }
 }
--- a/crates/zinniahatch_entry/src/listeners/connection.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection.rs
@@ -3,77 +3,210 @@
 use super::ListenerKind;
 use super::caller_stream::AnswerBody;
 use super::caller_stream::CallerStream;
+use super::caller_stream::ConnectionRecord;
 use super::respond;
 use crate::core::EntryCore;
 use crate::core::StopPhase;
+use crate::request::gateway_response::gateway_response;
+use crate::request::ingress::RequestSource;
 use crate::request::ingress::limits;
+use crate::request::ingress::max_head_bytes;
+use crate::request::response_body::ResponseBody;
+use crate::request::response_body::TruncatedBody;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
+use std::task::ready;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
+use zinniahatch_platform::keep_alive_header;
 use zinniahatch_route::CallerConnection;
 use zinniahatch_route::CloseReason;
 
-/// Time for which an idle connection stays open beyond the idle timeout announced to callers.
-const IDLE_SLACK: Duration = Duration::from_secs(2);
-/// Smallest head buffer that the HTTP library accepts.
-const MIN_HEAD_BUFFER: usize = 8 << 10;
+/// Time for which the rest of a refused head is read and dropped. Closing with unread bytes would
+/// reset the connection before the caller has read the refusal.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Bytes per read of the rest of a refused head.
+const LINGER_READ_BYTES: usize = 2 << 10;
 
 /// Serves a connection until it is closed.
 pub(super) async fn run_connection(core: Rc<EntryCore>, stream: TcpStream, kind: ListenerKind) {
     // Without this option the connection still works, with higher latency.
     let _ = stream.set_nodelay(true);
-    let limits = limits(&core);
-    let head_limit = limits.idle_timeout + IDLE_SLACK;
-    let mut phases = core.phase.subscribe();
-    let caller_connection = Rc::new(RefCell::new(CallerConnection::new(Instant::now())));
+    let record = Rc::new(ConnectionRecord {
+        connection: RefCell::new(CallerConnection::new(Instant::now())),
+        max_head_bytes: Cell::new(0),
+        confirms_idle: Cell::new(false),
+    });
     let service = service_fn(|request| {
-        caller_connection.borrow_mut().on_request();
-        let core = Rc::clone(&core);
-        let caller_connection = Rc::clone(&caller_connection);
-        async move {
-            let response = respond(core, kind, request).await;
-            Ok::<_, Infallible>(response.map(|body| AnswerBody::new(body, caller_connection)))
-        }
+        record.connection.borrow_mut().on_request();
+        answer(Rc::clone(&core), kind, Rc::clone(&record), request)
     });
-    let stream = CallerStream::new(stream, Rc::clone(&caller_connection));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(head_limit)
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER) + MIN_HEAD_BUFFER)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let closing = async {
-        // Shutdown does not close connections to the directory, readiness and metrics listeners. If
-        // directories closed theirs, callers of a region whose nodes stop one after the other would
-        // be left without any.
-        if !matches!(kind, ListenerKind::Calls(_)) {
-            std::future::pending::<()>().await;
-        }
-        // Cannot fail: the sender lives as long as the process.
-        let _ = phases.wait_for(|phase| *phase == StopPhase::Closing).await;
+    // The limits of the library are fixed for the life of a connection, so that none of them is used.
+    let mut connection = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(usize::MAX)
+        .serve_connection(
+            TokioIo::new(CallerStream::new(stream, Rc::clone(&record))),
+            service,
+        );
+    let mut closing = std::pin::pin!(wait_for_closing(&core, kind));
+    let mut timer = std::pin::pin!(sleep_until(tokio::time::Instant::now()));
+    let mut stopping = false;
+    let source = match kind {
+        ListenerKind::Calls(source) => source,
+        _ => RequestSource::Front,
     };
-    tokio::select! {
-        result = connection.as_mut() => {
-            let is_large = result.is_err_and(|error| error.is_parse_too_large());
-            let reached = caller_connection.borrow().reached_limit(head_limit, Instant::now());
-            let reason = is_large.then_some(CloseReason::LargeHead).or(reached);
-            // Any other connection was closed by its caller, which is not worth counting.
-            if let Some(reason) = reason {
-                core.metrics.callers.note_closed(reason);
+    loop {
+        let reached = poll_fn(|context| {
+            let limits = limits(&core);
+            let max_head_bytes = max_head_bytes(source, &limits);
+            record.max_head_bytes.set(max_head_bytes);
+            if Pin::new(&mut connection).poll(context).is_ready() {
+                return Poll::Ready(None);
+            }
+            let connection = record.connection.borrow();
+            if connection.has_large_head(max_head_bytes) {
+                return Poll::Ready(Some(CloseReason::LargeHead));
+            }
+            if stopping && connection.is_idle() {
+                return Poll::Ready(Some(CloseReason::Stopping));
             }
-            return;
+            let Some((due_at, reason)) = connection.due(&limits) else {
+                return Poll::Pending;
+            };
+            let due_at = tokio::time::Instant::from_std(due_at);
+            if timer.deadline() != due_at {
+                timer.as_mut().reset(due_at);
+            }
+            ready!(timer.as_mut().poll(context));
+            Poll::Ready(Some(reason))
+        });
+        let reason = tokio::select! {
+            biased;
+            reached = reached => match reached {
+                Some(reason) => reason,
+                // The caller closed it, or was told so by an answer.
+                None => return,
+            },
+            () = closing.as_mut(), if !stopping => {
+                stopping = true;
+                continue;
+            }
+        };
+        let refusal = match reason {
+            CloseReason::Idle | CloseReason::Stopping => {
+                record.confirms_idle.set(true);
+                // A request that has arrived meanwhile is answered.
+                let ended =
+                    poll_fn(|context| Poll::Ready(Pin::new(&mut connection).poll(context))).await;
+                record.confirms_idle.set(false);
+                if ended.is_ready() {
+                    return;
+                }
+                if !record.connection.borrow().is_idle() {
+                    continue;
+                }
+                None
+            }
+            CloseReason::SlowHead => Some(ResultCode::HeadTooSlow),
+            CloseReason::LargeHead => Some(ResultCode::HeadTooLarge),
+        };
+        core.metrics.callers.note_closed(reason);
+        if let Some(code) = refusal {
+            core.metrics.note_response("", code.name());
+            let stream = connection.into_parts().io.into_inner().into_inner();
+            // Boxed, so that connections without a refusal hold no memory for it.
+            Box::pin(refuse_head(stream, code)).await;
         }
-        () = closing => {}
+        return;
+    }
+}
+
+/// Waits until connections of a listener are to be closed because the node stops.
+async fn wait_for_closing(core: &EntryCore, kind: ListenerKind) {
+    // Shutdown does not close connections to the directory, readiness and metrics listeners. If
+    // directories closed theirs, callers of a region whose nodes stop one after the other would be
+    // left without any.
+    if !matches!(kind, ListenerKind::Calls(_)) {
+        std::future::pending::<()>().await;
     }
-    if caller_connection.borrow().is_idle() {
-        core.metrics.callers.note_closed(CloseReason::Stopping);
+    let mut phases = core.phase.subscribe();
+    // Cannot fail: the sender lives as long as the process.
+    let _ = phases.wait_for(|phase| *phase == StopPhase::Closing).await;
+}
+
+/// Answers a request and announces for how long its connection may stay idle.
+async fn answer(
+    core: Rc<EntryCore>,
+    kind: ListenerKind,
+    record: Rc<ConnectionRecord>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let mut response = respond(Rc::clone(&core), kind, request).await;
+    let headers = response.headers_mut();
+    if !matches!(kind, ListenerKind::Calls(_)) {
+        return Ok(response.map(|body| AnswerBody::new(body, record)));
+    }
+    if core.phase() >= StopPhase::Leaving {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    } else {
+        let idle_timeout = limits(&core).idle_timeout;
+        record.connection.borrow_mut().on_announced(idle_timeout);
+        let (name, value) = keep_alive_header(idle_timeout);
+        headers.insert(name, value);
+    }
+    Ok(response.map(|body| AnswerBody::new(body, record)))
+}
+
+/// Refuses a request whose head is not complete.
+async fn refuse_head(mut stream: TcpStream, code: ResultCode) {
+    let Ok(text) = refusal_text(gateway_response(code, None, None)).await else {
+        return;
+    };
+    let lingering = async {
+        stream.write_all(&text).await?;
+        stream.shutdown().await?;
+        let mut rest = [0; LINGER_READ_BYTES];
+        while stream.read(&mut rest).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    // The caller may have left.
+    let _ = timeout(LINGER_TIME, lingering).await;
+}
+
+async fn refusal_text(response: Response<ResponseBody>) -> Result<Vec<u8>, TruncatedBody> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    let mut text = format!("HTTP/1.1 {}\r\n", parts.status).into_bytes();
+    for (name, value) in &parts.headers {
+        text.extend_from_slice(name.as_str().as_bytes());
+        text.extend_from_slice(b": ");
+        text.extend_from_slice(value.as_bytes());
+        text.extend_from_slice(b"\r\n");
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let framing = format!(
+        "connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    text.extend_from_slice(framing.as_bytes());
+    text.extend_from_slice(&body);
+    Ok(text)
 }
--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -1,7 +1,6 @@
 //! Reads requests of callers and of other nodes completely and passes them to `serve`.
 
 use crate::core::EntryCore;
-use crate::core::StopPhase;
 use crate::counts::counting::COUNTS_PATH;
 use crate::counts::counting::accept_post;
 use crate::nodes::snapshot::SNAPSHOT_PATH;
@@ -26,6 +25,7 @@
 use http::Response;
 use http::Version;
 use http::header;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -37,13 +37,14 @@
 use zinniahatch_platform::Credential;
 use zinniahatch_platform::credential;
 use zinniahatch_platform::filter_request_headers;
-use zinniahatch_platform::keep_alive_header;
 use zinniahatch_platform::read_caller;
 use zinniahatch_route::CallerLimits;
 
 /// Time limit for receiving a body. A caller that takes longer would occupy memory for nothing.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum size of the head of a request that another node forwards.
+const MAX_FORWARDED_HEAD_BYTES: usize = 1 << 20;
 /// Maximum size of a posted body of counts. One hour of all batches kept by a node is far below it.
 const MAX_COUNTS_BYTES: usize = 4 << 20;
 /// Maximum bytes of a request for a snapshot: a digest for each group of replicas.
@@ -66,6 +67,17 @@
         .map_or_else(CallerLimits::default, |state| state.limits.clone())
 }
 
+/// Returns the maximum size of a request's head in force.
+///
+/// Other nodes add headers to requests whose size they have checked, and may follow another version
+/// of the desired state.
+pub(crate) fn max_head_bytes(source: RequestSource, limits: &CallerLimits) -> usize {
+    match source {
+        RequestSource::Front => limits.max_header_bytes,
+        RequestSource::Peer => MAX_FORWARDED_HEAD_BYTES,
+    }
+}
+
 /// Handles one request and returns the response.
 pub(crate) async fn handle_request(
     core: Rc<EntryCore>,
@@ -81,7 +93,7 @@
     }
     let arrived = Instant::now();
     let limits = limits(&core);
-    let mut response = match receive(source, request, &limits, arrived).await {
+    match receive(source, request, &limits, arrived).await {
         Ok(received) => serve(&core, received).await,
         Err(code) => {
             core.metrics.note_response("", code.name());
@@ -89,15 +101,7 @@
                 .write("unread", serde_json::json!({"result": code.number()}));
             gateway_response(code, None, None)
         }
-    };
-    let headers = response.headers_mut();
-    if core.phase() >= StopPhase::Leaving {
-        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-    } else {
-        let (name, value) = keep_alive_header(limits.idle_timeout);
-        headers.insert(name, value);
     }
-    response
 }
 
 async fn send_snapshot(core: &EntryCore, request: Request<Incoming>) -> Response<ResponseBody> {
@@ -131,6 +135,9 @@
     arrived: Instant,
 ) -> Result<ReceivedRequest, ResultCode> {
     let (parts, body) = request.into_parts();
+    if head_bytes(&parts) > max_head_bytes(source, limits) {
+        return Err(ResultCode::HeadTooLarge);
+    }
     let host: Box<str> = parts
         .headers
         .get(header::HOST)
@@ -214,6 +221,18 @@
     authorization.map_or(&[], HeaderValue::as_bytes)
 }
 
+/// Returns the size of a head with its line ends and without optional spaces.
+fn head_bytes(parts: &Parts) -> usize {
+    const REQUEST_LINE: usize = "  HTTP/1.1\r\n".len();
+    const HEADER_LINE: usize = ": \r\n".len();
+    const HEAD_END: usize = "\r\n".len();
+    let lines = parts.headers.iter();
+    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE);
+    let target = parts.uri.path_and_query();
+    let target = target.map_or(1, |target| target.as_str().len());
+    parts.method.as_str().len() + target + REQUEST_LINE + lines.sum::<usize>() + HEAD_END
+}
+
 fn read_forward_info(headers: &HeaderMap) -> ForwardInfo {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let number = |name| text(name).and_then(|value| value.parse().ok()).unwrap_or(0);
--- a/crates/zinniahatch_lab/tests/connection_limits.rs
+++ b/crates/zinniahatch_lab/tests/connection_limits.rs
@@ -156,7 +156,6 @@
 }
 
 /// Guards against a connection that is closed sooner than its last answer said.
-#[ignore = "KNOWN-RED.txt"]
 #[tokio::test(flavor = "multi_thread")]
 async fn raised_idle_timeout_is_kept() {
     let mut site = LimitSite::start("idle_timeout_ms", 1_000).await;
@@ -169,7 +168,6 @@
 
 /// Guards against a connection that is closed by a limit which its last answer did not name, and
 /// against one that stays open for longer than the limit in force.
-#[ignore = "KNOWN-RED.txt"]
 #[tokio::test(flavor = "multi_thread")]
 async fn lowered_idle_timeout_follows_its_announcement() {
     let mut site = LimitSite::start("idle_timeout_ms", 9_000).await;
@@ -183,7 +181,6 @@
 }
 
 /// Guards against a head that is judged by the limit in force when its connection was opened.
-#[ignore = "KNOWN-RED.txt"]
 #[test_case(16_384, 65_536, 200; "raised")]
 #[test_case(65_536, 16_384, 431; "lowered")]
 #[tokio::test(flavor = "multi_thread")]
@@ -221,7 +218,6 @@
 
 /// Guards against a head that arrives within its own time and is dropped because its connection was
 /// idle before.
-#[ignore = "KNOWN-RED.txt"]
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_head_has_its_own_time() {
     let mut site = LimitSite::start("idle_timeout_ms", 2_000).await;
@@ -236,7 +232,6 @@
 }
 
 /// Guards against a head that is dropped by the limit in force when its connection was opened.
-#[ignore = "KNOWN-RED.txt"]
 #[tokio::test(flavor = "multi_thread")]
 async fn raised_header_timeout_applies_to_open_connection() {
     let mut site = LimitSite::start("idle_timeout_ms", 1_000).await;
@@ -251,7 +246,6 @@
 
 /// Guards against a head that never ends and keeps its connection for as long as an idle one, and
 /// against one that is dropped without an answer.
-#[ignore = "KNOWN-RED.txt"]
 #[tokio::test(flavor = "multi_thread")]
 async fn unfinished_head_is_refused() {
     let mut site = LimitSite::start("header_timeout_ms", 1_000).await;
@@ -262,3 +256,17 @@
     site.closed_after(MAX_EXCESS).await;
     assert_eq!(closed_count(&site.site, "slow-head").await, 1);
 }
+
+/// Guards against a request that has arrived at an idle connection and is dropped because the time of
+/// the connection passed while the entry VM was paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_waits_is_answered() {
+    const PAUSE: Duration = Duration::from_millis(3_500);
+    let mut site = LimitSite::start("idle_timeout_ms", 1_000).await;
+    assert_eq!(site.ask(0, 0).await.status, 200);
+    site.site.signal(0, "-STOP");
+    site.write(&request_head("")).await;
+    site.expect_open(PAUSE).await;
+    site.site.signal(0, "-CONT");
+    assert_eq!(site.read_answer().await.status, 200);
+}
--- a/crates/zinniahatch_route/src/caller_connection.rs
+++ b/crates/zinniahatch_route/src/caller_connection.rs
@@ -1,7 +1,14 @@
-//! What a caller's connection is doing, and since when.
+//! Decides when a node closes the connection of a caller.
+//!
+//! A connection is held to what its last answer said, and to the limits in force when they are applied:
+//! a caller that is told a longer idle time uses it on the connection that it has.
 
+use crate::desired::CallerLimits;
 use zinniahatch_base::prelude::*;
 
+/// Time for which a connection stays open beyond the limits of callers, for bytes in transit.
+pub const CONNECTION_SLACK: Duration = Duration::from_secs(2);
+
 string_enum! {
     /// Why a node closes a connection to it.
     pub enum CloseReason {
@@ -19,10 +26,10 @@
 /// Progress of the requests on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionPhase {
-    /// Nothing has arrived since the last answer.
-    Idle,
+    /// Nothing has arrived since this time, that of the last answer.
+    Idle(Instant),
     /// A part of a head has arrived.
-    Head,
+    Head { since: Instant, bytes: usize },
     /// A request is in flight.
     Request,
     /// An answer is complete and not entirely sent.
@@ -33,22 +40,30 @@
 #[derive(Clone, Debug)]
 pub struct CallerConnection {
     phase: ConnectionPhase,
-    idle_since: Instant,
+    /// Idle time that the last answer announced.
+    announced: Duration,
 }
 
 impl CallerConnection {
     /// Starts with a connection on which nothing has arrived.
     pub fn new(now: Instant) -> Self {
         Self {
-            phase: ConnectionPhase::Idle,
-            idle_since: now,
+            phase: ConnectionPhase::Idle(now),
+            announced: Duration::ZERO,
         }
     }
 
-    /// Records that bytes have arrived.
-    pub fn on_bytes(&mut self) {
-        if self.phase == ConnectionPhase::Idle {
-            self.phase = ConnectionPhase::Head;
+    /// Records that bytes have arrived, or wait to be read if `count` is 0.
+    pub fn on_bytes(&mut self, count: usize, now: Instant) {
+        match &mut self.phase {
+            ConnectionPhase::Idle(_) => {
+                self.phase = ConnectionPhase::Head {
+                    since: now,
+                    bytes: count,
+                };
+            }
+            ConnectionPhase::Head { bytes, .. } => *bytes += count,
+            ConnectionPhase::Request | ConnectionPhase::Answered => {}
         }
     }
 
@@ -57,6 +72,11 @@
         self.phase = ConnectionPhase::Request;
     }
 
+    /// Records the idle time that an answer announces.
+    pub fn on_announced(&mut self, idle_timeout: Duration) {
+        self.announced = idle_timeout;
+    }
+
     /// Records that no more of the answer will follow.
     pub fn on_answered(&mut self) {
         self.phase = ConnectionPhase::Answered;
@@ -65,26 +85,33 @@
     /// Records that everything written has been sent.
     pub fn on_flushed(&mut self, now: Instant) {
         if self.phase == ConnectionPhase::Answered {
-            self.phase = ConnectionPhase::Idle;
-            self.idle_since = now;
+            self.phase = ConnectionPhase::Idle(now);
         }
     }
 
     /// Returns whether nothing has arrived since the last answer.
     pub fn is_idle(&self) -> bool {
-        self.phase == ConnectionPhase::Idle
+        matches!(self.phase, ConnectionPhase::Idle(_))
     }
 
-    /// Returns which limit was reached if no complete head has arrived for `limit` since the last
-    /// answer.
-    pub fn reached_limit(&self, limit: Duration, now: Instant) -> Option<CloseReason> {
-        if now.saturating_duration_since(self.idle_since) < limit {
-            return None;
-        }
-        match self.phase {
-            ConnectionPhase::Idle => Some(CloseReason::Idle),
-            ConnectionPhase::Head => Some(CloseReason::SlowHead),
-            ConnectionPhase::Request | ConnectionPhase::Answered => None,
-        }
+    /// Returns whether the part of a head that has arrived is larger than `limit`.
+    pub fn has_large_head(&self, limit: usize) -> bool {
+        matches!(self.phase, ConnectionPhase::Head { bytes, .. } if bytes > limit)
+    }
+
+    /// Returns when the connection is to be closed if nothing changes, and why.
+    pub fn due(&self, limits: &CallerLimits) -> Option<(Instant, CloseReason)> {
+        let (since, limit, reason) = match self.phase {
+            ConnectionPhase::Idle(since) => {
+                let limit = self.announced.max(limits.idle_timeout);
+                (since, limit, CloseReason::Idle)
+            }
+            ConnectionPhase::Head { since, .. } => {
+                (since, limits.header_timeout, CloseReason::SlowHead)
+            }
+            ConnectionPhase::Request | ConnectionPhase::Answered => return None,
+        };
+        let due_at = since.checked_add(limit.saturating_add(CONNECTION_SLACK))?;
+        Some((due_at, reason))
     }
 }
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -73,6 +73,7 @@
 pub use admission::AdmissionRule;
 pub use backoff::BackoffChange;
 pub use backoff::BackoffTable;
+pub use caller_connection::CONNECTION_SLACK;
 pub use caller_connection::CallerConnection;
 pub use caller_connection::CloseReason;
 pub use cold_limiter::ColdLimiter;
--- /dev/null
+++ b/crates/zinniahatch_route/tests/caller_connection.rs
@@ -0,0 +1,85 @@
+//! Tests of when a node closes the connection of a caller.
+
+use std::time::Duration;
+use std::time::Instant;
+use test_case::test_case;
+use zinniahatch_route::CONNECTION_SLACK;
+use zinniahatch_route::CallerConnection;
+use zinniahatch_route::CallerLimits;
+use zinniahatch_route::CloseReason;
+
+const HEADER_SECONDS: u64 = 3;
+
+fn limits(idle_seconds: u64) -> CallerLimits {
+    CallerLimits {
+        header_timeout: Duration::from_secs(HEADER_SECONDS),
+        idle_timeout: Duration::from_secs(idle_seconds),
+        ..CallerLimits::default()
+    }
+}
+
+fn due_after(connection: &CallerConnection, idle: u64, since: Instant) -> (Duration, CloseReason) {
+    let (due_at, reason) = connection.due(&limits(idle)).expect("a limit applies");
+    (due_at - since, reason)
+}
+
+/// Guards against an idle connection that is closed sooner than its last answer said, or than the
+/// limit in force allows.
+#[test_case(15, 3, 15; "lowered")]
+#[test_case(3, 15, 15; "raised")]
+#[test_case(3, 3, 3; "unchanged")]
+fn idle_connection_keeps_longer_time(announced: u64, in_force: u64, seconds: u64) {
+    let began = Instant::now();
+    let mut connection = CallerConnection::new(began);
+    connection.on_request();
+    connection.on_announced(Duration::from_secs(announced));
+    connection.on_answered();
+    assert_eq!(connection.due(&limits(in_force)), None);
+    let answered_at = began + Duration::from_secs(60);
+    connection.on_flushed(answered_at);
+    let expected = Duration::from_secs(seconds) + CONNECTION_SLACK;
+    let due = due_after(&connection, in_force, answered_at);
+    assert_eq!(due, (expected, CloseReason::Idle));
+}
+
+/// Guards against a connection without an answer that keeps the limit of the time at which it was
+/// opened.
+#[test]
+fn unused_connection_follows_limit_in_force() {
+    let began = Instant::now();
+    let connection = CallerConnection::new(began);
+    for idle in [15, 3] {
+        let expected = Duration::from_secs(idle) + CONNECTION_SLACK;
+        let due = due_after(&connection, idle, began);
+        assert_eq!(due, (expected, CloseReason::Idle));
+    }
+}
+
+/// Guards against a head whose time includes the idle time before it, or is restarted by each byte.
+#[test]
+fn head_has_time_from_its_first_byte() {
+    let began = Instant::now();
+    let mut connection = CallerConnection::new(began);
+    let first_at = began + Duration::from_secs(14);
+    connection.on_bytes(100, first_at);
+    connection.on_bytes(100, first_at + Duration::from_secs(1));
+    let expected = Duration::from_secs(HEADER_SECONDS) + CONNECTION_SLACK;
+    let due = due_after(&connection, 15, first_at);
+    assert_eq!(due, (expected, CloseReason::SlowHead));
+    assert!(connection.has_large_head(199));
+    assert!(!connection.has_large_head(200));
+}
+
+/// Guards against a request in flight whose connection is closed, and against a body that counts as
+/// a head.
+#[test]
+fn request_in_flight_has_no_limit() {
+    let now = Instant::now();
+    let mut connection = CallerConnection::new(now);
+    connection.on_bytes(100, now);
+    connection.on_request();
+    connection.on_bytes(1_000_000, now);
+    connection.on_flushed(now);
+    assert!(!connection.has_large_head(100));
+    assert_eq!(connection.due(&limits(1)), None);
+}
