Judge forwarded requests by the limits of the node that accepted them

A request that one node had accepted was refused with 413 by the node of another region to which it was forwarded, if that one still followed a version with a lower limit; the first node then had one place less, or refused the request with 503.

Cause: every node applied the body limit in force to forwarded requests as well. The class is a value that is read once, here by the first node, and read again elsewhere at another version. The sizes of heads were already left to the first node.

Change: `request_limits` returns the limits for a source; for other nodes, sizes are bounded by 1 MiB and 16 MiB or the limits in force, whichever is larger.

--- a/crates/zinniahatch_entry/src/listeners/connection.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection.rs
@@ -9,8 +9,7 @@
 use crate::core::StopPhase;
 use crate::request::gateway_response::gateway_response;
 use crate::request::ingress::RequestSource;
-use crate::request::ingress::limits;
-use crate::request::ingress::max_head_bytes;
+use crate::request::ingress::request_limits;
 use crate::request::response_body::ResponseBody;
 use crate::request::response_body::TruncatedBody;
 use http::HeaderValue;
@@ -76,14 +75,13 @@
     };
     loop {
         let reached = poll_fn(|context| {
-            let limits = limits(&core);
-            let max_head_bytes = max_head_bytes(source, &limits);
-            record.max_head_bytes.set(max_head_bytes);
+            let limits = request_limits(&core, source);
+            record.max_head_bytes.set(limits.max_header_bytes);
             if Pin::new(&mut connection).poll(context).is_ready() {
                 return Poll::Ready(None);
             }
             let connection = record.connection.borrow();
-            if connection.has_large_head(max_head_bytes) {
+            if connection.has_large_head(limits.max_header_bytes) {
                 return Poll::Ready(Some(CloseReason::LargeHead));
             }
             if stopping && connection.is_idle() {
@@ -162,13 +160,13 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let mut response = respond(Rc::clone(&core), kind, request).await;
     let headers = response.headers_mut();
-    if !matches!(kind, ListenerKind::Calls(_)) {
+    let ListenerKind::Calls(source) = kind else {
         return Ok(response.map(|body| AnswerBody::new(body, record)));
-    }
+    };
     if core.phase() >= StopPhase::Leaving {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     } else {
-        let idle_timeout = limits(&core).idle_timeout;
+        let idle_timeout = request_limits(&core, source).idle_timeout;
         record.connection.borrow_mut().on_announced(idle_timeout);
         let (name, value) = keep_alive_header(idle_timeout);
         headers.insert(name, value);
--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -43,8 +43,9 @@
 /// Time limit for receiving a body. A caller that takes longer would occupy memory for nothing.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Maximum size of the head of a request that another node forwards.
+/// Maximum sizes of a request that another node forwards, unless larger ones are in force for callers.
 const MAX_FORWARDED_HEAD_BYTES: usize = 1 << 20;
+const MAX_FORWARDED_BODY_BYTES: usize = 16 << 20;
 /// Maximum size of a posted body of counts. One hour of all batches kept by a node is far below it.
 const MAX_COUNTS_BYTES: usize = 4 << 20;
 /// Maximum bytes of a request for a snapshot: a digest for each group of replicas.
@@ -59,22 +60,22 @@
     Peer,
 }
 
-/// Returns the caller limits in force.
-pub(crate) fn limits(core: &EntryCore) -> CallerLimits {
+/// Returns the limits in force for requests from a source.
+///
+/// The size of a forwarded request was checked by the node that received it from its caller, which may
+/// follow another version of the desired state and has added headers.
+pub(crate) fn request_limits(core: &EntryCore, source: RequestSource) -> CallerLimits {
     let desired = core.desired.borrow();
-    desired
+    let limits = desired
         .as_ref()
-        .map_or_else(CallerLimits::default, |state| state.limits.clone())
-}
-
-/// Returns the maximum size of a request's head in force.
-///
-/// Other nodes add headers to requests whose size they have checked, and may follow another version
-/// of the desired state.
-pub(crate) fn max_head_bytes(source: RequestSource, limits: &CallerLimits) -> usize {
+        .map_or_else(CallerLimits::default, |state| state.limits.clone());
     match source {
-        RequestSource::Front => limits.max_header_bytes,
-        RequestSource::Peer => MAX_FORWARDED_HEAD_BYTES,
+        RequestSource::Front => limits,
+        RequestSource::Peer => CallerLimits {
+            max_header_bytes: limits.max_header_bytes.max(MAX_FORWARDED_HEAD_BYTES),
+            max_body_bytes: limits.max_body_bytes.max(MAX_FORWARDED_BODY_BYTES),
+            ..limits
+        },
     }
 }
 
@@ -92,7 +93,7 @@
         }
     }
     let arrived = Instant::now();
-    let limits = limits(&core);
+    let limits = request_limits(&core, source);
     match receive(source, request, &limits, arrived).await {
         Ok(received) => serve(&core, received).await,
         Err(code) => {
@@ -135,7 +136,7 @@
     arrived: Instant,
 ) -> Result<ReceivedRequest, ResultCode> {
     let (parts, body) = request.into_parts();
-    if head_bytes(&parts) > max_head_bytes(source, limits) {
+    if head_bytes(&parts) > limits.max_header_bytes {
         return Err(ResultCode::HeadTooLarge);
     }
     let host: Box<str> = parts
--- a/crates/zinniahatch_lab/tests/connection_limits.rs
+++ b/crates/zinniahatch_lab/tests/connection_limits.rs
@@ -19,6 +19,9 @@
     pause: Duration::ZERO,
 };
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Positions of the listeners for callers and for other nodes.
+const FRONT_LISTENER: usize = 0;
+const PEER_LISTENER: usize = 4;
 /// Time for which a connection may stay open beyond its limit.
 const MAX_EXCESS: Duration = Duration::from_secs(4);
 
@@ -42,8 +45,7 @@
         let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], SHAPE).await;
         let mut version = 1;
         set_limit(&site, &mut version, name, value).await;
-        let stream = TcpStream::connect(&*site.entries[0].addresses[0]).await;
-        let stream = stream.expect("the entry VM listens");
+        let stream = connect(&site, FRONT_LISTENER).await;
         Self {
             site,
             stream,
@@ -51,6 +53,11 @@
         }
     }
 
+    /// Goes on with a new connection, to one of the entry VM's listeners.
+    async fn connect(&mut self, listener: usize) {
+        self.stream = connect(&self.site, listener).await;
+    }
+
     async fn set(&mut self, name: &str, value: u64) {
         set_limit(&self.site, &mut self.version, name, value).await;
     }
@@ -127,6 +134,11 @@
     )
 }
 
+async fn connect(site: &SiteCluster, listener: usize) -> TcpStream {
+    let stream = TcpStream::connect(&*site.entries[0].addresses[listener]).await;
+    stream.expect("the entry VM listens")
+}
+
 /// Puts a limit in force.
 async fn set_limit(site: &SiteCluster, version: &mut u64, name: &str, value: u64) {
     *version += 1;
@@ -216,6 +228,17 @@
     assert_eq!(site.ask(0, BODY_BYTES).await.status, status);
 }
 
+/// Guards against a forwarded request that is refused because the node that it is forwarded to follows
+/// a version with lower limits than the node which accepted it.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_request_is_not_judged_again() {
+    const BYTES: usize = 40_000;
+    let mut site = LimitSite::start("max_body_bytes", 16_384).await;
+    assert_eq!(site.ask(0, BYTES).await.status, 413);
+    site.connect(PEER_LISTENER).await;
+    assert_eq!(site.ask(BYTES, BYTES).await.status, 200);
+}
+
 /// Guards against a head that arrives within its own time and is dropped because its connection was
 /// idle before.
 #[tokio::test(flavor = "multi_thread")]
