Refuse no request by its size before the limits are known

A node that had read no desired state yet refused large requests with 413 and 431, after which callers do not retry. It used default limits (4 MiB, 16 KiB), although it cannot know what the operator allows; the request then is to be answered 503.

Cause: a default in place of a value that is not known yet. Requests of that kind come when a node starts while the store cannot be reached.

Change: without a desired state, sizes are bounded as those of forwarded requests.

--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -43,9 +43,9 @@
 /// Time limit for receiving a body. A caller that takes longer would occupy memory for nothing.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Maximum sizes of a request that another node forwards, unless larger ones are in force for callers.
-const MAX_FORWARDED_HEAD_BYTES: usize = 1 << 20;
-const MAX_FORWARDED_BODY_BYTES: usize = 16 << 20;
+/// Maximum sizes of a request to which the limits of callers do not apply, unless those are larger.
+const MAX_UNJUDGED_HEAD_BYTES: usize = 1 << 20;
+const MAX_UNJUDGED_BODY_BYTES: usize = 16 << 20;
 /// Maximum size of a posted body of counts. One hour of all batches kept by a node is far below it.
 const MAX_COUNTS_BYTES: usize = 4 << 20;
 /// Maximum bytes of a request for a snapshot: a digest for each group of replicas.
@@ -63,19 +63,21 @@
 /// Returns the limits in force for requests from a source.
 ///
 /// The size of a forwarded request was checked by the node that received it from its caller, which may
-/// follow another version of the desired state and has added headers.
+/// follow another version of the desired state and has added headers. A node that knows no desired
+/// state refuses requests for a while, and not for their size, which would be for good.
 pub(crate) fn request_limits(core: &EntryCore, source: RequestSource) -> CallerLimits {
     let desired = core.desired.borrow();
-    let limits = desired
-        .as_ref()
-        .map_or_else(CallerLimits::default, |state| state.limits.clone());
-    match source {
-        RequestSource::Front => limits,
-        RequestSource::Peer => CallerLimits {
-            max_header_bytes: limits.max_header_bytes.max(MAX_FORWARDED_HEAD_BYTES),
-            max_body_bytes: limits.max_body_bytes.max(MAX_FORWARDED_BODY_BYTES),
-            ..limits
-        },
+    let limits = desired.as_ref().map(|state| state.limits.clone());
+    match (limits, source) {
+        (Some(limits), RequestSource::Front) => limits,
+        (limits, _) => {
+            let limits = limits.unwrap_or_default();
+            CallerLimits {
+                max_header_bytes: limits.max_header_bytes.max(MAX_UNJUDGED_HEAD_BYTES),
+                max_body_bytes: limits.max_body_bytes.max(MAX_UNJUDGED_BODY_BYTES),
+                ..limits
+            }
+        }
     }
 }
 
--- a/crates/zinniahatch_lab/tests/connection_limits.rs
+++ b/crates/zinniahatch_lab/tests/connection_limits.rs
@@ -216,6 +216,29 @@
     assert_eq!(closed_count(&site.site, "large-head").await, 1);
 }
 
+/// Guards against a request that is refused for good by a node that does not know the limits yet.
+#[test_case(40_000, 0; "head")]
+#[test_case(0, 6_000_000; "body")]
+#[tokio::test(flavor = "multi_thread")]
+async fn size_is_not_judged_before_limits_are_known(head_bytes: usize, body_bytes: usize) {
+    let mut site = SiteCluster::prepare(&[SiteRegion::new("north", 1, 1)], SHAPE).await;
+    site.store_link("north").cut();
+    site.spawn(0);
+    wait_until("the entry VM listens", async || {
+        let address = &*site.entries[0].addresses[FRONT_LISTENER];
+        TcpStream::connect(address).await.is_ok()
+    })
+    .await;
+    let stream = connect(&site, FRONT_LISTENER).await;
+    let version = 1;
+    let mut site = LimitSite {
+        site,
+        stream,
+        version,
+    };
+    assert_eq!(site.ask(head_bytes, body_bytes).await.status, 503);
+}
+
 /// Guards against a body that is judged by the limit in force when its connection was opened.
 #[test_case(16_384, 65_536, 200; "raised")]
 #[test_case(65_536, 16_384, 413; "lowered")]
