--- a/crates/zinniahatch_lab/tests/paused_entry.rs
+++ b/crates/zinniahatch_lab/tests/paused_entry.rs
@@ -16,9 +16,9 @@
 /// Number of requests that wait when the entry VM runs again.
 const REQUESTS: usize = 24;
 /// Longer than a node may be silent before it no longer counts as live.
-const PAUSE: Duration = Duration::from_millis(3_000);
+const PAUSE: Duration = Duration::from_secs(3);
 /// Part of the pause after which the requests are sent.
-const SEND_AFTER: Duration = Duration::from_millis(2_000);
+const SEND_AFTER: Duration = Duration::from_secs(2);
 
 /// Guards against an entry VM that takes its own pause for a silence of all others and refuses the
 /// requests that it finds when it runs again.
