Let the lab's relay hold what a link carries and deliver it afterwards

The lab could cut a link, silence its open connections for good or delay it, and a delay shifts only what is read after it begins, for as long as it is set. A server that is still for a second and goes on is something else: what is under way and what is sent meanwhile arrives late, in order and together, on open and new connections, and nothing is closed.

Change: `LinkState::hold` holds both directions for a time. It ends by itself, so that no other fault and no replaced replica can leave a link held, and overlapping holds last as long as the longest. `holds` returns when each began and ended, for checks that ask whether a replica could be reached.

--- a/crates/zinniahatch_lab/src/relay.rs
+++ b/crates/zinniahatch_lab/src/relay.rs
@@ -1,8 +1,11 @@
 //! TCP relay that emulates a wide-area link and its faults: added delay, loss in one or both
-//! directions, resets, and connections that go silent.
+//! directions, resets, connections that go silent, and silences after which everything arrives.
 
 use socket2::SockRef;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use tokio::io::AsyncReadExt;
@@ -39,6 +42,8 @@
     lossy_direction: Arc<AtomicU64>,
     /// Delay added to the link's own, in ms.
     extra_delay_ms: Arc<AtomicU64>,
+    /// When each silence of the link began and ends.
+    holds: Arc<Mutex<Vec<(Instant, Instant)>>>,
     reset: Arc<Notify>,
 }
 
@@ -80,6 +85,18 @@
         self.extra_delay_ms.store(millis, Ordering::SeqCst);
     }
 
+    /// Holds what is sent in both directions for a time, on open and new connections, and delivers it
+    /// afterwards in order. Closes are held too; nothing is lost.
+    pub fn hold(&self, time: Duration) {
+        let now = Instant::now();
+        self.lock_holds().push((now, now + time));
+    }
+
+    /// Returns when each silence began and ends.
+    pub fn holds(&self) -> Vec<(Instant, Instant)> {
+        self.lock_holds().clone()
+    }
+
     /// Resets the connections that are open now.
     pub fn reset_open(&self) {
         self.reset.notify_waiters();
@@ -96,6 +113,21 @@
         }
     }
 
+    fn lock_holds(&self) -> MutexGuard<'_, Vec<(Instant, Instant)>> {
+        self.holds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the link is not held.
+    async fn wait_unheld(&self) {
+        loop {
+            let ends = self.lock_holds().iter().map(|(_, until)| *until).max();
+            let Some(until) = ends.filter(|until| *until > Instant::now()) else {
+                return;
+            };
+            sleep_until(until.into()).await;
+        }
+    }
+
     fn is_silent(&self, number: u64) -> bool {
         number < self.silent_below.load(Ordering::SeqCst)
     }
@@ -260,6 +292,7 @@
         let mut lost_bytes = false;
         while let Some((due, bytes)) = receiver.recv().await {
             sleep_until(due).await;
+            writer_link.wait_unheld().await;
             lost_bytes |= writer_link.loses(number, direction);
             if lost_bytes {
                 continue;
@@ -268,6 +301,7 @@
                 return (to, FlowEnd::Reset);
             }
         }
+        writer_link.wait_unheld().await;
         // The close of a silent connection is not passed on either.
         while writer_link.is_silent(number) {
             sleep(Duration::from_secs(5)).await;
