Draw silences of replicas beside planned work in the soak

The soak could not meet the incident: its links were cut, reset or slowed, but no replica was ever still and went on, idle timeouts of callers' connections never changed, and callers left an entry VM before its process was gone.

Callers stay with an entry VM until its process is gone; two for each entry VM keep a connection idle for up to four fifths of the time that its last answer announced.

Checked from outside: no request ends without an answer while its caller's time is not over (an own 5xx other than 503 and 504 counts as none where the request may be repeated); no stream runs at two replicas at once for over 400 ms, by when replicas began and ended each run, without the times at which the link was held or the sending entry VM paused; no idle connection closes before its time.

Pauses of entry VMs end by themselves now also in the other soaks; they lasted until no other entry VM was down.

--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -6,6 +6,7 @@
 use zinniahatch_lab::experiments;
 use zinniahatch_lab::experiments::faults::FaultKind;
 use zinniahatch_lab::experiments::faults::FaultRun;
+use zinniahatch_lab::soak::DrawnFaults;
 use zinniahatch_lab::soak::ReplicaAnnouncements;
 use zinniahatch_lab::soak::ReplicaAnswers;
 use zinniahatch_lab::soak::SoakRun;
@@ -58,6 +59,9 @@
     /// prompts of further callers share a part that crashes each replica that begins an answer on it
     #[argh(switch)]
     fatal_part: bool,
+    /// draw silences of replicas that go on, beside planned work, in place of the other faults
+    #[argh(switch)]
+    silences: bool,
     /// restore the store from an older backup
     #[argh(switch)]
     returns: bool,
@@ -191,6 +195,11 @@
                 callers: args.callers,
                 crashing_request: args.fatal,
                 crashing_part: args.fatal_part,
+                faults: if args.silences {
+                    DrawnFaults::Silences
+                } else {
+                    DrawnFaults::Usual
+                },
                 store_restore: args.returns,
                 announcements: ReplicaAnnouncements {
                     limits: args.limits,
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -15,6 +15,7 @@
 use crate::test_doubles::serve::FakeServer;
 use crate::test_doubles::store::FakeStore;
 use desired::desired_state;
+pub use requests::ReplicaRuns;
 pub use requests::SiteLoad;
 use reqwest::Client;
 use serde_json::Value;
@@ -43,7 +44,7 @@
 /// Default retry slack of all nodes together: tests that count no retries are not to run out of them.
 pub const AMPLE_RETRY_SLACK: f64 = 5_000_000.0;
 /// Grace period of a planned stop, in seconds.
-const GRACE_SECONDS: u64 = 8;
+pub(crate) const GRACE_SECONDS: u64 = 8;
 
 /// One region of a site.
 #[derive(Clone, Copy, Debug)]
@@ -89,6 +90,8 @@
     region: &'static str,
     id: Box<str>,
     observations: ReplicaObservations,
+    /// Silences of the link to it.
+    holds: Vec<(Instant, Instant)>,
 }
 
 /// A complete site; its processes are killed when it is dropped.
@@ -259,6 +262,13 @@
         desired_state(version, &[])
     }
 
+    /// Writes a desired state with additional plain routes and an idle timeout of callers' connections.
+    pub fn configure_idle_timeout(&self, version: u64, more: &[&str], millis: u64) {
+        let mut state = desired_state(version, more);
+        state["limits"]["idle_timeout_ms"] = millis.into();
+        self.write_desired_state(&state);
+    }
+
     /// Writes a desired state, as the operator does.
     pub fn write_desired_state(&self, state: &Value) {
         self.store.write(DESIRED_KEY, &state.to_string());
@@ -366,13 +376,15 @@
         if let Some(version) = &self.released {
             replica.set_version(version);
         }
-        self.links[index] = start_replica_link(&replica).await;
+        let link = start_replica_link(&replica).await;
+        let (old_link, _) = std::mem::replace(&mut self.links[index], link);
         let old = std::mem::replace(&mut self.replicas[index].0, replica);
         self.retired.push(RetiredReplica {
             position: index,
             region,
             id: old.id.clone(),
             observations: old.observations(),
+            holds: old_link.holds(),
         });
         drop(old);
         self.register(index, "ready");
--- a/crates/zinniahatch_lab/src/site/requests.rs
+++ b/crates/zinniahatch_lab/src/site/requests.rs
@@ -5,6 +5,7 @@
 use super::SiteCluster;
 use crate::test_doubles::limit_record::LimitRecord;
 use crate::test_doubles::notice_record::NoticeRecord;
+use crate::test_doubles::replica::StreamRun;
 use futures_util::future::join_all;
 use reqwest::Client;
 use reqwest::RequestBuilder;
@@ -25,6 +26,15 @@
     pub timeout: Duration,
 }
 
+/// Runs of streams at one replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaRuns {
+    /// The runs, in the order in which they began.
+    pub runs: Vec<StreamRun>,
+    /// When each silence of the link to the replica began and ended.
+    pub holds: Vec<(Instant, Instant)>,
+}
+
 impl SiteCluster {
     /// Sends requests to every entry VM for a time and returns the responses received.
     ///
@@ -113,6 +123,24 @@
         sending_nodes
     }
 
+    /// Returns the runs of streams at every replica incarnation.
+    pub fn stream_runs(&self) -> Vec<ReplicaRuns> {
+        let mut records: Vec<ReplicaRuns> = Vec::new();
+        for ended in &self.retired {
+            records.push(ReplicaRuns {
+                runs: ended.observations.stream_runs.clone(),
+                holds: ended.holds.clone(),
+            });
+        }
+        for ((replica, _), (link, _)) in self.replicas.iter().zip(&self.links) {
+            records.push(ReplicaRuns {
+                runs: replica.observations().stream_runs,
+                holds: link.holds(),
+            });
+        }
+        records
+    }
+
     /// Returns the notices of every replica incarnation, with its index and id.
     pub fn notice_records(&self) -> Vec<(usize, Box<str>, NoticeRecord)> {
         let running = self.replicas.iter().enumerate();
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -8,20 +8,24 @@
 mod callers;
 mod crashing_caller;
 mod crashing_part;
+mod idle_callers;
 mod injector;
 mod invariants;
 mod limits;
 mod notices;
 mod plan;
 mod retries;
+mod silences;
 mod stream_follower;
 
 use crate::site::SiteCluster;
 use crate::site::SiteRegion;
 use crate::test_doubles::replica::StreamShape;
+use callers::CallerHabits;
 use callers::CallerPool;
 use crashing_caller::CrashingCaller;
 use crashing_part::PartCallers;
+use idle_callers::IdleCallers;
 use injector::FaultInjector;
 use invariants::OutcomeLog;
 use invariants::RouteKind;
@@ -62,6 +66,16 @@
 /// Retry slack of the users' deployments, in retries of all nodes within a window.
 pub const USUAL_RETRY_SLACK: f64 = 54.0;
 
+/// Which faults a seed draws.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DrawnFaults {
+    /// Faults of any kind, or of a kind that the seed chooses.
+    #[default]
+    Usual,
+    /// Replicas are silent for a time and go on, beside planned operations and pauses of entry VMs.
+    Silences,
+}
+
 /// Options of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakRun {
@@ -80,6 +94,8 @@
     /// Whether further callers share a prompt part that crashes each replica that begins an answer on
     /// it.
     pub crashing_part: bool,
+    /// Which faults the seeds draw.
+    pub faults: DrawnFaults,
     /// Whether the store is restored from an older backup.
     pub store_restore: bool,
     /// Which notices replicas send in their response headers.
@@ -122,7 +138,12 @@
         site.release_version(NEW_VERSION);
     }
     let mut site = site.start_prepared(soak.retry_slack).await;
-    let mut plan = SoakPlan::draw(seed, soak.time, &site);
+    let silences = soak.faults == DrawnFaults::Silences;
+    let mut plan = if silences {
+        SoakPlan::draw_silences(seed, soak.time, &site)
+    } else {
+        SoakPlan::draw(seed, soak.time, &site)
+    };
     if soak.store_restore {
         plan = plan.with_store_restore(seed, soak.time);
     }
@@ -142,15 +163,13 @@
         plan = plan.with_release(seed, soak.time, &site);
     }
     let log = Arc::new(OutcomeLog::default());
-    let routes = RouteKind::drawn(soak.answers.forms);
-    let callers = CallerPool::start(
-        seed,
-        soak.callers,
-        routes,
-        soak.answers.versions,
-        &site,
-        &log,
-    );
+    let habits = CallerHabits {
+        routes: RouteKind::drawn(soak.answers.forms),
+        follow: soak.answers.versions,
+        stay: silences,
+    };
+    let callers = CallerPool::start(seed, soak.callers, habits, &site, &log);
+    let idle_callers = silences.then(|| IdleCallers::start(seed, &site, &log));
     let crashing_caller = soak
         .crashing_request
         .then(|| CrashingCaller::start(seed, &site));
@@ -158,6 +177,11 @@
     let mut injector = FaultInjector::new(&plan);
     injector.run(&mut site, &log).await;
     callers.stop().await;
+    if let Some(idle_callers) = idle_callers {
+        idle_callers.check(&site, &injector, &log).await;
+        silences::check_lost(&site, &plan, &injector, &log);
+        silences::check_overlaps(&site, &plan, injector.started, &log);
+    }
     invariants::check_recovery(&mut site, &injector, &log).await;
     if let Some(crashing_caller) = crashing_caller {
         crashing_caller.check(&mut site, &plan, &log).await;
--- a/crates/zinniahatch_lab/src/soak/callers.rs
+++ b/crates/zinniahatch_lab/src/soak/callers.rs
@@ -33,6 +33,17 @@
 /// One in this many streams is abandoned by its caller.
 const ABANDON_ONE_IN: u32 = 10;
 
+/// What the callers of a soak do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerHabits {
+    /// Routes to which they send.
+    pub(crate) routes: &'static [RouteKind],
+    /// Whether they take streams up again that are broken off.
+    pub(crate) follow: bool,
+    /// Whether they stay with an entry VM until its process is gone.
+    pub(crate) stay: bool,
+}
+
 /// All callers of a soak.
 pub(crate) struct CallerPool {
     ended: Arc<AtomicBool>,
@@ -44,8 +55,7 @@
     pub(crate) fn start(
         seed: u64,
         count: usize,
-        routes: &'static [RouteKind],
-        follows: bool,
+        habits: CallerHabits,
         site: &SiteCluster,
         log: &Arc<OutcomeLog>,
     ) -> Self {
@@ -61,8 +71,7 @@
         let tasks = (0..count).map(|number| {
             let caller = SoakCaller {
                 name: format!("c{number}"),
-                routes,
-                follows,
+                habits,
                 fronts: site
                     .entries
                     .iter()
@@ -103,9 +112,7 @@
 
 struct SoakCaller {
     name: String,
-    routes: &'static [RouteKind],
-    /// Whether it takes streams up again that are broken off.
-    follows: bool,
+    habits: CallerHabits,
     /// Addresses of all entry VMs for callers.
     fronts: Vec<Box<str>>,
     entries: Vec<EntryAddress>,
@@ -124,7 +131,8 @@
                 sleep(Duration::from_millis(self.random.random_range(PAUSE_MS))).await;
                 continue;
             };
-            for _ in 0..self.random.random_range(REQUESTS_PER_ENTRY) {
+            let drawn = self.random.random_range(REQUESTS_PER_ENTRY);
+            for _ in 0..if self.habits.stay { u32::MAX } else { drawn } {
                 number += 1;
                 let reusable = self.send(&front, number).await;
                 sleep(Duration::from_millis(self.random.random_range(PAUSE_MS))).await;
@@ -184,10 +192,10 @@
 
     /// Sends a request; returns whether the caller may go on with the same entry VM.
     async fn send(&mut self, front: &str, number: u32) -> bool {
-        let kind = self.routes[self.random.random_range(0..self.routes.len())];
+        let kind = self.habits.routes[self.random.random_range(0..self.habits.routes.len())];
         let attempt = format!("{}-{number}", self.name);
         let time_limit = Duration::from_millis(self.random.random_range(TIME_LIMIT_MS));
-        if self.follows && kind == RouteKind::Stream {
+        if self.habits.follow && kind == RouteKind::Stream {
             return self.follow(front, &attempt, time_limit).await;
         }
         let abandons = kind.is_stream() && self.random.random_range(0..ABANDON_ONE_IN) == 0;
@@ -218,13 +226,17 @@
                 sealed: headers.contains_key("x-server-seal"),
                 body,
             },
+            Ok(Err(error)) if error.is_connect() => CallOutcome::Unconnected,
             Ok(Err(_)) if sent_at.elapsed() >= time_limit => CallOutcome::OutOfTime,
             Ok(Err(_)) => CallOutcome::Disconnected,
             Err(_) if abandons => CallOutcome::Abandoned,
             Err(_) => CallOutcome::TimedOut,
         };
-        let reusable = matches!(&outcome, CallOutcome::Answered { status, .. } if *status == 200);
-        self.log.record(&attempt, kind, &outcome);
-        reusable
+        self.log.record(&attempt, kind, front, &outcome);
+        match outcome {
+            CallOutcome::Answered { status, .. } => status == 200 || self.habits.stay,
+            CallOutcome::Abandoned => self.habits.stay,
+            _ => false,
+        }
     }
 }
--- a/crates/zinniahatch_lab/src/soak/injector.rs
+++ b/crates/zinniahatch_lab/src/soak/injector.rs
@@ -10,6 +10,7 @@
 use crate::test_doubles::faults::ServiceMode;
 use crate::test_doubles::replica::ReplicaBehaviour;
 use crate::test_doubles::store::StoreSnapshot;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
 
@@ -17,6 +18,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(6);
 /// Time after a store fault for which nodes may still have stale state.
 const STALE_TIME: Duration = Duration::from_secs(6);
+/// Interval between checks whether an entry VM has ended its planned stop.
+const RESTART_POLL: Duration = Duration::from_millis(50);
 
 /// The beginning or the end of a fault.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +46,12 @@
     leaving_incarnations: BTreeMap<String, u64>,
     /// Entry VMs that were asked to stop.
     stopping: BTreeSet<usize>,
+    /// Those of them that start again as soon as they have ended.
+    restarting: BTreeSet<usize>,
+    /// Which entry VM was asked to stop, and when.
+    pub(crate) stops: Vec<(usize, Instant)>,
+    /// Idle timeout of callers' connections that was set, in ms.
+    idle_timeout_ms: Option<u64>,
     /// Backups from which the store is restored, oldest first.
     backups: Vec<StoreSnapshot>,
     /// Regions whose data centre the operator has evacuated.
@@ -74,6 +83,9 @@
             leaving: BTreeMap::new(),
             leaving_incarnations: BTreeMap::new(),
             stopping: BTreeSet::new(),
+            restarting: BTreeSet::new(),
+            stops: Vec::new(),
+            idle_timeout_ms: None,
             backups: Vec::new(),
             evacuated: BTreeSet::new(),
             active_faults: BTreeMap::new(),
@@ -90,9 +102,9 @@
         let start = Instant::now();
         self.started = start;
         for step in std::mem::take(&mut self.steps) {
-            sleep_until((start + step.at).into()).await;
+            self.wait_for_step(site, log, start + step.at).await;
             if step.begins {
-                self.inject(site, step.planned.fault).await;
+                self.inject(site, &step.planned).await;
             } else {
                 self.heal(site, &step.planned, log).await;
             }
@@ -102,6 +114,20 @@
                 self.leaving.remove(&index);
             }
         }
+        wait_until("entry VMs end their planned stop", async || {
+            self.restart_exited_entries(site, log);
+            self.restarting.is_empty()
+        })
+        .await;
+    }
+
+    /// Waits until a step is due; meanwhile starts the entry VMs again that end a planned stop.
+    async fn wait_for_step(&mut self, site: &mut SiteCluster, log: &OutcomeLog, due: Instant) {
+        while !self.restarting.is_empty() && Instant::now() + RESTART_POLL < due {
+            sleep(RESTART_POLL).await;
+            self.restart_exited_entries(site, log);
+        }
+        sleep_until(due.into()).await;
     }
 
     /// Restarts entry VMs that have exited, and records a violation for each that exited unasked or
@@ -112,6 +138,7 @@
             let stopping = self.stopping.contains(&index);
             match site.ended(index) {
                 None => continue,
+                Some(true) if self.restarting.contains(&index) => {}
                 Some(true) if stopping => continue,
                 Some(_) if stopping && site.terminated_before_start(index) => {
                     log.record_missed_stop();
@@ -122,15 +149,18 @@
             }
             // The new process has not been asked to stop.
             self.stopping.remove(&index);
+            self.restarting.remove(&index);
             site.kill(index);
             site.spawn(index);
         }
     }
 
-    /// Resumes and restarts the entry VMs once no active fault affects any of them.
+    /// Resumes and restarts the entry VMs once no kill or stop affects any of them.
     async fn resume_entries(&mut self, site: &mut SiteCluster) {
         for index in 0..site.entries.len() {
             site.signal(index, "-CONT");
+        }
+        for index in 0..site.entries.len() {
             if self.stopping.remove(&index) && site.has_process(index) {
                 wait_until("a stopped entry VM ends", async || {
                     site.ended(index).is_some()
@@ -155,7 +185,8 @@
         *count == 0
     }
 
-    async fn inject(&mut self, site: &mut SiteCluster, fault: SoakFault) {
+    async fn inject(&mut self, site: &mut SiteCluster, planned: &PlannedFault) {
+        let fault = planned.fault;
         self.mark_active(&affected_resource(fault));
         match fault {
             SoakFault::KillEntry(index) => site.kill(index),
@@ -168,6 +199,13 @@
                 self.stopping.insert(index);
                 site.terminate(index);
             }
+            SoakFault::RestartEntry(index) => {
+                if self.stopping.insert(index) {
+                    self.restarting.insert(index);
+                    self.stops.push((index, Instant::now()));
+                    site.terminate(index);
+                }
+            }
             SoakFault::FreezeEntry(index) => site.signal(index, "-STOP"),
             SoakFault::StoreDown => site.store_faults.set(ServiceMode::Down),
             SoakFault::StoreSilent => site.store_faults.set(ServiceMode::Silent),
@@ -185,6 +223,10 @@
                 site.link(index).slow(Duration::from_millis(millis));
             }
             SoakFault::LinkReset(index) => site.link(index).reset_open(),
+            SoakFault::LinkHeld(index) => {
+                let time = planned.until.saturating_sub(planned.at);
+                site.link(index).hold(time);
+            }
             SoakFault::LinkLosesRequests(index) => site.link(index).lose(LinkDirection::Forward),
             SoakFault::LinkLosesAnswers(index) => site.link(index).lose(LinkDirection::Return),
             SoakFault::LinkMute(index) => site.link(index).silence_open(),
@@ -218,7 +260,16 @@
                 replica.set_behaviour(ReplicaBehaviour::Shed);
             }
             SoakFault::AllRefuse => set_all(site, ReplicaBehaviour::Shed),
-            SoakFault::AddRoute => self.add_route(site),
+            SoakFault::AddRoute => {
+                self.version += 3;
+                self.added_routes.push(format!("added-{}", self.version));
+                self.write_desired_state(site);
+            }
+            SoakFault::IdleTimeout(millis) => {
+                self.version += 3;
+                self.idle_timeout_ms = Some(millis);
+                self.write_desired_state(site);
+            }
             SoakFault::Evacuate(region) => {
                 self.evacuated.insert(region);
                 site.store.write(&format!("op/evacuate/{region}-a"), "{}");
@@ -231,10 +282,10 @@
             return;
         }
         match planned.fault {
-            SoakFault::KillEntry(_)
-            | SoakFault::KillAll
-            | SoakFault::StopEntry(_)
-            | SoakFault::FreezeEntry(_) => self.resume_entries(site).await,
+            SoakFault::KillEntry(_) | SoakFault::KillAll | SoakFault::StopEntry(_) => {
+                self.resume_entries(site).await;
+            }
+            SoakFault::FreezeEntry(index) => site.signal(index, "-CONT"),
             SoakFault::StoreDown | SoakFault::StoreSilent | SoakFault::StoreSlow(_) => {
                 site.store_faults.set(ServiceMode::Up);
             }
@@ -273,8 +324,11 @@
             | SoakFault::StoreMute(_)
             | SoakFault::LinkReset(_)
             | SoakFault::LinkMute(_)
+            | SoakFault::LinkHeld(_)
+            | SoakFault::RestartEntry(_)
             | SoakFault::ReplicaReplaced(_)
-            | SoakFault::AddRoute => {}
+            | SoakFault::AddRoute
+            | SoakFault::IdleTimeout(_) => {}
         }
     }
 
@@ -301,7 +355,7 @@
         if let Some(copy) = self.backups.pop() {
             site.store.restore_snapshot(&copy);
         }
-        site.configure(self.version, &self.added_routes());
+        self.write_desired_state(site);
         for (_, region) in &site.replicas {
             let key = format!("op/evacuate/{region}-a");
             if self.evacuated.contains(region) {
@@ -328,10 +382,12 @@
         is_active(SoakFault::ReplicaDrains(index)).then_some("draining")
     }
 
-    fn add_route(&mut self, site: &SiteCluster) {
-        self.version += 3;
-        self.added_routes.push(format!("added-{}", self.version));
-        site.configure(self.version, &self.added_routes());
+    fn write_desired_state(&self, site: &SiteCluster) {
+        let routes = self.added_routes();
+        match self.idle_timeout_ms {
+            Some(millis) => site.configure_idle_timeout(self.version, &routes, millis),
+            None => site.configure(self.version, &routes),
+        }
     }
 
     /// Checks that a leaving replica got no request after `DRAIN_LIMIT`, unless another fault
@@ -375,10 +431,7 @@
 /// Returns the name of the resource that a fault affects.
 fn affected_resource(fault: SoakFault) -> String {
     match fault {
-        SoakFault::KillEntry(_)
-        | SoakFault::KillAll
-        | SoakFault::StopEntry(_)
-        | SoakFault::FreezeEntry(_) => "entries".into(),
+        SoakFault::KillEntry(_) | SoakFault::KillAll | SoakFault::StopEntry(_) => "entries".into(),
         SoakFault::StoreDown | SoakFault::StoreSilent | SoakFault::StoreSlow(_) => "store".into(),
         SoakFault::StoreCut(region) => format!("store link of {region}"),
         SoakFault::Evacuate(region) => format!("evacuation of {region}"),
--- a/crates/zinniahatch_lab/src/soak/invariants.rs
+++ b/crates/zinniahatch_lab/src/soak/invariants.rs
@@ -57,7 +57,7 @@
     }
 
     /// Returns whether a request must run at most once.
-    fn runs_once(self) -> bool {
+    pub(crate) fn runs_once(self) -> bool {
         matches!(self, Self::Once | Self::StreamOnce)
     }
 
@@ -82,7 +82,9 @@
         sealed: bool,
         body: Bytes,
     },
-    /// The connection broke or could not be opened.
+    /// The connection could not be opened.
+    Unconnected,
+    /// The connection broke.
     Disconnected,
     /// The connection broke once the caller's time limit was over.
     OutOfTime,
@@ -92,6 +94,19 @@
     Abandoned,
 }
 
+/// A request that ended without an answer before its caller's time was over.
+#[derive(Clone, Debug)]
+pub(crate) struct LostCall {
+    pub(crate) attempt: Box<str>,
+    pub(crate) kind: RouteKind,
+    /// Address of the entry VM to which the caller sent it.
+    pub(crate) front: Box<str>,
+    pub(crate) sent_at: Instant,
+    pub(crate) lost_at: Instant,
+    /// The status, if the entry VM gave up on it.
+    pub(crate) status: Option<u16>,
+}
+
 /// An event of a stream whose replicas name their version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct StreamEvent {
@@ -159,6 +174,8 @@
     routes: BTreeMap<Box<str>, RouteKind>,
     /// When callers sent each request.
     sent: BTreeMap<Box<str>, Instant>,
+    lost: Vec<LostCall>,
+    unconnected: usize,
     /// Requests that were reported to their callers as not run.
     not_run: BTreeSet<Box<str>>,
     served: usize,
@@ -203,6 +220,11 @@
         self.lock().sent.clone()
     }
 
+    /// Returns the requests that ended without an answer.
+    pub(crate) fn lost_calls(&self) -> Vec<LostCall> {
+        self.lock().lost.clone()
+    }
+
     /// Takes the recorded violations.
     pub(crate) fn take_violations(&self) -> Vec<String> {
         std::mem::take(&mut self.lock().violations)
@@ -212,11 +234,12 @@
     pub(crate) fn summary(&self) -> String {
         let records = self.lock();
         format!(
-            "{} calls: {} served, {} refused or failed, {} broken off, {} out of time, {} left, {} stops unheard, {} of {} \
+            "{} calls: {} served, {} refused or failed, {} not connected, {} broken off, {} out of time, {} left, {} stops unheard, {} of {} \
              went on",
             records.routes.len(),
             records.served,
             records.refused,
+            records.unconnected,
             records.disconnected.len(),
             records.out_of_time,
             records.abandoned,
@@ -245,9 +268,30 @@
     }
 
     /// Records the outcome of a request and checks it.
-    pub(crate) fn record(&self, attempt: &str, kind: RouteKind, outcome: &CallOutcome) {
+    pub(crate) fn record(
+        &self,
+        attempt: &str,
+        kind: RouteKind,
+        front: &str,
+        outcome: &CallOutcome,
+    ) {
         let mut records = self.lock();
         records.routes.insert(attempt.into(), kind);
+        let status = match outcome {
+            CallOutcome::Answered { status, sealed, .. } if !*sealed => Some(*status),
+            _ => None,
+        };
+        if matches!(outcome, CallOutcome::Disconnected) || status.is_some_and(gives_up) {
+            let lost = LostCall {
+                attempt: attempt.into(),
+                kind,
+                front: front.into(),
+                sent_at: records.sent[attempt],
+                lost_at: Instant::now(),
+                status,
+            };
+            records.lost.push(lost);
+        }
         let problem = match outcome {
             CallOutcome::Answered {
                 status: 200,
@@ -273,6 +317,10 @@
                     denied.then(|| format!("was denied with {status}"))
                 }
             }
+            CallOutcome::Unconnected => {
+                records.unconnected += 1;
+                None
+            }
             CallOutcome::Disconnected => {
                 records.disconnected.insert(attempt.into());
                 None
@@ -295,6 +343,11 @@
     }
 }
 
+/// Returns whether an entry VM's own answer gives up on a request before its time is over.
+fn gives_up(status: u16) -> bool {
+    matches!(status, 500..=599) && !matches!(status, 503 | 504)
+}
+
 fn check_success(attempt: &str, kind: RouteKind, sealed: bool, body: &Bytes) -> Option<String> {
     if !sealed {
         return Some("got a success that no replica gave".into());
--- a/crates/zinniahatch_lab/src/soak/notices.rs
+++ b/crates/zinniahatch_lab/src/soak/notices.rs
@@ -49,6 +49,7 @@
         SoakFault::KillAll => true,
         SoakFault::KillEntry(index)
         | SoakFault::StopEntry(index)
+        | SoakFault::RestartEntry(index)
         | SoakFault::FreezeEntry(index) => index == node,
         _ => false,
     }
@@ -61,10 +62,7 @@
         let overlapping = plan.faults.iter().filter(|planned| {
             let entry = matches!(
                 planned.fault,
-                SoakFault::KillAll
-                    | SoakFault::KillEntry(_)
-                    | SoakFault::StopEntry(_)
-                    | SoakFault::FreezeEntry(_)
+                SoakFault::KillAll | SoakFault::KillEntry(_) | SoakFault::StopEntry(_)
             );
             entry && planned.at <= end
         });
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -52,6 +52,16 @@
 /// Combined with the seed by XOR, as for limits.
 const REFUSAL_SEED_MASK: u64 = 0x0005_0388;
 
+/// Mean time between the beginnings of two silences or other steps of a soak with silences.
+const MEAN_SILENCE_INTERVAL: Duration = Duration::from_millis(450);
+/// Duration of a silence, in ms.
+const SILENCE_MS: std::ops::Range<u64> = 100..3_000;
+/// Short and long idle timeouts of callers' connections, in ms.
+const SHORT_IDLE_MS: std::ops::Range<u64> = 3_000..6_000;
+const LONG_IDLE_MS: std::ops::RangeInclusive<u64> = 10_000..=15_000;
+/// Combined with the seed by XOR, as for limits.
+const SILENCE_SEED_MASK: u64 = 0x0051_1e4c;
+
 /// A fault that a soak injects.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum SoakFault {
@@ -61,6 +71,8 @@
     KillAll,
     /// An entry VM is asked to stop, and started again when it has ended.
     StopEntry(usize),
+    /// An entry VM is asked to stop, and started again as soon as it has ended.
+    RestartEntry(usize),
     /// An entry VM is paused.
     FreezeEntry(usize),
     /// The store refuses all calls.
@@ -91,6 +103,8 @@
     LinkLosesAnswers(usize),
     /// The open connections to a replica go silent and stay so.
     LinkMute(usize),
+    /// The link to a replica holds what it carries, which arrives afterwards.
+    LinkHeld(usize),
     /// A replica ends and is replaced by another one.
     ReplicaReplaced(usize),
     /// A replica's store entry says that it is draining; the replica restarts under its id at the end.
@@ -110,6 +124,8 @@
     ReplicaIll(usize, ReplicaBehaviour),
     /// The operator adds a route.
     AddRoute,
+    /// The operator sets the idle timeout of callers' connections, in ms.
+    IdleTimeout(u64),
     /// The operator evacuates a data centre.
     Evacuate(&'static str),
 }
@@ -122,6 +138,7 @@
             Self::KillEntry(_)
                 | Self::KillAll
                 | Self::StopEntry(_)
+                | Self::RestartEntry(_)
                 | Self::FreezeEntry(_)
                 | Self::StoreDown
                 | Self::StoreSilent
@@ -158,7 +175,8 @@
             | Self::LinkReset(index)
             | Self::LinkLosesRequests(index)
             | Self::LinkLosesAnswers(index)
-            | Self::LinkMute(index) => Some(index),
+            | Self::LinkMute(index)
+            | Self::LinkHeld(index) => Some(index),
             _ => None,
         }
     }
@@ -200,6 +218,8 @@
     /// Planned operations: stops, leaving replicas, new routes, evacuations. No response may be cut
     /// off.
     Planned,
+    /// Silences of replicas beside planned operations and pauses of entry VMs.
+    Silences,
 }
 
 impl FaultMix {
@@ -213,7 +233,7 @@
 
     fn has(self, fault: SoakFault) -> bool {
         match self {
-            Self::Any => true,
+            Self::Any | Self::Silences => true,
             Self::Replicas => !fault.delays_store_updates(),
             Self::Planned => matches!(
                 fault,
@@ -375,6 +395,65 @@
     }
 }
 
+impl SoakPlan {
+    /// Draws silences beside planned operations and pauses of entry VMs.
+    pub(crate) fn draw_silences(seed: u64, time: Duration, site: &SiteCluster) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ SILENCE_SEED_MASK);
+        let mut faults = Vec::new();
+        let mut at = Duration::ZERO;
+        let mut idle_is_short = false;
+        loop {
+            at += MEAN_SILENCE_INTERVAL.mul_f64(random.random_range(0.1..1.9));
+            if at >= time {
+                let mix = FaultMix::Silences;
+                return Self { mix, faults };
+            }
+            let mut until = at + Duration::from_millis(random.random_range(SILENCE_MS));
+            let entry = random.random_range(0..site.entries.len());
+            let replica = random.random_range(0..site.replicas.len());
+            let fault = match random.random_range(0..10) {
+                0..5 => {
+                    let silent = draw_silent_replicas(&mut random, site, replica);
+                    let held = silent.into_iter().map(|replica| PlannedFault {
+                        at,
+                        until,
+                        fault: SoakFault::LinkHeld(replica),
+                    });
+                    faults.extend(held);
+                    continue;
+                }
+                5 => SoakFault::RestartEntry(entry),
+                6 => SoakFault::FreezeEntry(entry),
+                7 => SoakFault::ReplicaDrains(replica),
+                8 => {
+                    idle_is_short = !idle_is_short;
+                    let millis = if idle_is_short {
+                        random.random_range(SHORT_IDLE_MS)
+                    } else {
+                        random.random_range(LONG_IDLE_MS)
+                    };
+                    SoakFault::IdleTimeout(millis)
+                }
+                _ => SoakFault::AddRoute,
+            };
+            if matches!(fault, SoakFault::ReplicaDrains(_)) {
+                until = at + DRAIN_TIME;
+            }
+            faults.push(PlannedFault { at, until, fault });
+        }
+    }
+}
+
+/// Draws which replicas fall silent: `replica`, some of its region, or all of it.
+fn draw_silent_replicas(random: &mut StdRng, site: &SiteCluster, replica: usize) -> Vec<usize> {
+    let share = [0.0, 0.5, 1.0][random.random_range(0..3)];
+    let region = site.replicas[replica].1;
+    let others = (0..site.replicas.len()).filter(|other| site.replicas[*other].1 == region);
+    others
+        .filter(|other| *other == replica || random.random_bool(share))
+        .collect()
+}
+
 impl fmt::Display for SoakPlan {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         for planned in &self.faults {
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -86,6 +86,8 @@
     pub credentials: u32,
     /// When it last started to run a request.
     pub last_run: Option<Instant>,
+    /// All runs of streams.
+    pub stream_runs: Vec<StreamRun>,
     /// Number of streams whose connection the other side closed before the end.
     pub closed_early: u32,
     /// When requests of callers reached it, and their attempts, including misdirected ones.
@@ -98,6 +100,18 @@
     pub notices: NoticeRecord,
 }
 
+/// One run of a streamed attempt.
+#[derive(Clone, Debug)]
+pub struct StreamRun {
+    /// The attempt.
+    pub attempt: Box<str>,
+    /// When the replica began to work on it.
+    pub began: Instant,
+    /// When it was complete, the replica read that the other side closed the connection, or the replica
+    /// crashed.
+    pub ended: Option<Instant>,
+}
+
 #[derive(Debug, Default)]
 struct FakeReplicaState {
     behaviour: ReplicaBehaviour,
@@ -225,9 +239,13 @@
         lock(&self.state).backoff = backoff.map(Box::from);
     }
 
-    /// Returns what it observed so far.
+    /// Returns what it observed so far; runs of streams that go on are returned as ending now.
     pub fn observations(&self) -> ReplicaObservations {
-        lock(&self.state).observations.clone()
+        let mut observations = lock(&self.state).observations.clone();
+        for run in &mut observations.stream_runs {
+            run.ended.get_or_insert_with(Instant::now);
+        }
+        observations
     }
 
     /// Returns its entry in the platform's store.
@@ -260,6 +278,34 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Records the end of a run when dropped, however the run ends.
+struct StreamRunGuard {
+    state: Arc<Mutex<FakeReplicaState>>,
+    index: usize,
+}
+
+impl StreamRunGuard {
+    fn start(state: &Arc<Mutex<FakeReplicaState>>, attempt: &str) -> Self {
+        let runs = &mut lock(state).observations.stream_runs;
+        runs.push(StreamRun {
+            attempt: attempt.into(),
+            began: Instant::now(),
+            ended: None,
+        });
+        Self {
+            state: Arc::clone(state),
+            index: runs.len() - 1,
+        }
+    }
+}
+
+impl Drop for StreamRunGuard {
+    fn drop(&mut self) {
+        let runs = &mut lock(&self.state).observations.stream_runs;
+        runs[self.index].ended = Some(Instant::now());
+    }
+}
+
 #[derive(Clone)]
 struct ReplicaServer {
     id: Box<str>,
@@ -486,6 +532,7 @@
         request: &ReplicaRequest,
         form: AnswerForm,
     ) -> bool {
+        let _run = StreamRunGuard::start(&self.state, &request.attempt);
         let version = lock(&self.state).version.clone();
         let version = version.map_or_else(String::new, |version| format!(" {version}"));
         let mut events = Vec::new();
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use test_case::test_case;
 use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
+use zinniahatch_lab::soak::DrawnFaults;
 use zinniahatch_lab::soak::ReplicaAnnouncements;
 use zinniahatch_lab::soak::ReplicaAnswers;
 use zinniahatch_lab::soak::SoakRun;
@@ -19,6 +20,8 @@
     CrashingRequest,
     /// A prompt part that crashes each replica that begins an answer on it.
     CrashingPart,
+    /// Replicas are silent for a time and go on, beside planned work, in place of the other faults.
+    Silences,
     /// The store is restored from an older backup.
     StoreRestore,
     /// Replicas announce rate limits.
@@ -44,6 +47,10 @@
         callers,
         crashing_request: extra == ExtraFault::CrashingRequest,
         crashing_part: extra == ExtraFault::CrashingPart,
+        faults: match extra {
+            ExtraFault::Silences => DrawnFaults::Silences,
+            _ => DrawnFaults::Usual,
+        },
         store_restore: extra == ExtraFault::StoreRestore,
         announcements: ReplicaAnnouncements {
             limits: extra == ExtraFault::RateLimits,
@@ -72,6 +79,16 @@
     check_seed(seed, 8, 1, 8, ExtraFault::None).await;
 }
 
+/// Guards against requests that get no answer, streams that run at two replicas at once, and idle
+/// connections that are closed too early, where replicas are silent for a time and go on beside planned
+/// work.
+#[test_case(50; "one")]
+#[test_case(51; "another")]
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_beside_silences(seed: u64) {
+    check_seed(seed, 10, 2, 8, ExtraFault::Silences).await;
+}
+
 /// The store is restored from a backup some seconds old while other faults go on: later writes and
 /// leases are lost, and revisions are reused. Every invariant holds, and what the operator writes
 /// again takes effect.
