Make streams of the soak outlast a silence, and raise idle timeouts early

Change: beside silences a stream lasts 3 s and callers have 3.5 to 9 s; silences of one replica are 0.5 s apart; the idle timeout is 3 s at first and is raised after a tenth to three tenths of the time. The check of two replicas leaves out the silences of both.

--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -29,6 +29,7 @@
 use injector::FaultInjector;
 use invariants::OutcomeLog;
 use invariants::RouteKind;
+use plan::SHORT_IDLE_MS;
 use plan::SoakPlan;
 use std::sync::Arc;
 use zinniahatch_base::prelude::*;
@@ -39,6 +40,15 @@
     pause: Duration::from_millis(40),
 };
 
+/// The same beside silences: a stream lasts longer than the silence after which it is moved.
+const LONG_SHAPE: StreamShape = StreamShape {
+    events: SHAPE.events,
+    pause: Duration::from_millis(150),
+};
+/// Shortest and longest time limit that callers give a request, in ms, for the two shapes.
+const TIME_LIMIT_MS: (u64, u64) = (1_500, 6_000);
+const LONG_TIME_LIMIT_MS: (u64, u64) = (3_500, 9_000);
+
 /// Software versions that serve side by side at first, and the one of replicas that start later.
 const VERSIONS: [&str; 2] = ["v1", "v1.1"];
 const NEW_VERSION: &str = "v1.2";
@@ -130,15 +140,19 @@
         entries: soak.entries,
         replicas,
     });
-    let mut site = SiteCluster::prepare(&regions, SHAPE).await;
+    let silences = soak.faults == DrawnFaults::Silences;
+    let shape = if silences { LONG_SHAPE } else { SHAPE };
+    let mut site = SiteCluster::prepare(&regions, shape).await;
     if soak.answers.versions {
         for index in 0..site.replicas.len() {
             site.set_version(index, VERSIONS[index % VERSIONS.len()]);
         }
         site.release_version(NEW_VERSION);
     }
+    if silences {
+        site.configure_idle_timeout(1, &[], SHORT_IDLE_MS.start);
+    }
     let mut site = site.start_prepared(soak.retry_slack).await;
-    let silences = soak.faults == DrawnFaults::Silences;
     let mut plan = if silences {
         SoakPlan::draw_silences(seed, soak.time, &site)
     } else {
@@ -166,6 +180,11 @@
     let habits = CallerHabits {
         routes: RouteKind::drawn(soak.answers.forms),
         follow: soak.answers.versions,
+        time_limit_ms: if silences {
+            LONG_TIME_LIMIT_MS
+        } else {
+            TIME_LIMIT_MS
+        },
         stay: silences,
     };
     let callers = CallerPool::start(seed, soak.callers, habits, &site, &log);
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -56,8 +56,10 @@
 const MEAN_SILENCE_INTERVAL: Duration = Duration::from_millis(450);
 /// Duration of a silence, in ms.
 const SILENCE_MS: std::ops::Range<u64> = 100..3_000;
+/// Shortest time between two silences of one replica.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Short and long idle timeouts of callers' connections, in ms.
-const SHORT_IDLE_MS: std::ops::Range<u64> = 3_000..6_000;
+pub(crate) const SHORT_IDLE_MS: std::ops::Range<u64> = 3_000..6_000;
 const LONG_IDLE_MS: std::ops::RangeInclusive<u64> = 10_000..=15_000;
 /// Combined with the seed by XOR, as for limits.
 const SILENCE_SEED_MASK: u64 = 0x0051_1e4c;
@@ -396,12 +398,21 @@
 }
 
 impl SoakPlan {
-    /// Draws silences beside planned operations and pauses of entry VMs.
+    /// Draws silences beside planned operations and pauses of entry VMs. An idle timeout that is short at
+    /// first is raised under open connections.
     pub(crate) fn draw_silences(seed: u64, time: Duration, site: &SiteCluster) -> Self {
+        let mut random = StdRng::seed_from_u64(!seed);
+        let raised_at = time.mul_f64(random.random_range(0.1..0.3));
+        let mut faults = vec![PlannedFault {
+            at: raised_at,
+            until: raised_at,
+            fault: SoakFault::IdleTimeout(random.random_range(LONG_IDLE_MS)),
+        }];
         let mut random = StdRng::seed_from_u64(seed ^ SILENCE_SEED_MASK);
-        let mut faults = Vec::new();
         let mut at = Duration::ZERO;
         let mut idle_is_short = false;
+        // Silences of one replica do not overlap, so that none lasts longer than drawn.
+        let mut next_silence = vec![Duration::ZERO; site.replicas.len()];
         loop {
             at += MEAN_SILENCE_INTERVAL.mul_f64(random.random_range(0.1..1.9));
             if at >= time {
@@ -413,13 +424,14 @@
             let replica = random.random_range(0..site.replicas.len());
             let fault = match random.random_range(0..10) {
                 0..5 => {
-                    let silent = draw_silent_replicas(&mut random, site, replica);
-                    let held = silent.into_iter().map(|replica| PlannedFault {
-                        at,
-                        until,
-                        fault: SoakFault::LinkHeld(replica),
-                    });
-                    faults.extend(held);
+                    for replica in draw_silent_replicas(&mut random, site, replica) {
+                        if at < next_silence[replica] {
+                            continue;
+                        }
+                        next_silence[replica] = until + SILENCE_INTERVAL;
+                        let fault = SoakFault::LinkHeld(replica);
+                        faults.push(PlannedFault { at, until, fault });
+                    }
                     continue;
                 }
                 5 => SoakFault::RestartEntry(entry),
--- a/crates/zinniahatch_lab/src/soak/silences.rs
+++ b/crates/zinniahatch_lab/src/soak/silences.rs
@@ -65,7 +65,7 @@
 
 /// Checks that no stream ran at two replicas at once for long.
 ///
-/// Times at which the first replica could not read a close, or an entry VM that sent the stream to a
+/// Times at which one of the replicas could not read a close, or an entry VM that sent the stream to a
 /// replica could not close its connection, do not count.
 pub(crate) fn check_overlaps(
     site: &SiteCluster,
@@ -91,6 +91,7 @@
                 };
                 let end = second.ended.map_or(first_end, |end| end.min(first_end));
                 let mut exempt = replicas[*replica].holds.clone();
+                exempt.extend(&replicas[*other].holds);
                 for ((sent, _), node) in &senders {
                     if **sent == *attempt {
                         exempt.extend(pauses(plan, started, *node));
