Add tests of each step and phase of StreamFailover

The decision when a stream leaves its connection was tested only through entry VMs and links (silent_replica.rs), where a phase shows late and mixed with the others.

New are unit tests with `now` as a parameter: the silence before the first event and between events, a late timer as a pause of the node, the look that is repeated, bytes while looking and during the overlap, the end of the overlap, a refusal during and after it, a break in each phase, and the answer of the next replica. No change of logic.

--- /dev/null
+++ b/crates/zinniahatch_route/tests/stream_failover.rs
@@ -0,0 +1,155 @@
+//! Steps of a stream whose connection falls silent, through all phases.
+
+use std::time::Duration;
+use std::time::Instant;
+use test_case::test_case;
+use zinniahatch_route::FailoverStep;
+use zinniahatch_route::SEEK_INTERVAL;
+use zinniahatch_route::STREAM_SILENCE_LIMIT;
+use zinniahatch_route::StreamFailover;
+use zinniahatch_route::first_event_limit;
+
+/// Longest time for which two replicas may work on a stream.
+const TWICE_LIMIT: Duration = Duration::from_millis(400);
+const SHORT: Duration = Duration::from_millis(10);
+
+/// A stream that looks for another replica, and the time.
+fn seeking() -> (StreamFailover, Instant) {
+    let start = Instant::now();
+    let mut failover = StreamFailover::new(Duration::ZERO, start);
+    let now = start + STREAM_SILENCE_LIMIT;
+    assert_eq!(failover.on_time(now), FailoverStep::Seek);
+    (failover, now)
+}
+
+/// A stream of which the next replica was sent the rest.
+fn overlapping() -> (StreamFailover, Instant) {
+    let (mut failover, now) = seeking();
+    failover.on_sent(now);
+    (failover, now)
+}
+
+/// A stream that has only the connection to the next replica.
+fn waiting() -> (StreamFailover, Instant) {
+    let (mut failover, _) = overlapping();
+    let due = failover.due_at().unwrap();
+    assert_eq!(failover.on_time(due), FailoverStep::CloseCurrent);
+    (failover, due)
+}
+
+/// Guards against leaving a replica that is silent during a prefill, and against waiting for ever.
+#[test_case(0, 1_500; "between_events")]
+#[test_case(400, 1_500; "short_prefill")]
+#[test_case(2_000, 6_000; "long_prefill")]
+fn silence_is_borne_up_to_the_limit(expected_ms: u64, limit_ms: u64) {
+    let (expected, limit) = (
+        Duration::from_millis(expected_ms),
+        Duration::from_millis(limit_ms),
+    );
+    let start = Instant::now();
+    let mut failover = StreamFailover::new(expected, start);
+    assert_eq!(first_event_limit(expected), limit);
+    assert_eq!(failover.due_at(), Some(start + limit));
+    let early = start + limit.saturating_sub(SHORT);
+    assert_eq!(failover.on_time(early), FailoverStep::Wait);
+    assert_eq!(failover.on_time(start + limit), FailoverStep::Seek);
+    assert_eq!(failover.due_at(), None);
+}
+
+/// Guards against counting the prefill of the first event for later silences.
+#[test]
+fn bytes_begin_the_silence_anew() {
+    let start = Instant::now();
+    let mut failover = StreamFailover::new(Duration::from_secs(2), start);
+    let heard = start + SHORT;
+    assert_eq!(failover.on_bytes(heard), FailoverStep::Wait);
+    assert_eq!(failover.due_at(), Some(heard + STREAM_SILENCE_LIMIT));
+    assert_eq!(failover.silent_for(heard + SHORT), SHORT);
+}
+
+/// Guards against taking a pause of this node for a silence of its replicas.
+#[test_case(499, FailoverStep::Seek; "late_timer")]
+#[test_case(500, FailoverStep::Wait; "pause")]
+fn late_timer_shows_a_pause(late_ms: u64, step: FailoverStep) {
+    let start = Instant::now();
+    let mut failover = StreamFailover::new(Duration::ZERO, start);
+    let now = start + STREAM_SILENCE_LIMIT + Duration::from_millis(late_ms);
+    assert_eq!(failover.on_time(now), step);
+    let next = (step == FailoverStep::Wait).then_some(now + STREAM_SILENCE_LIMIT);
+    assert_eq!(failover.due_at(), next);
+}
+
+/// Guards against looking only once, and against a look that never ends.
+#[test]
+fn looks_again_after_an_interval() {
+    let (mut failover, now) = seeking();
+    failover.on_no_place(now);
+    assert_eq!(failover.due_at(), Some(now + SEEK_INTERVAL));
+    let later = now + SEEK_INTERVAL;
+    assert_eq!(failover.on_time(later), FailoverStep::Seek);
+    assert_eq!(
+        failover.silent_for(later),
+        later - now + STREAM_SILENCE_LIMIT
+    );
+}
+
+/// Guards against leaving a replica that goes on before the next one has answered.
+#[test_case(seeking(); "seeking")]
+#[test_case(overlapping(); "overlapping")]
+fn bytes_keep_the_connection((mut failover, now): (StreamFailover, Instant)) {
+    let heard = now + SHORT;
+    assert_eq!(failover.on_bytes(heard), FailoverStep::KeepCurrent);
+    assert_eq!(failover.due_at(), Some(heard + STREAM_SILENCE_LIMIT));
+}
+
+/// Guards against two replicas that both work on a stream for longer than they may.
+#[test]
+fn overlap_ends_in_time() {
+    let (mut failover, now) = overlapping();
+    let due = failover.due_at().unwrap();
+    let lasting = due - now;
+    assert!(lasting > SHORT && lasting < TWICE_LIMIT);
+    let early = now + lasting.saturating_sub(SHORT);
+    assert_eq!(failover.on_time(early), FailoverStep::Wait);
+    assert_eq!(failover.on_time(due), FailoverStep::CloseCurrent);
+    assert_eq!(failover.due_at(), None);
+}
+
+/// Guards against closing the connection for a replica that refuses, and against looking on without
+/// any connection.
+#[test_case(overlapping(), FailoverStep::KeepCurrent; "during_the_overlap")]
+#[test_case(waiting(), FailoverStep::Break; "after_the_overlap")]
+fn refusal_of_the_next_replica(state: (StreamFailover, Instant), step: FailoverStep) {
+    let (mut failover, now) = state;
+    assert_eq!(failover.on_refused(now), step);
+    let next = (step == FailoverStep::KeepCurrent).then_some(now + SEEK_INTERVAL);
+    assert_eq!(failover.due_at(), next);
+}
+
+/// Guards against giving a stream up while the next replica may still answer.
+#[test_case(StreamFailover::new(Duration::ZERO, Instant::now()), FailoverStep::Break; "following")]
+#[test_case(seeking().0, FailoverStep::Break; "seeking")]
+#[test_case(overlapping().0, FailoverStep::CloseCurrent; "overlapping")]
+#[test_case(waiting().0, FailoverStep::Break; "waiting")]
+fn break_of_a_connection(mut failover: StreamFailover, step: FailoverStep) {
+    assert_eq!(failover.on_break(), step);
+}
+
+/// Guards against a refusal that is taken for one of two connections after the other broke.
+#[test]
+fn refusal_after_a_break_leaves_nothing() {
+    let (mut failover, now) = overlapping();
+    assert_eq!(failover.on_break(), FailoverStep::CloseCurrent);
+    assert_eq!(failover.due_at(), None);
+    assert_eq!(failover.on_refused(now), FailoverStep::Break);
+}
+
+/// Guards against a stream that is watched no longer once it has moved.
+#[test_case(overlapping(); "during_the_overlap")]
+#[test_case(waiting(); "after_the_overlap")]
+fn answer_begins_at_the_next_replica((mut failover, now): (StreamFailover, Instant)) {
+    let expected = Duration::from_secs(1);
+    assert_eq!(failover.on_answered(expected, now), FailoverStep::Switch);
+    assert_eq!(failover.due_at(), Some(now + first_event_limit(expected)));
+    assert_eq!(failover.on_bytes(now), FailoverStep::Wait);
+}
