--- a/crates/zinniahatch_route/tests/stream_failover_simulation/checks.rs
+++ b/crates/zinniahatch_route/tests/stream_failover_simulation/checks.rs
@@ -5,7 +5,6 @@
 use crate::stream_failover_simulation::fleet::PROBE_TIMEOUT;
 use crate::stream_failover_simulation::fleet::StreamEnd;
 use crate::stream_failover_simulation::fleet::StreamWork;
-use crate::stream_failover_simulation::fleet::TICK;
 use crate::stream_failover_simulation::world::Place;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -174,15 +173,14 @@
             stream.stuck_since = Some((now, candidates));
             return;
         }
-        // A replica that was suspect is heard of by the next probe; then the others, each of which
-        // may be silent, are asked one by one.
-        let others = self.schedule.replicas.len() as u32;
+        // A replica that was suspect is heard of by the next probe; meanwhile each of the others may
+        // be asked first, in vain.
+        let others = (self.schedule.replicas.len() - kept.len()) as u32;
         let limit = stream.silence_limit
-            + PROBE_INTERVAL
-            + PROBE_TIMEOUT
+            + (PROBE_INTERVAL + PROBE_TIMEOUT)
             + (PROBE_TIMEOUT + SEEK_INTERVAL) * others
             + SEEK_INTERVAL
-            + TICK * 10;
+            + TWICE_LIMIT;
         if now > *since + limit {
             self.report(Property::Stuck, id, "stays on a dead connection");
             self.streams[id].stuck_since = None;
--- a/crates/zinniahatch_route/tests/stream_failover_simulation/fleet.rs
+++ b/crates/zinniahatch_route/tests/stream_failover_simulation/fleet.rs
@@ -23,7 +23,7 @@
 use zinniahatch_route::StreamFailover;
 use zinniahatch_route::first_event_limit;
 
-pub(crate) const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(10);
 /// Values of the entry node.
 const ALIVE_TIME: Duration = Duration::from_millis(400);
 pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(600);
@@ -86,6 +86,14 @@
             probes: Vec::new(),
         }
     }
+
+    fn note_probe(&mut self, replica: usize, is_alive: bool, now: Instant) {
+        match self.health.get_mut(&replica) {
+            Some(health) if is_alive => health.note_probe_success(now),
+            Some(health) => health.note_unreachable(now),
+            None => {}
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -241,14 +249,11 @@
     }
 
     fn begin_streams(&mut self) {
-        let due = self
-            .schedule
-            .arrivals
-            .iter()
-            .position(|(at, _)| *at > self.now);
-        let due = due.unwrap_or(self.schedule.arrivals.len());
-        let arrived: Vec<_> = self.schedule.arrivals.drain(..due).collect();
-        for (_, node) in arrived {
+        let now = self.now;
+        while let Some((at, node)) = self.schedule.arrivals.front().copied()
+            && at <= now
+        {
+            self.schedule.arrivals.pop_front();
             // Callers do not reach a node that is paused.
             if self.is_paused(node) {
                 continue;
@@ -303,15 +308,11 @@
         }
         let node = &mut self.nodes[index];
         for (replica, done_at, is_alive) in std::mem::take(&mut node.probes) {
-            let health = node
-                .health
-                .entry(replica)
-                .or_insert_with(|| ReplicaHealth::new(now));
-            match is_alive {
-                _ if done_at > now => node.probes.push((replica, done_at, is_alive)),
-                true => health.note_probe_success(now),
-                false => health.note_unreachable(now),
+            if done_at > now {
+                node.probes.push((replica, done_at, is_alive));
+                continue;
             }
+            node.note_probe(replica, is_alive, now);
         }
         for (replica, health) in &mut node.health {
             health.set_oldest_in_flight(oldest.get(replica).copied(), Duration::ZERO);
@@ -779,12 +780,8 @@
         if let Place::Replica(replica) = place
             && !self.was_heard(id, replica)
         {
-            let node = &mut self.nodes[self.streams[id].node];
-            match (node.health.get_mut(&replica), is_alive) {
-                (Some(health), true) => health.note_probe_success(now),
-                (Some(health), false) => health.note_unreachable(now),
-                _ => {}
-            }
+            let node = self.streams[id].node;
+            self.nodes[node].note_probe(replica, is_alive, now);
         }
         if !is_alive || !self.charge(id) {
             let stream = &mut self.streams[id];
--- a/crates/zinniahatch_route/tests/stream_failover_simulation/schedule.rs
+++ b/crates/zinniahatch_route/tests/stream_failover_simulation/schedule.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 use zinniahatch_route::RetryBudget;
@@ -43,7 +44,7 @@
     /// Connections to a place that fall silent for good, and which share of them.
     pub(crate) dead_connections: Vec<(Instant, Place, f64)>,
     /// When callers come, and to which node.
-    pub(crate) arrivals: Vec<(Instant, usize)>,
+    pub(crate) arrivals: VecDeque<(Instant, usize)>,
     limit_ms: std::ops::Range<u64>,
     pub(crate) retry_window: Duration,
     pub(crate) retry_ratio: f64,
@@ -80,7 +81,7 @@
             pauses: vec![HoldWindows::default(); nodes.len()],
             nodes,
             dead_connections: Vec::new(),
-            arrivals,
+            arrivals: arrivals.into(),
             limit_ms: LIMIT_MS,
             retry_window: RETRY_WINDOW,
             retry_ratio,
