Do not take an answered probe for a response to a request

A request could wait on a dead connection as if it were queued at its replica, which only answered probes.

Change: an answered probe shows that the replica is alive and ends its suspicion, and nothing more.

Evidence: answered_probe_is_no_response failed before. The other tests of replica_state.rs pass.

--- a/crates/zinniahatch_route/src/replica_health.rs
+++ b/crates/zinniahatch_route/src/replica_health.rs
@@ -112,8 +112,9 @@
 
     /// Records that a probe on a new connection was answered.
     pub fn note_probe_success(&mut self, now: Instant) {
-        self.note_bytes(now);
+        self.last_bytes = now;
         self.suspect_until = None;
+        self.unanswered_until = None;
     }
 
     /// Records that a probe sent at `sent` had no answer in time, which means nothing if bytes arrived
--- a/crates/zinniahatch_route/tests/replica_state.rs
+++ b/crates/zinniahatch_route/tests/replica_state.rs
@@ -173,6 +173,22 @@
     assert!(health.is_suspect(after(700)), "it refuses connections");
 }
 
+/// Guards against a request that waits on a dead connection as if it were queued at its replica, because
+/// an answered probe was taken for a response to another request.
+#[test]
+fn answered_probe_is_no_response() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(1);
+    let mut health = ReplicaHealth::new(start);
+    health.note_unanswered_probe(start, start);
+    health.note_probe_success(later);
+    assert!(!health.is_suspect(later));
+    assert_eq!(health.last_heard(), later);
+    assert_eq!(health.last_responded(), start);
+    health.note_success(later);
+    assert_eq!(health.last_responded(), later);
+}
+
 /// Guards against a probe whose time passes while the node itself stands still, and which keeps a sound
 /// replica out of use afterwards.
 #[test_case(false; "before_the_first_tick")]
