Close a connection whose caller stops reading an answer

With the limits of the HTTP library gone, an answer that was complete and whose caller had stopped reading kept its connection without any limit; before, such a connection was closed at the idle timeout even while its caller still read slowly.

Change: a complete answer has the idle time since its last bytes were sent; `unread-answer` counts what is closed by that.

Evidence: unread_answer_has_idle_time_from_last_progress (pure); on the commit before, such a connection was never due, and its earlier form of the test asserted so. connection_limits.rs 15 of 15, site.rs 21 of 21 and slow_caller.rs pass.

Not shown with a real entry VM: a trial with pipelined requests whose answers nobody reads did not reach this state, because the next request of such a caller counts as in flight.

--- a/crates/zinniahatch_entry/src/listeners/caller_stream.rs
+++ b/crates/zinniahatch_entry/src/listeners/caller_stream.rs
@@ -58,6 +58,11 @@
         self.stream.into_inner()
     }
 
+    fn note_sent(&self) {
+        let mut connection = self.record.connection.borrow_mut();
+        connection.on_sent(Instant::now());
+    }
+
     fn has_bytes(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         let peeked = SockRef::from(self.stream.get_ref()).peek(&mut byte);
@@ -95,7 +100,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(self.stream.get_mut()).poll_write(context, bytes)
+        let written = ready!(Pin::new(self.stream.get_mut()).poll_write(context, bytes));
+        self.note_sent();
+        Poll::Ready(written)
     }
 
     fn poll_write_vectored(
@@ -103,7 +110,10 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(self.stream.get_mut()).poll_write_vectored(context, slices)
+        let stream = Pin::new(self.stream.get_mut());
+        let written = ready!(stream.poll_write_vectored(context, slices));
+        self.note_sent();
+        Poll::Ready(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -158,6 +168,7 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        self.record.connection.borrow_mut().on_answered();
+        let mut connection = self.record.connection.borrow_mut();
+        connection.on_answered(Instant::now());
     }
 }
--- a/crates/zinniahatch_entry/src/listeners/connection.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection.rs
@@ -124,6 +124,7 @@
                 }
                 None
             }
+            CloseReason::UnreadAnswer => None,
             CloseReason::SlowHead => Some(ResultCode::HeadTooSlow),
             CloseReason::LargeHead => Some(ResultCode::HeadTooLarge),
         };
--- a/crates/zinniahatch_route/src/caller_connection.rs
+++ b/crates/zinniahatch_route/src/caller_connection.rs
@@ -18,6 +18,8 @@
         SlowHead = "slow-head",
         /// The head of a request is larger than allowed.
         LargeHead = "large-head",
+        /// The caller stopped reading an answer.
+        UnreadAnswer = "unread-answer",
         /// The node stops.
         Stopping = "stopping",
     }
@@ -32,8 +34,8 @@
     Head { since: Instant, bytes: usize },
     /// A request is in flight.
     Request,
-    /// An answer is complete and not entirely sent.
-    Answered,
+    /// An answer is complete and not entirely sent; the last part of it was sent at this time.
+    Answered(Instant),
 }
 
 /// A connection on which callers or other nodes send requests.
@@ -63,7 +65,7 @@
                 };
             }
             ConnectionPhase::Head { bytes, .. } => *bytes += count,
-            ConnectionPhase::Request | ConnectionPhase::Answered => {}
+            ConnectionPhase::Request | ConnectionPhase::Answered(_) => {}
         }
     }
 
@@ -78,13 +80,20 @@
     }
 
     /// Records that no more of the answer will follow.
-    pub fn on_answered(&mut self) {
-        self.phase = ConnectionPhase::Answered;
+    pub fn on_answered(&mut self, now: Instant) {
+        self.phase = ConnectionPhase::Answered(now);
+    }
+
+    /// Records that bytes have been sent.
+    pub fn on_sent(&mut self, now: Instant) {
+        if let ConnectionPhase::Answered(since) = &mut self.phase {
+            *since = now;
+        }
     }
 
     /// Records that everything written has been sent.
     pub fn on_flushed(&mut self, now: Instant) {
-        if self.phase == ConnectionPhase::Answered {
+        if matches!(self.phase, ConnectionPhase::Answered(_)) {
             self.phase = ConnectionPhase::Idle(now);
         }
     }
@@ -101,15 +110,14 @@
 
     /// Returns when the connection is to be closed if nothing changes, and why.
     pub fn due(&self, limits: &CallerLimits) -> Option<(Instant, CloseReason)> {
+        let idle_limit = self.announced.max(limits.idle_timeout);
         let (since, limit, reason) = match self.phase {
-            ConnectionPhase::Idle(since) => {
-                let limit = self.announced.max(limits.idle_timeout);
-                (since, limit, CloseReason::Idle)
-            }
+            ConnectionPhase::Idle(since) => (since, idle_limit, CloseReason::Idle),
+            ConnectionPhase::Answered(since) => (since, idle_limit, CloseReason::UnreadAnswer),
             ConnectionPhase::Head { since, .. } => {
                 (since, limits.header_timeout, CloseReason::SlowHead)
             }
-            ConnectionPhase::Request | ConnectionPhase::Answered => return None,
+            ConnectionPhase::Request => return None,
         };
         let due_at = since.checked_add(limit.saturating_add(CONNECTION_SLACK))?;
         Some((due_at, reason))
