Split the steps of a simulated stream from the state of its node

These steps are in driver.rs now; fleet.rs keeps what nodes know and which connections they open and close. No change of logic.

All tests of zinniahatch_route pass in debug mode.

--- a/crates/zinniahatch_route/tests/stream_failover_simulation.rs
+++ b/crates/zinniahatch_route/tests/stream_failover_simulation.rs
@@ -3,6 +3,7 @@
 
 mod stream_failover_simulation {
     pub(crate) mod checks;
+    pub(crate) mod driver;
     pub(crate) mod fleet;
     pub(crate) mod schedule;
     pub(crate) mod world;
