--- a/crates/zinniahatch_route/tests/stream_failover_simulation/driver.rs
+++ b/crates/zinniahatch_route/tests/stream_failover_simulation/driver.rs
@@ -17,8 +17,6 @@
 use zinniahatch_route::StreamFailover;
 use zinniahatch_route::first_event_limit;
 
-/// Age up to which bytes of a replica show that it is alive, as entry nodes have it.
-
 impl Fleet {
     /// Lets a node do what is due for a stream.
     pub(crate) fn drive(&mut self, id: usize) {
