Keep the longest stream time while streams begun under it may run

What began a stream, and which versions have served, was forgotten by the timeout of the routes in force. Where a new desired state lowers a timeout, streams begun under the longer one still run, and a caller that takes one up could be refused or sent on at a node that takes another version for the only one.

Cause, the class of the connection limits: a value is read anew while something still runs by the one before.

Change: `LongestStream` keeps a longer limit until the streams that began under it have ended.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -31,6 +31,7 @@
 use zinniahatch_route::FleetSize;
 use zinniahatch_route::HeartbeatTargets;
 use zinniahatch_route::KeyFreshness;
+use zinniahatch_route::LongestStream;
 use zinniahatch_route::MemberStage;
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::PartSuspectTable;
@@ -100,7 +101,7 @@
     /// Signalled when this node sees a new software version in its region.
     pub(crate) version_seen: Notify,
     /// Longest time that a stream may last and be taken up again.
-    pub(crate) stream_time: Cell<Duration>,
+    pub(crate) longest_stream: Cell<LongestStream>,
     /// The socket for datagrams to other nodes.
     pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Spreads the `Retry-After` times of callers of each service whose replicas take no work for
@@ -204,7 +205,7 @@
             origin_learned: Notify::new(),
             versions: RefCell::default(),
             version_seen: Notify::new(),
-            stream_time: Cell::default(),
+            longest_stream: Cell::new(LongestStream::new(Instant::now())),
             peer_socket: OnceCell::new(),
             retry_queues: RefCell::default(),
             suspects: RefCell::default(),
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -169,7 +169,10 @@
         notices: notices_digest(core),
     };
     let mut tail = postcard::to_allocvec(&heartbeat_tail(core, now)).unwrap_or_default();
-    let report = core.versions.borrow().report(core.stream_time.get(), now);
+    let report = core
+        .versions
+        .borrow()
+        .report(core.longest_stream.get().limit(), now);
     tail.extend(postcard::to_allocvec(&report).unwrap_or_default());
     tail.extend(postcard::to_allocvec(&core.part_digest.get()).unwrap_or_default());
     for (address, wants_reply) in heartbeat_receivers(core, targets, now) {
--- a/crates/zinniahatch_entry/src/nodes/stream_origins.rs
+++ b/crates/zinniahatch_entry/src/nodes/stream_origins.rs
@@ -48,7 +48,7 @@
 pub(crate) fn sole_version(core: &EntryCore, service: ShortTag) -> Option<StreamOrigin> {
     let others = other_regions(core);
     let versions = core.versions.borrow();
-    let keep = core.stream_time.get();
+    let keep = core.longest_stream.get().limit();
     versions.sole_version(
         service,
         &core.settings.region,
@@ -61,8 +61,10 @@
 /// Takes over the versions of the replicas of this region, forgets streams that are over, and tells
 /// other nodes of streams that began before a second version appeared.
 pub(crate) fn update_versions(core: &EntryCore, now: Instant) {
-    let longest = core.routes.borrow().longest_resumable();
-    core.stream_time.set(longest);
+    let mut longest_stream = core.longest_stream.get();
+    longest_stream.update(core.routes.borrow().longest_resumable(), now);
+    core.longest_stream.set(longest_stream);
+    let longest = longest_stream.limit();
     {
         let replicas = core.replicas.borrow();
         let follows = core.has_listed_replicas() && !replicas.store_failed_recently(now);
--- a/crates/zinniahatch_entry/src/store/version_keys.rs
+++ b/crates/zinniahatch_entry/src/store/version_keys.rs
@@ -64,7 +64,7 @@
     core: &EntryCore,
     written: &mut Option<StoredVersions>,
 ) -> Result<(), KvError> {
-    let keep = core.stream_time.get();
+    let keep = core.longest_stream.get().limit();
     let wants_stored = core.versions.borrow().wants_stored(keep, Instant::now());
     if wants_stored {
         let stored = read_versions(core).await?;
