--- a/crates/zinniahatch_lab/tests/truncated_answers.rs
+++ b/crates/zinniahatch_lab/tests/truncated_answers.rs
@@ -17,8 +17,9 @@
 use zinniahatch_lab::test_doubles::replica::ReplicaBehaviour;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
 
+/// More events than two tries bring that are each broken off: a stream goes on at the same replica.
 const SHAPE: StreamShape = StreamShape {
-    events: 6,
+    events: 8,
     pause: Duration::from_millis(5),
 };
 /// Number of events before a break.
