--- a/review/stand_ins/cases.rs
+++ b/review/stand_ins/cases.rs
@@ -110,7 +110,7 @@
 
 /// MIXED, ORDER: a server that is removed at short notice is gone while answers without a length run.
 fn short_notice(folder: &str) -> i32 {
-    const STREAMS: usize = 100;
+    const STREAMS: usize = 140;
     const EVENTS: u64 = 58;
     const GAP_MS: u64 = 75;
     const NOTICE_MS: u64 = 2_000;
@@ -119,16 +119,19 @@
         route("dossier-summary", "streaming", "register-llm", 1, false, 15_000),
     ];
     let mut site = Site::start(&config(7, &routes, &["register-llm"]));
-    let (zone, region) = PLACES[0];
-    for number in 0..3 {
-        site.add_server(&format!("i-{region}-{number}"), "register-llm", zone, 20);
+    // As on the sheet: nine servers and seven entry VMs in three regions.
+    for ((zone, region), (servers, entries)) in PLACES.into_iter().zip([(4, 3), (3, 2), (2, 2)]) {
+        for number in 0..servers {
+            site.add_server(&format!("i-{region}-{number}"), "register-llm", zone, 20);
+        }
+        for _ in 0..entries {
+            site.add_entry((zone, region));
+        }
     }
-    site.add_entry(PLACES[0]);
-    site.add_entry(PLACES[0]);
     if !site.wait_ready() {
         return NOT_RUN;
     }
-    let fronts: Vec<String> = site.entries.iter().map(|entry| entry.front.clone()).collect();
+    let fronts: Vec<String> = site.entries.iter().take(3).map(|entry| entry.front.clone()).collect();
     let record = site.record.clone();
     let path = |kind: &str| format!("/{kind}/q/events?count={EVENTS}&gap={GAP_MS}");
     let clients: Vec<_> = (0..STREAMS)
@@ -136,7 +139,7 @@
             let (record, entry) = (record.clone(), fronts[number % fronts.len()].clone());
             let kind = if number % 2 == 0 { "finding-query" } else { "dossier-summary" };
             let path = path(kind);
-            sleep(Duration::from_millis(20));
+            sleep(Duration::from_millis(15));
             thread::spawn(move || {
                 let attempt = format!("{kind}-{number}");
                 let asked = Call { entry: &entry, method: "POST", path: &path, attempt: &attempt, time_ms: 15_000 };
