--- a/review/stand_ins/cases.rs
+++ b/review/stand_ins/cases.rs
@@ -179,9 +179,10 @@
 fn planned_stop(folder: &str) -> i32 {
     const CLIENTS: usize = 4;
     const TIME_MS: u64 = 15_000;
-    let size: u64 = std::env::var("SIZE").ok().and_then(|text| text.parse().ok()).unwrap_or(8 << 20);
-    let pace: u64 = std::env::var("PACE").ok().and_then(|text| text.parse().ok()).unwrap_or(1_250_000);
-    let routes = [route("sample-lookup", "non_idempotent", "register-portal", 1, false, 15_000)];
+    /// Length of an answer, and bytes a second at which a client reads: 10 Mbit/s.
+    const SIZE: u64 = 8 << 20;
+    const PACE: u64 = 1_250_000;
+    let routes = [route("register-export", "non_idempotent", "register-portal", 1, false, 15_000)];
     let mut site = Site::start(&config(7, &routes, &["register-portal"]));
     for (zone, region) in PLACES {
         site.add_server(&format!("i-{region}"), "register-portal", zone, 0);
@@ -192,15 +193,15 @@
         return NOT_RUN;
     }
     let entry = site.entries[0].front.clone();
-    let path = format!("/sample-lookup/a?work=30&rest=0&size={size}");
+    let path = format!("/register-export/a?work=30&rest=0&size={SIZE}");
     let record = site.record.clone();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let (record, entry, path) = (record.clone(), entry.clone(), path.clone());
             thread::spawn(move || {
-                let attempt = format!("lookup-{number}");
+                let attempt = format!("export-{number}");
                 let asked = Call { entry: &entry, method: "POST", path: &path, attempt: &attempt, time_ms: TIME_MS };
-                let answer = send(&record, &asked, Some(pace));
+                let answer = send(&record, &asked, Some(PACE));
                 (attempt, answer)
             })
         })
