--- a/crates/zinniahatch_route/src/part_verdict.rs
+++ b/crates/zinniahatch_route/src/part_verdict.rs
@@ -1,9 +1,9 @@
 //! Decides whether a prompt part explains the crashes of replicas that had it.
 
 use crate::ScopedPart;
-use crate::part_suspects::ACCUSED_CRASHES;
-use crate::part_suspects::CrashFit;
-use crate::part_suspects::PartCrash;
+use crate::part_row::ACCUSED_CRASHES;
+use crate::part_row::CrashFit;
+use crate::part_row::PartCrash;
 use zinniahatch_base::prelude::*;
 
 /// Time between two crashes up to which they may have one cause outside the requests, such as the
