Count the bytes between nodes in both directions, and log what fills a link

Added: received bytes by kind, bytes over connections, the wait on the own link (the least excess of all round trips over their least), `link-wait`, `given-up`, `replicas-read` and `behind-readers`. No logic changes.

--- a/crates/zinniahatch_entry/src/nodes.rs
+++ b/crates/zinniahatch_entry/src/nodes.rs
@@ -6,6 +6,7 @@
 pub(crate) mod datagrams;
 pub(crate) mod gossip;
 pub(crate) mod gossip_message;
+pub(crate) mod link_watch;
 pub(crate) mod message_metrics;
 pub(crate) mod own_info;
 pub(crate) mod replica_updates;
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -279,13 +279,16 @@
     bytes: &[u8],
     from: SocketAddrV4,
 ) -> DatagramEffect {
-    let Ok((message, rest)) = postcard::take_from_bytes(bytes) else {
+    let Ok((message, rest)) = postcard::take_from_bytes::<GossipMessage>(bytes) else {
         core.log.write(
             "datagram-rejected",
             serde_json::json!({"bytes": bytes.len(), "from": from.to_string()}),
         );
         return DatagramEffect::Handled;
     };
+    core.metrics
+        .messages
+        .note_received(message.kind(), bytes.len());
     match message {
         GossipMessage::Heartbeat(heartbeat) => {
             let parts = handle_heartbeat_tail(core, &heartbeat.member.region, rest);
@@ -422,7 +425,9 @@
     // The heartbeat that carries the echo was sent no earlier than this.
     let echo_sent = stamp_sent + hold_time;
     let round_trip = now.saturating_sub(echo_sent);
-    core.members.borrow_mut().note_round_trip(node, round_trip);
+    let mut members = core.members.borrow_mut();
+    members.note_round_trip(node, round_trip, Instant::now());
+    drop(members);
     if let Some(proof) = proof {
         apply_proof(core, proof, echo_sent);
     }
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -139,6 +139,9 @@
     let allowed = bytes.len() < LARGE_SNAPSHOT_BYTES || limiter.try_take(most, now);
     let outcome = if allowed { "sent" } else { "refused" };
     core.metrics.messages.note_snapshot(outcome);
+    if allowed {
+        core.metrics.messages.note_stream("snapshot", bytes.len());
+    }
     allowed.then_some(bytes)
 }
 
--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -123,6 +123,8 @@
     idle_since: Instant,
     reusable: bool,
     used: bool,
+    /// Whether a request was sent whose response head has not been read.
+    awaits_head: bool,
     /// Why it broke. A reset is reported once by the system, and then looks like an orderly close.
     broken: Option<ConnectionError>,
 }
@@ -155,6 +157,7 @@
             idle_since: Instant::now(),
             reusable: true,
             used: false,
+            awaits_head: false,
             broken: None,
         })
     }
@@ -208,6 +211,11 @@
         self.reusable && self.frame == BodyFraming::Done && self.buffer.is_empty()
     }
 
+    /// Returns whether a request was sent whose response has not been read to its end.
+    pub(crate) fn is_exchanging(&self) -> bool {
+        self.awaits_head || self.frame != BodyFraming::Done
+    }
+
     /// Records that the connection is idle from now on.
     pub fn mark_idle(&mut self, now: Instant) {
         self.idle_since = now;
@@ -236,6 +244,7 @@
             ));
         }
         self.used = true;
+        self.awaits_head = true;
         // A short request is sent in one write, usually as a single packet.
         let joined: Vec<u8> = [head, body].concat();
         let mut rest: &[u8] = &joined;
@@ -295,6 +304,7 @@
                 .as_deref()
                 .is_some_and(|named| named != attempt);
             if !other_attempt {
+                self.awaits_head = false;
                 return Ok(head);
             }
             self.reusable = false;
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -95,7 +95,10 @@
         let Some(connection) = self.connection.as_mut() else {
             return Err(ConnectionError::Broken("no connection".into()));
         };
-        connection.send(permit, head, &request.body).await?;
+        let sent = connection.send(permit, head, &request.body).await;
+        let messages = &self.core.metrics.messages;
+        messages.note_send_wait(self.sent_at.elapsed());
+        sent?;
         let head = connection
             .read_head(&request.method, &request.attempt)
             .await?;
@@ -298,6 +301,22 @@
         );
     }
 
+    /// Counts and logs a request whose connection is closed before the end of its response.
+    fn note_given_up(&self) {
+        let kind = if self.assigned.is_some() {
+            "replica"
+        } else {
+            "node"
+        };
+        self.core.metrics.retries.note_given_up(kind);
+        self.core.log.write(
+            "given-up",
+            serde_json::json!({"address": self.address.to_string(), "replica": self.replica(),
+                "sent_ms": self.sent_at.elapsed().as_millis() as u64,
+                "answered_ms": self.answered_for().map(|time| time.as_millis() as u64)}),
+        );
+    }
+
     /// Returns the address that the request was sent to.
     pub(crate) fn address(&self) -> SocketAddrV4 {
         self.address
@@ -311,8 +330,11 @@
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
-        if self.connection.take().is_some() {
+        if let Some(connection) = self.connection.take() {
             self.core.pool.note_closed(self.address);
+            if connection.is_exchanging() {
+                self.note_given_up();
+            }
         }
         let Some(assigned) = &self.assigned else {
             return;
--- a/crates/zinniahatch_entry/src/request/retry_metrics.rs
+++ b/crates/zinniahatch_entry/src/request/retry_metrics.rs
@@ -10,6 +10,7 @@
     granted: IntCounterVec,
     denied: IntCounterVec,
     uncharged: IntCounterVec,
+    given_up: IntCounterVec,
 }
 
 impl RetryMetrics {
@@ -40,6 +41,11 @@
                 "Sends beyond the first of a request that no retry budget was charged for, by service.",
                 &["service"],
             )?,
+            given_up: counter(
+                "zinniahatch_given_up_total",
+                "Requests whose connection was closed before the end of the response, by receiver.",
+                &["receiver"],
+            )?,
         })
     }
 
@@ -49,6 +55,11 @@
         counter.with_label_values(&[service, reason]).inc();
     }
 
+    /// Counts a request whose connection is closed before the end of the response.
+    pub(crate) fn note_given_up(&self, receiver: &str) {
+        self.given_up.with_label_values(&[receiver]).inc();
+    }
+
     /// Counts sends beyond the first of a request that no retry budget was charged for.
     pub(crate) fn note_uncharged(&self, service: &str, sends: u32) {
         let counter = self.uncharged.with_label_values(&[service]);
--- a/crates/zinniahatch_entry/src/request/send.rs
+++ b/crates/zinniahatch_entry/src/request/send.rs
@@ -396,6 +396,9 @@
         &forward_headers,
         request.body.len(),
     );
+    core.metrics
+        .messages
+        .note_stream("forward", head.len() + request.body.len());
     in_flight.connection = Some(connection);
     let pending = PendingForward::new(core, &choice.region);
     point.note_written();
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -15,6 +15,7 @@
 use crate::nodes::catch_up::run_catch_up;
 use crate::nodes::gossip::announce_leaving;
 use crate::nodes::gossip::run_gossip;
+use crate::nodes::link_watch::LinkWatch;
 use crate::nodes::stream_origins::update_versions;
 use crate::replicas::notice::update_notice_gauges;
 use crate::replicas::part_quarantine::publish_part_changes;
@@ -199,9 +200,11 @@
 /// Runs the periodic maintenance of the tables.
 async fn run_maintenance(core: Rc<EntryCore>) {
     let mut ticks = interval(MAINTENANCE_INTERVAL);
+    let mut link = LinkWatch::default();
     loop {
         ticks.tick().await;
         let now = Instant::now();
+        link.tick(&core, now);
         let dropped = core.replicas.borrow_mut().tick(now);
         for replica in dropped {
             core.cold_limiter.borrow_mut().forget(&replica);
--- a/crates/zinniahatch_entry/src/store/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -222,6 +222,10 @@
                 }
             }
             CoverageState::Behind => {
+                core.log.write(
+                    "behind-readers",
+                    serde_json::json!({"topic": format!("{topic:?}")}),
+                );
                 fetch_from_reader(core).await;
                 fetches += 1;
             }
@@ -358,6 +362,14 @@
     core.metrics.note_store("watch", "done");
     let now = Instant::now();
     let unchanged = changes.events.is_empty();
+    if topic == WatchTopic::Replicas && holds_role(core, STORE_READER_ROLE, STORE_READERS) {
+        core.log.write(
+            "replicas-read",
+            serde_json::json!({"changes": changes.events.len(), "after": after,
+                "upto": changes.revision,
+                "waited_ms": core.clock.now().saturating_sub(sent).as_millis() as u64}),
+        );
+    }
     for event in changes.events {
         apply_event(core, event, now);
     }
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -50,6 +50,7 @@
 mod retry_budget;
 mod retry_queue;
 mod roster;
+mod round_trips;
 mod route_table;
 mod send_ledger;
 mod send_permit;
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -4,6 +4,7 @@
 use crate::PauseDetector;
 use crate::prompt::rendezvous_score;
 use crate::roster::UnknownMembers;
+use crate::round_trips::RoundTrips;
 use std::cmp::Reverse;
 use std::net::SocketAddrV4;
 use zinniahatch_base::prelude::*;
@@ -19,8 +20,9 @@
 pub const DISCOVERY_TIME: Duration = Duration::from_secs(2);
 /// Round-trip time assumed until one is measured.
 const DEFAULT_ROUND_TRIP: Duration = Duration::from_millis(120);
-/// Weight of a new measurement in the smoothed round-trip time.
-const ROUND_TRIP_GAIN: f64 = 0.2;
+/// Nodes whose round-trip times have to exceed their least before this node's own link counts as the
+/// cause.
+const MIN_WAIT_WITNESSES: usize = 3;
 /// Time without a heartbeat after which a node is dropped.
 const DROP_AFTER: Duration = Duration::from_secs(30);
 
@@ -121,7 +123,7 @@
     pub(crate) last_heartbeat: Instant,
     /// When this node last failed to reach it.
     pub(crate) unreachable_at: Option<Instant>,
-    round_trip: Option<Duration>,
+    round_trips: Option<RoundTrips>,
     /// When it last asked for a reply.
     reply_wanted: Option<Instant>,
 }
@@ -153,7 +155,7 @@
         let replaced = old
             .map(|row| row.info.incarnation)
             .filter(|incarnation| *incarnation != info.incarnation);
-        let round_trip = old.and_then(|row| row.round_trip);
+        let round_trips = old.and_then(|row| row.round_trips);
         let known_tag = old.filter(|_| !is_new).map(|row| row.tag);
         let reply_wanted = if wants_reply {
             Some(now)
@@ -175,7 +177,7 @@
                 tag,
                 last_heartbeat: now,
                 unreachable_at: None,
-                round_trip,
+                round_trips,
                 reply_wanted,
             },
         );
@@ -277,22 +279,32 @@
     }
 
     /// Records a measured round-trip time.
-    pub fn note_round_trip(&mut self, node: &str, round_trip: Duration) {
+    pub fn note_round_trip(&mut self, node: &str, round_trip: Duration, now: Instant) {
         let Some(row) = self.rows.get_mut(node) else {
             return;
         };
-        row.round_trip = Some(match row.round_trip {
-            Some(old) => old.mul_f64(1.0 - ROUND_TRIP_GAIN) + round_trip.mul_f64(ROUND_TRIP_GAIN),
-            None => round_trip,
-        });
+        match &mut row.round_trips {
+            Some(round_trips) => round_trips.note(round_trip, now),
+            None => row.round_trips = Some(RoundTrips::new(round_trip, now)),
+        }
     }
 
     /// Returns the smoothed round-trip time to a node.
     pub fn round_trip(&self, node: &str) -> Duration {
-        self.rows
-            .get(node)
-            .and_then(|row| row.round_trip)
-            .unwrap_or(DEFAULT_ROUND_TRIP)
+        let round_trips = self.rows.get(node).and_then(|row| row.round_trips);
+        round_trips.map_or(DEFAULT_ROUND_TRIP, |round_trips| round_trips.smoothed())
+    }
+
+    /// Returns how long bytes wait on this node's own link; `None` if too few nodes were heard.
+    ///
+    /// All round trips share that link, so it accounts for the least excess among them.
+    pub fn link_wait(&self, now: Instant) -> Option<Duration> {
+        let round_trips = self.rows.values().filter_map(|row| row.round_trips);
+        let excesses: Vec<Duration> = round_trips
+            .filter_map(|round_trips| round_trips.excess(now))
+            .collect();
+        let least = excesses.iter().min().copied();
+        least.filter(|_| excesses.len() >= MIN_WAIT_WITNESSES)
     }
 
     /// Records that a node could not be reached; it is tried again after its next heartbeat.
--- a/crates/zinniahatch_route/src/part_row.rs
+++ b/crates/zinniahatch_route/src/part_row.rs
@@ -100,7 +100,7 @@
         }
     }
 
-    fn is_survived(&self) -> bool {
+    pub(crate) fn is_survived(&self) -> bool {
         self.fit() == CrashFit::Survived
     }
 
