Send updates on suspect requests once, and corrections to their sender alone

An update for all nodes was sent to all nodes again by each receiver in another region, three times, so that one crash under a known content cost datagrams with the square of the fleet; an outdated update was answered to all nodes by each that knew better; and a crash that a full row dropped at once counted as learned.

Change: only updates that went to one node of a region are relayed, within it; corrections go to the sender; a dropped crash is none. outdated_updates_are_corrected expected the broadcast; it now expects the correction, that nothing else is sent, and that the sender accuses the content no more.

Evidence: with the old conditions put back, updates_for_all_nodes_are_not_relayed and dropped_crash_is_not_learned fail; all tests of suspects.rs pass.

--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -306,7 +306,12 @@
             handle_heartbeat(core, echoes, heartbeat);
             return DatagramEffect::Heartbeat(diff);
         }
-        GossipMessage::Suspects(batch) => apply_suspects(core, &batch, source_of(core, from)),
+        GossipMessage::Suspects(batch) => {
+            let updates = apply_suspects(core, &batch, source_of(core, from));
+            if !updates.is_empty() {
+                return DatagramEffect::Reply(Box::new(GossipMessage::Suspects(updates)));
+            }
+        }
         GossipMessage::PartSuspects(report) => {
             let source = source_of(core, from);
             let relay = report.relay && source == UpdateSource::OtherRegion;
--- a/crates/zinniahatch_entry/src/replicas/quarantine.rs
+++ b/crates/zinniahatch_entry/src/replicas/quarantine.rs
@@ -82,20 +82,26 @@
     core.work_changed.notify_one();
 }
 
-/// Merges updates on suspect requests.
-pub(crate) fn apply_suspects(core: &EntryCore, updates: &[SuspectUpdate], source: UpdateSource) {
+/// Merges updates on suspect requests; returns what their sender does not know yet.
+pub(crate) fn apply_suspects(
+    core: &EntryCore,
+    updates: &[SuspectUpdate],
+    source: UpdateSource,
+) -> Vec<SuspectUpdate> {
     let now = Instant::now();
     let forward = source == UpdateSource::OtherRegion;
+    let mut corrections = Vec::new();
     let mut pending = false;
     for update in updates {
         let effect = core
             .suspects
             .borrow_mut()
             .apply_update(update, forward, now);
+        corrections.extend(core.suspects.borrow().correction(update, now));
         if effect == SuspectUpdateEffect::Known {
             continue;
         }
-        pending |= forward || effect == SuspectUpdateEffect::Outdated;
+        pending |= forward;
         let outcome = if effect == SuspectUpdateEffect::Learned {
             "heard"
         } else {
@@ -113,6 +119,7 @@
     if pending {
         core.work_changed.notify_one();
     }
+    corrections
 }
 
 /// Logs the quarantines that began or ended since the last call, and wakes the requests that wait
--- a/crates/zinniahatch_route/src/suspects.rs
+++ b/crates/zinniahatch_route/src/suspects.rs
@@ -73,7 +73,7 @@
     crashes: Vec<ReplicaCrash>,
     /// Time of its last complete response; crashes up to then do not count.
     cleared: Option<Instant>,
-    /// Whether this node observed one of the crashes.
+    /// Whether this node observed one of the crashes, or the response that cleared it of them.
     local: bool,
     /// Whether it has had enough crashes for its updates to go to all nodes at once.
     broadcast: bool,
@@ -95,11 +95,10 @@
         }
         self.crashes.push(crash);
         self.crashes.sort_by_key(|known| known.at);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
+        let is_full = self.crashes.len() > MAX_CRASHES;
+        let dropped = is_full.then(|| self.crashes.remove(0));
         self.broadcast |= self.crashes.len() >= BROADCAST_CRASHES;
-        true
+        dropped != Some(crash)
     }
 
     /// Records a complete response; returns whether it cleared any crashes.
@@ -243,9 +242,12 @@
     /// Records a complete response; returns whether it cleared the content of suspicion.
     pub fn note_complete_response(&mut self, content: ContentDigest, now: Instant) -> bool {
         self.recent_responses.note(content, now);
-        let row = self.rows.get_mut(&content);
-        let cleared = row.is_some_and(|row| row.clear(now));
+        let Some(row) = self.rows.get_mut(&content) else {
+            return false;
+        };
+        let cleared = row.clear(now);
         if cleared {
+            row.local = true;
             self.add_pending(content);
         }
         cleared
@@ -272,9 +274,8 @@
             });
         }
         let outdated = !learned && row.crashes.is_empty() && !update.crashes.is_empty();
-        // The sender may be in another region, and would repeat its update with each heartbeat.
-        row.broadcast |= outdated;
-        if outdated || (learned && relay) {
+        // Updates on contents with more crashes went to all nodes.
+        if learned && relay && !row.broadcast {
             self.add_pending(update.content);
         }
         self.evict_excess();
@@ -285,6 +286,14 @@
         }
     }
 
+    /// Returns what the sender of an update does not know yet: that the content was answered in full
+    /// after the crashes; `None` if it knows as much.
+    pub fn correction(&self, update: &SuspectUpdate, now: Instant) -> Option<SuspectUpdate> {
+        let row = self.rows.get(&update.content)?;
+        let outdated = row.crashes.is_empty() && !update.crashes.is_empty();
+        outdated.then(|| update_of(update.content, row, now))
+    }
+
     /// Returns a content with enough crashes and no recent complete response, and the time of its
     /// last crash.
     fn accused_row(&self, content: ContentDigest, now: Instant) -> Option<(&SuspectRow, Instant)> {
@@ -426,6 +435,12 @@
         count
     }
 
+    /// Returns whether updates are pending: those never sent and, with `again`, those that are still to
+    /// be repeated.
+    pub fn has_updates(&self, again: bool) -> bool {
+        self.pending.is_due(again)
+    }
+
     /// Returns up to `max` pending updates: those never sent and, with `again`, those that are
     /// still to be repeated.
     pub fn take_updates(&mut self, again: bool, max: usize, now: Instant) -> SuspectUpdateBatch {
@@ -433,7 +448,7 @@
         self.pending.take(again, max, |content| {
             let row = rows.get(&content)?;
             let target = match (row.broadcast, row.local) {
-                (true, _) => UpdateTarget::Broadcast,
+                (true, true) => UpdateTarget::Broadcast,
                 (_, true) => UpdateTarget::Local,
                 _ => UpdateTarget::Relayed,
             };
--- a/crates/zinniahatch_route/tests/part_simulation/node.rs
+++ b/crates/zinniahatch_route/tests/part_simulation/node.rs
@@ -174,9 +174,14 @@
                 }
             }
             Message::Contents(updates, relay) => {
+                let mut corrections = Vec::new();
                 for update in updates {
                     self.contents
                         .apply_update(update, *relay && !same_region, now);
+                    corrections.extend(self.contents.correction(update, now));
+                }
+                if !corrections.is_empty() {
+                    replies.push(Message::Contents(corrections, false));
                 }
             }
             Message::Digests(parts, contents) => {
