Bound the bytes of the updates that a node sends and that may wait

That the exchange ends now leaves the class: nothing bounded what a node sends of it, whatever it has to tell, and requests waited behind it on links of 10 Mbit/s.

Change: updates on suspect contents and parts, corrections, and what a node sends to one whose digest differs (suspects, leaving replicas, rate limits) share a budget of 32 KiB a second with 128 KiB at once, a fortieth of such a link. What is over it stays pending at the sender, where a later state replaces it; replies are left out, as the digest differs again with the next heartbeat. Updates for all nodes go first. Counted as zinniahatch_updates_withheld_total.

Evidence: traffic_budget.rs; a budget that is always open fails it.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -46,6 +46,7 @@
 use zinniahatch_route::ServingPreset;
 use zinniahatch_route::StreamOriginTable;
 use zinniahatch_route::SuspectTable;
+use zinniahatch_route::TrafficBudget;
 use zinniahatch_route::VersionTable;
 use zinniahatch_route::process_tag;
 
@@ -111,6 +112,8 @@
     pub(crate) suspects: RefCell<SuspectTable>,
     /// Prompt parts that were on replicas when those crashed.
     pub(crate) part_suspects: RefCell<PartSuspectTable>,
+    /// Bytes of the updates on both that this node may send.
+    pub(crate) update_budget: RefCell<TrafficBudget>,
     /// When it was last decided which parts are in quarantine.
     pub(crate) part_reviewed: Cell<Instant>,
     /// Digest of the parts with enough crashes for quarantine, as of the last tick.
@@ -209,6 +212,7 @@
             peer_socket: OnceCell::new(),
             retry_queues: RefCell::default(),
             suspects: RefCell::default(),
+            update_budget: RefCell::new(TrafficBudget::new(Instant::now())),
             part_reviewed: Cell::new(Instant::now()),
             part_digest: Cell::default(),
             part_suspects: RefCell::new(PartSuspectTable::new(Instant::now())),
--- a/crates/zinniahatch_entry/src/nodes/broadcast.rs
+++ b/crates/zinniahatch_entry/src/nodes/broadcast.rs
@@ -14,7 +14,6 @@
 use tokio::net::UdpSocket;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::MemberInfo;
-use zinniahatch_route::PartUpdate;
 use zinniahatch_route::RateLimitUpdate;
 use zinniahatch_route::ReplicaIncarnation;
 use zinniahatch_route::ScopedPart;
@@ -44,84 +43,105 @@
     }
 }
 
+/// Returns whether updates that may wait may be sent now, and counts those that may not.
+fn may_send_updates(core: &EntryCore, kind: &str) -> bool {
+    let open = core.update_budget.borrow_mut().is_open(Instant::now());
+    if !open {
+        core.metrics.messages.note_withheld(kind);
+    }
+    open
+}
+
 /// Broadcasts what this node learned about suspect requests.
 ///
 /// `again` repeats recent updates that already went to all nodes, since datagrams may be lost.
 pub(crate) async fn broadcast_suspects(core: &EntryCore, socket: &UdpSocket, again: bool) {
+    if !core.suspects.borrow().has_updates(again) || !may_send_updates(core, "suspects") {
+        return;
+    }
     let now = Instant::now();
     let batch = core
         .suspects
         .borrow_mut()
         .take_updates(again, MAX_SUSPECTS, now);
-    if !batch.broadcast.is_empty() {
-        send_to_matching(
-            core,
-            socket,
-            &GossipMessage::Suspects(batch.broadcast),
-            |_| true,
-        )
-        .await;
-    }
-    if !batch.local.is_empty() {
-        send_with_relays(core, socket, &GossipMessage::Suspects(batch.local), now).await;
-    }
-    if !batch.relayed.is_empty() {
-        broadcast(core, socket, &GossipMessage::Suspects(batch.relayed)).await;
-    }
-}
-
-/// Sends a message to the own region and to one node of each other region.
-async fn send_with_relays(
-    core: &EntryCore,
-    socket: &UdpSocket,
-    message: &GossipMessage,
-    now: Instant,
-) {
-    let relays = core
-        .members
-        .borrow()
-        .one_per_region(&core.settings.name, now);
-    let filter = |member: &MemberInfo| in_own_region(core, member) || relays.contains(&member.peer);
-    send_to_matching(core, socket, message, filter).await;
+    send_batch(core, socket, batch, |updates, _| {
+        GossipMessage::Suspects(updates)
+    })
+    .await;
 }
 
 /// Broadcasts what this node learned about suspect prompt parts.
 ///
 /// `again` repeats recent updates that already went to all nodes.
 pub(crate) async fn broadcast_parts(core: &EntryCore, socket: &UdpSocket, again: bool) {
-    loop {
+    while core.part_suspects.borrow().has_updates(again) && may_send_updates(core, "part-suspects")
+    {
         let now = Instant::now();
         let batch = core
             .part_suspects
             .borrow_mut()
             .take_updates(again, MAX_PART_SUSPECTS, now);
-        if batch == UpdateBatch::default() {
-            return;
-        }
-        send_parts(core, socket, batch, now).await;
+        send_batch(core, socket, batch, |updates, relay| {
+            GossipMessage::PartSuspects(PartReport { updates, relay })
+        })
+        .await;
         if again {
             return;
         }
     }
 }
 
-async fn send_parts(
+/// Sends updates to their recipients; `message_of` returns the message with some of them, and whether
+/// a receiver in another region is to relay it.
+async fn send_batch<U>(
     core: &EntryCore,
     socket: &UdpSocket,
-    batch: UpdateBatch<PartUpdate>,
-    now: Instant,
+    batch: UpdateBatch<U>,
+    message_of: impl Fn(Vec<U>, bool) -> GossipMessage,
 ) {
-    let report = |updates, relay| GossipMessage::PartSuspects(PartReport { updates, relay });
+    let mut sent = 0;
     if !batch.broadcast.is_empty() {
-        let message = report(batch.broadcast, false);
-        send_to_matching(core, socket, &message, |_| true).await;
+        let message = message_of(batch.broadcast, false);
+        sent += send_to_matching(core, socket, &message, |_| true).await;
     }
     if !batch.local.is_empty() {
-        send_with_relays(core, socket, &report(batch.local, true), now).await;
+        let message = message_of(batch.local, true);
+        sent += send_with_relays(core, socket, &message, Instant::now()).await;
     }
     if !batch.relayed.is_empty() {
-        broadcast(core, socket, &report(batch.relayed, false)).await;
+        sent += broadcast(core, socket, &message_of(batch.relayed, false)).await;
+    }
+    core.update_budget.borrow_mut().charge(sent);
+}
+
+/// Sends a message to the own region and to one node of each other region; returns the bytes sent.
+async fn send_with_relays(
+    core: &EntryCore,
+    socket: &UdpSocket,
+    message: &GossipMessage,
+    now: Instant,
+) -> usize {
+    let relays = core
+        .members
+        .borrow()
+        .one_per_region(&core.settings.name, now);
+    let filter = |member: &MemberInfo| in_own_region(core, member) || relays.contains(&member.peer);
+    send_to_matching(core, socket, message, filter).await
+}
+
+/// Sends updates to one node that lacks them, unless too much was sent a short time ago: it is told
+/// again as long as it lacks them.
+pub(crate) async fn send_reply(
+    core: &EntryCore,
+    socket: &UdpSocket,
+    message: &GossipMessage,
+    to: SocketAddrV4,
+) {
+    if !may_send_updates(core, message.kind()) {
+        return;
     }
+    let sent = send_message(core, socket, message, to).await;
+    core.update_budget.borrow_mut().charge(sent);
 }
 
 /// Broadcasts pending rate limit updates to the region.
@@ -152,11 +172,11 @@
             leaving: part.to_vec(),
             ..ReplicaUpdates::default()
         };
-        send_message(core, socket, &GossipMessage::Replicas(updates), to).await;
+        send_reply(core, socket, &GossipMessage::Replicas(updates), to).await;
     }
     let known: Vec<RateLimitUpdate> = core.replicas.borrow().limits.active_limits().collect();
     for part in known.chunks(MAX_RATE_LIMITS) {
-        send_message(core, socket, &GossipMessage::RateLimits(part.to_vec()), to).await;
+        send_reply(core, socket, &GossipMessage::RateLimits(part.to_vec()), to).await;
     }
 }
 
@@ -173,7 +193,7 @@
     if updates.is_empty() {
         return;
     }
-    send_message(core, socket, &GossipMessage::Suspects(updates), to).await;
+    send_reply(core, socket, &GossipMessage::Suspects(updates), to).await;
 }
 
 /// Sends the known suspect prompt parts to a node whose digest differs.
@@ -194,5 +214,5 @@
         updates,
         relay: false,
     };
-    send_message(core, socket, &GossipMessage::PartSuspects(report), to).await;
+    send_reply(core, socket, &GossipMessage::PartSuspects(report), to).await;
 }
--- a/crates/zinniahatch_entry/src/nodes/datagrams.rs
+++ b/crates/zinniahatch_entry/src/nodes/datagrams.rs
@@ -20,9 +20,13 @@
         .is_some_and(|member| in_own_region(core, member))
 }
 
-/// Sends a datagram to all known nodes of the region.
-pub(crate) async fn broadcast(core: &EntryCore, socket: &UdpSocket, message: &GossipMessage) {
-    send_to_matching(core, socket, message, |member| in_own_region(core, member)).await;
+/// Sends a datagram to all known nodes of the region; returns the bytes sent.
+pub(crate) async fn broadcast(
+    core: &EntryCore,
+    socket: &UdpSocket,
+    message: &GossipMessage,
+) -> usize {
+    send_to_matching(core, socket, message, |member| in_own_region(core, member)).await
 }
 
 /// Sends a datagram to all known nodes of the region, with a tail that nodes of earlier versions do
@@ -42,16 +46,17 @@
     send_bytes_to_matching(core, socket, message.kind(), &bytes, own_region).await;
 }
 
-/// Sends a datagram to the known nodes that match a filter.
+/// Sends a datagram to the known nodes that match a filter; returns the bytes sent.
 pub(crate) async fn send_to_matching(
     core: &EntryCore,
     socket: &UdpSocket,
     message: &GossipMessage,
     filter: impl Fn(&MemberInfo) -> bool,
-) {
-    if let Ok(bytes) = postcard::to_allocvec(message) {
-        send_bytes_to_matching(core, socket, message.kind(), &bytes, filter).await;
-    }
+) -> usize {
+    let Ok(bytes) = postcard::to_allocvec(message) else {
+        return 0;
+    };
+    send_bytes_to_matching(core, socket, message.kind(), &bytes, filter).await
 }
 
 async fn send_bytes_to_matching(
@@ -60,7 +65,7 @@
     kind: &str,
     bytes: &[u8],
     filter: impl Fn(&MemberInfo) -> bool,
-) {
+) -> usize {
     let addresses: Vec<SocketAddrV4> = {
         let members = core.members.borrow();
         members
@@ -69,21 +74,24 @@
             .map(|member| member.peer)
             .collect()
     };
-    for address in addresses {
-        send_bytes(core, socket, kind, bytes, address).await;
+    for address in &addresses {
+        send_bytes(core, socket, kind, bytes, *address).await;
     }
+    addresses.len() * bytes.len()
 }
 
-/// Sends a datagram to one node.
+/// Sends a datagram to one node; returns the bytes sent.
 pub(crate) async fn send_message(
     core: &EntryCore,
     socket: &UdpSocket,
     message: &GossipMessage,
     to: SocketAddrV4,
-) {
-    if let Ok(bytes) = postcard::to_allocvec(message) {
-        send_bytes(core, socket, message.kind(), &bytes, to).await;
-    }
+) -> usize {
+    let Ok(bytes) = postcard::to_allocvec(message) else {
+        return 0;
+    };
+    send_bytes(core, socket, message.kind(), &bytes, to).await;
+    bytes.len()
 }
 
 /// Sends the bytes of a message of some kind to one node.
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -9,9 +9,9 @@
 use crate::nodes::broadcast::send_known_notices;
 use crate::nodes::broadcast::send_known_parts;
 use crate::nodes::broadcast::send_known_suspects;
+use crate::nodes::broadcast::send_reply;
 use crate::nodes::datagrams::is_from_own_region;
 use crate::nodes::datagrams::send_bytes;
-use crate::nodes::datagrams::send_message;
 use crate::nodes::gossip_message::GossipMessage;
 use crate::nodes::gossip_message::Heartbeat;
 use crate::nodes::gossip_message::HeartbeatTail;
@@ -91,7 +91,7 @@
                                 send_known_notices(&core, &socket, from).await;
                             }
                         }
-                        DatagramEffect::Reply(message) => send_message(&core, &socket, &message, from).await,
+                        DatagramEffect::Reply(message) => send_reply(&core, &socket, &message, from).await,
                         DatagramEffect::AccountUsage(usage) => reporter.handle_remote_usage(&core, &socket, &usage).await,
                         DatagramEffect::RosterRequest => {
                             let own = || MemberInfo {
--- a/crates/zinniahatch_entry/src/nodes/message_metrics.rs
+++ b/crates/zinniahatch_entry/src/nodes/message_metrics.rs
@@ -21,6 +21,7 @@
     send_wait: Cell<Duration>,
     rosters_missed: IntCounter,
     snapshots: IntCounterVec,
+    withheld: IntCounterVec,
 }
 
 impl MessageMetrics {
@@ -69,6 +70,11 @@
             link_wait,
             send_wait: Cell::default(),
             rosters_missed,
+            withheld: counter(
+                "zinniahatch_updates_withheld_total",
+                "Times that updates for other nodes waited or were left out, since this node had sent too many bytes, by kind of message.",
+                "kind",
+            )?,
             snapshots: counter(
                 "zinniahatch_snapshots_total",
                 "Requests of other nodes for a snapshot, by outcome.",
@@ -128,6 +134,11 @@
         self.rosters_missed.inc();
     }
 
+    /// Counts updates that were not sent because too many bytes had been.
+    pub(crate) fn note_withheld(&self, kind: &str) {
+        self.withheld.with_label_values(&[kind]).inc();
+    }
+
     /// Counts a request for a snapshot.
     pub(crate) fn note_snapshot(&self, outcome: &str) {
         self.snapshots.with_label_values(&[outcome]).inc();
--- a/crates/zinniahatch_entry/src/nodes/work_reporter.rs
+++ b/crates/zinniahatch_entry/src/nodes/work_reporter.rs
@@ -177,7 +177,9 @@
         let usage = usage.into_iter().collect();
         match self.path {
             WorkPath::Own => self.add_to_batch(update, usage, now),
-            WorkPath::All => broadcast(core, socket, &WorkReport::of(update, usage, relay)).await,
+            WorkPath::All => {
+                broadcast(core, socket, &WorkReport::of(update, usage, relay)).await;
+            }
             WorkPath::Collector(collector) => {
                 self.collectors.note_sent(collector, now);
                 let report = WorkReport::of(update, usage, relay);
--- a/crates/zinniahatch_route/src/update_queue.rs
+++ b/crates/zinniahatch_route/src/update_queue.rs
@@ -55,10 +55,18 @@
     }
 }
 
-/// Suspects with pending updates, and how many times each is still to be sent.
+/// Suspects with pending updates.
 #[derive(Clone, Debug)]
 pub(crate) struct UpdateQueue<K> {
-    pending: BTreeMap<K, u8>,
+    pending: BTreeMap<K, PendingUpdate>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingUpdate {
+    /// How many times it is still to be sent.
+    left: u8,
+    /// Whether it is for all nodes and goes before the others.
+    urgent: bool,
 }
 
 impl<K> Default for UpdateQueue<K> {
@@ -74,15 +82,19 @@
     /// replicas reaches.
     pub(crate) fn add(&mut self, key: K, broadcast: bool) {
         if broadcast || self.pending.len() < MAX_PENDING || self.pending.contains_key(&key) {
-            self.pending.insert(key, BROADCAST_REPEATS);
+            let pending = PendingUpdate {
+                left: BROADCAST_REPEATS,
+                urgent: broadcast,
+            };
+            self.pending.insert(key, pending);
         }
     }
 
     /// Returns whether updates are due: those never sent and, with `again`, those that are still to be
     /// repeated.
     pub(crate) fn is_due(&self, again: bool) -> bool {
-        let mut left = self.pending.values();
-        left.any(|left| again || *left == BROADCAST_REPEATS)
+        let mut pending = self.pending.values();
+        pending.any(|pending| again || pending.left == BROADCAST_REPEATS)
     }
 
     /// Takes up to `max` updates: those never sent and, with `again`, those that are still to be
@@ -96,16 +108,21 @@
         let due = self
             .pending
             .iter()
-            .filter(|(_, left)| again || **left == BROADCAST_REPEATS);
-        let due: Vec<K> = due.map(|(key, _)| *key).take(max).collect();
+            .filter(|(_, pending)| again || pending.left == BROADCAST_REPEATS);
+        let mut due: Vec<(bool, K)> = due.map(|(key, pending)| (!pending.urgent, *key)).collect();
+        due.sort_unstable();
+        due.truncate(max);
         let mut batch = UpdateBatch::default();
-        for key in due {
-            let left = self.pending.remove(&key).unwrap_or(0).saturating_sub(1);
+        for (_, key) in due {
+            let Some(pending) = self.pending.remove(&key) else {
+                continue;
+            };
+            let left = pending.left - 1;
             let Some((update, target)) = update_of(key) else {
                 continue;
             };
             if target == UpdateTarget::Broadcast && left > 0 {
-                self.pending.insert(key, left);
+                self.pending.insert(key, PendingUpdate { left, ..pending });
             }
             batch.push(update, target);
         }
