Reset a connection that is given up inside an exchange

Cause: the node that gave up closed the connection in order. The close came after all bytes that still waited in the send buffer, so that a node or a replica behind a full link received the whole request first, and the close last. Class: a cancellation that queues behind what it cancels.

Change: dropping a connection whose response has not been read to its end resets it, which discards what waits. Complete exchanges and idle connections close as before.

--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -456,6 +456,17 @@
     }
 }
 
+impl Drop for BackendConnection {
+    /// Resets a connection that is given up inside an exchange. An orderly close would come after the
+    /// bytes that still wait to be sent, and the other side would run a request whose caller has left.
+    fn drop(&mut self) {
+        if self.is_exchanging() {
+            // Without the option the close is an orderly one.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 async fn read_more(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
     loop {
         stream.readable().await?;
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -99,7 +99,6 @@
 /// Guards against a request that runs although its caller has left: its last bytes still waited to be
 /// sent when the connection was closed.
 #[tokio::test]
-#[ignore = "KNOWN-RED.txt"]
 async fn abandoned_request_is_not_delivered() {
     let socket = TcpSocket::new_v4().unwrap();
     // With a small window, most of the request stays in the send buffer.
