--- a/crates/zinniahatch_route/tests/read_pace.rs
+++ b/crates/zinniahatch_route/tests/read_pace.rs
@@ -37,8 +37,8 @@
 /// Guards against a reader that falls behind while thousands of replicas start, loses the history and
 /// learns for seconds of no replica that leaves.
 #[test_case(50.0; "some_changes")]
-#[test_case(300.0 => ignore["KNOWN-RED.txt"] (); "many_changes")]
-#[test_case(700.0 => ignore["KNOWN-RED.txt"] (); "changes_near_the_limit")]
+#[test_case(300.0; "many_changes")]
+#[test_case(700.0; "changes_near_the_limit")]
 fn reader_keeps_up(rate: f64) {
     let (most, _) = read_for_a_while(rate);
     let lag = Duration::from_secs_f64(most / rate);
