Let a node rely on store readers by what they have read, not by a match with any

Cause: a node took itself for current if its digest matched that of any one reader. A reader that took over read on from where it had stopped long ago. A roster told of readers in its first part only, and took their mark from them in the others (found by reading; not seen). Class: equality with a peer taken for progress.

Change: readers announce the revisions up to which they have read, behind the message so that nodes of earlier versions can read it, and each datagram of updates names the revisions that it covers. A node is current if what it has covers the newest revision announced; a gap, or digests that stay different, make it fetch from a reader that has read far enough. A node that takes over or starts reads on from what it has. Every part of a roster tells of its readers.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -5,7 +5,6 @@
 use crate::counts::pending_counts::PendingCounts;
 use crate::decision_log::DecisionLog;
 use crate::metrics::EntryMetrics;
-use crate::nodes::replica_updates::ReplicaUpdates;
 use crate::nodes::snapshot::SnapshotLimiter;
 use crate::replicas::address_checks::AddressChecks;
 use crate::replicas::crash_detection::CRASH_REUSE_PERIOD;
@@ -36,6 +35,7 @@
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::PartSuspectTable;
 use zinniahatch_route::QuotaTable;
+use zinniahatch_route::ReadRange;
 use zinniahatch_route::ReaderCoverage;
 use zinniahatch_route::RegionPaths;
 use zinniahatch_route::ReplicaTable;
@@ -44,9 +44,11 @@
 use zinniahatch_route::RouteTable;
 use zinniahatch_route::ScopedPart;
 use zinniahatch_route::ServingPreset;
+use zinniahatch_route::StoreProgress;
 use zinniahatch_route::StreamOriginTable;
 use zinniahatch_route::SuspectTable;
 use zinniahatch_route::TrafficBudget;
+use zinniahatch_route::UpdateOutbox;
 use zinniahatch_route::VersionTable;
 use zinniahatch_route::process_tag;
 
@@ -136,7 +138,7 @@
     region_peers: RefCell<Option<(Rc<BTreeSet<NodeId>>, Instant)>>,
     pub(crate) counts: PendingCounts,
     /// Replica updates that have not been sent to the other nodes of the region.
-    pub(crate) replica_updates: RefCell<ReplicaUpdates>,
+    pub(crate) replica_updates: RefCell<UpdateOutbox>,
     /// For each topic, how this node's state compares with that of its region's store readers.
     pub(crate) topic_coverage: RefCell<BTreeMap<WatchTopic, ReaderCoverage>>,
     /// For each role, how many nodes rank before this one, and when that was computed.
@@ -279,10 +281,33 @@
         self.replicas_listed.get()
     }
 
-    /// Returns the store revisions up to which this node has read the replicas and the operators'
-    /// keys.
-    pub(crate) fn read_revisions(&self) -> Option<(StoreRevision, StoreRevision)> {
-        Some((self.replicas_revision.get()?, self.operator_revision.get()?))
+    /// Returns how far this node has read the store.
+    pub(crate) fn store_progress(&self) -> Option<StoreProgress> {
+        Some(StoreProgress {
+            replicas: self.replicas_revision.get()?,
+            rules: self.operator_revision.get()?,
+        })
+    }
+
+    /// Returns the revision of the store up to which this node has everything of a topic; `None` if it
+    /// knows of none.
+    pub(crate) fn covered(&self, topic: WatchTopic) -> Option<StoreRevision> {
+        let coverage = self.topic_coverage.borrow();
+        let covered = coverage.get(&topic)?.covered();
+        (covered > StoreRevision::default()).then_some(covered)
+    }
+
+    /// Records that this node has everything of a topic up to a revision of the store.
+    pub(crate) fn note_covered(&self, topic: WatchTopic, upto: StoreRevision) {
+        let mut coverage = self.topic_coverage.borrow_mut();
+        coverage.entry(topic).or_default().note_covered(upto);
+    }
+
+    /// Records that this node has all changes of replicas in a range of the store's revisions.
+    pub(crate) fn note_range(&self, range: ReadRange) {
+        let mut coverage = self.topic_coverage.borrow_mut();
+        let coverage = coverage.entry(WatchTopic::Replicas).or_default();
+        coverage.note_range(range, Instant::now());
     }
 
     /// Records that the list of replicas has been read.
--- a/crates/zinniahatch_entry/src/nodes/broadcast.rs
+++ b/crates/zinniahatch_entry/src/nodes/broadcast.rs
@@ -8,7 +8,6 @@
 use crate::nodes::datagrams::send_to_matching;
 use crate::nodes::gossip_message::GossipMessage;
 use crate::nodes::gossip_message::PartReport;
-use crate::nodes::replica_updates::ReplicaUpdates;
 use crate::nodes::replica_updates::versions_of;
 use std::net::SocketAddrV4;
 use tokio::net::UdpSocket;
@@ -16,6 +15,7 @@
 use zinniahatch_route::MemberInfo;
 use zinniahatch_route::RateLimitUpdate;
 use zinniahatch_route::ReplicaIncarnation;
+use zinniahatch_route::ReplicaUpdates;
 use zinniahatch_route::ScopedPart;
 use zinniahatch_route::UpdateBatch;
 
@@ -31,15 +31,15 @@
 /// Broadcasts pending replica updates to the region in batches.
 pub(crate) async fn broadcast_replica_updates(core: &EntryCore, socket: &UdpSocket) {
     loop {
-        let part = core
+        let batch = core
             .replica_updates
             .borrow_mut()
             .take_batch(MAX_REPLICA_UPDATES);
-        if part == ReplicaUpdates::default() {
+        let Some((updates, range)) = batch else {
             return;
-        }
-        let versions = versions_of(&part.written);
-        broadcast_with_tail(core, socket, &GossipMessage::Replicas(part), &versions).await;
+        };
+        let tail = (versions_of(&updates.written), range);
+        broadcast_with_tail(core, socket, &GossipMessage::Replicas(updates), &tail).await;
     }
 }
 
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -17,7 +17,7 @@
 use crate::nodes::gossip_message::HeartbeatTail;
 use crate::nodes::gossip_message::PartReport;
 use crate::nodes::own_info::own_member_info;
-use crate::nodes::replica_updates::attach_versions;
+use crate::nodes::replica_updates::decode_tail;
 use crate::nodes::rosters::RosterExchange;
 use crate::nodes::rosters::handle_members;
 use crate::nodes::rosters::send_members;
@@ -178,6 +178,7 @@
         .report(core.longest_stream.get().limit(), now);
     tail.extend(postcard::to_allocvec(&report).unwrap_or_default());
     tail.extend(postcard::to_allocvec(&core.part_digest.get()).unwrap_or_default());
+    tail.extend(postcard::to_allocvec(&heartbeat.member.store_progress).unwrap_or_default());
     for (address, wants_reply) in heartbeat_receivers(core, targets, now) {
         let node = core.members.borrow().at_address(address).cloned();
         heartbeat.wants_reply = wants_reply;
@@ -295,8 +296,8 @@
         .messages
         .note_received(message.kind(), bytes.len());
     match message {
-        GossipMessage::Heartbeat(heartbeat) => {
-            let parts = handle_heartbeat_tail(core, &heartbeat.member.region, rest);
+        GossipMessage::Heartbeat(mut heartbeat) => {
+            let parts = handle_heartbeat_tail(core, &mut heartbeat.member, rest);
             let same_region = heartbeat.member.region == core.settings.region;
             let diff = StateDiff {
                 suspects: heartbeat.suspects != core.suspects.borrow().accused_digest(),
@@ -326,33 +327,38 @@
         GossipMessage::Work(report) => reporter.handle_report(core, report, from),
         GossipMessage::AccountUsage(usage) => return DatagramEffect::AccountUsage(usage),
         GossipMessage::RosterRequest => return DatagramEffect::RosterRequest,
-        GossipMessage::Roster(part) => return DatagramEffect::Roster(part),
+        GossipMessage::Roster(mut part) => {
+            part.store_progress = postcard::from_bytes(rest).unwrap_or_default();
+            return DatagramEffect::Roster(part);
+        }
         GossipMessage::MembersRequest(tags) => return DatagramEffect::MembersRequest(tags),
         GossipMessage::Members(infos) => handle_members(core, infos, from),
         GossipMessage::StreamOrigins(records) => handle_origins(core, &records, false),
         GossipMessage::RemoteOrigins(records) => handle_origins(core, &records, true),
         GossipMessage::OriginQuery(query) => handle_query(core, query),
         GossipMessage::Replicas(mut batch) => {
-            attach_versions(
-                &mut batch.written,
-                postcard::from_bytes(rest).unwrap_or_default(),
-            );
+            let range = decode_tail(&mut batch.written, rest);
             apply_replica_updates(core, batch, Instant::now());
+            if let Some(range) = range.filter(|_| is_from_own_region(core, from)) {
+                core.note_range(range);
+            }
         }
     }
     DatagramEffect::Handled
 }
 
-/// Handles what follows a heartbeat in its datagram; returns the sender's digest of suspect prompt
+/// Handles what follows a heartbeat of a node in its datagram; returns its digest of suspect prompt
 /// parts, if it has one.
-fn handle_heartbeat_tail(core: &EntryCore, region: &RegionId, tail: &[u8]) -> Option<u64> {
+fn handle_heartbeat_tail(core: &EntryCore, member: &mut MemberInfo, tail: &[u8]) -> Option<u64> {
     let (tail, rest) = postcard::take_from_bytes::<HeartbeatTail>(tail).ok()?;
     let mut fleet_size = core.fleet_size.borrow_mut();
-    fleet_size.note(region, tail.region_nodes as usize);
+    fleet_size.note(&member.region, tail.region_nodes as usize);
     let (report, rest) = postcard::take_from_bytes(rest).ok()?;
     let mut versions = core.versions.borrow_mut();
-    versions.apply(region, report, Instant::now());
-    postcard::from_bytes(rest).ok()
+    versions.apply(&member.region, report, Instant::now());
+    let (parts, rest) = postcard::take_from_bytes(rest).ok()?;
+    member.store_progress = postcard::from_bytes(rest).unwrap_or_default();
+    Some(parts)
 }
 
 fn handle_rate_limits(core: &EntryCore, updates: &[RateLimitUpdate], from: SocketAddrV4) {
--- a/crates/zinniahatch_entry/src/nodes/gossip_message.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip_message.rs
@@ -1,6 +1,5 @@
 //! Messages exchanged between nodes as UDP datagrams.
 
-use crate::nodes::replica_updates::ReplicaUpdates;
 use crate::nodes::stream_origins::OriginQuery;
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,6 +10,7 @@
 use zinniahatch_route::PartUpdate;
 use zinniahatch_route::RateLimitUpdate;
 use zinniahatch_route::RegionUsage;
+use zinniahatch_route::ReplicaUpdates;
 use zinniahatch_route::RosterPart;
 use zinniahatch_route::SuspectUpdate;
 use zinniahatch_route::WorkUpdate;
--- a/crates/zinniahatch_entry/src/nodes/own_info.rs
+++ b/crates/zinniahatch_entry/src/nodes/own_info.rs
@@ -9,13 +9,15 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::CoverageState;
 use zinniahatch_route::MemberInfo;
+use zinniahatch_route::ReaderReport;
 use zinniahatch_route::ServiceCapacity;
 use zinniahatch_route::StoreDigest;
 
 /// Returns whether this node is an active store reader for its region.
 pub(crate) fn is_store_reader(core: &EntryCore, now: Instant) -> bool {
     let store_ok = !core.replicas.borrow().store_failed_recently(now);
-    store_ok && core.is_initialized() && holds_role(core, STORE_READER_ROLE, STORE_READERS)
+    let has_read = core.is_initialized() && core.store_progress().is_some();
+    store_ok && has_read && holds_role(core, STORE_READER_ROLE, STORE_READERS)
 }
 
 fn store_digest(core: &EntryCore) -> StoreDigest {
@@ -33,20 +35,21 @@
     topic: WatchTopic,
     now: Instant,
 ) -> CoverageState {
-    let Some(digest_part) = topic.digest() else {
+    let Some((digest_part, progress_part)) = topic.reported_parts() else {
         return CoverageState::NoReaders;
     };
     let own = digest_part(&store_digest(core));
     let members = core.members.borrow();
-    let reader_digests = members.live_in(&core.settings.region, now);
-    let reader_digests = reader_digests
-        .into_iter()
-        .filter_map(|member| member.store_digest.as_ref().map(digest_part));
+    let readers = members.live_in(&core.settings.region, now).into_iter();
+    let reports = readers.filter_map(|member| {
+        let digest = member.store_digest.as_ref()?;
+        Some(ReaderReport {
+            digest: digest_part(digest),
+            read_at: member.store_progress.as_ref().map(progress_part),
+        })
+    });
     let mut coverage = core.topic_coverage.borrow_mut();
-    coverage
-        .entry(topic)
-        .or_default()
-        .check(own, reader_digests, now)
+    coverage.entry(topic).or_default().check(own, reports, now)
 }
 
 /// Returns the state that this node reports in its heartbeats.
@@ -75,6 +78,7 @@
         preset: core.preset.borrow().revision,
         store_reachable: !replicas.store_failed_recently(now),
         store_digest: is_store_reader(core, now).then(|| store_digest(core)),
+        store_progress: core.store_progress().filter(|_| is_store_reader(core, now)),
         // Set when the heartbeat is sent, since the proof ages until then.
         proof: None,
         services,
--- a/crates/zinniahatch_entry/src/nodes/replica_updates.rs
+++ b/crates/zinniahatch_entry/src/nodes/replica_updates.rs
@@ -1,24 +1,7 @@
-//! Replica updates on their way from the store readers to the other nodes.
+//! What follows replica updates in their datagram.
 
-use serde::Deserialize;
-use serde::Serialize;
-use zinniahatch_base::prelude::*;
+use zinniahatch_route::ReadRange;
 use zinniahatch_route::ReplicaEntry;
-use zinniahatch_route::ReplicaIncarnation;
-
-/// Replica updates for the nodes of a region.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ReplicaUpdates {
-    /// Entries that were written.
-    pub(crate) written: Vec<ReplicaEntry>,
-    /// Entries that were removed, with the store revision of the removal.
-    pub(crate) removed: Vec<(ReplicaId, StoreRevision)>,
-    /// Data centres whose evacuation began (`true`) or ended, with the store revision of the
-    /// change.
-    pub(crate) evacuations: Vec<(DataCentreId, bool, StoreRevision)>,
-    /// Replica incarnations that announced in a response that they are leaving.
-    pub(crate) leaving: Vec<ReplicaIncarnation>,
-}
 
 /// Software versions of replica entries, in their order.
 ///
@@ -39,18 +22,10 @@
     }
 }
 
-impl ReplicaUpdates {
-    /// Removes and returns up to `max` updates.
-    pub(crate) fn take_batch(&mut self, max: usize) -> Self {
-        let written = self.written.len().min(max);
-        let removed = self.removed.len().min(max - written);
-        let leaving = self.leaving.len().min(max - written - removed);
-        Self {
-            written: self.written.drain(..written).collect(),
-            removed: self.removed.drain(..removed).collect(),
-            // Not limited by `max`: there are only a few data centres, so these always fit.
-            evacuations: std::mem::take(&mut self.evacuations),
-            leaving: self.leaving.drain(..leaving).collect(),
-        }
-    }
+/// Decodes what follows replica updates in their datagram: the software versions of the entries, and
+/// the revisions that the updates cover. Nodes of earlier versions send none of the latter.
+pub(crate) fn decode_tail(entries: &mut [ReplicaEntry], tail: &[u8]) -> Option<ReadRange> {
+    let (versions, rest): (EntryVersions, _) = postcard::take_from_bytes(tail).ok()?;
+    attach_versions(entries, versions);
+    postcard::from_bytes(rest).ok()?
 }
--- a/crates/zinniahatch_entry/src/nodes/rosters.rs
+++ b/crates/zinniahatch_entry/src/nodes/rosters.rs
@@ -201,7 +201,9 @@
     }
     let mut parts = Vec::new();
     for part in members.roster(own, ROSTER_REUSE_TIME, now) {
-        if let Ok(bytes) = postcard::to_allocvec(&GossipMessage::Roster(part)) {
+        let progress = postcard::to_allocvec(&part.store_progress).unwrap_or_default();
+        if let Ok(mut bytes) = postcard::to_allocvec(&GossipMessage::Roster(part)) {
+            bytes.extend(progress);
             parts.push(bytes);
         }
     }
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -12,6 +12,7 @@
 use crate::nodes::replica_updates::versions_of;
 use crate::store::updates::handle_entry_change;
 use crate::store::updates::is_in_region;
+use crate::store::watch_topic::WatchTopic;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
@@ -26,6 +27,7 @@
 use zinniahatch_route::ReplicaIncarnation;
 use zinniahatch_route::SendPermit;
 use zinniahatch_route::ServingPreset;
+use zinniahatch_route::StoreProgress;
 use zinniahatch_route::differing_groups;
 
 /// Path of the snapshot on the peer listener.
@@ -72,7 +74,7 @@
     groups: BTreeSet<usize>,
     /// The revisions up to which the sender has read the replicas and the operators' keys; `None`
     /// if it does not read them for its region.
-    read_at: Option<(StoreRevision, StoreRevision)>,
+    read_at: Option<StoreProgress>,
 }
 
 /// Large snapshots that this node sent a short time ago.
@@ -128,7 +130,7 @@
     let scope = SnapshotScope {
         groups,
         read_at: is_store_reader(core, now)
-            .then(|| core.read_revisions())
+            .then(|| core.store_progress())
             .flatten(),
     };
     let mut bytes = postcard::to_allocvec(&snapshot).ok()?;
@@ -171,12 +173,14 @@
     let mut replicas = core.replicas.borrow_mut();
     let first_listing = !core.has_listed_replicas();
     let mut changes = Vec::new();
-    if let Some((scope, (replicas_read, operator_read))) =
+    if let Some((scope, read_at)) =
         scope.and_then(|scope| scope.read_at.map(|read_at| (scope, read_at)))
     {
-        changes = replicas.merge_reader_groups(entries, &scope.groups, replicas_read, now);
+        changes = replicas.merge_reader_groups(entries, &scope.groups, read_at.replicas, now);
         replicas.merge_peer_snapshot(Vec::new(), &snapshot.ended, now);
-        replicas.set_evacuated(&snapshot.evacuated, operator_read, now);
+        replicas.set_evacuated(&snapshot.evacuated, read_at.rules, now);
+        core.note_covered(WatchTopic::Replicas, read_at.replicas);
+        core.note_covered(WatchTopic::Operator, read_at.rules);
     } else {
         replicas.merge_peer_snapshot(entries, &snapshot.ended, now);
         if first_listing {
--- a/crates/zinniahatch_entry/src/replicas/notice.rs
+++ b/crates/zinniahatch_entry/src/replicas/notice.rs
@@ -143,7 +143,7 @@
     if effect.leaving {
         log_leaving(core, replica, source, request_id);
         if let Some(incarnation) = incarnation {
-            core.replica_updates.borrow_mut().leaving.push(incarnation);
+            core.replica_updates.borrow_mut().push_leaving(incarnation);
             core.work_changed.notify_one();
         }
     }
--- a/crates/zinniahatch_entry/src/store/updates.rs
+++ b/crates/zinniahatch_entry/src/store/updates.rs
@@ -1,7 +1,6 @@
 //! Application of state from the store: desired state, evacuations, replicas and the preset.
 
 use crate::core::EntryCore;
-use crate::nodes::replica_updates::ReplicaUpdates;
 use crate::nodes::roles::STORE_READER_ROLE;
 use crate::nodes::roles::STORE_READERS;
 use crate::nodes::roles::holds_role;
@@ -21,6 +20,8 @@
 use zinniahatch_route::DesiredState;
 use zinniahatch_route::EntryChange;
 use zinniahatch_route::ReplicaEntry;
+use zinniahatch_route::ReplicaUpdates;
+use zinniahatch_route::UpdateOutbox;
 
 /// Changes of one listing up to which they are sent to the region; the others take more of them by
 /// the groups that differ.
@@ -89,10 +90,12 @@
         return;
     }
     let mut updates = core.replica_updates.borrow_mut();
-    let written = changes.iter().map(|(entry, _)| entry.clone());
-    updates.written.extend(written);
-    let removed = missing.into_iter().map(|id| (id, revision));
-    updates.removed.extend(removed);
+    for (entry, _) in changes {
+        updates.push_written(entry.clone());
+    }
+    for id in missing {
+        updates.push_removed(id, revision);
+    }
     drop(updates);
     core.work_changed.notify_one();
 }
@@ -115,7 +118,7 @@
             Ok(entry) if !is_in_region(core, &entry.data_centre) => {}
             Ok(entry) => {
                 queue_for_region(core, &entry.data_centre, |updates| {
-                    updates.written.push(entry.clone());
+                    updates.push_written(entry.clone());
                 });
                 apply_entry(core, entry, now);
             }
@@ -148,7 +151,7 @@
     drop(replicas);
     if let Some(data_centre) = data_centre {
         queue_for_region(core, &data_centre, |updates| {
-            updates.removed.push((id.into(), revision));
+            updates.push_removed(id.into(), revision);
         });
     }
     remove_replica(core, id, revision, now);
@@ -214,7 +217,7 @@
 }
 
 /// Queues a replica update for the other nodes of its region if this node is a store reader.
-fn queue_for_region(core: &EntryCore, data_centre: &str, queue: impl FnOnce(&mut ReplicaUpdates)) {
+fn queue_for_region(core: &EntryCore, data_centre: &str, queue: impl FnOnce(&mut UpdateOutbox)) {
     if is_in_region(core, data_centre) && holds_role(core, STORE_READER_ROLE, STORE_READERS) {
         queue(&mut core.replica_updates.borrow_mut());
         core.work_changed.notify_one();
@@ -241,9 +244,7 @@
     let data_centre: DataCentreId = data_centre.into();
     if holds_role(core, STORE_READER_ROLE, STORE_READERS) {
         let mut updates = core.replica_updates.borrow_mut();
-        updates
-            .evacuations
-            .push((data_centre.clone(), on, revision));
+        updates.push_evacuation((data_centre.clone(), on, revision));
         drop(updates);
         core.work_changed.notify_one();
     }
--- a/crates/zinniahatch_entry/src/store/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -21,6 +21,9 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::KvError;
 use zinniahatch_route::CoverageState;
+use zinniahatch_route::ReadRange;
+use zinniahatch_route::ReaderCoverage;
+use zinniahatch_route::StoreProgress;
 use zinniahatch_route::read_pause;
 
 /// Number of nodes per region that watch the preset; the others learn it by gossip. A watch on
@@ -76,6 +79,7 @@
         revision: None,
         healthy: true,
         retry_pause: MIN_RETRY_PAUSE,
+        discarded: StoreRevision::default(),
     };
     loop {
         if topic == WatchTopic::Preset
@@ -102,6 +106,8 @@
     healthy: bool,
     /// Pause after the next failure.
     retry_pause: Duration,
+    /// The revision up to which the store has discarded its history, as far as it said so.
+    discarded: StoreRevision,
 }
 
 impl TopicWatcher {
@@ -112,7 +118,7 @@
         if !must_probe && (self.revision.is_some() || self.core.is_initialized()) {
             rely_on_readers(&self.core, self.topic).await;
         }
-        let Some(after) = self.revision else {
+        let Some(after) = self.known_upto() else {
             if self.topic != WatchTopic::RECOVERY_PROBE {
                 wait_for_store(&self.core).await;
             }
@@ -124,7 +130,17 @@
         } else {
             NO_WAIT
         };
-        watch(&self.core, self.topic, after, wait).await
+        let read = read_changes(&self.core, self.topic, after, wait).await?;
+        note_read(&self.core, self.topic, read);
+        pause_after_changes(&self.core, self.topic, read.changes).await;
+        Ok(read.range.upto)
+    }
+
+    /// Returns the revision after which to read on, unless the store has discarded that history. What
+    /// the readers had read when they informed this node need not be read again.
+    fn known_upto(&self) -> Option<StoreRevision> {
+        let known = self.revision.max(self.core.covered(self.topic));
+        known.filter(|known| *known > self.discarded)
     }
 
     /// Lists the topic, or waits for the listing of another node if it takes several pages.
@@ -160,6 +176,7 @@
         }
         self.healthy = true;
         self.revision = Some(next);
+        self.core.note_covered(self.topic, next);
         self.retry_pause = MIN_RETRY_PAUSE;
         if self.topic == WatchTopic::RECOVERY_PROBE {
             self.core.store_reachable.send_replace(true);
@@ -172,7 +189,9 @@
     }
 
     fn note_compacted(&mut self) {
-        self.log("store-compacted", "revision", self.revision);
+        let known = self.known_upto();
+        self.log("store-compacted", "revision", known);
+        self.discarded = self.discarded.max(known.unwrap_or_default());
         let mut replicas = self.core.replicas.borrow_mut();
         replicas.note_history_lost(Instant::now());
         drop(replicas);
@@ -206,7 +225,7 @@
 /// A change wakes every waiting watch: 195 nodes made 28 calls each in 34 s, mostly for changes
 /// that they had already learned from other nodes.
 async fn rely_on_readers(core: &Rc<EntryCore>, topic: WatchTopic) {
-    if topic.digest().is_none() {
+    if topic.reported_parts().is_none() {
         return;
     }
     let mut fetches = 0;
@@ -223,11 +242,16 @@
                 }
             }
             CoverageState::Behind => {
+                let awaited = core
+                    .topic_coverage
+                    .borrow()
+                    .get(&topic)
+                    .map(ReaderCoverage::awaited);
                 core.log.write(
                     "behind-readers",
-                    serde_json::json!({"topic": format!("{topic:?}")}),
+                    serde_json::json!({"topic": format!("{topic:?}"), "awaited": awaited}),
                 );
-                fetch_from_reader(core).await;
+                fetch_from_reader(core, topic).await;
                 fetches += 1;
             }
             CoverageState::Current => {
@@ -246,11 +270,21 @@
 }
 
 /// Fetches what differs from a store reader of the region.
-async fn fetch_from_reader(core: &Rc<EntryCore>) {
+async fn fetch_from_reader(core: &Rc<EntryCore>, topic: WatchTopic) {
+    let awaited = core
+        .topic_coverage
+        .borrow()
+        .get(&topic)
+        .map(ReaderCoverage::awaited);
     let reader = {
         let members = core.members.borrow();
         let random = core.next_ticket();
-        let reader = members.store_reader(&core.settings.region, random, Instant::now());
+        let has_read = |progress: Option<StoreProgress>| {
+            let read_at = topic.reported_parts().zip(progress);
+            let read_at = read_at.map(|((_, part), progress)| part(&progress));
+            read_at >= awaited
+        };
+        let reader = members.store_reader(&core.settings.region, has_read, random, Instant::now());
         reader.and_then(|info| members.permit(&info.node))
     };
     if let Some(reader) = reader {
@@ -345,12 +379,43 @@
     let _ = reachable.wait_for(|up| *up).await;
 }
 
-async fn watch(
+/// Changes that were read and applied.
+#[derive(Clone, Copy)]
+struct ChangeRead {
+    /// Their number.
+    changes: usize,
+    /// The revisions that they cover.
+    range: ReadRange,
+    /// Whether all of them were queued for the nodes of the region.
+    for_region: bool,
+}
+
+/// Records that this node has read all changes of a topic up to a revision.
+fn note_read(core: &EntryCore, topic: WatchTopic, read: ChangeRead) {
+    let range = read.range;
+    core.note_covered(topic, range.upto);
+    match topic {
+        WatchTopic::Operator => core.operator_revision.set(Some(range.upto)),
+        WatchTopic::Replicas => {
+            core.replicas_revision.set(Some(range.upto));
+            let mut updates = core.replica_updates.borrow_mut();
+            if read.for_region {
+                updates.note_read(range);
+            } else {
+                updates.note_gap();
+            }
+        }
+        WatchTopic::Preset => {}
+    }
+}
+
+/// Waits for changes of a topic after a revision and applies them.
+async fn read_changes(
     core: &Rc<EntryCore>,
     topic: WatchTopic,
     after: StoreRevision,
     wait: Duration,
-) -> Result<StoreRevision, KvError> {
+) -> Result<ChangeRead, KvError> {
     let sent = core.clock.now();
     // A store that hangs or rejects this node may leave a waiting watch without an answer, and the
     // node would send to replicas that have left until the wait times out.
@@ -362,12 +427,13 @@
     };
     core.metrics.note_store("watch", "done");
     let now = Instant::now();
+    let upto = changes.revision.max(after);
     let count = changes.events.len();
-    if topic == WatchTopic::Replicas && holds_role(core, STORE_READER_ROLE, STORE_READERS) {
+    let had_role = holds_role(core, STORE_READER_ROLE, STORE_READERS);
+    if had_role && topic == WatchTopic::Replicas {
         core.log.write(
             "replicas-read",
-            serde_json::json!({"changes": count, "after": after,
-                "upto": changes.revision,
+            serde_json::json!({"changes": count, "after": after, "upto": upto,
                 "waited_ms": core.clock.now().saturating_sub(sent).as_millis() as u64}),
         );
     }
@@ -375,6 +441,16 @@
         apply_event(core, event, now);
     }
     note_topic_proof(core, topic, sent);
-    sleep(read_pause(count, coalesce_pause(core, topic))).await;
-    Ok(changes.revision.max(after))
+    Ok(ChangeRead {
+        changes: count,
+        range: ReadRange { after, upto },
+        for_region: had_role && holds_role(core, STORE_READER_ROLE, STORE_READERS),
+    })
+}
+
+/// Pauses after changes were read, so that those that follow soon share a call.
+async fn pause_after_changes(core: &EntryCore, topic: WatchTopic, changes: usize) {
+    if changes > 0 {
+        sleep(read_pause(changes, coalesce_pause(core, topic))).await;
+    }
 }
--- a/crates/zinniahatch_entry/src/store/watch_topic.rs
+++ b/crates/zinniahatch_entry/src/store/watch_topic.rs
@@ -1,9 +1,16 @@
 //! Topics of the store that are watched separately.
 
+use zinniahatch_base::StoreRevision;
 use zinniahatch_config::PRESET_KEY;
 use zinniahatch_platform::BACKEND_PREFIX;
 use zinniahatch_platform::OPERATOR_PREFIX;
 use zinniahatch_route::StoreDigest;
+use zinniahatch_route::StoreProgress;
+
+/// Selects the part of a digest that covers a topic.
+type DigestPart = fn(&StoreDigest) -> u64;
+/// Selects the revision up to which a topic was read.
+type ProgressPart = fn(&StoreProgress) -> StoreRevision;
 
 /// A set of keys with a watch of its own, which wakes only for these keys.
 ///
@@ -35,12 +42,12 @@
         }
     }
 
-    /// Returns the part of a store reader's digest that covers the topic, or `None` if store
-    /// readers do not cover it.
-    pub(crate) fn digest(self) -> Option<fn(&StoreDigest) -> u64> {
+    /// Returns the parts of a store reader's digest and progress that cover the topic, or `None` if
+    /// store readers do not cover it.
+    pub(crate) fn reported_parts(self) -> Option<(DigestPart, ProgressPart)> {
         match self {
-            Self::Operator => Some(|digest| digest.rules),
-            Self::Replicas => Some(|digest| digest.replicas),
+            Self::Operator => Some((|digest| digest.rules, |progress| progress.rules)),
+            Self::Replicas => Some((|digest| digest.replicas, |progress| progress.replicas)),
             Self::Preset => None,
         }
     }
--- a/crates/zinniahatch_route/src/members.rs
+++ b/crates/zinniahatch_route/src/members.rs
@@ -49,6 +49,15 @@
         pub rules: u64
     }
 
+    /// Revisions up to which a node has read the store.
+    #[derive(Copy, Eq)]
+    pub struct StoreProgress {
+        /// Of the replicas.
+        pub replicas: StoreRevision,
+        /// Of the desired state and the evacuations.
+        pub rules: StoreRevision
+    }
+
     /// Lifecycle stage of a node; a node goes through them in this order.
     #[derive(Copy, Eq, PartialOrd, Ord)]
     pub enum MemberStage {
@@ -91,6 +100,10 @@
         pub store_reachable: bool,
         /// Digests of the store's content; only from nodes that read it on behalf of their region.
         pub store_digest: Option<StoreDigest>,
+        /// How far it has read the store; only from the same nodes. Sent apart, since nodes of earlier
+        /// versions do not know it.
+        #[serde(skip)]
+        pub store_progress: Option<StoreProgress>,
         /// Its proof of how current its keys are; `None` if it has none.
         pub proof: Option<FreshnessProof>,
         /// The capacity of its region, by the tag of the service.
@@ -428,10 +441,20 @@
         regions
     }
 
-    /// Returns a node that reads the store for a region; `random` chooses among them.
-    pub fn store_reader(&self, region: &str, random: u64, now: Instant) -> Option<&MemberInfo> {
+    /// Returns a node that reads the store for a region and has read as far as `has_read` asks, or any
+    /// such node if none has; `random` chooses among them.
+    pub fn store_reader(
+        &self,
+        region: &str,
+        has_read: impl Fn(Option<StoreProgress>) -> bool,
+        random: u64,
+        now: Instant,
+    ) -> Option<&MemberInfo> {
         let mut readers = self.live_in(region, now);
         readers.retain(|info| info.store_digest.is_some());
+        if readers.iter().any(|info| has_read(info.store_progress)) {
+            readers.retain(|info| has_read(info.store_progress));
+        }
         let count = readers.len() as u64;
         (count > 0).then(|| readers[(random % count) as usize])
     }
--- a/crates/zinniahatch_route/src/reader_coverage.rs
+++ b/crates/zinniahatch_route/src/reader_coverage.rs
@@ -3,59 +3,152 @@
 //!
 //! Load pattern: replicas come and go all day at a large site, and each change wakes every watch
 //! on them. A few nodes of a region therefore read the store and inform the others by datagram.
-//! Their heartbeats carry a digest of what they read, by which a node notices that it missed a
-//! datagram, or that there is no reader any more.
+//!
+//! A node has to notice alone that it missed a datagram. Readers say in their heartbeats up to which
+//! revision they have read, with a digest of the state, and with each datagram which revisions it
+//! covers. A node is current if what it has covers the newest revision that any reader announced; a
+//! match with a reader that is itself behind shows nothing.
 
 use zinniahatch_base::prelude::*;
 
-/// Time for which a node's state may differ from that of all readers: updates are sent within a
-/// few ms of being read, and heartbeats come every 500 ms.
+/// Time for which a node may lack what a reader has read: updates are sent within a few ms of being
+/// read, and heartbeats come every 500 ms.
 const MAX_DIVERGENCE: Duration = Duration::from_millis(1_100);
 
+domain! {
+    /// The revisions of the store after one and up to another.
+    #[derive(Copy, Eq)]
+    pub struct ReadRange {
+        /// The revision after which it begins.
+        pub after: StoreRevision,
+        /// The last revision.
+        pub upto: StoreRevision,
+    }
+}
+
+/// What a store reader announces of one topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReaderReport {
+    /// Digest of the state that it has read.
+    pub digest: u64,
+    /// The revision up to which it has read; `None` from nodes of earlier versions.
+    pub read_at: Option<StoreRevision>,
+}
+
 /// Comparison of a node's state with that of the readers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CoverageState {
     /// There is no reader; the node has to read the store itself.
     NoReaders,
-    /// The node missed updates from the readers.
+    /// The node lacks something that a reader has read.
     Behind,
     /// The node knows what the readers know.
     Current,
 }
 
-/// Tracks since when a node's state has differed from that of the readers.
+/// Tracks up to which revision a node has what the readers of its region have read.
 #[derive(Clone, Debug, Default)]
 pub struct ReaderCoverage {
-    differs_since: Option<Instant>,
+    covered: StoreRevision,
+    /// A revision that the node is not known to have, and since when.
+    awaited: Option<(StoreRevision, Instant)>,
+    /// The own digest and that of the reader that has read furthest, if they differ, and since when
+    /// both have been the same.
+    mismatch: Option<(u64, u64, Instant)>,
 }
 
 impl ReaderCoverage {
+    /// Records that the node has everything up to a revision.
+    pub fn note_covered(&mut self, upto: StoreRevision) {
+        self.covered = self.covered.max(upto);
+        self.awaited = self
+            .awaited
+            .filter(|(revision, _)| *revision > self.covered);
+    }
+
+    /// Records a datagram with all changes in a range.
+    pub fn note_range(&mut self, range: ReadRange, now: Instant) {
+        if range.after <= self.covered {
+            self.note_covered(range.upto);
+        } else {
+            self.awaited.get_or_insert((range.upto, now));
+        }
+    }
+
+    /// Returns the revision up to which the node is known to have everything.
+    pub fn covered(&self) -> StoreRevision {
+        self.covered
+    }
+
+    /// Returns the revision that a reader needs to have read so that it has what this node lacks.
+    pub fn awaited(&self) -> StoreRevision {
+        self.awaited
+            .map(|(revision, _)| revision)
+            .unwrap_or_default()
+    }
+
     /// Compares the node's digest with those that the readers announced.
-    ///
-    /// A match with any one reader suffices: readers receive a change up to a second apart, and
-    /// each of them sends it to all nodes.
     pub fn check(
         &mut self,
         own: u64,
-        announced: impl IntoIterator<Item = u64>,
+        reports: impl IntoIterator<Item = ReaderReport>,
         now: Instant,
     ) -> CoverageState {
-        let mut any = false;
-        for digest in announced {
-            any = true;
-            if digest == own {
-                self.differs_since = None;
-                return CoverageState::Current;
+        let mut furthest: Option<ReaderReport> = None;
+        let mut matches = false;
+        for report in reports {
+            if report.digest == own {
+                matches = true;
+                self.note_covered(report.read_at.unwrap_or_default());
+            }
+            if furthest.is_none_or(|known| known.read_at < report.read_at) {
+                furthest = Some(report);
             }
         }
-        if !any {
-            self.differs_since = None;
+        let Some(furthest) = furthest else {
+            *self = Self {
+                covered: self.covered,
+                ..Self::default()
+            };
             return CoverageState::NoReaders;
+        };
+        match furthest.read_at {
+            Some(read_at) if read_at > self.covered => {
+                self.awaited.get_or_insert((read_at, now));
+            }
+            None if !matches => {
+                self.awaited.get_or_insert((StoreRevision::default(), now));
+            }
+            _ => {}
         }
-        let since = *self.differs_since.get_or_insert(now);
-        if now.saturating_duration_since(since) > MAX_DIVERGENCE {
-            return CoverageState::Behind;
+        let lasts = |since: Instant| now.saturating_duration_since(since) > MAX_DIVERGENCE;
+        let is_late = self.awaited.is_some_and(|(_, since)| lasts(since));
+        let differs = self.note_mismatch(own, furthest.digest, matches, now);
+        if is_late || lasts(differs.unwrap_or(now)) {
+            CoverageState::Behind
+        } else {
+            CoverageState::Current
+        }
+    }
+
+    /// Records whether the digests differ, and returns since when they have stayed so. While replicas
+    /// come and go they differ for a moment after each change.
+    fn note_mismatch(
+        &mut self,
+        own: u64,
+        other: u64,
+        matches: bool,
+        now: Instant,
+    ) -> Option<Instant> {
+        if matches {
+            self.mismatch = None;
+            return None;
         }
-        CoverageState::Current
+        let known = self
+            .mismatch
+            .filter(|known| (known.0, known.1) == (own, other));
+        let since = known.map_or(now, |(_, _, since)| since);
+        self.mismatch = Some((own, other, since));
+        Some(since)
     }
 }
--- a/crates/zinniahatch_route/src/roster.rs
+++ b/crates/zinniahatch_route/src/roster.rs
@@ -10,6 +10,7 @@
 use crate::MemberStage;
 use crate::MemberTable;
 use crate::StoreDigest;
+use crate::StoreProgress;
 use crate::members::MemberState;
 use crate::members::REGISTERED_TIMEOUT;
 use std::cmp::Reverse;
@@ -59,7 +60,10 @@
         /// Nodes by the state that they share.
         pub groups: Vec<RosterGroup>,
         /// Digests of the nodes that read the store for their region.
-        pub store_digests: Vec<(ShortTag, StoreDigest)>
+        pub store_digests: Vec<(ShortTag, StoreDigest)>,
+        /// How far these nodes have read it. Sent apart, since nodes of earlier versions do not know it.
+        #[serde(skip)]
+        pub store_progress: Vec<(ShortTag, StoreProgress)>
     }
 }
 
@@ -130,7 +134,7 @@
     /// `delay` is the longest time until the parts are sent, and counts towards the ages.
     pub fn roster(&self, own: &MemberInfo, delay: Duration, now: Instant) -> Vec<RosterPart> {
         let mut groups: BTreeMap<_, Vec<RosterEntry>> = BTreeMap::new();
-        let mut store_digests = Vec::new();
+        let mut readers = BTreeMap::new();
         let others = self.rows().map(|row| {
             let age = now.saturating_duration_since(row.last_heartbeat);
             (&row.info, row.tag, age)
@@ -155,18 +159,26 @@
             );
             groups.entry(key).or_default().push(entry);
             if let Some(digest) = info.store_digest {
-                store_digests.push((tag, digest));
+                readers.insert(tag, (digest, info.store_progress));
             }
         }
-        let mut parts = vec![RosterPart {
-            groups: Vec::new(),
-            store_digests,
-        }];
+        let mut parts = vec![RosterPart::default()];
         let mut free = MAX_ENTRIES;
         for ((cpu_share, stage, version, preset, store_reachable), members) in groups {
             let mut rest = members.as_slice();
             while !rest.is_empty() {
                 let (now, later) = rest.split_at(rest.len().min(free));
+                let named = now.iter().filter_map(|entry| {
+                    let (digest, progress) = readers.get(&entry.tag)?;
+                    Some((entry.tag, *digest, *progress))
+                });
+                if let Some(part) = parts.last_mut() {
+                    for (tag, digest, progress) in named {
+                        part.store_digests.push((tag, digest));
+                        part.store_progress
+                            .extend(progress.map(|progress| (tag, progress)));
+                    }
+                }
                 let group = RosterGroup {
                     stage,
                     version,
@@ -219,6 +231,9 @@
                 let digest = digests.iter().find(|(tag, _)| *tag == entry.tag);
                 row.apply_entry(group, *entry, received);
                 row.info.store_digest = digest.map(|(_, digest)| *digest);
+                let mut progress = part.store_progress.iter();
+                let progress = progress.find(|(tag, _)| *tag == entry.tag);
+                row.info.store_progress = progress.map(|(_, progress)| *progress);
             }
         }
         unknown.sort_unstable();
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -179,6 +179,7 @@
         preset: 0,
         store_reachable: true,
         store_digest: None,
+        store_progress: None,
         proof: None,
         services: [(
             tag_of("s"),
--- a/crates/zinniahatch_route/tests/reader_coverage.rs
+++ b/crates/zinniahatch_route/tests/reader_coverage.rs
@@ -8,22 +8,85 @@
 use test_case::test_case;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::CoverageState;
+use zinniahatch_route::ReadRange;
 use zinniahatch_route::ReaderCoverage;
+use zinniahatch_route::ReaderReport;
 use zinniahatch_route::ReplicaEntry;
 
+const OWN: u64 = 7;
+const OTHER: u64 = 3;
+/// Time after which a node that lacks something counts as behind.
+const LATER: Duration = Duration::from_millis(1_500);
+
+fn report(digest: u64, read_at: u64) -> ReaderReport {
+    ReaderReport {
+        digest,
+        read_at: Some(read_at.into()),
+    }
+}
+
+/// A report of a node of an earlier version.
+fn bare_report(digest: u64) -> ReaderReport {
+    ReaderReport {
+        digest,
+        read_at: None,
+    }
+}
+
 #[test_case(&[], CoverageState::NoReaders; "nobody_reads")]
-#[test_case(&[7], CoverageState::Current; "same")]
-#[test_case(&[3, 7], CoverageState::Current; "same_as_one")]
-#[test_case(&[3], CoverageState::Behind; "missed")]
-fn check_after_max_divergence(announced: &[u64], expected: CoverageState) {
+#[test_case(&[report(OWN, 5)], CoverageState::Current; "same")]
+#[test_case(&[report(OTHER, 4), report(OWN, 5)], CoverageState::Current; "same_as_the_furthest")]
+#[test_case(&[report(OWN, 4), report(OTHER, 5)], CoverageState::Behind; "same_as_one_that_is_behind")]
+#[test_case(&[report(OTHER, 5)], CoverageState::Behind; "missed")]
+#[test_case(&[bare_report(OTHER), bare_report(OWN)], CoverageState::Current; "same_as_one_of_earlier_versions")]
+#[test_case(&[bare_report(OTHER)], CoverageState::Behind; "missed_from_earlier_version")]
+fn check_after_max_divergence(reports: &[ReaderReport], expected: CoverageState) {
+    let start = Instant::now();
+    let mut coverage = ReaderCoverage::default();
+    coverage.check(OWN, reports.iter().copied(), start);
+    let state = coverage.check(OWN, reports.iter().copied(), start + LATER);
+    assert_eq!(state, expected);
+}
+
+/// Guards against a node that takes itself for behind while replicas come and go, so that its digest
+/// never is that of any reader: it goes by the revisions that datagrams cover.
+#[test_case(0, CoverageState::Current; "all_received")]
+#[test_case(3, CoverageState::Behind; "one_lost")]
+fn check_while_changes_go_on(lost: u64, expected: CoverageState) {
+    let start = Instant::now();
+    let mut coverage = ReaderCoverage::default();
+    coverage.note_covered(10.into());
+    let mut state = CoverageState::Current;
+    for step in 1..=8 {
+        let now = start + Duration::from_millis(300) * step as u32;
+        let range = ReadRange {
+            after: (step + 9).into(),
+            upto: (step + 10).into(),
+        };
+        if step != lost {
+            coverage.note_range(range, now);
+        }
+        state = coverage.check(100 + step, [report(200 + step, step + 10)], now);
+    }
+    assert_eq!(state, expected);
+    coverage.note_covered(18.into());
+    let now = start + Duration::from_secs(3);
+    let state = coverage.check(109, [report(209, 18)], now);
+    assert_eq!(state, CoverageState::Current);
+}
+
+/// Guards against a row that only this node has: no datagram names it, and only the digests tell.
+#[test]
+fn check_lasting_mismatch() {
     let start = Instant::now();
     let mut coverage = ReaderCoverage::default();
-    coverage.check(7, announced.iter().copied(), start);
-    let later = start + Duration::from_millis(1_500);
+    coverage.note_covered(10.into());
     assert_eq!(
-        coverage.check(7, announced.iter().copied(), later),
-        expected
+        coverage.check(OWN, [report(OTHER, 10)], start),
+        CoverageState::Current
     );
+    let state = coverage.check(OWN, [report(OTHER, 10)], start + LATER);
+    assert_eq!(state, CoverageState::Behind);
 }
 
 /// Guards against lost datagrams from the readers: a node did not learn that a replica was leaving,
@@ -47,6 +110,7 @@
     let mut node = table(&["r1", "r2"], now);
     let mut coverage = ReaderCoverage::default();
     let region: RegionId = "north".into();
+    let reader = report(reader, 5);
     coverage.check(node.entries_digest(&regions(), &region), [reader], now);
     let later = now + Duration::from_secs(2);
     let own = node.entries_digest(&regions(), &region);
--- a/crates/zinniahatch_route/tests/relays.rs
+++ b/crates/zinniahatch_route/tests/relays.rs
@@ -16,6 +16,8 @@
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::RelaySet;
 use zinniahatch_route::RosterWait;
+use zinniahatch_route::StoreDigest;
+use zinniahatch_route::StoreProgress;
 use zinniahatch_route::choose_relays;
 
 const ROUND: Duration = Duration::from_millis(500);
@@ -331,3 +333,38 @@
     assert_eq!(table.leaving_in("north", now).len(), 1);
     assert_eq!(table.leaving_in("north", expired).len(), 0);
 }
+
+/// Guards against store readers that are not known as such, since another part of the roster names them:
+/// their nodes would each read the store.
+#[test]
+fn roster_tells_of_readers_in_every_part() {
+    let now = Instant::now();
+    let reader = |number| MemberInfo {
+        store_digest: Some(StoreDigest {
+            replicas: 7,
+            rules: 8,
+        }),
+        store_progress: Some(StoreProgress {
+            replicas: 9.into(),
+            rules: 10.into(),
+        }),
+        ..member(number)
+    };
+    let (mut relay, mut table) = (MemberTable::default(), MemberTable::default());
+    for number in 2..400 {
+        relay.update(reader(number), false, now);
+        table.update(member(number), false, now);
+    }
+    let later = now + Duration::from_secs(1);
+    for number in 2..400 {
+        relay.update(reader(number), false, later);
+    }
+    let parts = relay.roster(&member(1), Duration::ZERO, later);
+    assert!(parts.len() > 1);
+    for part in parts {
+        table.apply_roster(&part, member(0).tag(), later);
+    }
+    let mut known = table.known();
+    let unknown = known.find(|info| info.store_digest.is_none() || info.store_progress.is_none());
+    assert_eq!(unknown, None);
+}
