Apply changes and pages while a listing of all replicas goes on

A reader that lost the store's history listed all replicas for 14 s and read no changes meanwhile; the history may be discarded at any time, also for all readers of a region at once.

Change: beside the listing the reader watches from the revision at its beginning, and each page is applied as it comes and passed on as far as it is new. Datagrams sent meanwhile claim to cover nothing.

--- a/crates/zinniahatch_entry/src/store/updates.rs
+++ b/crates/zinniahatch_entry/src/store/updates.rs
@@ -78,6 +78,32 @@
     revision
 }
 
+/// Applies the replicas of one page of a listing, and informs the region of those that changed. What
+/// the listing lacks shows at its end.
+pub(crate) fn apply_listed_page(core: &EntryCore, items: &[StoreItem]) {
+    let now = Instant::now();
+    for item in items {
+        let StoreKey::Backend(id) = parse_store_key(&item.key) else {
+            continue;
+        };
+        // The whole listing reports entries that cannot be decoded.
+        let Ok(entry) = decode_backend(id, item) else {
+            continue;
+        };
+        if !is_in_region(core, &entry.data_centre) {
+            continue;
+        }
+        let change = core.replicas.borrow_mut().upsert(entry.clone(), now);
+        if change == EntryChange::None {
+            continue;
+        }
+        queue_for_region(core, &entry.data_centre, |updates| {
+            updates.push_written(entry.clone());
+        });
+        handle_entry_change(core, &entry, change);
+    }
+}
+
 /// Queues what a listing changed for the region, if this node is a store reader: after the store
 /// discarded its history, the others would notice it by the digests a second or two later.
 fn queue_listed_changes(
--- a/crates/zinniahatch_entry/src/store/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -11,15 +11,20 @@
 use crate::nodes::roles::holds_role;
 use crate::nodes::snapshot::fetch_snapshot;
 use crate::store::updates::apply_event;
+use crate::store::updates::apply_listed_page;
 use crate::store::updates::apply_listing;
 use crate::store::watch_topic::WatchTopic;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rand::RngExt;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
+use zinniahatch_config::PRESET_KEY;
 use zinniahatch_platform::KvError;
+use zinniahatch_platform::PageCursor;
+use zinniahatch_platform::StoreListing;
 use zinniahatch_route::CoverageState;
 use zinniahatch_route::ReadRange;
 use zinniahatch_route::ReaderCoverage;
@@ -80,6 +85,7 @@
         healthy: true,
         retry_pause: MIN_RETRY_PAUSE,
         discarded: StoreRevision::default(),
+        read_beside: Cell::default(),
     };
     loop {
         if topic == WatchTopic::Preset
@@ -108,6 +114,8 @@
     retry_pause: Duration,
     /// The revision up to which the store has discarded its history, as far as it said so.
     discarded: StoreRevision,
+    /// The revision up to which changes were read beside a listing that has not succeeded yet.
+    read_beside: Cell<Option<StoreRevision>>,
 }
 
 impl TopicWatcher {
@@ -146,9 +154,12 @@
     /// Lists the topic, or waits for the listing of another node if it takes several pages.
     async fn list(&self) -> Result<StoreRevision, KvError> {
         let core = &self.core;
-        if self.topic != WatchTopic::Replicas || core.is_initialized() {
+        if self.topic != WatchTopic::Replicas {
             return list_whole(core, self.topic).await;
         }
+        if core.is_initialized() {
+            return self.list_beside_watch().await;
+        }
         if let Some(revision) = list_one_page(core, self.topic).await? {
             return Ok(revision);
         }
@@ -163,6 +174,45 @@
         list_whole(core, self.topic).await
     }
 
+    /// Lists the topic, and applies changes meanwhile.
+    ///
+    /// A listing of many pages takes longer than a replica takes to leave, and the readers of a region
+    /// may lose the store's history at the same time.
+    async fn list_beside_watch(&self) -> Result<StoreRevision, KvError> {
+        let core = &self.core;
+        core.replica_updates.borrow_mut().note_gap();
+        let head = core
+            .store
+            .items_on_one_page(PRESET_KEY, LIST_TIMEOUT)
+            .await?;
+        let head = head.map(|listing| listing.revision).unwrap_or_default();
+        let mut reached = self.read_beside.get().unwrap_or(head);
+        let watching = async {
+            loop {
+                let wait = core.settings.watch_wait();
+                match read_changes(core, self.topic, reached, wait).await {
+                    Ok(read) => {
+                        reached = read.range.upto;
+                        self.read_beside.set(Some(reached));
+                        pause_after_changes(core, self.topic, read.changes).await;
+                    }
+                    Err(KvError::Compacted) => {
+                        self.read_beside.set(None);
+                        return;
+                    }
+                    Err(_) => return,
+                }
+            }
+        };
+        let listing = list_by_pages(core, self.topic);
+        tokio::pin!(listing);
+        tokio::select! {
+            listed = &mut listing => listed?,
+            () = watching => listing.await?,
+        };
+        Ok(self.read_beside.take().unwrap_or(head))
+    }
+
     fn log(&self, kind: &'static str, key: &str, value: impl serde::Serialize) {
         let topic = format!("{:?}", self.topic);
         self.core
@@ -379,6 +429,29 @@
     let _ = reachable.wait_for(|up| *up).await;
 }
 
+/// Lists a topic's keys, and applies each page as it comes.
+async fn list_by_pages(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<(), KvError> {
+    let mut cursor = PageCursor::default();
+    let mut items = Vec::new();
+    loop {
+        let prefix = topic.prefix();
+        let page = core
+            .store
+            .next_page(prefix, LIST_TIMEOUT, &[], &mut cursor)
+            .await?;
+        apply_listed_page(core, &page.items);
+        let (more, revision) = (!page.items.is_empty(), page.revision);
+        items.extend(page.items);
+        if cursor.is_at_end() {
+            apply_listing(core, topic, StoreListing { items, revision });
+            return Ok(());
+        }
+        if !more {
+            return Err(KvError::Malformed("the listing does not end".into()));
+        }
+    }
+}
+
 /// Changes that were read and applied.
 #[derive(Clone, Copy)]
 struct ChangeRead {
--- a/crates/zinniahatch_lab/src/test_doubles/store.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/store.rs
@@ -23,6 +23,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use tokio::sync::Notify;
@@ -113,6 +114,8 @@
     changed: Arc<Notify>,
     calls: Arc<AtomicU64>,
     writes: Arc<AtomicU64>,
+    /// Whether pages of a listing beyond the first one wait.
+    holds_pages: Arc<AtomicBool>,
 }
 
 impl FakeStore {
@@ -157,6 +160,23 @@
         self.changed.notify_waiters();
     }
 
+    /// Holds back all pages of a listing beyond the first one, or no longer does.
+    pub fn hold_pages(&self, holds: bool) {
+        self.holds_pages.store(holds, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits while pages are held back.
+    async fn wait_for_pages(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if !self.holds_pages.load(Ordering::Relaxed) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Writes a value as the operator or a replica does, without counting a request.
     pub fn write(&self, key: &str, value: &str) {
         let mut data = self.lock();
--- a/crates/zinniahatch_lab/src/test_doubles/store/endpoint.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/store/endpoint.rs
@@ -101,6 +101,9 @@
         };
         let prefix = request.query::<String>("path_prefix").unwrap_or_default();
         let after = request.query::<String>("after").unwrap_or_default();
+        if !after.is_empty() {
+            self.0.store.wait_for_pages().await;
+        }
         let data = self.0.store.lock();
         let mut found = data
             .values
--- a/crates/zinniahatch_lab/tests/site.rs
+++ b/crates/zinniahatch_lab/tests/site.rs
@@ -13,6 +13,8 @@
 use zinniahatch_lab::test_doubles::replica::ReplicaBehaviour;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
 
+/// Registered replicas that take several pages of a listing.
+const PAGES_OF_REPLICAS: usize = 120;
 const SHORT: StreamShape = StreamShape {
     events: 12,
     pause: Duration::from_millis(5),
@@ -404,6 +406,33 @@
     .await;
 }
 
+/// Guards against a node that learns of no replica that leaves while it lists all replicas again, page
+/// by page, because the store discarded its history.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_replica_is_known_during_a_listing() {
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 2)], SHORT).await;
+    for index in 0..PAGES_OF_REPLICAS {
+        site.register_stale(0, &format!("z-{index:03}"));
+    }
+    site.store.hold_pages(true);
+    site.store.compact_history();
+    wait_until("the node lists the replicas", async || {
+        site.log(0).contains("store-compacted")
+    })
+    .await;
+    site.register(0, "draining");
+    wait_until("the node knows that the replica is leaving", async || {
+        site.log(0).contains("\"leaving\":true")
+    })
+    .await;
+    site.store.hold_pages(false);
+    site.register(1, "draining");
+    wait_until("the node goes on with the changes", async || {
+        site.log(0).matches("\"leaving\":true").count() >= 2
+    })
+    .await;
+}
+
 /// Guards against applying a desired state that cannot be parsed. The last valid one stays in
 /// force.
 #[tokio::test(flavor = "multi_thread")]
