Keep a request that may not be repeated from looking for another place, by its type

Cause: what kept it where it is was a time, the deadline, and bytes that arrived replaced it by 1.5 s. Class: a limit that says "never" held as a time that a later event overwrites.

Change: StreamFailover::pinned has no such time and gets none from anything that happens; every failover is made by the plan, which pins what may not run again: requests of non_idempotent routes and streams that may not be resumed, in tries, whole answers, streams that are passed on and streams that were resumed. find_place asks the route too. What forbids each retry: a failover, pinned and find_place; a next try after a failure, may_send_again; a resumption, may_resume; a forwarded request has one send; a taken-up stream is a request of its own with max_attempts of the route.

--- a/crates/zinniahatch_entry/src/request/failover.rs
+++ b/crates/zinniahatch_entry/src/request/failover.rs
@@ -190,7 +190,7 @@
     waited: &WaitedConnection,
 ) -> Option<Placement> {
     let tries_left = progress.sends < plan.max_sends && progress.unsent_tries < MAX_UNSENT_TRIES;
-    if !tries_left || !plan.has_charge(core, progress) {
+    if !plan.route.may_repeat() || !tries_left || !plan.has_charge(core, progress) {
         return None;
     }
     await_quarantine_decision(core, request, plan).await;
--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -18,6 +18,7 @@
 use zinniahatch_route::RepeatKind;
 use zinniahatch_route::ScopedPart;
 use zinniahatch_route::SendLedger;
+use zinniahatch_route::StreamFailover;
 use zinniahatch_route::StreamOrigin;
 use zinniahatch_route::common_homes;
 use zinniahatch_route::engine_rank;
@@ -222,23 +223,46 @@
         after.min(left / 3)
     }
 
-    /// Returns when to look for another replica during a try.
-    ///
-    /// Requests that may not run twice, and last tries, wait until the request's deadline.
-    pub(crate) fn try_limit(&self, progress: &RequestProgress, expected: Duration) -> Instant {
+    /// Returns the failover of a request that looks for another replica from a time on, if it may run
+    /// again.
+    fn failover_at(&self, limit: Instant) -> StreamFailover {
+        if !self.route.may_repeat() {
+            return StreamFailover::pinned();
+        }
+        StreamFailover::with_limit(limit, Instant::now())
+    }
+
+    /// Returns the failover of a try. Last tries wait until the request's deadline.
+    pub(crate) fn try_failover(
+        &self,
+        progress: &RequestProgress,
+        expected: Duration,
+    ) -> StreamFailover {
         if progress.sends + 1 >= self.max_sends {
-            return self.deadline;
+            return self.failover_at(self.deadline);
         }
         let try_time = match self.route.repeat {
-            RepeatKind::Idempotent => self
+            RepeatKind::Streaming => first_event_limit(expected),
+            RepeatKind::Idempotent | RepeatKind::Once => self
                 .route
                 .goal
                 .mul_f64(TRY_GOAL_FACTOR)
                 .max(expected * TRY_EXPECTED_FACTOR),
-            RepeatKind::Streaming if self.route.resumable => first_event_limit(expected),
-            RepeatKind::Streaming | RepeatKind::Once => return self.deadline,
         };
-        self.deadline.min(Instant::now() + try_time)
+        self.failover_at(self.deadline.min(Instant::now() + try_time))
+    }
+
+    /// Returns the failover of a response all of which has to arrive before the caller gets any.
+    pub(crate) fn whole_failover(&self) -> StreamFailover {
+        self.failover_at(self.deadline)
+    }
+
+    /// Returns the failover of a stream whose first event is expected within the given time.
+    pub(crate) fn stream_failover(&self, expected: Duration) -> StreamFailover {
+        if !self.route.may_repeat() {
+            return StreamFailover::pinned();
+        }
+        StreamFailover::new(expected, Instant::now())
     }
 
     /// Charges the next send to the retry budget unless it is the first one; returns whether the
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -200,7 +200,7 @@
         };
         let (core, request, plan) = (&self.core, &self.request, &self.plan);
         let resumed = resume(core, request, plan, &mut self.progress, &broken).await?;
-        self.failover = StreamFailover::new(resumed.expected, Instant::now());
+        self.failover = self.plan.stream_failover(resumed.expected);
         Some(resumed)
     }
 
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -32,7 +32,6 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::filter_response_headers;
 use zinniahatch_route::RepeatKind;
-use zinniahatch_route::StreamFailover;
 
 /// Number of chunks of a stream that are queued for a caller that reads slowly.
 const STREAM_QUEUE: usize = 8;
@@ -175,7 +174,7 @@
         has_events,
         splitter: EventSplitter::after(request.last_event.clone()),
         body_end: None,
-        failover: StreamFailover::new(in_flight.expected, Instant::now()),
+        failover: plan.stream_failover(in_flight.expected),
     };
     // The end of a stream of events shows only when all of it has been forwarded. If its length were
     // stated, a stream that ends inside an event would look complete by then.
--- a/crates/zinniahatch_entry/src/request/serve.rs
+++ b/crates/zinniahatch_entry/src/request/serve.rs
@@ -228,8 +228,7 @@
     ) -> TryOutcome {
         let (core, request, plan) = (self.core, Rc::clone(&self.request), Rc::clone(&self.plan));
         let mut connection = WaitedConnection::of_try(placement);
-        let limit = plan.try_limit(&self.progress, placement.expected());
-        let mut failover = StreamFailover::with_limit(limit, Instant::now());
+        let mut failover = plan.try_failover(&self.progress, placement.expected());
         let point = ResumePoint {
             last_event: request.last_event.as_deref(),
             began: self.progress.began,
@@ -262,7 +261,7 @@
                 return TryOutcome::Answered(response);
             }
             // All of it has to arrive before the caller gets any.
-            failover = StreamFailover::with_limit(plan.deadline, Instant::now());
+            failover = plan.whole_failover();
         }
         loop {
             let mut connection = WaitedConnection::of_response(&in_flight, &self.progress);
--- a/crates/zinniahatch_route/src/stream_failover.rs
+++ b/crates/zinniahatch_route/src/stream_failover.rs
@@ -56,8 +56,8 @@
 #[derive(Clone, Debug)]
 pub struct StreamFailover {
     phase: FailoverPhase,
-    /// When the next look for another replica is due.
-    seek_at: Instant,
+    /// When the next look for another replica is due; `None` if the request may not run again.
+    seek_at: Option<Instant>,
 }
 
 impl StreamFailover {
@@ -65,14 +65,24 @@
     pub fn new(expected: Duration, now: Instant) -> Self {
         Self {
             phase: FailoverPhase::Following,
-            seek_at: now + first_event_limit(expected),
+            seek_at: Some(now + first_event_limit(expected)),
+        }
+    }
+
+    /// Starts with the only connection that the request may have, since it may not run again.
+    ///
+    /// Nothing that happens on the connection lets it look for another replica.
+    pub fn pinned() -> Self {
+        Self {
+            phase: FailoverPhase::Following,
+            seek_at: None,
         }
     }
 
     /// Starts with a connection on which something is expected until `limit`.
     pub fn with_limit(limit: Instant, now: Instant) -> Self {
         Self {
-            seek_at: limit,
+            seek_at: Some(limit),
             ..Self::new(Duration::ZERO, now)
         }
     }
@@ -80,7 +90,7 @@
     /// Returns when `on_time` is to be called; `None` if nothing is due.
     pub fn due_at(&self) -> Option<Instant> {
         match self.phase {
-            FailoverPhase::Following => Some(self.seek_at),
+            FailoverPhase::Following => self.seek_at,
             FailoverPhase::Overlapping(sent_at) => Some(sent_at + OVERLAP_LIMIT),
             FailoverPhase::Seeking | FailoverPhase::Waiting => None,
         }
@@ -88,12 +98,15 @@
 
     /// Handles the time that `due_at` returned.
     pub fn on_time(&mut self, now: Instant) -> FailoverStep {
+        let Some(seek_at) = self.seek_at else {
+            return FailoverStep::Wait;
+        };
         match self.phase {
-            FailoverPhase::Following if now >= self.seek_at + PAUSE_LATENESS => {
+            FailoverPhase::Following if now >= seek_at + PAUSE_LATENESS => {
                 self.restart(now);
                 FailoverStep::Wait
             }
-            FailoverPhase::Following if now >= self.seek_at => {
+            FailoverPhase::Following if now >= seek_at => {
                 self.phase = FailoverPhase::Seeking;
                 FailoverStep::Seek
             }
@@ -130,7 +143,7 @@
     /// Records that no other replica can take the stream now.
     pub fn on_no_place(&mut self, now: Instant) {
         self.phase = FailoverPhase::Following;
-        self.seek_at = now + SEEK_INTERVAL;
+        self.seek_at = self.seek_at.map(|_| now + SEEK_INTERVAL);
     }
 
     /// Records that the next replica is being sent the request.
@@ -155,7 +168,9 @@
     }
 
     fn restart(&mut self, now: Instant) {
-        *self = Self::new(Duration::ZERO, now);
+        if self.seek_at.is_some() {
+            *self = Self::new(Duration::ZERO, now);
+        }
     }
 }
 
--- a/crates/zinniahatch_route/tests/stream_failover.rs
+++ b/crates/zinniahatch_route/tests/stream_failover.rs
@@ -150,3 +150,25 @@
     assert_eq!(failover.due_at(), Some(now + first_event_limit(expected)));
     assert_eq!(failover.on_bytes(now), FailoverStep::Wait);
 }
+
+/// Guards against a request that may not be repeated and runs twice, since bytes that arrived gave it a
+/// new limit.
+#[test_case(&[]; "nothing_arrives")]
+#[test_case(&[100]; "bytes_arrive_once")]
+#[test_case(&[100, 400, 2_000, 9_000]; "bytes_arrive_again")]
+fn pinned_request_never_seeks(arrivals_ms: &[u64]) {
+    let start = Instant::now();
+    let mut failover = StreamFailover::pinned();
+    for step in 0..2_000 {
+        let elapsed = step * 10;
+        let now = start + Duration::from_millis(elapsed);
+        if arrivals_ms.contains(&elapsed) {
+            assert_eq!(failover.on_bytes(now), FailoverStep::Wait);
+        }
+        assert_eq!(failover.due_at(), None);
+        assert_eq!(failover.on_time(now), FailoverStep::Wait);
+    }
+    failover.on_no_place(start);
+    assert_eq!(failover.due_at(), None);
+    assert_eq!(failover.on_break(), FailoverStep::Break);
+}
