End a stopping process only when its answers have been sent

Cause: shut_down waited until no request was in flight, and a request ends with the last byte of its body in the node's own buffers. Class: an end that waits for requests and not for what is still being written.

Change: a connection that owes an answer when the node closes holds the end of the process until the answer is sent, its caller has left, or the grace period is over. The line stopped says how many were unsent.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -164,6 +164,8 @@
     pub(crate) state_learned: Notify,
     /// Number of requests in flight.
     pub(crate) in_flight_count: Cell<usize>,
+    /// Number of connections whose answers are still being sent while the process stops.
+    pub(crate) unsent_answers: Cell<usize>,
     last_ticket: Cell<u64>,
 }
 
@@ -244,6 +246,7 @@
             work_changed: Notify::new(),
             state_learned: Notify::new(),
             in_flight_count: Cell::new(0),
+            unsent_answers: Cell::default(),
             last_ticket: Cell::new(0),
             settings,
         }
--- a/crates/zinniahatch_entry/src/listeners/connection.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection.rs
@@ -69,6 +69,7 @@
     let mut closing = std::pin::pin!(wait_for_closing(&core, kind));
     let mut timer = std::pin::pin!(sleep_until(tokio::time::Instant::now()));
     let mut stopping = false;
+    let mut unsent_answer = None;
     let source = match kind {
         ListenerKind::Calls(source) => source,
         _ => RequestSource::Front,
@@ -106,6 +107,8 @@
             },
             () = closing.as_mut(), if !stopping => {
                 stopping = true;
+                let owes_answer = record.connection.borrow().owes_answer();
+                unsent_answer = owes_answer.then(|| UnsentAnswer::new(&core));
                 continue;
             }
         };
@@ -128,6 +131,7 @@
             CloseReason::SlowHead => Some(ResultCode::HeadTooSlow),
             CloseReason::LargeHead => Some(ResultCode::HeadTooLarge),
         };
+        drop(unsent_answer.take());
         core.metrics.callers.note_closed(reason);
         if let Some(code) = refusal {
             core.metrics.note_response("", code.name());
@@ -139,6 +143,27 @@
     }
 }
 
+/// An answer that is still being sent while the process stops, which waits for it.
+struct UnsentAnswer {
+    core: Rc<EntryCore>,
+}
+
+impl UnsentAnswer {
+    fn new(core: &Rc<EntryCore>) -> Self {
+        core.unsent_answers.set(core.unsent_answers.get() + 1);
+        Self {
+            core: Rc::clone(core),
+        }
+    }
+}
+
+impl Drop for UnsentAnswer {
+    fn drop(&mut self) {
+        let count = self.core.unsent_answers.get();
+        self.core.unsent_answers.set(count.saturating_sub(1));
+    }
+}
+
 /// Waits until connections of a listener are to be closed because the node stops.
 async fn wait_for_closing(core: &EntryCore, kind: ListenerKind) {
     // Shutdown does not close connections to the directory, readiness and metrics listeners. If
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -298,7 +298,9 @@
     serve_as_last_node(core, began).await;
     core.phase.send_replace(StopPhase::Closing);
     sleep(DRAIN_CHECK_INTERVAL * 2).await;
-    while core.in_flight_count.get() > 0 && Instant::now() < deadline {
+    // A caller that reads slowly gets its answer to the end.
+    let is_busy = || core.in_flight_count.get() > 0 || core.unsent_answers.get() > 0;
+    while is_busy() && Instant::now() < deadline {
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
     core.phase.send_replace(StopPhase::Ending);
@@ -307,6 +309,7 @@
     core.log.write(
         "stopped",
         serde_json::json!({"open_calls": core.in_flight_count.get(),
+            "unsent_answers": core.unsent_answers.get(),
             "took_ms": began.elapsed().as_millis() as u64}),
     );
     sleep(DRAIN_CHECK_INTERVAL).await;
--- a/crates/zinniahatch_route/src/caller_connection.rs
+++ b/crates/zinniahatch_route/src/caller_connection.rs
@@ -103,6 +103,14 @@
         matches!(self.phase, ConnectionPhase::Idle(_))
     }
 
+    /// Returns whether a request was received whose answer has not been sent to its end.
+    pub fn owes_answer(&self) -> bool {
+        matches!(
+            self.phase,
+            ConnectionPhase::Request | ConnectionPhase::Answered(_)
+        )
+    }
+
     /// Returns whether the part of a head that has arrived is larger than `limit`.
     pub fn has_large_head(&self, limit: usize) -> bool {
         matches!(self.phase, ConnectionPhase::Head { bytes, .. } if bytes > limit)
--- a/crates/zinniahatch_route/tests/caller_connection.rs
+++ b/crates/zinniahatch_route/tests/caller_connection.rs
@@ -98,3 +98,21 @@
     let due = due_after(&connection, IDLE_SECONDS, sent_at);
     assert_eq!(due, (expected, CloseReason::UnreadAnswer));
 }
+
+/// Guards against a process that ends while an answer is still being sent.
+#[test]
+fn answer_is_owed_until_it_is_sent() {
+    let now = Instant::now();
+    let mut connection = CallerConnection::new(now);
+    assert!(!connection.owes_answer());
+    connection.on_bytes(10, now);
+    assert!(!connection.owes_answer());
+    connection.on_request();
+    assert!(connection.owes_answer());
+    connection.on_answered(now);
+    assert!(connection.owes_answer());
+    connection.on_sent(now);
+    assert!(connection.owes_answer());
+    connection.on_flushed(now);
+    assert!(!connection.owes_answer());
+}
