Look up the awaited revision of a lagging node once

The log line behind-readers and the choice of a reader looked it up in two copies. No logic changes; clippy of zinniahatch_entry, both tests of leaving_replica and those of reader_coverage.rs pass.

--- a/crates/zinniahatch_entry/src/store/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -292,16 +292,12 @@
                 }
             }
             CoverageState::Behind => {
-                let awaited = core
-                    .topic_coverage
-                    .borrow()
-                    .get(&topic)
-                    .map(ReaderCoverage::awaited);
+                let awaited = awaited_revision(core, topic);
                 core.log.write(
                     "behind-readers",
                     serde_json::json!({"topic": format!("{topic:?}"), "awaited": awaited}),
                 );
-                fetch_from_reader(core, topic).await;
+                fetch_from_reader(core, topic, awaited).await;
                 fetches += 1;
             }
             CoverageState::Current => {
@@ -319,13 +315,18 @@
     READER_WAIT.mul_f64(rand::rng().random_range(READER_WAIT_JITTER))
 }
 
-/// Fetches what differs from a store reader of the region.
-async fn fetch_from_reader(core: &Rc<EntryCore>, topic: WatchTopic) {
-    let awaited = core
-        .topic_coverage
-        .borrow()
-        .get(&topic)
-        .map(ReaderCoverage::awaited);
+/// Returns the revision that a reader needs to have read so that it has what this node lacks.
+fn awaited_revision(core: &EntryCore, topic: WatchTopic) -> Option<StoreRevision> {
+    let coverage = core.topic_coverage.borrow();
+    coverage.get(&topic).map(ReaderCoverage::awaited)
+}
+
+/// Fetches what differs from a store reader of the region that has read up to a revision.
+async fn fetch_from_reader(
+    core: &Rc<EntryCore>,
+    topic: WatchTopic,
+    awaited: Option<StoreRevision>,
+) {
     let reader = {
         let members = core.members.borrow();
         let random = core.next_ticket();
