Hold "never" apart from any time in a failover, and log why a request stays

A stream that all of which has to arrive before its caller gets any had the deadline as its limit too, until its first bytes.

Logs: connection-silent did not tell a failover that was forbidden from one that found no place.

Change: StreamFailover has a time at which silence is noticed, and beside it a PinReason that no event clears (not_repeatable, last_send); RequestPlan::pin_reason is the one place that decides it, for tries, whole answers, streams, resumptions and answers of the next place, and find_place asks it again. The line no-failover and zinniahatch_silences_stayed_total say why a request stays; a silence of a pinned connection is logged as well, once.

Evidence: pin_holds_through_all_events (drawn orders of events; a mutant that forgets the pin at bytes is found by it and by pinned_request_never_seeks).

--- a/crates/zinniahatch_entry/src/request/failover.rs
+++ b/crates/zinniahatch_entry/src/request/failover.rs
@@ -28,6 +28,7 @@
 use tokio::time::sleep_until;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::FailoverStep;
+use zinniahatch_route::PinReason;
 use zinniahatch_route::StreamFailover;
 use zinniahatch_route::first_event_limit;
 
@@ -178,6 +179,37 @@
     }
 }
 
+/// Why a request stays on a silent connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StayReason {
+    /// It may have no other.
+    Pinned(PinReason),
+    /// Too many tries reached no replica.
+    TriesSpent,
+    /// The retry budget is spent.
+    NoBudget,
+    /// No other place takes it.
+    NoPlace,
+    /// It may be waiting for a slot at its replica.
+    Queued,
+    /// The replica that would take it does not answer a probe.
+    NoAnswer,
+}
+
+impl StayReason {
+    /// Returns the name used in log lines and counters.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Pinned(reason) => reason.name(),
+            Self::TriesSpent => "tries_spent",
+            Self::NoBudget => "no_budget",
+            Self::NoPlace => "no_place",
+            Self::Queued => "queued",
+            Self::NoAnswer => "no_answer",
+        }
+    }
+}
+
 /// Finds another place for a request that waits on a silent connection, and charges the retry.
 ///
 /// The place admits the request, and its replica is alive. If there is none, the same replica may get
@@ -188,26 +220,35 @@
     plan: &RequestPlan,
     progress: &mut RequestProgress,
     waited: &WaitedConnection,
-) -> Option<Placement> {
-    let tries_left = progress.sends < plan.max_sends && progress.unsent_tries < MAX_UNSENT_TRIES;
-    if !plan.route.may_repeat() || !tries_left || !plan.has_charge(core, progress) {
-        return None;
+) -> Result<Placement, StayReason> {
+    if let Some(reason) = plan.pin_reason(progress.sends) {
+        return Err(StayReason::Pinned(reason));
+    }
+    if progress.unsent_tries >= MAX_UNSENT_TRIES {
+        return Err(StayReason::TriesSpent);
+    }
+    if !plan.has_charge(core, progress) {
+        return Err(StayReason::NoBudget);
     }
     await_quarantine_decision(core, request, plan).await;
     let mut placement = choose_placement(core, request, plan, progress, true);
     if matches!(placement, Placement::Refuse(..)) {
         if !waited.may_reconnect(core) {
-            return None;
+            return Err(StayReason::NoPlace);
         }
         placement = waited.choose_again(core, request, plan, progress, true);
         if waited.may_be_queued(core, &placement) {
-            return None;
+            return Err(StayReason::Queued);
         }
         sleep(RECONNECT_DELAY).await;
     }
-    let granted = may_take(core, &placement).await
-        && plan.charge_send(core, request, progress, SILENT_REASON);
-    granted.then_some(placement)
+    if !may_take(core, &placement).await {
+        return Err(StayReason::NoAnswer);
+    }
+    if !plan.charge_send(core, request, progress, SILENT_REASON) {
+        return Err(StayReason::NoBudget);
+    }
+    Ok(placement)
 }
 
 /// Returns whether a place can be expected to answer: its replica answers a probe. Bytes that arrived a
@@ -259,13 +300,15 @@
     ) -> SilenceEnd<F::Output> {
         let mut current = Some(Box::pin(current));
         let before = self.progress.places();
-        let mut logged = false;
+        let mut stays = None;
         loop {
-            let due = self.failover.due_at();
+            // A silence that may not be left is noticed once.
+            let unnoticed = stays.is_none().then(|| self.failover.silent_at());
+            let due = self.failover.due_at().or(unnoticed);
             let place = tokio::select! {
                 biased;
                 done = poll_current(&mut current) => Err(done),
-                place = self.seek_when_due(due, &mut logged) => Ok(place),
+                place = self.seek_when_due(due, &mut stays) => Ok(place),
             };
             let end = match place {
                 Err(done) => SilenceEnd::Spoke(done),
@@ -288,28 +331,50 @@
         }
     }
 
-    /// Waits until another place is to be looked for, and looks once.
+    /// Waits until another place is to be looked for, and looks once. `stays` is why the request stayed
+    /// where it is when that was last looked into.
     async fn seek_when_due(
         &mut self,
         due: Option<Instant>,
-        logged: &mut bool,
+        stays: &mut Option<StayReason>,
     ) -> Option<Placement> {
         wait_until(due).await;
         let late = due.map_or(Duration::ZERO, |due| due.elapsed());
         let step = self.failover.on_time(Instant::now());
         let (core, request, plan) = (self.core, self.request, self.plan);
-        if step == FailoverStep::Wait || !std::mem::replace(logged, true) {
+        if step == FailoverStep::Wait || stays.is_none() {
             self.connection.log_silence(core, request, plan, late);
         }
-        if step != FailoverStep::Seek {
-            return None;
-        }
-        self.connection.record(core, plan, self.progress);
-        let place = find_place(core, request, plan, self.progress, self.connection).await;
-        if place.is_none() {
-            self.failover.on_no_place(Instant::now());
+        let found = match (self.failover.pin_reason(), step) {
+            (Some(reason), _) => Err(StayReason::Pinned(reason)),
+            (None, FailoverStep::Seek) => {
+                self.connection.record(core, plan, self.progress);
+                find_place(core, request, plan, self.progress, self.connection).await
+            }
+            (None, _) => return None,
+        };
+        match found {
+            Ok(place) => Some(place),
+            Err(reason) => {
+                if stays.replace(reason) != Some(reason) {
+                    self.log_stay(reason);
+                }
+                self.failover.on_no_place(Instant::now());
+                None
+            }
         }
-        place
+    }
+
+    /// Logs why the request stays on its silent connection.
+    fn log_stay(&self, reason: StayReason) {
+        let (core, request, plan) = (self.core, self.request, self.plan);
+        core.metrics.streams.note_stay(&plan.service, reason.name());
+        core.log.write(
+            "no-failover",
+            serde_json::json!({"request": request.attempt, "service": plan.service,
+                "reason": reason.name(), "route": plan.route.name,
+                "sends": self.progress.sends, "max_sends": plan.max_sends}),
+        );
     }
 
     /// Sends the request to another place while the current connection stays open for a while; returns
@@ -370,6 +435,9 @@
             self.connection.record_failure(core);
             let expected = answer.1.expected;
             self.failover.on_answered(expected, Instant::now());
+            if let Some(reason) = plan.pin_reason(self.progress.sends) {
+                self.failover.pin(reason);
+            }
             let answer = Box::new(answer);
             return Some(SilenceEnd::Moved { answer, broken });
         }
--- a/crates/zinniahatch_entry/src/request/plan.rs
+++ b/crates/zinniahatch_entry/src/request/plan.rs
@@ -13,6 +13,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::DesiredRoute;
 use zinniahatch_route::DesiredService;
+use zinniahatch_route::PinReason;
 use zinniahatch_route::PromptSize;
 use zinniahatch_route::RemoteAttempts;
 use zinniahatch_route::RepeatKind;
@@ -223,23 +224,23 @@
         after.min(left / 3)
     }
 
-    /// Returns the failover of a request that looks for another replica from a time on, if it may run
-    /// again.
-    fn failover_at(&self, limit: Instant) -> StreamFailover {
+    /// Returns why a request that has had this many sends keeps its connection, if it has to.
+    pub(crate) fn pin_reason(&self, sends: u32) -> Option<PinReason> {
         if !self.route.may_repeat() {
-            return StreamFailover::pinned();
+            return Some(PinReason::NotRepeatable);
         }
-        StreamFailover::with_limit(limit, Instant::now())
+        (sends >= self.max_sends).then_some(PinReason::LastSend)
     }
 
-    /// Returns the failover of a try. Last tries wait until the request's deadline.
+    /// Returns the failover of a try whose send is not recorded yet.
     pub(crate) fn try_failover(
         &self,
         progress: &RequestProgress,
         expected: Duration,
     ) -> StreamFailover {
-        if progress.sends + 1 >= self.max_sends {
-            return self.failover_at(self.deadline);
+        let now = Instant::now();
+        if let Some(reason) = self.pin_reason(progress.sends + 1) {
+            return StreamFailover::pinned(reason, expected, now);
         }
         let try_time = match self.route.repeat {
             RepeatKind::Streaming => first_event_limit(expected),
@@ -249,20 +250,20 @@
                 .mul_f64(TRY_GOAL_FACTOR)
                 .max(expected * TRY_EXPECTED_FACTOR),
         };
-        self.failover_at(self.deadline.min(Instant::now() + try_time))
-    }
-
-    /// Returns the failover of a response all of which has to arrive before the caller gets any.
-    pub(crate) fn whole_failover(&self) -> StreamFailover {
-        self.failover_at(self.deadline)
+        StreamFailover::with_limit(self.deadline.min(now + try_time), now)
     }
 
     /// Returns the failover of a stream whose first event is expected within the given time.
-    pub(crate) fn stream_failover(&self, expected: Duration) -> StreamFailover {
-        if !self.route.may_repeat() {
-            return StreamFailover::pinned();
+    pub(crate) fn stream_failover(
+        &self,
+        progress: &RequestProgress,
+        expected: Duration,
+    ) -> StreamFailover {
+        let now = Instant::now();
+        match self.pin_reason(progress.sends) {
+            Some(reason) => StreamFailover::pinned(reason, expected, now),
+            None => StreamFailover::new(expected, now),
         }
-        StreamFailover::new(expected, Instant::now())
     }
 
     /// Charges the next send to the retry budget unless it is the first one; returns whether the
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -200,7 +200,7 @@
         };
         let (core, request, plan) = (&self.core, &self.request, &self.plan);
         let resumed = resume(core, request, plan, &mut self.progress, &broken).await?;
-        self.failover = self.plan.stream_failover(resumed.expected);
+        self.failover = plan.stream_failover(&self.progress, resumed.expected);
         Some(resumed)
     }
 
@@ -294,7 +294,7 @@
         let mut restart_check = Instant::now() + RESTART_CHECK_INTERVAL;
         let mut survival_noted = false;
         loop {
-            let seek_at = self.failover.due_at().unwrap_or(self.plan.deadline);
+            let silent_at = self.failover.silent_at();
             let chunk = tokio::select! {
                 biased;
                 () = self.sender.closed() => return ForwardStop::Ended(RelayEnd::CallerGone),
@@ -302,7 +302,7 @@
                 () = sleep_until(self.plan.deadline_tokio()) => {
                     return ForwardStop::Ended(RelayEnd::Deadline);
                 }
-                () = sleep_until(seek_at.into()), if resumable => return ForwardStop::Silent,
+                () = sleep_until(silent_at.into()), if resumable => return ForwardStop::Silent,
                 () = sleep_until(restart_check.into()), if resumable => {
                     restart_check = Instant::now() + RESTART_CHECK_INTERVAL;
                     if in_flight.is_replica_restarted() {
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -159,6 +159,7 @@
     let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
     let complete = Rc::new(Cell::new(false));
     let has_events = is_event_stream(&head.headers);
+    let failover = plan.stream_failover(&progress, in_flight.expected);
     let relay = StreamRelay {
         core: Rc::clone(core),
         request: Rc::clone(request),
@@ -174,7 +175,7 @@
         has_events,
         splitter: EventSplitter::after(request.last_event.clone()),
         body_end: None,
-        failover: plan.stream_failover(in_flight.expected),
+        failover,
     };
     // The end of a stream of events shows only when all of it has been forwarded. If its length were
     // stated, a stream that ends inside an event would look complete by then.
--- a/crates/zinniahatch_entry/src/request/serve.rs
+++ b/crates/zinniahatch_entry/src/request/serve.rs
@@ -261,7 +261,7 @@
                 return TryOutcome::Answered(response);
             }
             // All of it has to arrive before the caller gets any.
-            failover = plan.whole_failover();
+            failover = plan.stream_failover(&self.progress, in_flight.expected);
         }
         loop {
             let mut connection = WaitedConnection::of_response(&in_flight, &self.progress);
--- a/crates/zinniahatch_entry/src/request/stream_metrics.rs
+++ b/crates/zinniahatch_entry/src/request/stream_metrics.rs
@@ -11,6 +11,7 @@
     truncated: IntCounterVec,
     taken_up: IntCounterVec,
     silences: IntCounterVec,
+    stays: IntCounterVec,
 }
 
 impl StreamMetrics {
@@ -44,10 +45,19 @@
             &["service", "replica"],
         )?;
         registry.register(Box::new(silences.clone()))?;
+        let stays = IntCounterVec::new(
+            Opts::new(
+                "zinniahatch_silences_stayed_total",
+                "Requests that stay on a silent connection, by service and why they have no other place.",
+            ),
+            &["service", "reason"],
+        )?;
+        registry.register(Box::new(stays.clone()))?;
         Ok(Self {
             truncated,
             taken_up,
             silences,
+            stays,
         })
     }
 
@@ -64,6 +74,11 @@
         self.silences.with_label_values(&[service, replica]).inc();
     }
 
+    /// Counts a request that stays on a silent connection.
+    pub(crate) fn note_stay(&self, service: &str, reason: &str) {
+        self.stays.with_label_values(&[service, reason]).inc();
+    }
+
     /// Counts a request that takes up a stream.
     pub(crate) fn note_taken_up(&self, service: &str, source: &str) {
         self.taken_up.with_label_values(&[service, source]).inc();
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -192,6 +192,7 @@
 pub use send_permit::SendRefusal;
 pub use send_permit::SendReservation;
 pub use stream_failover::FailoverStep;
+pub use stream_failover::PinReason;
 pub use stream_failover::SEEK_INTERVAL;
 pub use stream_failover::STREAM_SILENCE_LIMIT;
 pub use stream_failover::StreamFailover;
--- a/crates/zinniahatch_route/src/stream_failover.rs
+++ b/crates/zinniahatch_route/src/stream_failover.rs
@@ -39,6 +39,25 @@
     Break,
 }
 
+/// Why a request keeps its connection, whatever happens on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PinReason {
+    /// It may not run again.
+    NotRepeatable,
+    /// It has no send left.
+    LastSend,
+}
+
+impl PinReason {
+    /// Returns the name used in log lines and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotRepeatable => "not_repeatable",
+            Self::LastSend => "last_send",
+        }
+    }
+}
+
 /// Where a stream is between two replicas.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FailoverPhase {
@@ -56,8 +75,11 @@
 #[derive(Clone, Debug)]
 pub struct StreamFailover {
     phase: FailoverPhase,
-    /// When the next look for another replica is due; `None` if the request may not run again.
-    seek_at: Option<Instant>,
+    /// When a silence of the connection is noticed, or the next look for another replica is due.
+    silent_at: Instant,
+    /// Why no other replica is ever looked for. Nothing clears it: a time that stands for "never" would be
+    /// moved by the next bytes.
+    pinned: Option<PinReason>,
 }
 
 impl StreamFailover {
@@ -65,32 +87,50 @@
     pub fn new(expected: Duration, now: Instant) -> Self {
         Self {
             phase: FailoverPhase::Following,
-            seek_at: Some(now + first_event_limit(expected)),
+            silent_at: now + first_event_limit(expected),
+            pinned: None,
         }
     }
 
-    /// Starts with the only connection that the request may have, since it may not run again.
-    ///
-    /// Nothing that happens on the connection lets it look for another replica.
-    pub fn pinned() -> Self {
+    /// Starts with the last connection that the request may have.
+    pub fn pinned(reason: PinReason, expected: Duration, now: Instant) -> Self {
         Self {
-            phase: FailoverPhase::Following,
-            seek_at: None,
+            pinned: Some(reason),
+            ..Self::new(expected, now)
         }
     }
 
     /// Starts with a connection on which something is expected until `limit`.
     pub fn with_limit(limit: Instant, now: Instant) -> Self {
         Self {
-            seek_at: Some(limit),
+            silent_at: limit,
             ..Self::new(Duration::ZERO, now)
         }
     }
 
+    /// Returns why no other replica is ever looked for, if that is so.
+    pub fn pin_reason(&self) -> Option<PinReason> {
+        self.pinned
+    }
+
+    /// Keeps the connection from now on, whatever happens on it.
+    pub fn pin(&mut self, reason: PinReason) {
+        self.phase = FailoverPhase::Following;
+        self.pinned.get_or_insert(reason);
+    }
+
+    /// Returns when a silence of the current connection is noticed.
+    pub fn silent_at(&self) -> Instant {
+        self.silent_at
+    }
+
     /// Returns when `on_time` is to be called; `None` if nothing is due.
     pub fn due_at(&self) -> Option<Instant> {
+        if self.pinned.is_some() {
+            return None;
+        }
         match self.phase {
-            FailoverPhase::Following => self.seek_at,
+            FailoverPhase::Following => Some(self.silent_at),
             FailoverPhase::Overlapping(sent_at) => Some(sent_at + OVERLAP_LIMIT),
             FailoverPhase::Seeking | FailoverPhase::Waiting => None,
         }
@@ -98,15 +138,15 @@
 
     /// Handles the time that `due_at` returned.
     pub fn on_time(&mut self, now: Instant) -> FailoverStep {
-        let Some(seek_at) = self.seek_at else {
+        if self.pinned.is_some() {
             return FailoverStep::Wait;
-        };
+        }
         match self.phase {
-            FailoverPhase::Following if now >= seek_at + PAUSE_LATENESS => {
+            FailoverPhase::Following if now >= self.silent_at + PAUSE_LATENESS => {
                 self.restart(now);
                 FailoverStep::Wait
             }
-            FailoverPhase::Following if now >= seek_at => {
+            FailoverPhase::Following if now >= self.silent_at => {
                 self.phase = FailoverPhase::Seeking;
                 FailoverStep::Seek
             }
@@ -143,12 +183,14 @@
     /// Records that no other replica can take the stream now.
     pub fn on_no_place(&mut self, now: Instant) {
         self.phase = FailoverPhase::Following;
-        self.seek_at = self.seek_at.map(|_| now + SEEK_INTERVAL);
+        self.silent_at = now + SEEK_INTERVAL;
     }
 
     /// Records that the next replica is being sent the request.
     pub fn on_sent(&mut self, now: Instant) {
-        self.phase = FailoverPhase::Overlapping(now);
+        if self.pinned.is_none() {
+            self.phase = FailoverPhase::Overlapping(now);
+        }
     }
 
     /// Handles a refusal or failure of the next replica.
@@ -163,14 +205,20 @@
     /// Handles the beginning of the next replica's response, whose first event is expected within the
     /// given time.
     pub fn on_answered(&mut self, expected: Duration, now: Instant) -> FailoverStep {
-        *self = Self::new(expected, now);
+        self.follow(expected, now);
         FailoverStep::Switch
     }
 
     fn restart(&mut self, now: Instant) {
-        if self.seek_at.is_some() {
-            *self = Self::new(Duration::ZERO, now);
-        }
+        self.follow(Duration::ZERO, now);
+    }
+
+    /// Follows one connection, on which something is expected within the given time.
+    fn follow(&mut self, expected: Duration, now: Instant) {
+        *self = Self {
+            pinned: self.pinned,
+            ..Self::new(expected, now)
+        };
     }
 }
 
--- a/crates/zinniahatch_route/tests/stream_failover.rs
+++ b/crates/zinniahatch_route/tests/stream_failover.rs
@@ -1,9 +1,11 @@
 //! Steps of a stream whose connection falls silent, through all phases.
 
+use proptest::prelude::*;
 use std::time::Duration;
 use std::time::Instant;
 use test_case::test_case;
 use zinniahatch_route::FailoverStep;
+use zinniahatch_route::PinReason;
 use zinniahatch_route::SEEK_INTERVAL;
 use zinniahatch_route::STREAM_SILENCE_LIMIT;
 use zinniahatch_route::StreamFailover;
@@ -158,7 +160,7 @@
 #[test_case(&[100, 400, 2_000, 9_000]; "bytes_arrive_again")]
 fn pinned_request_never_seeks(arrivals_ms: &[u64]) {
     let start = Instant::now();
-    let mut failover = StreamFailover::pinned();
+    let mut failover = StreamFailover::pinned(PinReason::NotRepeatable, Duration::ZERO, start);
     for step in 0..2_000 {
         let elapsed = step * 10;
         let now = start + Duration::from_millis(elapsed);
@@ -172,3 +174,78 @@
     assert_eq!(failover.due_at(), None);
     assert_eq!(failover.on_break(), FailoverStep::Break);
 }
+
+/// What happens to a request, each at a time after the event before.
+#[derive(Clone, Copy, Debug)]
+enum FailoverEvent {
+    Bytes,
+    Time,
+    NoPlace,
+    Sent,
+    Refused,
+    Answered(Duration),
+    Broke,
+}
+
+fn failover_event() -> impl Strategy<Value = (FailoverEvent, Duration)> {
+    let time = (0_u64..20_000).prop_map(Duration::from_millis);
+    let event = prop_oneof![
+        Just(FailoverEvent::Bytes),
+        Just(FailoverEvent::Time),
+        Just(FailoverEvent::NoPlace),
+        Just(FailoverEvent::Sent),
+        Just(FailoverEvent::Refused),
+        time.clone().prop_map(FailoverEvent::Answered),
+        Just(FailoverEvent::Broke),
+    ];
+    (event, time)
+}
+
+fn pin_reason() -> impl Strategy<Value = PinReason> {
+    prop_oneof![Just(PinReason::NotRepeatable), Just(PinReason::LastSend)]
+}
+
+proptest! {
+    /// Guards against a request that may have one connection only and gets a second one after some order of
+    /// events.
+    #[test]
+    fn pin_holds_through_all_events(
+        reason in pin_reason(),
+        pinned_later in any::<bool>(),
+        events in prop::collection::vec(failover_event(), 1..40),
+    ) {
+        let mut now = Instant::now();
+        let mut failover = if pinned_later {
+            let mut failover = StreamFailover::with_limit(now, now);
+            failover.on_time(now);
+            failover.on_sent(now);
+            failover.on_answered(Duration::ZERO, now);
+            failover.pin(reason);
+            failover
+        } else {
+            StreamFailover::pinned(reason, Duration::ZERO, now)
+        };
+        for (event, later) in events {
+            now += later;
+            let step = match event {
+                FailoverEvent::Bytes => failover.on_bytes(now),
+                FailoverEvent::Time => failover.on_time(now),
+                FailoverEvent::NoPlace => {
+                    failover.on_no_place(now);
+                    FailoverStep::Wait
+                }
+                FailoverEvent::Sent => {
+                    failover.on_sent(now);
+                    FailoverStep::Wait
+                }
+                FailoverEvent::Refused => failover.on_refused(now),
+                FailoverEvent::Answered(expected) => failover.on_answered(expected, now),
+                FailoverEvent::Broke => failover.on_break(),
+            };
+            prop_assert_ne!(step, FailoverStep::Seek);
+            prop_assert_ne!(step, FailoverStep::CloseCurrent);
+            prop_assert_eq!(failover.pin_reason(), Some(reason));
+            prop_assert_eq!(failover.due_at(), None);
+        }
+    }
+}
