Take an answer that arrives slowly for no silent one

Callers: a request that may be repeated ran on another replica while its answer still arrived, where the whole body is read before the caller gets any (plain routes; streams for callers of HTTP/1.0). The answer that was given up cost a run, and its caller time.

Cause: such a body delivers one thing, its end.

Change: a request in flight shares when it was last heard, and the wait moves its limit by that.

--- a/crates/zinniahatch_entry/src/request/failover.rs
+++ b/crates/zinniahatch_entry/src/request/failover.rs
@@ -19,6 +19,7 @@
 use crate::request::resume::log_resume;
 use crate::request::resume::record_outcome;
 use crate::request::send::ResumePoint;
+use std::cell::Cell;
 use std::future::pending;
 use std::pin::Pin;
 use std::pin::pin;
@@ -49,7 +50,9 @@
     /// The node that the request was forwarded to.
     node: Option<NodeId>,
     /// When bytes last arrived, or when the request was sent.
-    since: Instant,
+    heard_at: Rc<Cell<Instant>>,
+    /// Whether the response has begun.
+    answering: bool,
     /// Expected time until the next bytes.
     expected: Duration,
     /// Whether the send is recorded in the progress of the request.
@@ -67,7 +70,8 @@
         Self {
             replica,
             node,
-            since: Instant::now(),
+            heard_at: Rc::new(Cell::new(Instant::now())),
+            answering: false,
             expected: placement.expected(),
             recorded: false,
         }
@@ -78,7 +82,8 @@
         Self {
             replica: in_flight.replica().cloned(),
             node: progress.place.node().cloned(),
-            since: in_flight.last_bytes_at(),
+            heard_at: in_flight.heard_at(),
+            answering: true,
             expected: Duration::ZERO,
             recorded: true,
         }
@@ -88,13 +93,13 @@
     fn heard_elsewhere(&self, core: &EntryCore) -> bool {
         let replicas = core.replicas.borrow();
         let state = self.replica.as_ref().and_then(|id| replicas.get(id));
-        state.is_some_and(|state| state.health.last_heard() >= self.since + HEARD_MARGIN)
+        state.is_some_and(|state| state.health.last_heard() >= self.heard_at.get() + HEARD_MARGIN)
     }
 
     /// Returns whether the other end can probably be reached on a new connection. A node that can be
     /// chosen sends heartbeats.
     fn may_reconnect(&self, core: &EntryCore) -> bool {
-        self.since.elapsed() >= first_event_limit(self.expected)
+        self.heard_at.get().elapsed() >= first_event_limit(self.expected)
             && (self.node.is_some() || self.heard_elsewhere(core))
     }
 
@@ -106,7 +111,7 @@
         };
         let replicas = core.replicas.borrow();
         let state = replicas.get(&choice.replica);
-        let margin = self.since + HEARD_MARGIN;
+        let margin = self.heard_at.get() + HEARD_MARGIN;
         let serves = state.is_some_and(|state| state.health.last_responded() >= margin);
         serves && !choice.slot_wait.is_zero()
     }
@@ -172,7 +177,7 @@
             "connection-silent",
             serde_json::json!({"request": request.attempt, "service": plan.service,
                 "replica": self.replica, "node": self.node,
-                "silent_ms": millis(self.since.elapsed()),
+                "silent_ms": millis(self.heard_at.get().elapsed()),
                 "replica_heard_ms": state.map(|state| millis(state.health.last_heard().elapsed())),
                 "heard_elsewhere": heard, "check_late_ms": millis(late)}),
         );
@@ -339,6 +344,13 @@
         stays: &mut Option<StayReason>,
     ) -> Option<Placement> {
         wait_until(due).await;
+        // A body that is read as a whole delivers nothing until its end, however fast it arrives.
+        if self.connection.answering {
+            self.failover.on_heard(self.connection.heard_at.get());
+            if self.failover.silent_at() > Instant::now() {
+                return None;
+            }
+        }
         let late = due.map_or(Duration::ZERO, |due| due.elapsed());
         let step = self.failover.on_time(Instant::now());
         let (core, request, plan) = (self.core, self.request, self.plan);
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -9,6 +9,7 @@
 use crate::request::truncation::Truncation;
 use bytes::Bytes;
 use bytes::BytesMut;
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::time::sleep;
@@ -52,7 +53,10 @@
     pub(crate) expected: Duration,
     /// When the head of the response arrived.
     answer_began: Option<Instant>,
-    /// When the last bytes of the response arrived.
+    /// When the last bytes of the response arrived, or when the request was sent. Shared with what waits
+    /// for the response.
+    heard_at: Rc<Cell<Instant>>,
+    /// When the last bytes of the body arrived.
     last_bytes_at: Option<Instant>,
     /// How the response marks its end; `None` until its head has arrived.
     body_end: Option<BodyEnd>,
@@ -77,6 +81,7 @@
             service: service.clone(),
             sent_at: Instant::now(),
             answer_began: None,
+            heard_at: Rc::new(Cell::new(Instant::now())),
             last_bytes_at: None,
             body_end: None,
             software: None,
@@ -92,6 +97,7 @@
         head: &[u8],
     ) -> Result<ResponseHead, ConnectionError> {
         self.sent_at = Instant::now();
+        self.heard_at.set(self.sent_at);
         let Some(connection) = self.connection.as_mut() else {
             return Err(ConnectionError::Broken("no connection".into()));
         };
@@ -103,7 +109,9 @@
             .read_head(&request.method, &request.attempt)
             .await?;
         self.body_end = Some(head.body_end);
-        self.answer_began = Some(Instant::now());
+        let now = Instant::now();
+        self.answer_began = Some(now);
+        self.heard_at.set(now);
         Ok(head)
     }
 
@@ -156,6 +164,7 @@
     /// Records that response bytes arrived. The first of them train the latency model.
     fn record_bytes(&mut self) {
         let now = Instant::now();
+        self.heard_at.set(now);
         let previous = self.last_bytes_at.replace(now);
         let Some(assigned) = self.assigned.as_mut() else {
             return;
@@ -254,9 +263,10 @@
             .is_none()
     }
 
-    /// Returns when bytes last arrived on the connection, or when the request was sent.
-    pub(crate) fn last_bytes_at(&self) -> Instant {
-        self.last_bytes_at.unwrap_or(self.sent_at)
+    /// Returns when bytes last arrived on the connection, or when the request was sent, kept up to date
+    /// while the request is in flight.
+    pub(crate) fn heard_at(&self) -> Rc<Cell<Instant>> {
+        Rc::clone(&self.heard_at)
     }
 
     /// Returns when the request was sent.
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -53,6 +53,8 @@
     BreakAfter(u32),
     /// It gives its answers this form.
     Answer(AnswerForm),
+    /// It sends the bodies of plain answers byte by byte, with this pause before each.
+    Trickle(Duration),
     /// It accepts requests and never responds.
     Mute,
 }
@@ -406,6 +408,7 @@
                 self.events(stream, request, behaviour.form()).await
             }
             ReplicaBehaviour::Answer(form) => self.plain_in_form(stream, request, form).await,
+            ReplicaBehaviour::Trickle(pause) => self.trickle(stream, request, pause).await,
             _ => self.plain(stream, request, "200 OK").await,
         }
     }
@@ -484,6 +487,32 @@
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
+    /// Sends a plain answer byte by byte.
+    async fn trickle(
+        &self,
+        stream: &mut TcpStream,
+        request: &ReplicaRequest,
+        pause: Duration,
+    ) -> bool {
+        let body = format!("{}@{}", request.attempt, self.id);
+        let head = format!(
+            "{}X-Server-Seal: {}\r\nContent-Length: {}\r\n\r\n",
+            self.head(request, "200 OK"),
+            self.id,
+            body.len()
+        );
+        if stream.write_all(head.as_bytes()).await.is_err() {
+            return false;
+        }
+        for byte in body.bytes() {
+            sleep(pause).await;
+            if stream.write_all(&[byte]).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Starts a stream and crashes in the middle of it, which breaks all other responses too.
     async fn crash_during(&self, stream: &mut TcpStream, request: &ReplicaRequest) -> bool {
         let head = format!(
--- a/crates/zinniahatch_route/src/stream_failover.rs
+++ b/crates/zinniahatch_route/src/stream_failover.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Learns when bytes last arrived on the current connection, which its silence begins after.
+    pub fn on_heard(&mut self, heard_at: Instant) {
+        self.silent_at = self.silent_at.max(heard_at + STREAM_SILENCE_LIMIT);
+    }
+
     /// Handles the end of the current connection before the stream is complete.
     pub fn on_break(&mut self) -> FailoverStep {
         match self.phase {
