Take an answer without a length for complete only where its replica is shown to run on

Cause: the end of the connection alone marks the end of such an answer, and find_crash, which was to tell a whole one from a process that ended, answered "no crash" at once for a replica that was leaving or had no row, reused a result of up to 400 ms before, and took every answer but a refused connection for "runs on". It is a check for accusing requests, where doubt means no; here doubt has to mean truncated. Class: a check that is skipped where it is needed most, and "not known" taken for "sound".

Change: check_after_end asks the address for a connection after each such end, whatever is known of the replica. Listening and keeping the connection for 20 ms is complete; refused, not reached within 500 ms, closed at once twice, or another incarnation is truncated. Line unframed-end, reason replica_unreached.

--- a/crates/zinniahatch_entry/src/replicas/crash_detection.rs
+++ b/crates/zinniahatch_entry/src/replicas/crash_detection.rs
@@ -20,6 +20,9 @@
 /// Time limit of the connection attempt. A machine in the same region refuses within a millisecond,
 /// and interrupted streams wait for the result before they resume elsewhere.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time limit of the same where it decides whether a response is complete. Its caller has all of the
+/// response that there may be, so that a lost packet may cost time.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a result is reused. When a replica crashes, all of a node's requests to it break off
 /// within a few milliseconds, and one connection attempt answers for all of them.
 pub(crate) const CRASH_REUSE_PERIOD: Duration = Duration::from_millis(400);
@@ -50,10 +53,43 @@
     }
 }
 
+/// What an address shows of the process that listened there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListenerState {
+    /// It listens and keeps connections.
+    Listening,
+    /// It has ended: the machine refuses connections.
+    Ended,
+    /// Nothing is known of it.
+    Unknown,
+}
+
+impl ListenerState {
+    /// Returns the name used in log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Listening => "listening",
+            Self::Ended => "ended",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Checks whether the other end of a request still listens, now that the response has ended.
+///
+/// An earlier result would not do, since the process may have ended after it, nor does it matter
+/// whether the replica was to leave: that is when it ends.
+pub(crate) async fn check_after_end(in_flight: &InFlightRequest) -> ListenerState {
+    if in_flight.is_replica_reborn() {
+        return ListenerState::Ended;
+    }
+    check_listener(in_flight.address(), END_CHECK_TIMEOUT).await
+}
+
 /// Returns the tag of a request's replica if that has crashed.
 ///
 /// A replica that announced that it is leaving may end during its requests, and none of them is the
-/// cause; nor does its end say anything of the responses that it completed.
+/// cause.
 pub(crate) async fn find_crash(
     core: &Rc<EntryCore>,
     in_flight: &InFlightRequest,
@@ -71,21 +107,23 @@
     refused.then_some(tag)
 }
 
-/// Returns whether an address has no listener, connecting a second time if the first connection
+/// Checks whether an address has a listener that keeps a connection, with a second one if the first
 /// closes at once.
-async fn has_no_listener(address: SocketAddrV4) -> bool {
-    match BackendConnection::connect(address, CONNECT_TIMEOUT).await {
-        Err(error) => error == ConnectionError::Refused,
-        Ok(connection) if !connection.closes_within(WATCH_PERIOD).await => false,
-        Ok(_) => {
-            let again = BackendConnection::connect(address, CONNECT_TIMEOUT).await;
-            again.is_err_and(|error| error == ConnectionError::Refused)
+async fn check_listener(address: SocketAddrV4, limit: Duration) -> ListenerState {
+    for _ in 0..2 {
+        match BackendConnection::connect(address, limit).await {
+            Err(ConnectionError::Refused) => return ListenerState::Ended,
+            Err(_) => return ListenerState::Unknown,
+            Ok(connection) if connection.closes_within(WATCH_PERIOD).await => {}
+            Ok(_) => return ListenerState::Listening,
         }
     }
+    // What closes its connections at once may be about to end, or a relay before a process that has.
+    ListenerState::Unknown
 }
 
 async fn detect_crash(core: &Rc<EntryCore>, address: SocketAddrV4) -> bool {
-    let refused = has_no_listener(address).await;
+    let refused = check_listener(address, CONNECT_TIMEOUT).await == ListenerState::Ended;
     if refused {
         core.pool.close_idle(address);
         core.metrics.note_replica_crash();
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -263,6 +263,15 @@
             .is_none()
     }
 
+    /// Returns whether another incarnation of the replica is known.
+    pub(crate) fn is_replica_reborn(&self) -> bool {
+        let known = |assigned: &AssignedWork| {
+            let replicas = self.core.replicas.borrow();
+            replicas.get(&assigned.replica).is_some()
+        };
+        self.assigned.as_ref().is_some_and(known) && self.is_replica_restarted()
+    }
+
     /// Returns when bytes last arrived on the connection, or when the request was sent, kept up to date
     /// while the request is in flight.
     pub(crate) fn heard_at(&self) -> Rc<Cell<Instant>> {
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -90,7 +90,7 @@
     let has_events = plan.route.repeat == RepeatKind::Streaming
         && head.status.is_success()
         && is_event_stream(&head.headers);
-    let reading = read_complete(core, &mut in_flight, has_events);
+    let reading = read_complete(core, request, &mut in_flight, has_events);
     let body = match timeout_at(plan.deadline_tokio(), reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(truncation)) => {
@@ -133,7 +133,8 @@
 
 /// Reads the whole body of a response and checks that it is complete.
 async fn read_complete(
-    core: &Rc<EntryCore>,
+    core: &EntryCore,
+    request: &ReceivedRequest,
     in_flight: &mut InFlightRequest,
     has_events: bool,
 ) -> Result<Bytes, Truncation> {
@@ -142,7 +143,7 @@
     if has_events {
         events.follow(&body);
     }
-    check_end(core, in_flight, events.has_partial()).await?;
+    check_end(core, request, in_flight, events.has_partial()).await?;
     Ok(body)
 }
 
--- a/crates/zinniahatch_entry/src/request/truncation.rs
+++ b/crates/zinniahatch_entry/src/request/truncation.rs
@@ -1,14 +1,16 @@
 //! How it is noticed that a response ended early.
 
 use crate::core::EntryCore;
-use crate::replicas::crash_detection::find_crash;
+use crate::replicas::crash_detection::ListenerState;
+use crate::replicas::crash_detection::check_after_end;
 use crate::request::connection::BodyEnd;
 use crate::request::connection::ConnectionError;
 use crate::request::in_flight::InFlightRequest;
+use crate::request::received::ReceivedRequest;
 use http::HeaderMap;
 use http::header;
-use std::rc::Rc;
 use thiserror::Error;
+use zinniahatch_base::prelude::*;
 
 /// Media type of a stream of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
@@ -25,6 +27,9 @@
     /// Only the end of its connection marked its end, and its replica ended as well.
     #[error("the replica ended with the connection")]
     ReplicaCrashed,
+    /// The same, and nothing shows whether its replica runs.
+    #[error("the connection ended, and the replica cannot be reached")]
+    ReplicaUnreached,
     /// Its replica has restarted.
     #[error("the replica restarted")]
     ReplicaRestarted,
@@ -40,6 +45,7 @@
             Self::Connection(_) => "connection",
             Self::InsideEvent => "inside_event",
             Self::ReplicaCrashed => "replica_crashed",
+            Self::ReplicaUnreached => "replica_unreached",
             Self::ReplicaRestarted => "replica_restarted",
             Self::Silent => "silent",
         }
@@ -56,21 +62,31 @@
 
 /// Checks a response that has ended as its framing says.
 ///
-/// A process that crashes closes its connections in order, as one does that has sent its whole
-/// response. Where the end of the connection alone marks the end of the body, the state of the
-/// replica is what tells them apart.
+/// A process that ends closes its connections in order, as one does that has sent its whole response.
+/// Where the end of the connection alone marks the end of the body, the response counts as complete
+/// only if its replica is shown to run on.
 pub(crate) async fn check_end(
-    core: &Rc<EntryCore>,
+    core: &EntryCore,
+    request: &ReceivedRequest,
     in_flight: &InFlightRequest,
     inside_event: bool,
 ) -> Result<(), Truncation> {
     if inside_event {
         return Err(Truncation::InsideEvent);
     }
-    if in_flight.body_end() == Some(BodyEnd::ConnectionClose)
-        && find_crash(core, in_flight).await.is_some()
-    {
-        return Err(Truncation::ReplicaCrashed);
+    if in_flight.body_end() != Some(BodyEnd::ConnectionClose) {
+        return Ok(());
+    }
+    let began = Instant::now();
+    let state = check_after_end(in_flight).await;
+    core.log.write(
+        "unframed-end",
+        serde_json::json!({"request": request.attempt, "replica": in_flight.replica(),
+            "listener": state.name(), "took_ms": began.elapsed().as_millis() as u64}),
+    );
+    match state {
+        ListenerState::Listening => Ok(()),
+        ListenerState::Ended => Err(Truncation::ReplicaCrashed),
+        ListenerState::Unknown => Err(Truncation::ReplicaUnreached),
     }
-    Ok(())
 }
--- a/crates/zinniahatch_lab/tests/truncated_answers.rs
+++ b/crates/zinniahatch_lab/tests/truncated_answers.rs
@@ -10,6 +10,7 @@
 use zinniahatch_lab::site::HOST;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::test_doubles::answer_form::AnswerBreak;
 use zinniahatch_lab::test_doubles::answer_form::AnswerEnd;
 use zinniahatch_lab::test_doubles::answer_form::AnswerForm;
@@ -22,6 +23,11 @@
     events: 8,
     pause: Duration::from_millis(5),
 };
+/// A stream that is running when its replica ends.
+const LONG_SHAPE: StreamShape = StreamShape {
+    events: 500,
+    pause: Duration::from_millis(20),
+};
 /// Number of events before a break.
 const EVENTS_BEFORE: u32 = 3;
 /// Time of a caller; a replica that goes silent uses all of it.
@@ -160,6 +166,72 @@
     assert_eq!(seen, CallerView::Truncated);
 }
 
+/// What a node learned of a replica before that ended inside an answer.
+#[derive(Clone, Copy, Debug)]
+enum PriorNews {
+    /// It is leaving.
+    Draining,
+    /// Its entry was removed.
+    EntryGone,
+    /// It ran on after another connection to it had broken.
+    Checked,
+}
+
+impl PriorNews {
+    /// Brings the node to know it.
+    async fn tell(self, site: &SiteCluster) {
+        let logged = async |text: &str| {
+            wait_until("the node knows", async || site.log(0).contains(text)).await;
+        };
+        match self {
+            Self::Draining => {
+                site.register(0, "draining");
+                logged("\"leaving\":true").await;
+            }
+            Self::EntryGone => {
+                site.unregister(0);
+                logged("replica-entry-gone").await;
+            }
+            Self::Checked => {
+                let (replica, _) = &site.replicas[0];
+                replica.set_behaviour(ReplicaBehaviour::LoseAnswer);
+                let request = site.request_with_timeout(0, "/once/t", "lost", CALLER_TIME);
+                let response = request.send().await.expect("the node answers");
+                assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+            }
+        }
+    }
+}
+
+/// Guards against a truncated stream that is passed on as complete since the end of its replica was not
+/// looked for: it was known to leave, or had just been found to run.
+#[test_case(PriorNews::Draining, "/stream/t"; "draining_resumable")]
+#[test_case(PriorNews::Draining, "/stream-once/t"; "draining_once")]
+#[test_case(PriorNews::EntryGone, "/stream/t"; "entry_gone_resumable")]
+#[test_case(PriorNews::EntryGone, "/stream-once/t"; "entry_gone_once")]
+#[test_case(PriorNews::Checked, "/stream/t"; "checked_resumable")]
+#[test_case(PriorNews::Checked, "/stream-once/t"; "checked_once")]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_ended_replica_does_not_look_whole(news: PriorNews, path: &str) {
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], LONG_SHAPE).await;
+    let (replica, _) = &site.replicas[0];
+    let form = AnswerForm::whole(AnswerFraming::Close);
+    replica.set_behaviour(ReplicaBehaviour::Answer(form));
+    let mut response = site.request(0, path, "e").send().await;
+    let response = response.as_mut().expect("the node answers");
+    let first = response.chunk().await.expect("the stream begins");
+    assert!(first.is_some());
+    news.tell(&site).await;
+    replica.crash();
+    let ended = loop {
+        match response.chunk().await {
+            Ok(Some(_)) => {}
+            ended => break ended,
+        }
+    };
+    assert!(ended.is_err(), "the truncated stream looks complete");
+}
+
 /// Guards against plain answers that are truncated and passed on, and against whole ones that are
 /// not, in every framing. Nothing tells where one without a length or chunks is closed in order.
 #[test_case("/plain/t"; "idempotent")]
