Give back the place in the pool of an exchange with a node whose time runs out

Cause: the connection was dropped with the future, and only release counted it out. Class: a count that is undone on one way out of two. Change: LeasedConnection counts itself out where it is dropped.

--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -21,5 +21,8 @@
 pub use request::connection::ResponseHead;
 pub use request::event_scanner::EventScanner;
 pub use request::events::EventSplitter;
+pub use request::pool::ConnectionPool;
+pub use request::pool::LeasedConnection;
+pub use request::pool::PoolError;
 pub use run::EntryError;
 pub use run::run_entry;
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -245,11 +245,8 @@
     body: &[u8],
 ) -> Option<Vec<u8>> {
     let address = peer.address();
-    let mut connection = core
-        .pool
-        .acquire(address, usize::MAX, Instant::now())
-        .await
-        .ok()?;
+    let mut lease = core.pool.lease(address, usize::MAX).await.ok()?;
+    let connection = lease.get()?;
     let length = body.len();
     let head =
         format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\ncontent-length: {length}\r\n\r\n");
@@ -263,6 +260,6 @@
         Some(head.status)
     };
     let status = read.await;
-    core.pool.release(address, connection, Instant::now());
+    lease.release();
     (status? == StatusCode::OK).then_some(response_body)
 }
--- a/crates/zinniahatch_entry/src/request/pool.rs
+++ b/crates/zinniahatch_entry/src/request/pool.rs
@@ -23,13 +23,13 @@
 
 /// All outgoing connections of a node.
 #[derive(Debug, Default)]
-pub(crate) struct ConnectionPool {
+pub struct ConnectionPool {
     rows: RefCell<BTreeMap<SocketAddrV4, AddressPool>>,
 }
 
 /// Why no connection is available.
 #[derive(Debug)]
-pub(crate) enum PoolError {
+pub enum PoolError {
     /// This node's share of the connections is in use.
     Full,
     /// No connection was made.
@@ -64,6 +64,24 @@
         self.open(address, limit).await
     }
 
+    /// Takes a connection like `acquire`, which counts as closed if it is dropped before its release.
+    ///
+    /// # Errors
+    ///
+    /// No connection is available.
+    pub async fn lease(
+        &self,
+        address: SocketAddrV4,
+        limit: usize,
+    ) -> Result<LeasedConnection<'_>, PoolError> {
+        let connection = self.acquire(address, limit, Instant::now()).await?;
+        Ok(LeasedConnection {
+            pool: self,
+            address,
+            connection: Some(connection),
+        })
+    }
+
     /// Opens a new connection in place of an idle one if there are `limit`.
     ///
     /// Idle connections may have gone silent for good, which shows only once they are used.
@@ -137,11 +155,41 @@
     }
 
     /// Returns the number of open connections.
-    pub(crate) fn open_count(&self) -> usize {
+    pub fn open_count(&self) -> usize {
         self.rows.borrow().values().map(|row| row.open).sum()
     }
 }
 
+/// A connection of a pool that is released or closed when this is dropped.
+#[derive(Debug)]
+pub struct LeasedConnection<'a> {
+    pool: &'a ConnectionPool,
+    address: SocketAddrV4,
+    connection: Option<BackendConnection>,
+}
+
+impl LeasedConnection<'_> {
+    /// Returns the connection, until it is released.
+    pub fn get(&mut self) -> Option<&mut BackendConnection> {
+        self.connection.as_mut()
+    }
+
+    /// Returns the connection to the pool.
+    pub fn release(mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.release(self.address, connection, Instant::now());
+        }
+    }
+}
+
+impl Drop for LeasedConnection<'_> {
+    fn drop(&mut self) {
+        if self.connection.is_some() {
+            self.pool.note_closed(self.address);
+        }
+    }
+}
+
 /// Releases the reserved slot of a connection if its caller leaves while it is being opened.
 struct PendingConnect<'a> {
     pool: &'a ConnectionPool,
