Discard a success of a replica that names no attempt, and refuse one without a seal

Cause: a response that names no attempt passed for the one that is waited for. Class: "not known" taken for "sound". Change: a success has to name its attempt, or is read to its end and discarded as a late second response is; one that names it without the replica's seal is a failed try whose outcome is unknown.

--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -292,18 +292,50 @@
         &mut self,
         method: &Method,
         attempt: &str,
+    ) -> Result<ResponseHead, ConnectionError> {
+        let is_other = |head: &ResponseHead| {
+            let named = head.parsed_headers.attempt.as_deref();
+            named.is_some_and(|named| named != attempt)
+        };
+        self.read_head_unless(method, is_other).await
+    }
+
+    /// Reads the head of a replica's response to an attempt, which names the attempt.
+    ///
+    /// A success that names none is discarded too: a faulty replica sends bytes after a complete
+    /// response, and these may look like one.
+    ///
+    /// # Errors
+    ///
+    /// As `read_head`, or a success does not bear the replica's seal.
+    pub async fn read_replica_head(
+        &mut self,
+        method: &Method,
+        attempt: &str,
+    ) -> Result<ResponseHead, ConnectionError> {
+        let is_other = |head: &ResponseHead| {
+            let named = head.parsed_headers.attempt.as_deref();
+            named.map_or(head.status.is_success(), |named| named != attempt)
+        };
+        let head = self.read_head_unless(method, is_other).await?;
+        if head.status.is_success() && !head.parsed_headers.sealed {
+            return Err(ConnectionError::Malformed("success without a seal"));
+        }
+        Ok(head)
+    }
+
+    /// Reads the head of the first response that is not another request's.
+    async fn read_head_unless(
+        &mut self,
+        method: &Method,
+        is_other: impl Fn(&ResponseHead) -> bool,
     ) -> Result<ResponseHead, ConnectionError> {
         loop {
             let head = self.read_any_head(method).await?;
             if head.status.is_informational() {
                 continue;
             }
-            let other_attempt = head
-                .parsed_headers
-                .attempt
-                .as_deref()
-                .is_some_and(|named| named != attempt);
-            if !other_attempt {
+            if !is_other(&head) {
                 self.awaits_head = false;
                 return Ok(head);
             }
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -106,7 +106,7 @@
         messages.note_send_wait(self.sent_at.elapsed());
         sent?;
         let head = connection
-            .read_head(&request.method, &request.attempt)
+            .read_replica_head(&request.method, &request.attempt)
             .await?;
         self.body_end = Some(head.body_end);
         let now = Instant::now();
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -24,6 +24,9 @@
 const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n";
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\ncontent-length: 5\r\n\r\nhello";
 const FOREIGN: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: other\r\ncontent-length: 5\r\n\r\nwrong";
+const SEALED: &str =
+    "HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\ncontent-length: 5\r\n\r\nhello";
+const ANONYMOUS: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
 
 /// Serves one connection: reads a request, writes `response`, then closes the connection or keeps
@@ -237,3 +240,28 @@
         prop_assert!(body.is_err(), "cut at {cut}: {body:?}");
     }
 }
+
+/// Guards against bytes after a complete response that are given to the next caller as its answer.
+#[test_case(&[SEALED], Some("hello"); "own")]
+#[test_case(&[ANONYMOUS, SEALED], Some("hello"); "anonymous_before")]
+#[test_case(&[FOREIGN, ANONYMOUS, SEALED], Some("hello"); "others_before")]
+#[test_case(&[ANONYMOUS], None; "anonymous_alone")]
+#[test_case(&[WHOLE], None; "without_a_seal")]
+#[tokio::test]
+async fn replica_response_names_its_attempt(responses: &[&str], expected: Option<&str>) {
+    let address = serve_once(responses.concat().into_bytes(), true).await;
+    let mut connection = BackendConnection::connect(address, CONNECT_LIMIT)
+        .await
+        .unwrap();
+    connection
+        .send(permit(address), REQUEST, &[])
+        .await
+        .unwrap();
+    let head = connection.read_replica_head(&Method::GET, "mine").await;
+    assert_eq!(head.is_ok(), expected.is_some(), "{head:?}");
+    let Some(expected) = expected else {
+        return;
+    };
+    let body = connection.read_body().await.unwrap().unwrap();
+    assert_eq!(body, expected);
+}
