--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -55,6 +55,8 @@
     Answer(AnswerForm),
     /// It sends the bodies of plain answers byte by byte, with this pause before each.
     Trickle(Duration),
+    /// It gives plain answers this number of bytes.
+    Large(usize),
     /// It accepts requests and never responds.
     Mute,
 }
@@ -409,6 +411,7 @@
             }
             ReplicaBehaviour::Answer(form) => self.plain_in_form(stream, request, form).await,
             ReplicaBehaviour::Trickle(pause) => self.trickle(stream, request, pause).await,
+            ReplicaBehaviour::Large(bytes) => self.large(stream, request, bytes).await,
             _ => self.plain(stream, request, "200 OK").await,
         }
     }
@@ -487,6 +490,22 @@
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
+    /// Returns the head of a success whose body has a length.
+    fn sealed_head(&self, request: &ReplicaRequest, length: usize) -> String {
+        format!(
+            "{}X-Server-Seal: {}\r\nContent-Length: {length}\r\n\r\n",
+            self.head(request, "200 OK"),
+            self.id
+        )
+    }
+
+    /// Sends a plain answer of a size.
+    async fn large(&self, stream: &mut TcpStream, request: &ReplicaRequest, bytes: usize) -> bool {
+        let head = self.sealed_head(request, bytes);
+        stream.write_all(head.as_bytes()).await.is_ok()
+            && stream.write_all(&vec![b'x'; bytes]).await.is_ok()
+    }
+
     /// Sends a plain answer byte by byte.
     async fn trickle(
         &self,
@@ -495,12 +514,7 @@
         pause: Duration,
     ) -> bool {
         let body = format!("{}@{}", request.attempt, self.id);
-        let head = format!(
-            "{}X-Server-Seal: {}\r\nContent-Length: {}\r\n\r\n",
-            self.head(request, "200 OK"),
-            self.id,
-            body.len()
-        );
+        let head = self.sealed_head(request, body.len());
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
         }
