--- a/crates/zinniahatch_lab/src/site/desired.rs
+++ b/crates/zinniahatch_lab/src/site/desired.rs
@@ -13,9 +13,9 @@
     };
     let mut routes = vec![
         route("plain", "idempotent", 2, false, &[]),
-        route("once", "non_idempotent", 1, false, &[]),
+        route("once", "non_idempotent", 3, false, &[]),
         route("stream", "streaming", 2, true, &[]),
-        route("stream-once", "streaming", 1, false, &[]),
+        route("stream-once", "streaming", 3, false, &[]),
         route("bound", "idempotent", 2, false, &["north"]),
     ];
     let mut open = route("open", "idempotent", 2, false, &[]);
