Draw ends in the soak: replicas killed at short notice, and stops beside slow readers

Checked: no truncated stream looks complete, and no answer that has begun is cut off but by a kill or a pause of its entry VM.

--- a/crates/zinniahatch_lab/src/main.rs
+++ b/crates/zinniahatch_lab/src/main.rs
@@ -80,6 +80,9 @@
     /// let replicas of two software versions serve side by side, and replace the older one
     #[argh(switch)]
     versions: bool,
+    /// kill replicas at short notice inside answers without a length, and read large answers slowly
+    #[argh(switch)]
+    ends: bool,
     /// retries that all nodes together may send in 10 s beyond a fifth of the requests (default: 54)
     #[argh(option, default = "USUAL_RETRY_SLACK")]
     retry_slack: f64,
@@ -195,10 +198,10 @@
                 callers: args.callers,
                 crashing_request: args.fatal,
                 crashing_part: args.fatal_part,
-                faults: if args.silences {
-                    DrawnFaults::Silences
-                } else {
-                    DrawnFaults::Usual
+                faults: match (args.silences, args.ends) {
+                    (true, _) => DrawnFaults::Silences,
+                    (false, true) => DrawnFaults::Ends,
+                    (false, false) => DrawnFaults::Usual,
                 },
                 store_restore: args.returns,
                 announcements: ReplicaAnnouncements {
--- a/crates/zinniahatch_lab/src/soak.rs
+++ b/crates/zinniahatch_lab/src/soak.rs
@@ -16,6 +16,7 @@
 mod plan;
 mod retries;
 mod silences;
+mod slow_readers;
 mod stream_follower;
 
 use crate::site::SiteCluster;
@@ -31,6 +32,7 @@
 use invariants::RouteKind;
 use plan::SHORT_IDLE_MS;
 use plan::SoakPlan;
+use slow_readers::SlowReaders;
 use std::sync::Arc;
 use zinniahatch_base::prelude::*;
 
@@ -84,6 +86,9 @@
     Usual,
     /// Replicas are silent for a time and go on, beside planned operations and pauses of entry VMs.
     Silences,
+    /// The usual ones, beside replicas that are killed at short notice inside answers without a length
+    /// and callers that read large answers slowly.
+    Ends,
 }
 
 /// Options of a soak.
@@ -133,6 +138,37 @@
     broken
 }
 
+/// Draws the faults of a seed.
+fn draw_plan(soak: &SoakRun, seed: u64, site: &SiteCluster) -> SoakPlan {
+    let mut plan = if soak.faults == DrawnFaults::Silences {
+        SoakPlan::draw_silences(seed, soak.time, site)
+    } else {
+        SoakPlan::draw(seed, soak.time, site)
+    };
+    if soak.store_restore {
+        plan = plan.with_store_restore(seed, soak.time);
+    }
+    if soak.announcements.limits {
+        plan = plan.with_limits(seed, soak.time, site);
+    }
+    if soak.announcements.notices {
+        plan = plan.with_notices(seed, soak.time, site);
+    }
+    if soak.answers.refusals {
+        plan = plan.with_refusals(seed, soak.time);
+    }
+    if soak.answers.forms {
+        plan = plan.with_answer_forms(seed, soak.time, site);
+    }
+    if soak.faults == DrawnFaults::Ends {
+        plan = plan.with_short_notices(seed, soak.time, site);
+    }
+    if soak.answers.versions {
+        plan = plan.with_release(seed, soak.time, site);
+    }
+    plan
+}
+
 /// Runs one seed; returns a description of each violated invariant.
 pub async fn run_seed(soak: &SoakRun, seed: u64) -> Vec<String> {
     let regions = [("north", 3), ("south", 2), ("west", 1)].map(|(name, replicas)| SiteRegion {
@@ -153,32 +189,11 @@
         site.configure_idle_timeout(1, &[], SHORT_IDLE_MS.start);
     }
     let mut site = site.start_prepared(soak.retry_slack).await;
-    let mut plan = if silences {
-        SoakPlan::draw_silences(seed, soak.time, &site)
-    } else {
-        SoakPlan::draw(seed, soak.time, &site)
-    };
-    if soak.store_restore {
-        plan = plan.with_store_restore(seed, soak.time);
-    }
-    if soak.announcements.limits {
-        plan = plan.with_limits(seed, soak.time, &site);
-    }
-    if soak.announcements.notices {
-        plan = plan.with_notices(seed, soak.time, &site);
-    }
-    if soak.answers.refusals {
-        plan = plan.with_refusals(seed, soak.time);
-    }
-    if soak.answers.forms {
-        plan = plan.with_answer_forms(seed, soak.time, &site);
-    }
-    if soak.answers.versions {
-        plan = plan.with_release(seed, soak.time, &site);
-    }
+    let plan = draw_plan(soak, seed, &site);
+    let ends = soak.faults == DrawnFaults::Ends;
     let log = Arc::new(OutcomeLog::default());
     let habits = CallerHabits {
-        routes: RouteKind::drawn(soak.answers.forms),
+        routes: RouteKind::drawn(soak.answers.forms || ends),
         follow: soak.answers.versions,
         time_limit_ms: if silences {
             LONG_TIME_LIMIT_MS
@@ -189,6 +204,7 @@
     };
     let callers = CallerPool::start(seed, soak.callers, habits, &site, &log);
     let idle_callers = silences.then(|| IdleCallers::start(seed, &site, &log));
+    let slow_readers = ends.then(|| SlowReaders::start(&site));
     let crashing_caller = soak
         .crashing_request
         .then(|| CrashingCaller::start(seed, &site));
@@ -196,6 +212,10 @@
     let mut injector = FaultInjector::new(&plan);
     injector.run(&mut site, &log).await;
     callers.stop().await;
+    if let Some(slow_readers) = slow_readers {
+        let started = injector.started;
+        slow_readers.check(&site, &plan, started, &log).await;
+    }
     if let Some(idle_callers) = idle_callers {
         idle_callers.check(&site, &injector, &log).await;
         silences::check_lost(&site, &plan, &injector, &log);
@@ -212,7 +232,7 @@
     limits::check_limits(&site, &plan, injector.started, &log);
     notices::check_notices(&site, &plan, injector.started, &log);
     retries::check_retries(&site, soak.retry_slack, &log);
-    let replicas_fail = soak.crashing_request || soak.crashing_part || soak.answers.forms;
+    let replicas_fail = soak.crashing_request || soak.crashing_part || soak.answers.forms || ends;
     invariants::check_runs(&site, plan.mix, replicas_fail, &log);
     let broken = log.take_violations();
     println!(
--- a/crates/zinniahatch_lab/src/soak/injector.rs
+++ b/crates/zinniahatch_lab/src/soak/injector.rs
@@ -7,6 +7,8 @@
 use crate::relay::LinkDirection;
 use crate::site::SiteCluster;
 use crate::site::wait_until;
+use crate::test_doubles::answer_form::AnswerForm;
+use crate::test_doubles::answer_form::AnswerFraming;
 use crate::test_doubles::faults::ServiceMode;
 use crate::test_doubles::replica::ReplicaBehaviour;
 use crate::test_doubles::store::StoreSnapshot;
@@ -243,6 +245,13 @@
                 self.leaving.entry(index).or_insert_with(Instant::now);
                 site.unregister(index);
             }
+            SoakFault::ReplicaKilled(index) => {
+                self.leaving.entry(index).or_insert_with(Instant::now);
+                let form = AnswerForm::whole(AnswerFraming::Close);
+                let behaviour = ReplicaBehaviour::Answer(form);
+                site.replicas[index].0.set_behaviour(behaviour);
+                site.register(index, "draining");
+            }
             SoakFault::ReplicaLimits(index, tenths) => {
                 let rate = f64::from(tenths) / 10.0;
                 site.replicas[index].0.set_rate_limit(Some(rate));
@@ -302,6 +311,8 @@
                 self.leaving.remove(&index);
                 site.register(index, "ready");
             }
+            // It is replaced once its end is noticed.
+            SoakFault::ReplicaKilled(index) => site.replicas[index].0.crash(),
             SoakFault::ReplicaLimits(index, _) => site.replicas[index].0.set_rate_limit(None),
             SoakFault::ReplicaIll(index, _) | SoakFault::ReplicaRests(index, _) => {
                 site.replicas[index].0.request_backoff(None);
@@ -438,7 +449,9 @@
         SoakFault::LinkSlow(index, _)
         | SoakFault::LinkLosesRequests(index)
         | SoakFault::LinkLosesAnswers(index) => format!("link {index}"),
-        SoakFault::ReplicaDrains(index) | SoakFault::ReplicaVanishes(index) => {
+        SoakFault::ReplicaDrains(index)
+        | SoakFault::ReplicaVanishes(index)
+        | SoakFault::ReplicaKilled(index) => {
             format!("entry of replica {index}")
         }
         SoakFault::ReplicaLimits(index, _) => format!("limit of replica {index}"),
--- a/crates/zinniahatch_lab/src/soak/plan.rs
+++ b/crates/zinniahatch_lab/src/soak/plan.rs
@@ -47,6 +47,13 @@
 /// Combined with the seed by XOR, as for limits.
 const FORM_SEED_MASK: u64 = 0x000f_0436;
 
+/// Number of replicas that end at short notice, with the time they state. Fewer than the crashes after which
+/// a request is quarantined: nodes that do not learn of the notice count them as such.
+const SHORT_NOTICES: usize = 2;
+const SHORT_NOTICE: Duration = Duration::from_secs(2);
+/// Combined with the seed by XOR, as for limits.
+const SHORT_NOTICE_SEED_MASK: u64 = 0x0005_0407;
+
 /// Number of times that all replicas refuse.
 const REFUSALS: usize = 2;
 /// Combined with the seed by XOR, as for limits.
@@ -113,6 +120,9 @@
     ReplicaDrains(usize),
     /// A replica's store entry is removed without notice, and written again at the end.
     ReplicaVanishes(usize),
+    /// A replica reports that it will end soon, and is killed at the end, inside answers that have no
+    /// length.
+    ReplicaKilled(usize),
     /// A replica announces a rate limit, in tenths of a request per second.
     ReplicaLimits(usize, u32),
     /// A replica announces in its responses that it is leaving, which its store entry may not say,
@@ -189,6 +199,7 @@
             Self::ReplicaReplaced(index)
             | Self::ReplicaDrains(index)
             | Self::ReplicaVanishes(index)
+            | Self::ReplicaKilled(index)
             | Self::ReplicaSaysLeaving(index) => Some(index),
             _ => None,
         }
@@ -310,6 +321,27 @@
         self
     }
 
+    /// Adds replicas that are killed at short notice inside answers without a length, drawn independently,
+    /// so that the seed's other faults stay.
+    pub(crate) fn with_short_notices(
+        mut self,
+        seed: u64,
+        time: Duration,
+        site: &SiteCluster,
+    ) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ SHORT_NOTICE_SEED_MASK);
+        for _ in 0..SHORT_NOTICES {
+            let replica = random.random_range(0..site.replicas.len());
+            let at = time.mul_f64(random.random_range(0.0..0.8));
+            self.faults.push(PlannedFault {
+                at,
+                until: at + SHORT_NOTICE,
+                fault: SoakFault::ReplicaKilled(replica),
+            });
+        }
+        self
+    }
+
     /// Adds times at which all replicas refuse, drawn independently, so that the seed's other faults
     /// stay.
     pub(crate) fn with_refusals(mut self, seed: u64, time: Duration) -> Self {
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -403,12 +403,17 @@
         {
             return self.crash_during(stream, request).await;
         }
+        let requested = requested_bytes(&request.content.path);
         match behaviour {
             ReplicaBehaviour::LoseAnswer => false,
             ReplicaBehaviour::Fail => self.plain(stream, request, "500 Internal Error").await,
             _ if request.content.path.starts_with("/stream") => {
                 self.events(stream, request, behaviour.form()).await
             }
+            _ if requested.is_some() => {
+                let bytes = requested.unwrap_or_default();
+                self.large(stream, request, bytes).await
+            }
             ReplicaBehaviour::Answer(form) => self.plain_in_form(stream, request, form).await,
             ReplicaBehaviour::Trickle(pause) => self.trickle(stream, request, pause).await,
             ReplicaBehaviour::Large(bytes) => self.large(stream, request, bytes).await,
@@ -638,6 +643,11 @@
     }
 }
 
+/// Returns the size that a path asks for in its query.
+fn requested_bytes(path: &str) -> Option<usize> {
+    path.split_once("?bytes=")?.1.parse().ok()
+}
+
 async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReplicaRequest> {
     loop {
         if let Some((mut request, used, body)) = parse_request(buffer) {
--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -34,6 +34,8 @@
     AnswerForms,
     /// Replicas of two software versions serve side by side, and are replaced by the newer one.
     Versions,
+    /// Replicas are killed at short notice, and callers read large answers slowly.
+    Ends,
 }
 
 /// Runs a seed for `seconds` with `entries` entry VMs per region, and checks that no invariant is
@@ -49,6 +51,7 @@
         crashing_part: extra == ExtraFault::CrashingPart,
         faults: match extra {
             ExtraFault::Silences => DrawnFaults::Silences,
+            ExtraFault::Ends => DrawnFaults::Ends,
             _ => DrawnFaults::Usual,
         },
         store_restore: extra == ExtraFault::StoreRestore,
@@ -139,6 +142,15 @@
     check_seed(seed, 10, 2, 16, ExtraFault::AnswerForms).await;
 }
 
+/// Replicas end at short notice inside answers without a length, and entry VMs stop while callers read
+/// large answers: none that is truncated looks complete, and none that has begun is cut off by a stop.
+#[test_case(34; "replicas")]
+#[test_case(35; "planned")]
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_beside_ends(seed: u64) {
+    check_seed(seed, 10, 2, 16, ExtraFault::Ends).await;
+}
+
 /// Replicas of two software versions serve side by side and are replaced by a third while callers take
 /// streams up again at any entry VM and other faults go on: no stream holds events of two versions,
 /// and every other invariant holds.
