Bound the memory that bodies of requests fill

Cause: nothing bounded the bodies that wait for their responses, and each was held up to three times: in the frames that were read, joined, and copied with its head when it was sent.

bodies_stay_within_the_memory: 40 bodies of 4 MiB at an entry VM of 120 MiB; some refused, the peak below the memory, and the memory given back.

--- a/crates/zinniahatch_base/src/result_code.rs
+++ b/crates/zinniahatch_base/src/result_code.rs
@@ -94,6 +94,7 @@
     ReplicasLeaving = 234, 503, NotRun, "The backend servers that could take the request are leaving; come back when others have taken their place.";
     StreamVersionUnknown = 235, 503, NotRun, "It is not known which version of the backend server began the stream; come back, or begin it anew without the last event id.";
     StreamVersionGone = 236, 503, NotRun, "No backend server of the version that began the stream is left; begin it anew without the last event id.";
+    BodyMemoryFull = 237, 503, NotRun, "This entry VM holds as many request bodies as it has memory for; come back or use another.";
     OutcomeUnknown = 300, 502, Unknown, "The connection broke after the request was sent; whether it ran is not known.";
     KeyOwnerGone = 301, 502, Unknown, "The entry VM that owned this key is gone; whether the request ran is not known.";
     AnswerCutOff = 302, 502, Unknown, "The backend server's answer ended before its end mark and could not be resumed.";
--- a/crates/zinniahatch_config/src/entry.rs
+++ b/crates/zinniahatch_config/src/entry.rs
@@ -23,6 +23,9 @@
 /// Default time for which the platform's key-value store keeps its history.
 const STORE_HISTORY: Duration = Duration::from_secs(20);
 
+/// Default memory of an entry VM, in MiB.
+const DEFAULT_MEMORY_MIB: u32 = 1_024;
+
 domain! {
     /// Addresses on which an entry VM listens.
     pub struct ListenSettings {
@@ -80,6 +83,8 @@
         ///
         /// Nodes with a higher share are preferred for tasks that one node does for its region.
         pub cpu_share: u32,
+        /// Memory available to the process, in MiB.
+        pub memory_mib: u32,
         /// Addresses of a few entry VMs to contact first; only the IP address is used.
         pub seeds: Vec<SocketAddrV4>,
         /// Address of the platform's key-value store.
@@ -125,6 +130,7 @@
                 .map(|(key, value)| (key.into(), value.into()))
                 .collect(),
             cpu_share: cpu_share(node)?,
+            memory_mib: memory(node)?,
             seeds: seeds(node)?,
             store: address(store, "address")?,
             min_lease: store.duration("lease_least", Some(Duration::from_secs(1)))?,
@@ -186,6 +192,18 @@
     ))
 }
 
+fn memory(node: &SectionReader) -> Result<u32, ConfigError> {
+    let memory = node.number("memory", Some(DEFAULT_MEMORY_MIB))?;
+    if memory > 0 {
+        return Ok(memory);
+    }
+    Err(node.error(
+        "memory",
+        "there is no memory",
+        "write a number of MiB above 0, such as 260",
+    ))
+}
+
 fn seeds(node: &SectionReader) -> Result<Vec<SocketAddrV4>, ConfigError> {
     let mut seeds = Vec::new();
     for seed in node.list("seeds") {
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -9,6 +9,7 @@
 use crate::replicas::address_checks::AddressChecks;
 use crate::replicas::crash_detection::CRASH_REUSE_PERIOD;
 use crate::replicas::probe::PROBE_REUSE_PERIOD;
+use crate::request::body_memory::BodyMemory;
 use crate::request::pool::ConnectionPool;
 use crate::store::watch_topic::WatchTopic;
 use std::cell::Cell;
@@ -146,6 +147,7 @@
     /// Whether this node leaves reading the desired state from the store to other nodes.
     pub(crate) skips_watch: Cell<bool>,
     pub(crate) pool: ConnectionPool,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) store: KvClient,
     /// Signalled when a store call fails while the watch is waiting.
     pub(crate) store_lost: Notify,
@@ -235,6 +237,7 @@
             role_ranks: RefCell::default(),
             skips_watch: Cell::new(false),
             pool: ConnectionPool::default(),
+            body_memory: BodyMemory::new(settings.memory_mib),
             store,
             store_lost: Notify::new(),
             store_reachable: watch::Sender::new(true),
--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -27,6 +27,8 @@
 
 /// Bytes per read. An event of a stream is well below this size.
 const READ_BYTES: usize = 8 << 10;
+/// Size of a body up to which it is sent with its head in one write.
+const MAX_JOINED_BODY_BYTES: usize = 64 << 10;
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of response headers.
@@ -56,6 +58,15 @@
     Malformed(&'static str),
 }
 
+/// How writing a part of a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteEnd {
+    /// All of it is written.
+    Written,
+    /// The other side responded before it had read all.
+    Responded,
+}
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BodyFraming {
@@ -245,9 +256,18 @@
         }
         self.used = true;
         self.awaits_head = true;
-        // A short request is sent in one write, usually as a single packet.
-        let joined: Vec<u8> = [head, body].concat();
-        let mut rest: &[u8] = &joined;
+        // A short request is sent in one write, usually as a single packet. A long body is not copied.
+        if body.len() <= MAX_JOINED_BODY_BYTES {
+            return self.write(&[head, body].concat()).await.map(drop);
+        }
+        if self.write(head).await? == WriteEnd::Written {
+            self.write(body).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes a part of a request.
+    async fn write(&mut self, mut rest: &[u8]) -> Result<WriteEnd, ConnectionError> {
         while !rest.is_empty() {
             tokio::select! {
                 ready = self.stream.writable() => {
@@ -255,7 +275,10 @@
                     match self.stream.try_write(rest) {
                         Ok(count) => rest = &rest[count..],
                         Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                        Err(error) => return self.early_response_or(error).await
+                        Err(error) => {
+                            self.early_response_or(error).await?;
+                            return Ok(WriteEnd::Responded);
+                        }
                     }
                 }
                 read = read_more(&self.stream, &mut self.buffer) => {
@@ -264,11 +287,11 @@
                     if count == 0 {
                         return Err(ConnectionError::Broken("closed while sending".into()));
                     }
-                    return Ok(());
+                    return Ok(WriteEnd::Responded);
                 }
             }
         }
-        Ok(())
+        Ok(WriteEnd::Written)
     }
 
     /// After a failed write, checks whether an early response had arrived before.
--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -20,6 +20,7 @@
 use crate::request::send::FORWARDED_VERSION;
 use crate::request::serve::serve;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -30,7 +31,9 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
+use std::error::Error;
 use std::rc::Rc;
 use tokio::time::timeout;
 use zinniahatch_base::digest_fields;
@@ -44,6 +47,9 @@
 /// Time limit for receiving a body. A caller that takes longer would occupy memory for nothing.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Retry time given to callers whose bodies find no memory.
+const BODY_MEMORY_RETRY: Duration = Duration::from_millis(500);
+
 /// Maximum sizes of a request to which the limits of callers do not apply, unless those are larger.
 const MAX_UNJUDGED_HEAD_BYTES: usize = 1 << 20;
 const MAX_UNJUDGED_BODY_BYTES: usize = 16 << 20;
@@ -97,13 +103,14 @@
     }
     let arrived = Instant::now();
     let limits = request_limits(&core, source);
-    match receive(source, request, &limits, arrived).await {
+    match receive(&core, source, request, &limits, arrived).await {
         Ok(received) => serve_until_end(&core, received).await,
         Err(code) => {
             core.metrics.note_response("", code.name());
             core.log
                 .write("unread", serde_json::json!({"result": code.number()}));
-            gateway_response(code, None, None)
+            let retry = (code == ResultCode::BodyMemoryFull).then_some(BODY_MEMORY_RETRY);
+            gateway_response(code, None, retry)
         }
     }
 }
@@ -156,6 +163,7 @@
 }
 
 async fn receive(
+    core: &EntryCore,
     source: RequestSource,
     request: Request<Incoming>,
     limits: &CallerLimits,
@@ -177,7 +185,20 @@
         .path_and_query()
         .map_or("/", |path| path.as_str())
         .into();
+    // A body whose length is not stated may have any that is allowed.
+    let length = body.size_hint().exact();
+    let most = length.map_or(limits.max_body_bytes, |length| {
+        usize::try_from(length).unwrap_or(usize::MAX)
+    });
+    if most > limits.max_body_bytes {
+        return Err(ResultCode::BodyTooLarge);
+    }
+    let Some(mut reservation) = core.body_memory.reserve(most) else {
+        tokio::task::spawn_local(discard_body(body));
+        return Err(ResultCode::BodyMemoryFull);
+    };
     let body = read_body(&parts.headers, body, limits.max_body_bytes).await?;
+    reservation.shrink_to(body.len());
     let origin = match source {
         RequestSource::Front => RequestOrigin::Direct,
         RequestSource::Peer => RequestOrigin::Forwarded(read_forward_info(&parts.headers)),
@@ -216,6 +237,7 @@
         credential,
         authorization,
         body,
+        _reservation: Rc::new(reservation),
         content,
         caller: caller_tag,
         arrived,
@@ -286,12 +308,37 @@
     if declared.is_some_and(|length| length > limit) {
         return Err(ResultCode::BodyTooLarge);
     }
-    let collected = timeout(BODY_TIMEOUT, Limited::new(body, limit).collect())
+    let reading = read_frames(Limited::new(body, limit), declared.unwrap_or_default());
+    let read = timeout(BODY_TIMEOUT, reading)
         .await
         .map_err(|_| ResultCode::BodyTooSlow)?;
-    match collected {
-        Ok(collected_body) => Ok(collected_body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
-        Err(_) => Err(ResultCode::BadRequest),
+    read.map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            ResultCode::BodyTooLarge
+        } else {
+            ResultCode::BadRequest
+        }
+    })
+}
+
+/// Reads a body that is not kept. A caller whose connection closes while it still sends does not read
+/// the response.
+async fn discard_body(mut body: Incoming) {
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // What is left of a slow body closes the connection.
+    let _ = timeout(BODY_TIMEOUT, reading).await;
+}
+
+/// Reads a body into one buffer, which holds a large one once and not twice.
+async fn read_frames(
+    mut body: Limited<Incoming>,
+    length: usize,
+) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let mut bytes = BytesMut::with_capacity(length);
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
     }
+    Ok(bytes.freeze())
 }
--- a/crates/zinniahatch_entry/src/request/received.rs
+++ b/crates/zinniahatch_entry/src/request/received.rs
@@ -1,9 +1,11 @@
 //! A request read whole, in the same form for all listeners.
 
+use crate::request::body_memory::BodyReservation;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
+use std::rc::Rc;
 use zinniahatch_base::digest_fields;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::Credential;
@@ -70,6 +72,8 @@
     pub(crate) authorization: Option<HeaderValue>,
     /// The body.
     pub(crate) body: Bytes,
+    /// Keeps the memory of the body reserved.
+    pub(crate) _reservation: Rc<BodyReservation>,
     /// Digest of the request's content and its caller. Each retry by a caller has its own attempt
     /// id but the same digest.
     pub(crate) content: ContentDigest,
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -119,6 +119,8 @@
     has_accounts: bool,
     /// Retries that all nodes together may send in a window in addition to a share of the requests.
     retry_slack: f64,
+    /// Memory that the entry VMs are told to have, in MiB.
+    memory_mib: Option<u32>,
     server: FakeServer,
     regions: Vec<SiteRegion>,
     folder: PathBuf,
@@ -178,6 +180,11 @@
         self
     }
 
+    /// Tells entry VMs that start from now on how much memory they have, in MiB.
+    pub fn set_memory(&mut self, mib: u32) {
+        self.memory_mib = Some(mib);
+    }
+
     async fn start_entries(&mut self) {
         for index in 0..self.entries.len() {
             self.spawn(index);
@@ -239,6 +246,7 @@
             released: None,
             has_accounts: false,
             retry_slack: AMPLE_RETRY_SLACK,
+            memory_mib: None,
             server,
             regions: regions.to_vec(),
             folder,
@@ -431,6 +439,9 @@
         for region in &self.regions {
             text += &format!("{}-a = {}\n", region.name, region.name);
         }
+        if let Some(memory) = self.memory_mib {
+            text = text.replacen("[node]\n", &format!("[node]\nmemory = {memory}\n"), 1);
+        }
         let revoke = if self.has_accounts {
             "revoke = 5s\n"
         } else {
@@ -509,15 +520,31 @@
     ///
     /// Panics if it has no process or `/proc` does not report the mask.
     pub fn caught_signals(&self, index: usize) -> u64 {
+        let line = self.status_line(index, "SigCgt:");
+        u64::from_str_radix(line.trim(), 16).expect("the mask is hexadecimal")
+    }
+
+    /// Returns the most memory that an entry VM has held so far, in KiB.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it has no process or `/proc` does not report it.
+    pub fn peak_memory_kib(&self, index: usize) -> u64 {
+        let line = self.status_line(index, "VmHWM:");
+        let number = line.trim().trim_end_matches(" kB");
+        number.parse().expect("the peak is a number")
+    }
+
+    /// Returns a line of the status that `/proc` reports of an entry VM.
+    fn status_line(&self, index: usize, name: &str) -> String {
         let child = self.entries[index]
             .child
             .as_ref()
             .expect("the entry VM has a process");
         let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
         let status = status.expect("the process has a status");
-        let line = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
-        u64::from_str_radix(line.expect("the status lists the mask").trim(), 16)
-            .expect("the mask is hexadecimal")
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
+        line.expect("the status lists it").into()
     }
 
     /// Returns whether an entry VM was started and not killed.
--- /dev/null
+++ b/crates/zinniahatch_lab/tests/body_memory.rs
@@ -0,0 +1,61 @@
+//! Many large bodies at once at an entry VM with little memory.
+
+use futures_util::future::join_all;
+use reqwest::StatusCode;
+use std::time::Duration;
+use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
+use zinniahatch_lab::test_doubles::replica::ReplicaBehaviour;
+use zinniahatch_lab::test_doubles::replica::StreamShape;
+
+const SHAPE: StreamShape = StreamShape {
+    events: 3,
+    pause: Duration::from_millis(10),
+};
+const MEMORY_MIB: u32 = 120;
+const BODY_BYTES: usize = 4 << 20;
+/// Requests whose bodies together are more than the memory.
+const REQUESTS: usize = 40;
+const CALLER_TIME: Duration = Duration::from_secs(4);
+
+/// Guards against a process that is killed with all its requests, since it keeps more bodies than it has
+/// memory for, some of them twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_stay_within_the_memory() {
+    let mut site = SiteCluster::prepare(&[SiteRegion::new("north", 1, 1)], SHAPE).await;
+    site.set_memory(MEMORY_MIB);
+    let site = site.start_prepared(AMPLE_RETRY_SLACK).await;
+    let mut state = site.desired_state(2);
+    state["limits"]["max_body_bytes"] = BODY_BYTES.into();
+    site.write_desired_state(&state);
+    wait_until("the limit is in force", async || {
+        site.log(0).contains("\"to\":2")
+    })
+    .await;
+    let (replica, _) = &site.replicas[0];
+    replica.set_behaviour(ReplicaBehaviour::Mute);
+    let calls = (0..REQUESTS).map(async |number| {
+        let attempt = format!("b-{number}");
+        let request = site.request_with_timeout(0, "/once/t", &attempt, CALLER_TIME);
+        let response = request.body(vec![b'x'; BODY_BYTES]).send().await;
+        let response = response.expect("the node answers");
+        let retry = response.headers().contains_key("retry-after");
+        (response.status(), retry)
+    });
+    let answers = join_all(calls).await;
+    let refused = (StatusCode::SERVICE_UNAVAILABLE, true);
+    assert!(answers.contains(&refused), "{answers:?}");
+    let taken = answers.iter().filter(|answer| **answer != refused).count();
+    assert!(taken > 0, "{answers:?}");
+    let peak = site.peak_memory_kib(0) >> 10;
+    assert!(peak < u64::from(MEMORY_MIB), "{peak} MiB, {taken} taken");
+    replica.set_behaviour(ReplicaBehaviour::Serve);
+    wait_until("memory is given back", async || {
+        let request = site.request(0, "/plain/t", "after");
+        let response = request.body(vec![b'x'; BODY_BYTES]).send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    })
+    .await;
+}
