Work out the length of a request's body once, and hold its reservation without a count

No change of behaviour. A body's length was taken from its size hint and parsed again from its header; stated_length serves the reservation and read_body alike, for all who read bodies. Errors of a body are mapped where they arise, so that no dyn is left on the request path. Nothing clones a ReceivedRequest, so that it owns its reservation. is_replica_reborn looks the replica up once.

--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -265,11 +265,12 @@
 
     /// Returns whether another incarnation of the replica is known.
     pub(crate) fn is_replica_reborn(&self) -> bool {
-        let known = |assigned: &AssignedWork| {
-            let replicas = self.core.replicas.borrow();
-            replicas.get(&assigned.replica).is_some()
+        let Some(assigned) = &self.assigned else {
+            return false;
         };
-        self.assigned.as_ref().is_some_and(known) && self.is_replica_restarted()
+        let replicas = self.core.replicas.borrow();
+        let state = replicas.get(&assigned.replica);
+        state.is_some_and(|state| !state.has_request(assigned.ticket))
     }
 
     /// Returns when bytes last arrived on the connection, or when the request was sent, kept up to date
--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -33,7 +33,6 @@
 use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
-use std::error::Error;
 use std::rc::Rc;
 use tokio::time::timeout;
 use zinniahatch_base::digest_fields;
@@ -139,8 +138,7 @@
 }
 
 async fn send_snapshot(core: &EntryCore, request: Request<Incoming>) -> Response<ResponseBody> {
-    let (parts, body) = request.into_parts();
-    let body = match read_body(&parts.headers, body, MAX_SNAPSHOT_REQUEST_BYTES).await {
+    let body = match read_body(request.into_body(), MAX_SNAPSHOT_REQUEST_BYTES).await {
         Ok(body) => body,
         Err(code) => return gateway_response(code, None, None),
     };
@@ -151,8 +149,7 @@
 }
 
 async fn accept_counts(core: &EntryCore, request: Request<Incoming>) -> Response<ResponseBody> {
-    let (parts, body) = request.into_parts();
-    let body = match read_body(&parts.headers, body, MAX_COUNTS_BYTES).await {
+    let body = match read_body(request.into_body(), MAX_COUNTS_BYTES).await {
         Ok(body) => body,
         Err(code) => return gateway_response(code, None, None),
     };
@@ -185,19 +182,14 @@
         .path_and_query()
         .map_or("/", |path| path.as_str())
         .into();
+    let length = stated_length(&body, limits.max_body_bytes)?;
     // A body whose length is not stated may have any that is allowed.
-    let length = body.size_hint().exact();
-    let most = length.map_or(limits.max_body_bytes, |length| {
-        usize::try_from(length).unwrap_or(usize::MAX)
-    });
-    if most > limits.max_body_bytes {
-        return Err(ResultCode::BodyTooLarge);
-    }
+    let most = length.unwrap_or(limits.max_body_bytes);
     let Some(mut reservation) = core.body_memory.reserve(most) else {
         tokio::task::spawn_local(discard_body(body));
         return Err(ResultCode::BodyMemoryFull);
     };
-    let body = read_body(&parts.headers, body, limits.max_body_bytes).await?;
+    let body = read_body(body, limits.max_body_bytes).await?;
     reservation.shrink_to(body.len());
     let origin = match source {
         RequestSource::Front => RequestOrigin::Direct,
@@ -237,7 +229,7 @@
         credential,
         authorization,
         body,
-        _reservation: Rc::new(reservation),
+        _reservation: reservation,
         content,
         caller: caller_tag,
         arrived,
@@ -300,25 +292,24 @@
     }
 }
 
-async fn read_body(headers: &HeaderMap, body: Incoming, limit: usize) -> Result<Bytes, ResultCode> {
-    let declared = headers
-        .get(header::CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > limit) {
-        return Err(ResultCode::BodyTooLarge);
+/// Returns the length of a body if it is stated.
+fn stated_length(body: &Incoming, limit: usize) -> Result<Option<usize>, ResultCode> {
+    let Some(length) = body.size_hint().exact() else {
+        return Ok(None);
+    };
+    let length = usize::try_from(length).ok();
+    match length.filter(|length| *length <= limit) {
+        None => Err(ResultCode::BodyTooLarge),
+        length => Ok(length),
     }
-    let reading = read_frames(Limited::new(body, limit), declared.unwrap_or_default());
-    let read = timeout(BODY_TIMEOUT, reading)
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ResultCode> {
+    let length = stated_length(&body, limit)?.unwrap_or_default();
+    let reading = read_frames(Limited::new(body, limit), length);
+    timeout(BODY_TIMEOUT, reading)
         .await
-        .map_err(|_| ResultCode::BodyTooSlow)?;
-    read.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            ResultCode::BodyTooLarge
-        } else {
-            ResultCode::BadRequest
-        }
-    })
+        .map_err(|_| ResultCode::BodyTooSlow)?
 }
 
 /// Reads a body that is not kept. A caller whose connection closes while it still sends does not read
@@ -330,13 +321,17 @@
 }
 
 /// Reads a body into one buffer, which holds a large one once and not twice.
-async fn read_frames(
-    mut body: Limited<Incoming>,
-    length: usize,
-) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+async fn read_frames(mut body: Limited<Incoming>, length: usize) -> Result<Bytes, ResultCode> {
     let mut bytes = BytesMut::with_capacity(length);
     while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                ResultCode::BodyTooLarge
+            } else {
+                ResultCode::BadRequest
+            }
+        })?;
+        if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
     }
--- a/crates/zinniahatch_entry/src/request/received.rs
+++ b/crates/zinniahatch_entry/src/request/received.rs
@@ -5,7 +5,6 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
-use std::rc::Rc;
 use zinniahatch_base::digest_fields;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::Credential;
@@ -49,7 +48,7 @@
 }
 
 /// A request that was read whole.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct ReceivedRequest {
     /// Id of this attempt of the caller.
     pub(crate) attempt: RequestId,
@@ -73,7 +72,7 @@
     /// The body.
     pub(crate) body: Bytes,
     /// Keeps the memory of the body reserved.
-    pub(crate) _reservation: Rc<BodyReservation>,
+    pub(crate) _reservation: BodyReservation,
     /// Digest of the request's content and its caller. Each retry by a caller has its own attempt
     /// id but the same digest.
     pub(crate) content: ContentDigest,
--- a/crates/zinniahatch_route/src/replica_state.rs
+++ b/crates/zinniahatch_route/src/replica_state.rs
@@ -127,7 +127,7 @@
     }
 
     /// Returns whether this incarnation has the in-flight request with this ticket.
-    pub(crate) fn has_request(&self, ticket: u64) -> bool {
+    pub fn has_request(&self, ticket: u64) -> bool {
         self.in_flight_requests.contains_key(&ticket)
     }
 
