Read large answers slowly in one place, for the soak and the test of a stop

The soak's slow readers and answer_is_read_to_its_end_beside_a_stop each had the connection with a small buffer, the request and the paced reading; SlowReading serves both. Replicas had two ways to be asked for a large answer; the size in the request is the one that stays. The memory of an entry VM stands where its settings are written, in place of a replacement in the finished text.

--- a/crates/zinniahatch_lab/src/lib.rs
+++ b/crates/zinniahatch_lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod retry_bound;
 pub mod site;
 pub mod site_demo;
+pub mod slow_reading;
 pub mod soak;
 pub mod test_doubles;
 pub mod users;
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -430,8 +430,11 @@
         };
         // All entry VMs of a lab share one IP address and get new ports in each run, so that seeds
         // cannot name them; they find each other through their keys in the store.
+        let memory = self
+            .memory_mib
+            .map_or_else(String::new, |mib| format!("memory = {mib}\n"));
         let mut text = format!(
-            "[node]\nname = {}\nregion = {}\ndata_centre = {}-a\n\n[listen]\nfront = {front}\n\
+            "[node]\nname = {}\nregion = {}\ndata_centre = {}-a\n{memory}\n[listen]\nfront = {front}\n\
              readiness = {readiness}\ncontrol = {control}\ndirectory = {directory}\npeer = {peer}\n\
              \n[regions]\n",
             entry.name, entry.region, entry.region
@@ -439,9 +442,6 @@
         for region in &self.regions {
             text += &format!("{}-a = {}\n", region.name, region.name);
         }
-        if let Some(memory) = self.memory_mib {
-            text = text.replacen("[node]\n", &format!("[node]\nmemory = {memory}\n"), 1);
-        }
         let revoke = if self.has_accounts {
             "revoke = 5s\n"
         } else {
--- a/crates/zinniahatch_lab/src/soak/slow_readers.rs
+++ b/crates/zinniahatch_lab/src/soak/slow_readers.rs
@@ -3,12 +3,8 @@
 use super::invariants::OutcomeLog;
 use super::plan::SoakFault;
 use super::plan::SoakPlan;
-use crate::site::HOST;
 use crate::site::SiteCluster;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpSocket;
-use tokio::net::TcpStream;
+use crate::slow_reading::SlowReading;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -16,12 +12,8 @@
 
 /// Size of a body, more than the kernel buffers of a connection whose caller has a small buffer.
 const BODY_BYTES: usize = 8 << 20;
-const CALLER_BUFFER_BYTES: u32 = 64 << 10;
-/// Number of pauses while a body is read, and their length: 2.5 s in all, within the grace period.
+/// Number of pauses while a body is read: 2.5 s in all, within the grace period.
 const READ_PAUSES: usize = 50;
-const READ_PAUSE: Duration = Duration::from_millis(50);
-/// Time that a caller states for a request, in ms.
-const TIME_LIMIT_MS: u64 = 20_000;
 /// Pause before another request.
 const REQUEST_PAUSE: Duration = Duration::from_millis(100);
 /// Time around a fault of an entry VM within which its answers may be lost.
@@ -113,49 +105,27 @@
                 break;
             }
             let attempt = format!("slow{}-{number}", self.entry);
-            if let Some(stream) = self.send(&attempt).await {
-                torn.extend(self.read(stream, attempt).await);
-            }
+            torn.extend(self.read(attempt).await);
             sleep(REQUEST_PAUSE).await;
         }
         torn
     }
 
-    /// Sends a request for a large answer; returns the connection if that was possible.
-    async fn send(&self, attempt: &str) -> Option<TcpStream> {
-        let socket = TcpSocket::new_v4().ok()?;
-        socket.set_recv_buffer_size(CALLER_BUFFER_BYTES).ok()?;
-        let mut stream = socket.connect(self.front.parse().ok()?).await.ok()?;
-        let request = format!(
-            "GET /once/x?bytes={BODY_BYTES} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n\
-             X-Time-Remaining: {TIME_LIMIT_MS}\r\nConnection: close\r\n\r\n"
-        );
-        stream.write_all(request.as_bytes()).await.ok()?;
-        Some(stream)
-    }
-
     /// Reads an answer; returns how it was torn if it is a success that is not whole.
-    async fn read(&self, mut stream: TcpStream, attempt: String) -> Option<TornAnswer> {
-        let mut answer = Vec::new();
-        stream.read_buf(&mut answer).await.ok()?;
-        if !answer.starts_with(b"HTTP/1.1 200") {
+    async fn read(&self, attempt: String) -> Option<TornAnswer> {
+        let begun = SlowReading::begin(&self.front, "once", &attempt, BODY_BYTES).await;
+        let mut reading = begun.ok()?;
+        if !reading.answer.starts_with(b"HTTP/1.1 200") {
             return None;
         }
         let began = Instant::now();
-        for pause in 1..=READ_PAUSES {
-            sleep(READ_PAUSE).await;
-            while answer.len() < pause * BODY_BYTES / READ_PAUSES {
-                if !matches!(stream.read_buf(&mut answer).await, Ok(count) if count > 0) {
-                    return Some(TornAnswer {
-                        entry: self.entry,
-                        attempt,
-                        began,
-                        ended: Instant::now(),
-                        bytes: answer.len(),
-                    });
-                }
-            }
-        }
-        None
+        let read = reading.read_to(BODY_BYTES, READ_PAUSES).await;
+        read.is_err().then(|| TornAnswer {
+            entry: self.entry,
+            attempt,
+            began,
+            ended: Instant::now(),
+            bytes: reading.answer.len(),
+        })
     }
 }
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -55,8 +55,6 @@
     Answer(AnswerForm),
     /// It sends the bodies of plain answers byte by byte, with this pause before each.
     Trickle(Duration),
-    /// It gives plain answers this number of bytes.
-    Large(usize),
     /// It accepts requests and never responds.
     Mute,
 }
@@ -403,20 +401,17 @@
         {
             return self.crash_during(stream, request).await;
         }
-        let requested = requested_bytes(&request.content.path);
-        match behaviour {
-            ReplicaBehaviour::LoseAnswer => false,
-            ReplicaBehaviour::Fail => self.plain(stream, request, "500 Internal Error").await,
+        match (behaviour, requested_bytes(&request.content.path)) {
+            (ReplicaBehaviour::LoseAnswer, _) => false,
+            (ReplicaBehaviour::Fail, _) => self.plain(stream, request, "500 Internal Error").await,
             _ if request.content.path.starts_with("/stream") => {
                 self.events(stream, request, behaviour.form()).await
             }
-            _ if requested.is_some() => {
-                let bytes = requested.unwrap_or_default();
-                self.large(stream, request, bytes).await
+            (_, Some(bytes)) => self.large(stream, request, bytes).await,
+            (ReplicaBehaviour::Answer(form), None) => {
+                self.plain_in_form(stream, request, form).await
             }
-            ReplicaBehaviour::Answer(form) => self.plain_in_form(stream, request, form).await,
-            ReplicaBehaviour::Trickle(pause) => self.trickle(stream, request, pause).await,
-            ReplicaBehaviour::Large(bytes) => self.large(stream, request, bytes).await,
+            (ReplicaBehaviour::Trickle(pause), None) => self.trickle(stream, request, pause).await,
             _ => self.plain(stream, request, "200 OK").await,
         }
     }
