Reject an item of the store that cannot be decoded alone, and read on after it

What callers saw: nothing yet in service. Another operator's report: one odd entry among those of the replicas, and the machines that read the list stopped following it. Here a node that runs sent to replicas that had left and knew none that had joined; a node that starts beside the item could not list the replicas.

Cause: a page of a listing and the changes of a watch were decoded as one JSON document with typed items, and the first item with a wrong type, a number out of range, nesting beyond the parser's limit or a value that is no Base64 gave up all of them. The watch asked again for the same changes, for ever.

Why it works: the client keeps each item as raw JSON and decodes it by itself. What cannot be decoded is handed on as rejected, with its key and revision as far as they can be read, is counted and logged (`item-rejected`), and the cursor and the revision go on past it, also at the end of a page. A rejected entry names no replica; a rejected key of an evacuation still requests it; a rejected desired state leaves the last valid one in force.

--- a/crates/zinniahatch_ctl/src/site.rs
+++ b/crates/zinniahatch_ctl/src/site.rs
@@ -139,6 +139,9 @@
     let mut counts = CountTable::default();
     let mut gaps = Vec::new();
     let mut unread = Vec::new();
+    for item in listing.rejected {
+        unread.push(item.key.unwrap_or_else(|| "(an item without a key)".into()));
+    }
     for item in listing.items {
         match serde_json::from_slice::<HourlyCounts>(&item.value) {
             Ok(hourly) => {
--- a/crates/zinniahatch_entry/src/store/quarantine_keys.rs
+++ b/crates/zinniahatch_entry/src/store/quarantine_keys.rs
@@ -13,6 +13,7 @@
 use crate::replicas::quarantine::apply_suspects;
 use crate::request::received::content_text;
 use crate::request::received::part_text;
+use crate::store::updates::reject_items;
 use crate::store::updates::reject_value;
 use crate::store::watch::wait_for_store;
 use serde::Deserialize;
@@ -125,6 +126,7 @@
     // limit; it may lag by seconds.
     let listing = core.store.stale_items(LIST_PREFIX, LIST_TIMEOUT).await?;
     core.metrics.note_store("quarantine", "listed");
+    reject_items(core, &listing.rejected);
     let now = unix_millis();
     let mut updates = Vec::new();
     let mut part_updates = Vec::new();
@@ -137,7 +139,7 @@
                 .map(|stored| updates.push(stored.to_update(now)))
         };
         if let Err(error) = read {
-            reject_value(core, &format!("key `{}`: {error}", item.key));
+            reject_value(core, &item.key, &error.to_string());
         }
     }
     apply_suspects(core, &updates, UpdateSource::Store);
--- a/crates/zinniahatch_entry/src/store/registration.rs
+++ b/crates/zinniahatch_entry/src/store/registration.rs
@@ -8,6 +8,7 @@
 use crate::core::EntryCore;
 use crate::core::StopPhase;
 use crate::nodes::roles::holds_role;
+use crate::store::updates::reject_items;
 use crate::store::updates::reject_value;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -155,13 +156,11 @@
 async fn discover_nodes(core: &Rc<EntryCore>) -> Result<(), KvError> {
     let listing = core.store.items(NODE_PREFIX, LIST_TIMEOUT).await?;
     core.metrics.note_store("nodes", "done");
+    reject_items(core, &listing.rejected);
     let mut targets = core.heartbeat_targets.borrow_mut();
     for item in listing.items {
         let Some((region, address)) = parse_registration(&item.value) else {
-            reject_value(
-                core,
-                &format!("key `{}`: expected `REGION IP:port`", item.key),
-            );
+            reject_value(core, &item.key, "expected `REGION IP:port`");
             continue;
         };
         targets.add(address, Some(&region));
--- a/crates/zinniahatch_entry/src/store/updates.rs
+++ b/crates/zinniahatch_entry/src/store/updates.rs
@@ -10,6 +10,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_config::PRESET_KEY;
 use zinniahatch_config::parse_serving_preset;
+use zinniahatch_platform::RejectedItem;
 use zinniahatch_platform::StoreEvent;
 use zinniahatch_platform::StoreItem;
 use zinniahatch_platform::StoreKey;
@@ -33,7 +34,11 @@
     topic: WatchTopic,
     listing: StoreListing,
 ) -> StoreRevision {
-    let StoreListing { items, revision } = listing;
+    let StoreListing {
+        items,
+        rejected,
+        revision,
+    } = listing;
     core.metrics.note_store("list", "done");
     let now = Instant::now();
     let mut entries = Vec::new();
@@ -47,11 +52,18 @@
             StoreKey::Backend(id) => match decode_backend(id, item) {
                 Ok(entry) if is_in_region(core, &entry.data_centre) => entries.push(entry),
                 Ok(_) => {}
-                Err(error) => reject_value(core, &error.to_string()),
+                Err(error) => reject_value(core, &error.key, &error.problem),
             },
             StoreKey::Other => apply_preset_item(core, item),
         }
     }
+    reject_items(core, &rejected);
+    for item in &rejected {
+        // The key alone requests the evacuation.
+        if let Some(StoreKey::Evacuation(data_centre)) = item.key.as_deref().map(parse_store_key) {
+            evacuated.insert(data_centre.into());
+        }
+    }
     match topic {
         WatchTopic::Operator => apply_evacuations(core, &evacuated, revision),
         WatchTopic::Replicas => {
@@ -130,6 +142,7 @@
 pub(crate) fn apply_event(core: &Rc<EntryCore>, event: StoreEvent, now: Instant) {
     match event {
         StoreEvent::Written(item) => apply_write(core, &item, now),
+        StoreEvent::Rejected(item) => apply_rejected(core, &item, now),
         StoreEvent::Removed { key, revision } => apply_removal(core, &key, revision, now),
     }
 }
@@ -151,7 +164,7 @@
             Err(error) => {
                 // The invalid value names no usable replica, and the previous one is no longer
                 // current.
-                reject_value(core, &error.to_string());
+                reject_value(core, &error.key, &error.problem);
                 handle_backend_removal(core, id, item.revision, now);
             }
         },
@@ -159,11 +172,23 @@
     }
 }
 
+/// Applies a change that could not be decoded, as far as its key tells what it means.
+fn apply_rejected(core: &EntryCore, item: &RejectedItem, now: Instant) {
+    reject_items(core, std::slice::from_ref(item));
+    match item.key.as_deref().map(parse_store_key) {
+        Some(StoreKey::Evacuation(data_centre)) => {
+            read_evacuation(core, data_centre, true, item.revision);
+        }
+        Some(StoreKey::Backend(id)) => handle_backend_removal(core, id, item.revision, now),
+        Some(StoreKey::Desired | StoreKey::Other) | None => {}
+    }
+}
+
 fn apply_removal(core: &Rc<EntryCore>, key: &str, revision: StoreRevision, now: Instant) {
     match parse_store_key(key) {
         StoreKey::Evacuation(data_centre) => read_evacuation(core, data_centre, false, revision),
         StoreKey::Backend(id) => handle_backend_removal(core, id, revision, now),
-        StoreKey::Desired => reject_value(core, "the desired state was removed"),
+        StoreKey::Desired => reject_value(core, key, "the desired state was removed"),
         StoreKey::Other => {}
     }
 }
@@ -304,9 +329,9 @@
             None => {
                 core.apply_desired_state(state, "store");
             }
-            Some(problem) => reject_value(core, &problem),
+            Some(problem) => reject_value(core, &item.key, &problem),
         },
-        Err(error) => reject_value(core, &error.to_string()),
+        Err(error) => reject_value(core, &error.key, &error.problem),
     }
 }
 
@@ -330,10 +355,23 @@
 }
 
 /// Counts and logs a value that cannot be used; the last valid one stays in force.
-pub(crate) fn reject_value(core: &EntryCore, problem: &str) {
+pub(crate) fn reject_value(core: &EntryCore, key: &str, problem: &str) {
     core.metrics.note_store("value", "rejected");
-    core.log
-        .write("value-rejected", serde_json::json!({"problem": problem}));
+    core.log.write(
+        "value-rejected",
+        serde_json::json!({"key": key, "problem": problem}),
+    );
+}
+
+/// Counts and logs items that could not be decoded.
+pub(crate) fn reject_items(core: &EntryCore, items: &[RejectedItem]) {
+    for item in items {
+        core.metrics.note_store("item", "rejected");
+        core.log.write(
+            "item-rejected",
+            serde_json::json!({"key": item.key, "revision": item.revision, "problem": item.problem}),
+        );
+    }
 }
 
 /// Applies one of the gateway's own keys: the preset in force.
@@ -344,6 +382,6 @@
     let text = String::from_utf8_lossy(&item.value);
     match parse_serving_preset(PRESET_KEY, &text) {
         Ok(preset) => core.apply_preset(preset, "store"),
-        Err(error) => reject_value(core, &error.to_string()),
+        Err(error) => reject_value(core, &item.key, &error.to_string()),
     }
 }
--- a/crates/zinniahatch_entry/src/store/version_keys.rs
+++ b/crates/zinniahatch_entry/src/store/version_keys.rs
@@ -108,7 +108,7 @@
         Ok(stored) if stored.era == item.revision.era => Ok(Some(stored.versions)),
         Ok(_) => Ok(None),
         Err(error) => {
-            reject_value(core, &format!("key `{}`: {error}", item.key));
+            reject_value(core, &item.key, &error.to_string());
             Ok(None)
         }
     }
--- a/crates/zinniahatch_entry/src/store/watch.rs
+++ b/crates/zinniahatch_entry/src/store/watch.rs
@@ -434,6 +434,7 @@
 async fn list_by_pages(core: &Rc<EntryCore>, topic: WatchTopic) -> Result<(), KvError> {
     let mut cursor = PageCursor::default();
     let mut items = Vec::new();
+    let mut rejected = Vec::new();
     loop {
         let prefix = topic.prefix();
         let page = core
@@ -441,15 +442,17 @@
             .next_page(prefix, LIST_TIMEOUT, &[], &mut cursor)
             .await?;
         apply_listed_page(core, &page.items);
-        let (more, revision) = (!page.items.is_empty(), page.revision);
         items.extend(page.items);
+        rejected.extend(page.rejected);
         if cursor.is_at_end() {
-            apply_listing(core, topic, StoreListing { items, revision });
+            let listing = StoreListing {
+                items,
+                rejected,
+                revision: page.revision,
+            };
+            apply_listing(core, topic, listing);
             return Ok(());
         }
-        if !more {
-            return Err(KvError::Malformed("the listing does not end".into()));
-        }
     }
 }
 
--- a/crates/zinniahatch_lab/src/test_doubles/store.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/store.rs
@@ -19,6 +19,7 @@
 use endpoint::WatchHandler;
 use salvo::Router;
 use salvo::http::StatusCode;
+use serde_json::value::RawValue;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -32,6 +33,7 @@
 use wire::ItemBody;
 use wire::RemovedBody;
 use wire::TransactionRequest;
+use wire::event_body;
 use wire::item_body;
 use zinniahatch_base::prelude::*;
 
@@ -43,6 +45,8 @@
 #[derive(Clone, Debug)]
 struct StoredValue {
     value: Box<str>,
+    /// The JSON text of the whole item, if a test set it.
+    raw: Option<Box<RawValue>>,
     revision: u64,
     created: u64,
     lease: u64,
@@ -76,6 +80,7 @@
             .map_or(self.revision, |old| old.created);
         let value = StoredValue {
             value,
+            raw: None,
             revision: self.revision,
             created,
             lease,
@@ -186,6 +191,30 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes an item that pages and watches return as this JSON text; `{revision}` in it stands for
+    /// the revision of the write.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the text is not JSON.
+    pub fn write_raw(&self, key: &str, text: &str) {
+        let mut data = self.lock();
+        data.revision += 1;
+        let text = text.replace("{revision}", &data.revision.to_string());
+        let raw = RawValue::from_string(text).expect("the item is JSON");
+        let value = StoredValue {
+            value: Box::default(),
+            raw: Some(raw),
+            revision: data.revision,
+            created: data.revision,
+            lease: 0,
+        };
+        data.values.insert(key.into(), value.clone());
+        data.record(key, Some(value));
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
     /// Removes a value as the operator or a replica does, without counting a request.
     pub fn remove(&self, key: &str) {
         let mut data = self.lock();
@@ -297,7 +326,7 @@
             .iter()
             .filter(|change| change.revision > after && change.key.starts_with(prefix))
             .map(|change| match &change.value {
-                Some(value) => EventBody::Written(item_body(&change.key, value)),
+                Some(value) => event_body(&change.key, value),
                 None => EventBody::Removed(RemovedBody {
                     key: change.key.clone(),
                     revision: change.revision,
--- a/crates/zinniahatch_lab/src/test_doubles/store/endpoint.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/store/endpoint.rs
@@ -2,7 +2,7 @@
 
 use super::FakeStore;
 use super::TransactionError;
-use super::wire::ItemBody;
+use super::wire::EventBody;
 use super::wire::ItemsBody;
 use super::wire::LeaseBody;
 use super::wire::LeaseRequest;
@@ -10,6 +10,7 @@
 use super::wire::RenewedBody;
 use super::wire::RevisionBody;
 use super::wire::TransactionRequest;
+use super::wire::event_body;
 use super::wire::item_body;
 use crate::test_doubles::faults::FaultEffect;
 use crate::test_doubles::faults::FaultSwitch;
@@ -85,6 +86,9 @@
             return;
         };
         drop(data);
+        if let Some(raw) = value.raw {
+            return finish(effect, response, raw);
+        }
         let mut body = item_body(&key, &value);
         body.store_revision = Some(revision);
         finish(effect, response, body);
@@ -109,8 +113,8 @@
             .values
             .iter()
             .filter(|(key, _)| key.starts_with(&prefix) && ***key > *after)
-            .map(|(key, value)| item_body(key, value));
-        let items: Vec<ItemBody> = found.by_ref().take(PAGE_ITEMS).collect();
+            .map(|(key, value)| event_body(key, value));
+        let items: Vec<EventBody> = found.by_ref().take(PAGE_ITEMS).collect();
         let truncated = found.next().is_some();
         let store_revision = data.revision;
         drop(data);
--- a/crates/zinniahatch_lab/src/test_doubles/store/wire.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/store/wire.rs
@@ -5,6 +5,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::value::RawValue;
 
 #[derive(Serialize)]
 pub(super) struct ItemBody {
@@ -29,6 +30,8 @@
 pub(super) enum EventBody {
     Written(ItemBody),
     Removed(RemovedBody),
+    /// An item that is returned exactly as a test wrote it.
+    Raw(Box<RawValue>),
 }
 
 #[derive(Serialize)]
@@ -39,7 +42,7 @@
 
 #[derive(Serialize)]
 pub(super) struct PageBody {
-    pub(super) items: Vec<ItemBody>,
+    pub(super) items: Vec<EventBody>,
     pub(super) truncated: bool,
     pub(super) store_revision: u64,
 }
@@ -94,6 +97,14 @@
     pub(super) ttl_ms: u64,
 }
 
+/// Returns the form of a value in a page or among events.
+pub(super) fn event_body(key: &str, value: &StoredValue) -> EventBody {
+    match &value.raw {
+        Some(raw) => EventBody::Raw(raw.clone()),
+        None => EventBody::Written(item_body(key, value)),
+    }
+}
+
 pub(super) fn item_body(key: &str, value: &StoredValue) -> ItemBody {
     ItemBody {
         key: key.into(),
