Don't take the unknown time of streams for none

Callers saw streams that were joined from two software versions, answered with 200, after all entry VMs had been killed while two versions served and the older one left.

Cause: until a process knew the desired state, the longest time of a stream was zero. So it had followed its region for long enough as soon as it knew the replicas, reported its view as complete, and wrote over the versions in the store with those that served then. Later reads trusted that.

The limit is now unknown until there is a desired state. With an unknown one no view is complete, nothing is written to the store, and no version is forgotten.

Evidence: versions_outlive_a_start_without_desired_state failed before (the take-up at north-0 answered 200 at v1.1 for a stream of v1: north-0 had written {v1.1} over {v1, v1.1} before the desired state came) and passes now, as do the other tests of the file. The simulation has a further kind, late_rules; with the limit taken for zero in the tables it finds a stream that changes its version.

A read of the stored versions is logged (versions-read).

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -104,7 +104,7 @@
     pub(crate) versions: RefCell<VersionTable>,
     /// Signalled when this node sees a new software version in its region.
     pub(crate) version_seen: Notify,
-    /// Longest time that a stream may last and be taken up again.
+    /// Longest time that a stream may last and be taken up again, known once the desired state is.
     pub(crate) longest_stream: Cell<LongestStream>,
     /// The socket for datagrams to other nodes.
     pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
@@ -214,7 +214,7 @@
             origin_learned: Notify::new(),
             versions: RefCell::default(),
             version_seen: Notify::new(),
-            longest_stream: Cell::new(LongestStream::new(Instant::now())),
+            longest_stream: Cell::default(),
             peer_socket: OnceCell::new(),
             retry_queues: RefCell::default(),
             suspects: RefCell::default(),
--- a/crates/zinniahatch_entry/src/nodes/stream_origins.rs
+++ b/crates/zinniahatch_entry/src/nodes/stream_origins.rs
@@ -62,7 +62,9 @@
 /// other nodes of streams that began before a second version appeared.
 pub(crate) fn update_versions(core: &EntryCore, now: Instant) {
     let mut longest_stream = core.longest_stream.get();
-    longest_stream.update(core.routes.borrow().longest_resumable(), now);
+    if core.desired.borrow().is_some() {
+        longest_stream.update(core.routes.borrow().longest_resumable(), now);
+    }
     core.longest_stream.set(longest_stream);
     let longest = longest_stream.limit();
     {
--- a/crates/zinniahatch_entry/src/store/version_keys.rs
+++ b/crates/zinniahatch_entry/src/store/version_keys.rs
@@ -101,6 +101,14 @@
 async fn read_versions(core: &EntryCore) -> Result<Option<Vec<StreamOrigin>>, KvError> {
     let item = core.store.item(&key_of(core)).await?;
     core.metrics.note_store("versions", "read");
+    let value = item
+        .as_ref()
+        .map(|item| String::from_utf8_lossy(&item.value));
+    let era = item.as_ref().map(|item| item.revision.era);
+    core.log.write(
+        "versions-read",
+        serde_json::json!({"value": value, "era": era}),
+    );
     let Some(item) = item else {
         return Ok(None);
     };
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -282,6 +282,11 @@
         self.store.write(DESIRED_KEY, &state.to_string());
     }
 
+    /// Removes the desired state from the store.
+    pub fn remove_desired_state(&self) {
+        self.store.remove(DESIRED_KEY);
+    }
+
     /// Writes a desired state with client accounts.
     pub fn configure_accounts(&self, version: u64, accounts: &Value) {
         let mut state = desired_state(version, &[]);
--- a/crates/zinniahatch_lab/tests/stream_versions.rs
+++ b/crates/zinniahatch_lab/tests/stream_versions.rs
@@ -388,3 +388,43 @@
     }
     assert_eq!(outcome.is_ok(), goes_on);
 }
+
+/// Guards against processes that take the unknown time of streams for none: they know the replicas
+/// before the desired state, and overwrite what the store says of the versions that have served.
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_outlive_a_start_without_desired_state() {
+    let regions: [(&str, &[&str]); 2] = [("north", &["v1", "v1.1"]), ("south", &["v1.1"])];
+    let mut site = start_site(1, &regions).await;
+    for node in 0..2 {
+        wait_until("the versions are in the store", async || {
+            site.log(node).contains("versions-kept")
+        })
+        .await;
+    }
+    let (attempt, part) = begin_stream(&site, 0, "v1", "s").await;
+    for node in 0..2 {
+        site.kill(node);
+    }
+    site.unregister(0);
+    let desired = site.desired_state(1);
+    site.remove_desired_state();
+    for node in 0..2 {
+        let before = site.log(node).len();
+        site.spawn(node);
+        wait_until("the node has compared the versions", async || {
+            let log = &site.log(node)[before..];
+            log.contains("versions-read") || log.contains("versions-kept")
+        })
+        .await;
+    }
+    site.write_desired_state(&desired);
+    for node in 0..2 {
+        site.wait_ready(node).await;
+    }
+    for number in 0..TRIES_AFTER_START {
+        let node = number as usize % 2;
+        let outcome = take_up(&site, node, &attempt, &part, &format!("t{number}")).await;
+        let refused = outcome.map(|_| ()).expect_err("nobody guesses");
+        assert_eq!(refused, VERSION_UNKNOWN);
+    }
+}
--- a/crates/zinniahatch_route/src/longest_stream.rs
+++ b/crates/zinniahatch_route/src/longest_stream.rs
@@ -2,34 +2,38 @@
 
 use zinniahatch_base::prelude::*;
 
-/// Longest time of streams, over all versions of the desired state under which one may have begun.
+/// A limit on the time of streams.
 #[derive(Clone, Copy, Debug)]
-pub struct LongestStream {
+struct StreamLimit {
     limit: Duration,
     /// When streams could last begin under that limit.
     in_force_at: Instant,
 }
 
-impl LongestStream {
-    /// Starts without streams.
-    pub fn new(now: Instant) -> Self {
-        Self {
-            limit: Duration::ZERO,
-            in_force_at: now,
-        }
-    }
+/// Longest time of streams, over all versions of the desired state under which one may have begun.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LongestStream {
+    /// `None` until a desired state is known.
+    current: Option<StreamLimit>,
+}
 
+impl LongestStream {
     /// Records the limit in force. A lower one applies once streams of the former one have ended.
     pub fn update(&mut self, limit: Duration, now: Instant) {
-        let former_ended = now.saturating_duration_since(self.in_force_at) >= self.limit;
-        if limit >= self.limit || former_ended {
-            self.limit = limit;
-            self.in_force_at = now;
+        let outlasts = |former: StreamLimit| {
+            let former_ended = now.saturating_duration_since(former.in_force_at) >= former.limit;
+            limit >= former.limit || former_ended
+        };
+        if self.current.is_none_or(outlasts) {
+            self.current = Some(StreamLimit {
+                limit,
+                in_force_at: now,
+            });
         }
     }
 
-    /// Returns the limit.
-    pub fn limit(&self) -> Duration {
-        self.limit
+    /// Returns the limit; `None` until a desired state is known.
+    pub fn limit(&self) -> Option<Duration> {
+        self.current.map(|current| current.limit)
     }
 }
--- a/crates/zinniahatch_route/src/version_table.rs
+++ b/crates/zinniahatch_route/src/version_table.rs
@@ -84,12 +84,13 @@
 
 impl VersionTable {
     /// Takes over the replicas of the own region; `follows` tells whether this node knows them as
-    /// they are now. Returns whether a version is new.
+    /// they are now, and `keep` is how long a stream may last, `None` if that is not known. Returns
+    /// whether a version is new.
     pub fn update(
         &mut self,
         replicas: &ReplicaTable,
         follows: bool,
-        keep: Duration,
+        keep: Option<Duration>,
         now: Instant,
     ) -> bool {
         if follows {
@@ -114,8 +115,10 @@
                 .saturating_add(u16::from(state.leaving.is_none()));
         }
         let is_new = self.own.len() > known;
-        self.own
-            .retain(|_, version| now.saturating_duration_since(version.last_seen) <= keep);
+        if let Some(keep) = keep {
+            self.own
+                .retain(|_, version| now.saturating_duration_since(version.last_seen) <= keep);
+        }
         is_new
     }
 
@@ -137,7 +140,7 @@
 
     /// Returns whether this node should read the versions in the store: it has not followed its region
     /// for `keep`, the longest time of a stream.
-    pub fn wants_stored(&self, keep: Duration, now: Instant) -> bool {
+    pub fn wants_stored(&self, keep: Option<Duration>, now: Instant) -> bool {
         matches!(self.stored, StoredView::Unread)
             && self.followed_since.is_some()
             && !self.has_followed(keep, now)
@@ -148,13 +151,16 @@
         self.stored = versions.map_or(StoredView::Missing, StoredView::Read);
     }
 
-    fn has_followed(&self, keep: Duration, now: Instant) -> bool {
-        self.followed_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= keep)
+    fn has_followed(&self, keep: Option<Duration>, now: Instant) -> bool {
+        let Some((since, keep)) = self.followed_since.zip(keep) else {
+            return false;
+        };
+        now.saturating_duration_since(since) >= keep
     }
 
-    /// Returns the report on the own region; `keep` is how long a stream may last.
-    pub fn report(&self, keep: Duration, now: Instant) -> VersionReport {
+    /// Returns the report on the own region; `keep` is how long a stream may last. It is not complete
+    /// while that is not known.
+    pub fn report(&self, keep: Option<Duration>, now: Instant) -> VersionReport {
         let versions = self.own.iter().map(|(origin, version)| VersionCount {
             origin: *origin,
             ready: version.ready,
@@ -166,7 +172,7 @@
         if let StoredView::Read(stored) = &self.stored
             && !report.complete
         {
-            report.complete = self.followed_since.is_some();
+            report.complete = self.followed_since.is_some() && keep.is_some();
             for origin in stored {
                 report.add(VersionCount {
                     origin: *origin,
@@ -217,7 +223,7 @@
         service: ShortTag,
         own_region: &RegionId,
         others: impl Iterator<Item = &'a RegionId>,
-        keep: Duration,
+        keep: Option<Duration>,
         now: Instant,
     ) -> Option<StreamOrigin> {
         let mut own = self.report(keep, now);
--- a/crates/zinniahatch_route/tests/longest_stream.rs
+++ b/crates/zinniahatch_route/tests/longest_stream.rs
@@ -10,13 +10,23 @@
 fn lower_limit_waits_for_streams_of_former_one() {
     let began = Instant::now();
     let after = |seconds| began + Duration::from_secs(seconds);
-    let mut longest = LongestStream::new(began);
+    let mut longest = LongestStream::default();
     longest.update(Duration::from_secs(60), began);
     longest.update(Duration::from_secs(60), after(100));
     longest.update(Duration::from_secs(20), after(159));
-    assert_eq!(longest.limit(), Duration::from_secs(60));
+    assert_eq!(longest.limit(), Some(Duration::from_secs(60)));
     longest.update(Duration::from_secs(20), after(160));
-    assert_eq!(longest.limit(), Duration::from_secs(20));
+    assert_eq!(longest.limit(), Some(Duration::from_secs(20)));
     longest.update(Duration::from_secs(30), after(161));
-    assert_eq!(longest.limit(), Duration::from_secs(30));
+    assert_eq!(longest.limit(), Some(Duration::from_secs(30)));
+}
+
+/// Guards against a node that takes the unknown time of streams for none, so that it has followed
+/// everything for long enough.
+#[test]
+fn limit_is_unknown_without_a_desired_state() {
+    let mut longest = LongestStream::default();
+    assert_eq!(longest.limit(), None);
+    longest.update(Duration::ZERO, Instant::now());
+    assert_eq!(longest.limit(), Some(Duration::ZERO));
 }
--- a/crates/zinniahatch_route/tests/stream_version_simulation.rs
+++ b/crates/zinniahatch_route/tests/stream_version_simulation.rs
@@ -16,6 +16,7 @@
 use std::time::Instant;
 use test_case::test_case;
 use zinniahatch_base::prelude::*;
+use zinniahatch_route::LongestStream;
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::OriginRecord;
 use zinniahatch_route::ReplicaEntry;
@@ -52,6 +53,9 @@
     Restarts,
     /// All nodes end at once, too.
     MassRestarts,
+    /// All nodes end at once, the older versions leave meanwhile, and the nodes that start know the
+    /// replicas before the desired state.
+    LateRules,
     /// Nodes are cut off from the store or from each other, too.
     Cuts,
 }
@@ -70,6 +74,9 @@
     region: usize,
     address: SocketAddrV4,
     starts_at: Instant,
+    /// When it reads the desired state, without which it serves nothing.
+    rules_at: Instant,
+    longest: LongestStream,
     incarnation: u64,
     store_cut: Option<(Instant, Instant)>,
     net_cut_until: Instant,
@@ -126,6 +133,8 @@
             region,
             address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, number),
             starts_at: start,
+            rules_at: start,
+            longest: LongestStream::default(),
             incarnation: 0,
             store_cut: None,
             net_cut_until: start,
@@ -141,6 +150,7 @@
     fn restart(&mut self, now: Instant, down: Duration) {
         *self = Self {
             starts_at: now + down,
+            rules_at: now + down,
             incarnation: self.incarnation + 1,
             store_cut: self.store_cut,
             net_cut_until: self.net_cut_until,
@@ -153,6 +163,15 @@
         now >= self.starts_at
     }
 
+    fn serves(&self, now: Instant) -> bool {
+        self.runs(now) && now >= self.rules_at
+    }
+
+    /// Returns how long a stream may last, as far as this node knows.
+    fn keep(&self) -> Option<Duration> {
+        self.longest.limit()
+    }
+
     fn reaches_store(&self, now: Instant) -> bool {
         self.store_cut.is_none_or(|(_, until)| now >= until)
     }
@@ -162,7 +181,7 @@
         let others = others(self.region);
         let service = tag_of(SERVICE);
         self.versions
-            .sole_version(service, &own, others.iter(), KEEP, now)
+            .sole_version(service, &own, others.iter(), self.keep(), now)
     }
 }
 
@@ -239,6 +258,22 @@
         self.add_replica(region, self.newest);
     }
 
+    /// Replaces all replicas of older versions by ones of the newest.
+    fn finish_release(&mut self, at: Instant) {
+        let mut regions = Vec::new();
+        for replica in self.replicas.values_mut() {
+            if replica.version == self.newest || replica.ends_at.is_some() {
+                continue;
+            }
+            replica.ends_at = Some(at);
+            replica.entry.leaving = true;
+            regions.push(replica.region);
+        }
+        for region in regions {
+            self.add_replica(region, self.newest);
+        }
+    }
+
     fn disturb(&mut self) {
         let (now, kind) = (self.now, self.kind);
         let index = self.random.random_range(0..self.nodes.len());
@@ -252,6 +287,13 @@
                     node.restart(now, down);
                 }
             }
+            Disturbance::LateRules if self.random.random_bool(0.01) => {
+                for node in &mut self.nodes {
+                    node.restart(now, down);
+                    node.rules_at += down;
+                }
+                self.finish_release(now + down / 2);
+            }
             Disturbance::Cuts if self.random.random_bool(0.04) => {
                 let until = now + down * 4;
                 let unnoticed = Duration::from_millis(self.random.random_range(UNNOTICED_MS));
@@ -274,6 +316,10 @@
                 continue;
             }
             let reaches = node.reaches_store(now);
+            if node.serves(now) {
+                node.longest.update(KEEP, now);
+            }
+            let keep = node.keep();
             if reaches {
                 for (id, replica) in &self.replicas {
                     let listed = replica.ends_at.is_none_or(|at| now < at);
@@ -289,13 +335,13 @@
             let notices = node.store_cut.is_some_and(|(noticed, _)| now >= noticed);
             node.sees_new |= node
                 .versions
-                .update(&node.replicas, reaches || !notices, KEEP, now);
+                .update(&node.replicas, reaches || !notices, keep, now);
             node.origins.tick(now);
-            if reaches && node.versions.wants_stored(KEEP, now) {
+            if reaches && node.versions.wants_stored(keep, now) {
                 let stored = self.stored.get(&node.region).cloned();
                 node.versions.note_stored(stored);
             }
-            let report = node.versions.report(KEEP, now);
+            let report = node.versions.report(keep, now);
             if reaches && report.complete {
                 let origins = report.versions.iter().map(|count| count.origin);
                 self.stored.insert(node.region, origins.collect());
@@ -329,7 +375,7 @@
                 let mut info = member_info(&format!("n{from}"), &region, 0, 1);
                 info.peer = sender.address;
                 info.incarnation = sender.incarnation;
-                let report = sender.versions.report(KEEP, now);
+                let report = sender.versions.report(sender.keep(), now);
                 let receiver = &mut self.nodes[to];
                 receiver.members.update(info, false, now);
                 receiver.versions.apply(&region, report, now);
@@ -374,20 +420,20 @@
         }
     }
 
-    fn running_nodes(&self) -> Vec<usize> {
+    fn serving_nodes(&self) -> Vec<usize> {
         let indices = 0..self.nodes.len();
-        let running = indices.filter(|index| self.nodes[*index].runs(self.now));
-        running.collect()
+        let serving = indices.filter(|index| self.nodes[*index].serves(self.now));
+        serving.collect()
     }
 
     fn begin_streams(&mut self) {
         let now = self.now;
         for _ in 0..STREAMS {
-            let running = self.running_nodes();
-            if running.is_empty() {
+            let serving = self.serving_nodes();
+            if serving.is_empty() {
                 return;
             }
-            let index = running[self.random.random_range(0..running.len())];
+            let index = serving[self.random.random_range(0..serving.len())];
             let known: Vec<ReplicaId> = self.nodes[index]
                 .replicas
                 .rows()
@@ -463,11 +509,11 @@
         self.streams = waiting;
         let due: Vec<Stream> = due;
         for stream in due {
-            let running = self.running_nodes();
-            if running.is_empty() {
+            let serving = self.serving_nodes();
+            if serving.is_empty() {
                 continue;
             }
-            let index = running[self.random.random_range(0..running.len())];
+            let index = serving[self.random.random_range(0..serving.len())];
             let found = self.look_up(index, stream.digest);
             if let Some(found) = found {
                 assert_eq!(
@@ -477,11 +523,11 @@
                 );
             }
             let in_touch = now >= self.nodes[index].disturbed_at + CONTACT;
-            let serving = self
+            let usable = self
                 .replicas
                 .values()
                 .filter(|replica| replica.version == stream.version && replica.ends_at.is_none());
-            if in_touch && serving.count() >= 2 {
+            if in_touch && usable.count() >= 2 {
                 self.due += 1;
                 self.went_on += u32::from(found.is_some());
             }
@@ -510,6 +556,7 @@
 #[test_case(Disturbance::Releases; "releases")]
 #[test_case(Disturbance::Restarts; "restarts")]
 #[test_case(Disturbance::MassRestarts; "mass_restarts")]
+#[test_case(Disturbance::LateRules; "late_rules")]
 #[test_case(Disturbance::Cuts; "cuts")]
 fn streams_keep_their_version(kind: Disturbance) {
     let schedules = std::env::var("ZINNIA_SCHEDULES");
--- a/crates/zinniahatch_route/tests/stream_versions.rs
+++ b/crates/zinniahatch_route/tests/stream_versions.rs
@@ -110,14 +110,14 @@
     let mut replicas = ReplicaTable::default();
     replicas.upsert(versioned("r1", Some("v1")), start);
     let mut versions = VersionTable::default();
-    versions.update(&replicas, true, KEEP, start);
-    versions.update(&replicas, true, KEEP, now);
+    versions.update(&replicas, true, Some(KEEP), start);
+    versions.update(&replicas, true, Some(KEEP), now);
     let south = RegionId::from("south");
     for (complete, seen) in reports {
         versions.apply(&south, report(*complete, seen), now);
     }
     let north = RegionId::from("north");
-    let sole = versions.sole_version(tag_of("s"), &north, [&south].into_iter(), KEEP, now);
+    let sole = versions.sole_version(tag_of("s"), &north, [&south].into_iter(), Some(KEEP), now);
     assert_eq!(sole, proven.then(|| origin("v1")));
 }
 
@@ -131,24 +131,24 @@
     let mut versions = VersionTable::default();
     let north = RegionId::from("north");
     let sole = |versions: &VersionTable, now: Instant| {
-        versions.sole_version(tag_of("s"), &north, std::iter::empty(), KEEP, now)
+        versions.sole_version(tag_of("s"), &north, std::iter::empty(), Some(KEEP), now)
     };
-    versions.update(&replicas, true, KEEP, start);
-    assert!(versions.wants_stored(KEEP, start));
+    versions.update(&replicas, true, Some(KEEP), start);
+    assert!(versions.wants_stored(Some(KEEP), start));
     assert_eq!(sole(&versions, start), None);
     versions.note_stored(Some(vec![origin("v1"), origin("v1.1")]));
     assert_eq!(sole(&versions, start), None, "v1 has served lately");
     versions.note_stored(Some(vec![origin("v1.1")]));
     assert_eq!(sole(&versions, start), Some(origin("v1.1")));
     // The store was lost for a moment, in which a version may have come and gone.
-    versions.update(&replicas, false, KEEP, start);
+    versions.update(&replicas, false, Some(KEEP), start);
     assert_eq!(sole(&versions, start), None);
-    versions.update(&replicas, true, KEEP, start);
-    assert!(versions.wants_stored(KEEP, start));
+    versions.update(&replicas, true, Some(KEEP), start);
+    assert!(versions.wants_stored(Some(KEEP), start));
     versions.note_stored(None);
     assert_eq!(sole(&versions, start), None, "the store has none");
     let later = start + KEEP;
-    versions.update(&replicas, true, KEEP, later);
+    versions.update(&replicas, true, Some(KEEP), later);
     assert_eq!(sole(&versions, later), Some(origin("v1.1")));
 }
 
@@ -175,15 +175,15 @@
     let mut replicas = ReplicaTable::default();
     replicas.upsert(versioned("r1", Some("v1")), start);
     let mut versions = VersionTable::default();
-    versions.update(&replicas, true, KEEP, start);
+    versions.update(&replicas, true, Some(KEEP), start);
     let empty = ReplicaTable::default();
-    versions.update(&empty, true, KEEP, start + KEEP);
-    let left = versions.report(KEEP, start + KEEP).versions;
+    versions.update(&empty, true, Some(KEEP), start + KEEP);
+    let left = versions.report(Some(KEEP), start + KEEP).versions;
     assert_eq!(left.len(), 1);
     assert_eq!((left[0].origin, left[0].ready), (origin("v1"), 0));
     let later = start + KEEP + Duration::from_millis(1);
-    versions.update(&empty, true, KEEP, later);
-    assert!(versions.report(KEEP, later).versions.is_empty());
+    versions.update(&empty, true, Some(KEEP), later);
+    assert!(versions.report(Some(KEEP), later).versions.is_empty());
 }
 
 /// Guards against a record that a later one contradicts, and against one that outlives its stream.
