Take an answer without a length for complete only where its replica names itself

Cause: a connection that was kept for 20 ms counted as proof that the replica runs; what stands before a replica accepts it too, and closes it later. Class: a time that stands for a proof.

Change: after such an end the replica is asked for its name by a health check on a new connection, up to three times within 1 s and the time of the request. Another name or a refused connection shows its end, anything else nothing, and the answer does not look complete. A replica that may be sent nothing is asked again; one that leaves is asked in any case, since it gets no other requests.

--- a/crates/zinniahatch_entry/src/replicas/crash_detection.rs
+++ b/crates/zinniahatch_entry/src/replicas/crash_detection.rs
@@ -7,6 +7,7 @@
 
 use crate::core::EntryCore;
 use crate::replicas::part_quarantine::note_part_crash;
+use crate::replicas::probe::check_name;
 use crate::replicas::quarantine::note_crash;
 use crate::request::connection::BackendConnection;
 use crate::request::connection::ConnectionError;
@@ -15,14 +16,19 @@
 use crate::request::received::ReceivedRequest;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use tokio::time::sleep;
+use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
 
 /// Time limit of the connection attempt. A machine in the same region refuses within a millisecond,
 /// and interrupted streams wait for the result before they resume elsewhere.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time limit of the same where it decides whether a response is complete. Its caller has all of the
-/// response that there may be, so that a lost packet may cost time.
-const END_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit of the check whether a response is complete. Its caller has all of the response that there
+/// may be, so that a lost packet, or a wait for a slot of the replica, may cost time.
+const END_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Health checks in this time that do not name their replica, and the pause after each.
+const MAX_NAME_CHECKS: usize = 3;
+const NAME_CHECK_PAUSE: Duration = Duration::from_millis(100);
 /// How long a result is reused. When a replica crashes, all of a node's requests to it break off
 /// within a few milliseconds, and one connection attempt answers for all of them.
 pub(crate) const CRASH_REUSE_PERIOD: Duration = Duration::from_millis(400);
@@ -56,7 +62,7 @@
 /// What an address shows of the process that listened there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ListenerState {
-    /// It listens and keeps connections.
+    /// It answers, or listens and keeps connections.
     Listening,
     /// It has ended: the machine refuses connections.
     Ended,
@@ -75,15 +81,47 @@
     }
 }
 
-/// Checks whether the other end of a request still listens, now that the response has ended.
+/// Checks whether the other end of a request still runs, now that the response has ended.
 ///
 /// An earlier result would not do, since the process may have ended after it, nor does it matter
-/// whether the replica was to leave: that is when it ends.
-pub(crate) async fn check_after_end(in_flight: &InFlightRequest) -> ListenerState {
+/// whether the replica was to leave: that is when it ends. A connection alone shows nothing, since
+/// something before the replica may accept it.
+pub(crate) async fn check_after_end(
+    core: &EntryCore,
+    in_flight: &InFlightRequest,
+    service: &str,
+    limit: Duration,
+) -> ListenerState {
     if in_flight.is_replica_reborn() {
         return ListenerState::Ended;
     }
-    check_listener(in_flight.address(), END_CHECK_TIMEOUT).await
+    let (address, limit) = (in_flight.address(), limit.min(END_CHECK_TIMEOUT));
+    let Some(replica) = in_flight.replica() else {
+        return check_listener(address, limit).await;
+    };
+    let path = core.service(service).map(|service| service.health_path);
+    let asking = ask_name(core, replica, address, path.as_deref().unwrap_or_default());
+    timeout(limit, asking)
+        .await
+        .unwrap_or(ListenerState::Unknown)
+}
+
+/// Asks an address for the name of the replica behind it. A replica that is full may refuse to tell it,
+/// and one with too many connections resets the new one.
+async fn ask_name(
+    core: &EntryCore,
+    replica: &ReplicaId,
+    address: SocketAddrV4,
+    path: &str,
+) -> ListenerState {
+    for _ in 0..MAX_NAME_CHECKS {
+        match check_name(core, replica, address, path).await {
+            Ok(Some(named)) if named == *replica => return ListenerState::Listening,
+            Ok(Some(_)) | Err(ConnectionError::Refused) => return ListenerState::Ended,
+            Ok(None) | Err(_) => sleep(NAME_CHECK_PAUSE).await,
+        }
+    }
+    ListenerState::Unknown
 }
 
 /// Returns the tag of a request's replica if that has crashed.
--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -9,12 +9,16 @@
 use crate::request::connection::ConnectionError;
 use crate::request::connection::ResponseHead;
 use http::Method;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::ReplicaIncarnation;
+use zinniahatch_route::ReplicaPermit;
 use zinniahatch_route::ReplicaState;
+use zinniahatch_route::SendPermit;
+use zinniahatch_route::SendRefusal;
 use zinniahatch_route::SendReservation;
 
 /// Interval between probes of a replica.
@@ -116,17 +120,56 @@
     alive
 }
 
+/// Asks a replica for its name with a health check; `None` if the response names none.
+///
+/// # Errors
+///
+/// There is no response, or the replica may be sent nothing now.
+pub(crate) async fn check_name(
+    core: &EntryCore,
+    replica: &ReplicaId,
+    address: SocketAddrV4,
+    path: &str,
+) -> Result<Option<ReplicaId>, ConnectionError> {
+    let withheld = |refusal: SendRefusal| ConnectionError::Broken(refusal.name().into());
+    let leaving_permit = || {
+        core.replicas
+            .borrow()
+            .permit_leaving_check(replica, address)
+    };
+    let reservation = if leaving_permit().is_some() {
+        None
+    } else {
+        Some(reserve_send(core, replica, Instant::now()).map_err(withheld)?)
+    };
+    let connection = BackendConnection::connect(address, PROBE_TIMEOUT).await?;
+    let permit = match reservation {
+        Some(reservation) => permit_send(core, reservation).map_err(withheld)?,
+        None => leaving_permit().ok_or_else(|| withheld(SendRefusal::Gone))?,
+    };
+    let head = exchange_probe(connection, permit, path).await?;
+    Ok(head.parsed_headers.replica)
+}
+
 /// Sends a probe to a replica and returns the head of the response.
 async fn send_probe(
     core: &EntryCore,
     reservation: SendReservation,
     path: &str,
 ) -> Result<ResponseHead, ConnectionError> {
-    let address = reservation.address();
-    let mut connection = BackendConnection::connect(address, PROBE_TIMEOUT).await?;
-    let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    let connection = BackendConnection::connect(reservation.address(), PROBE_TIMEOUT).await?;
     let permit = permit_send(core, reservation)
         .map_err(|refusal| ConnectionError::Broken(refusal.name().into()))?;
+    exchange_probe(connection, permit, path).await
+}
+
+async fn exchange_probe(
+    mut connection: BackendConnection,
+    permit: ReplicaPermit,
+    path: &str,
+) -> Result<ResponseHead, ConnectionError> {
+    let address = permit.address();
+    let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
     connection.send(permit, head.as_bytes(), &[]).await?;
     // Any response shows that the replica is alive. The health status that it reports may be wrong
     // either way, so whether it serves is judged by its answers to requests.
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -362,7 +362,14 @@
     /// Handles the end of a response as its framing marks it.
     async fn end_of_body(&mut self, in_flight: &InFlightRequest) -> RelayEnd {
         let inside_event = self.has_events && self.splitter.has_partial();
-        let ended = check_end(&self.core, &self.request, in_flight, inside_event).await;
+        let ended = check_end(
+            &self.core,
+            &self.request,
+            &self.plan,
+            in_flight,
+            inside_event,
+        )
+        .await;
         if let Err(truncation) = ended {
             return RelayEnd::Broken(truncation);
         }
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -90,7 +90,7 @@
     let has_events = plan.route.repeat == RepeatKind::Streaming
         && head.status.is_success()
         && is_event_stream(&head.headers);
-    let reading = read_complete(core, request, &mut in_flight, has_events);
+    let reading = read_complete(core, request, plan, &mut in_flight, has_events);
     let body = match timeout_at(plan.deadline_tokio(), reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(truncation)) => {
@@ -135,6 +135,7 @@
 async fn read_complete(
     core: &EntryCore,
     request: &ReceivedRequest,
+    plan: &RequestPlan,
     in_flight: &mut InFlightRequest,
     has_events: bool,
 ) -> Result<Bytes, Truncation> {
@@ -143,7 +144,7 @@
     if has_events {
         events.follow(&body);
     }
-    check_end(core, request, in_flight, events.has_partial()).await?;
+    check_end(core, request, plan, in_flight, events.has_partial()).await?;
     Ok(body)
 }
 
--- a/crates/zinniahatch_entry/src/request/truncation.rs
+++ b/crates/zinniahatch_entry/src/request/truncation.rs
@@ -6,6 +6,7 @@
 use crate::request::connection::BodyEnd;
 use crate::request::connection::ConnectionError;
 use crate::request::in_flight::InFlightRequest;
+use crate::request::plan::RequestPlan;
 use crate::request::received::ReceivedRequest;
 use http::HeaderMap;
 use http::header;
@@ -64,10 +65,11 @@
 ///
 /// A process that ends closes its connections in order, as one does that has sent its whole response.
 /// Where the end of the connection alone marks the end of the body, the response counts as complete
-/// only if its replica is shown to run on.
+/// only if its replica is shown to run on, by an answer that names it.
 pub(crate) async fn check_end(
     core: &EntryCore,
     request: &ReceivedRequest,
+    plan: &RequestPlan,
     in_flight: &InFlightRequest,
     inside_event: bool,
 ) -> Result<(), Truncation> {
@@ -78,7 +80,8 @@
         return Ok(());
     }
     let began = Instant::now();
-    let state = check_after_end(in_flight).await;
+    let limit = plan.deadline.saturating_duration_since(began);
+    let state = check_after_end(core, in_flight, &plan.service, limit).await;
     core.log.write(
         "unframed-end",
         serde_json::json!({"request": request.attempt, "replica": in_flight.replica(),
--- a/crates/zinniahatch_lab/tests/truncated_answers.rs
+++ b/crates/zinniahatch_lab/tests/truncated_answers.rs
@@ -7,6 +7,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use zinniahatch_lab::relay::LinkState;
+use zinniahatch_lab::relay::TcpRelay;
+use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
 use zinniahatch_lab::site::HOST;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
@@ -28,6 +31,9 @@
     events: 500,
     pause: Duration::from_millis(20),
 };
+/// One-way delay of a relay, which accepts a connection at once and closes it two of them later if its
+/// replica has ended.
+const RELAY_DELAY: Duration = Duration::from_millis(50);
 /// Number of events before a break.
 const EVENTS_BEFORE: u32 = 3;
 /// Time of a caller; a replica that goes silent uses all of it.
@@ -232,6 +238,37 @@
     assert!(ended.is_err(), "the truncated stream looks complete");
 }
 
+/// Guards against a truncated stream that is passed on as complete since something before its replica
+/// accepts connections when the replica has ended, and closes them later.
+#[test_case("/stream/t"; "resumable")]
+#[test_case("/stream-once/t"; "once")]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_ended_replica_behind_relay_does_not_look_whole(path: &str) {
+    let site = SiteCluster::prepare(&[SiteRegion::new("north", 1, 1)], LONG_SHAPE).await;
+    let (replica, _) = &site.replicas[0];
+    let to = replica.address.to_string();
+    let relay = TcpRelay::start(&to, RELAY_DELAY, LinkState::default()).await;
+    let entry = replica.entry_at(&relay.address, "desk", "north-a", "ready");
+    let key = format!("servers/{}", replica.id);
+    site.store.write(&key, &entry);
+    let site = site.start_prepared(AMPLE_RETRY_SLACK).await;
+    let (replica, _) = &site.replicas[0];
+    let form = AnswerForm::whole(AnswerFraming::Close);
+    replica.set_behaviour(ReplicaBehaviour::Answer(form));
+    let mut response = site.request(0, path, "e").send().await;
+    let response = response.as_mut().expect("the node answers");
+    let first = response.chunk().await.expect("the stream begins");
+    assert!(first.is_some());
+    replica.crash();
+    let ended = loop {
+        match response.chunk().await {
+            Ok(Some(_)) => {}
+            ended => break ended,
+        }
+    };
+    assert!(ended.is_err(), "the truncated stream looks complete");
+}
+
 /// Guards against plain answers that are truncated and passed on, and against whole ones that are
 /// not, in every framing. Nothing tells where one without a length or chunks is closed in order.
 #[test_case("/plain/t"; "idempotent")]
--- a/crates/zinniahatch_route/src/send_permit.rs
+++ b/crates/zinniahatch_route/src/send_permit.rs
@@ -151,6 +151,16 @@
         })
     }
 
+    /// Returns the permit to write a health check to a replica that leaves or has left, to which nothing
+    /// else is sent; `None` for others, whose health checks need a reservation.
+    pub fn permit_leaving_check(&self, id: &str, address: SocketAddrV4) -> Option<ReplicaPermit> {
+        let serves = self
+            .rows
+            .get(id)
+            .is_some_and(|state| state.leaving.is_none());
+        (!serves).then_some(ReplicaPermit { address })
+    }
+
     /// Exchanges a reservation for the permit to write the request.
     ///
     /// # Errors
