Wait for a listen address that is taken when a process starts

Operators saw processes that did not start or ended by themselves. A process whose listen address was held for a moment ended at once with `Address already in use`: by another socket, by a closed connection that the system keeps for 60 s, or by the former process of the node in its grace period. Nothing of that was in the JSON log. That it is what operators saw is not shown, as no logs exist.

All addresses are now opened together or not at all, and tried again for the grace period and 60 s, the longest time for which any of these holds one. Each try is logged (`listen-retry`) and counted, and SIGTERM ends the wait. Sockets are bound first and listen only when all are bound, so that no connection is taken by a node that cannot serve it. The tables are created afterwards, since they count the time for which they have heard others.

The cases that read readiness and metrics during the wait are replaced: the node is not reached at all then, and the count is read afterwards.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -179,6 +179,7 @@
     pub(crate) fn new(
         settings: EntrySettings,
         incarnation: Incarnation,
+        log: DecisionLog,
         metrics: EntryMetrics,
         clock: BootClock,
     ) -> Self {
@@ -188,7 +189,6 @@
             settings.regions.values().map(|region| tag_of(region)),
             Instant::now(),
         );
-        let log = DecisionLog::new(settings.name.clone(), settings.log_rate_limit);
         let store = KvClient::new(&settings.store.to_string());
         let mut heartbeat_targets = HeartbeatTargets::new(settings.listen.peer, &settings.region);
         for seed in &settings.seeds {
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -10,11 +10,13 @@
 mod listeners;
 mod metrics;
 mod nodes;
+mod process_metrics;
 mod replicas;
 mod request;
 mod run;
 mod store;
 
+pub use listeners::ListenError;
 pub use request::connection::BackendConnection;
 pub use request::connection::BodyEnd;
 pub use request::connection::ConnectionError;
--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -3,6 +3,7 @@
 mod caller_metrics;
 mod caller_stream;
 mod connection;
+mod open;
 mod open_connections;
 
 use crate::core::EntryCore;
@@ -20,6 +21,8 @@
 use http::StatusCode;
 use http::header;
 use hyper::body::Incoming;
+pub use open::ListenError;
+pub(crate) use open::open_sockets;
 pub(crate) use open_connections::OpenConnections;
 use rand::seq::SliceRandom;
 use std::io;
@@ -40,9 +43,6 @@
 
 /// Maximum number of addresses in one directory response.
 const MAX_ADDRESSES: usize = 64;
-/// Length of the accept queue. In a burst beyond it, connections are delayed by a retransmitted
-/// SYN.
-const BACKLOG: u32 = 1024;
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 /// Path under which an operator frees a prompt part from quarantine, followed by its id.
@@ -60,18 +60,6 @@
     Control,
 }
 
-/// Opens a listener.
-///
-/// # Errors
-///
-/// The address cannot be bound.
-pub(crate) fn bind(address: SocketAddrV4) -> std::io::Result<TcpListener> {
-    let socket = tokio::net::TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address.into())?;
-    socket.listen(BACKLOG)
-}
-
 /// Accepts connections until the process ends, or those for requests until it disconnects.
 pub(crate) async fn run_listener(core: Rc<EntryCore>, listener: TcpListener, duty: ListenerKind) {
     let mut phases = core.phase.subscribe();
--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::listeners::CallerMetrics;
 use crate::nodes::message_metrics::MessageMetrics;
+use crate::process_metrics::ProcessMetrics;
 use crate::replicas::limit_metrics::LimitMetrics;
 use crate::replicas::notice_metrics::NoticeMetrics;
 use crate::replicas::part_metrics::PartMetrics;
@@ -45,6 +46,8 @@
     pub(crate) parts: PartMetrics,
     /// Metrics of the messages between nodes.
     pub(crate) messages: MessageMetrics,
+    /// Metrics of the process itself.
+    pub(crate) process: ProcessMetrics,
     refused_keys: IntCounterVec,
     over_allowance: IntCounter,
     proof_age: IntGauge,
@@ -144,6 +147,7 @@
             notices: NoticeMetrics::new(&registry)?,
             parts: PartMetrics::new(&registry)?,
             messages: MessageMetrics::new(&registry)?,
+            process: ProcessMetrics::new(&registry)?,
             registry,
             responses,
             remote_sends,
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -8,8 +8,9 @@
 use crate::counts::counting::record_node_failure;
 use crate::counts::counting::run_merging;
 use crate::counts::counting::run_sealing;
-use crate::listeners::ListenerKind;
-use crate::listeners::bind;
+use crate::decision_log::DecisionLog;
+use crate::listeners::ListenError;
+use crate::listeners::open_sockets;
 use crate::listeners::run_listener;
 use crate::metrics::EntryMetrics;
 use crate::nodes::catch_up::run_catch_up;
@@ -22,7 +23,6 @@
 use crate::replicas::probe::run_probes;
 use crate::replicas::quarantine::publish_quarantine_changes;
 use crate::replicas::rate_limit::update_limit_sharers;
-use crate::request::ingress::RequestSource;
 use crate::store::quarantine_keys::run_quarantine_reader;
 use crate::store::quarantine_keys::run_quarantine_writer;
 use crate::store::registration::run_registration;
@@ -31,7 +31,6 @@
 use crate::store::watch::run_watch;
 use crate::store::watch_topic::WatchTopic;
 use rand::RngExt;
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::net::UdpSocket;
@@ -69,15 +68,8 @@
 #[derive(Debug, Error)]
 pub enum EntryError {
     /// A listen address cannot be used.
-    #[error("[listen] {key} = {address}: {error}; choose a free address of this machine")]
-    Listen {
-        /// The settings key.
-        key: &'static str,
-        /// The address.
-        address: SocketAddrV4,
-        /// The system's error.
-        error: std::io::Error,
-    },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// The process cannot be set up.
     #[error("{0}")]
     Setup(Box<str>),
@@ -127,57 +119,48 @@
             hangup: signal(SignalKind::hangup())?,
         })
     }
+
+    /// Waits for a signal to stop.
+    async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
 }
 
 async fn serve(
     settings: EntrySettings,
-    signals: EntrySignals,
+    mut signals: EntrySignals,
     load_settings: impl Fn() -> Result<EntrySettings, String>,
 ) -> Result<(), EntryError> {
     let metrics = EntryMetrics::new().map_err(setup_error)?;
+    let log = DecisionLog::new(settings.name.clone(), settings.log_rate_limit);
+    let sockets = tokio::select! {
+        opened = open_sockets(&settings, &log, &metrics.process) => opened?,
+        () = signals.stop() => {
+            log.write("stopped", serde_json::json!({"open_calls": 0}));
+            return Ok(());
+        }
+    };
+    // Created once the node can be reached, since its tables count the time for which they have heard
+    // others.
     let clock = BootClock::new(rand::random()).map_err(setup_error)?;
     let core = Rc::new(EntryCore::new(
         settings,
         rand::rng().random(),
+        log,
         metrics,
         clock,
     ));
-    let listen = core.settings.listen.clone();
-    let listeners = [
-        (
-            "front",
-            listen.front,
-            ListenerKind::Calls(RequestSource::Front),
-        ),
-        (
-            "peer",
-            listen.peer,
-            ListenerKind::Calls(RequestSource::Peer),
-        ),
-        ("directory", listen.directory, ListenerKind::Directory),
-        ("readiness", listen.readiness, ListenerKind::Readiness),
-        ("control", listen.control, ListenerKind::Control),
-    ];
-    for (key, address, kind) in listeners {
-        let listener = bind(address).map_err(|error| EntryError::Listen {
-            key,
-            address,
-            error,
-        })?;
+    for (listener, kind) in sockets.listeners {
         tokio::task::spawn_local(run_listener(Rc::clone(&core), listener, kind));
     }
-    let socket = UdpSocket::bind(std::net::SocketAddr::from(listen.peer))
-        .await
-        .map_err(|error| EntryError::Listen {
-            key: "peer",
-            address: listen.peer,
-            error,
-        })?;
-    let socket = Rc::new(socket);
+    let socket = Rc::new(sockets.datagrams);
     let _ = core.peer_socket.set(Rc::clone(&socket));
     core.log.write(
         "start",
-        serde_json::json!({"region": core.settings.region, "front": listen.front.to_string(),
+        serde_json::json!({"region": core.settings.region, "front": core.settings.listen.front.to_string(),
             "incarnation": core.incarnation}),
     );
     tokio::task::spawn_local(run_gossip(Rc::clone(&core), socket));
--- a/crates/zinniahatch_lab/tests/start_faults.rs
+++ b/crates/zinniahatch_lab/tests/start_faults.rs
@@ -1,6 +1,7 @@
 //! Entry VMs that start while something that they need is missing.
 
 use reqwest::StatusCode;
+use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::net::UdpSocket;
@@ -48,12 +49,12 @@
 }
 
 /// Guards against a process that ends at its start because a listen address is taken for a moment.
-#[test_case(FRONT, hold_tcp => ignore["KNOWN-RED.txt"] (); "front")]
-#[test_case(READINESS, hold_tcp => ignore["KNOWN-RED.txt"] (); "readiness")]
-#[test_case(CONTROL, hold_tcp => ignore["KNOWN-RED.txt"] (); "control")]
-#[test_case(DIRECTORY, hold_tcp => ignore["KNOWN-RED.txt"] (); "directory")]
-#[test_case(PEER, hold_tcp => ignore["KNOWN-RED.txt"] (); "peer_requests")]
-#[test_case(PEER, hold_udp => ignore["KNOWN-RED.txt"] (); "peer_datagrams")]
+#[test_case(FRONT, hold_tcp; "front")]
+#[test_case(READINESS, hold_tcp; "readiness")]
+#[test_case(CONTROL, hold_tcp; "control")]
+#[test_case(DIRECTORY, hold_tcp; "directory")]
+#[test_case(PEER, hold_tcp; "peer_requests")]
+#[test_case(PEER, hold_udp; "peer_datagrams")]
 #[tokio::test(flavor = "multi_thread")]
 async fn listen_address_taken_for_a_moment_ends_the_process(
     position: usize,
@@ -69,21 +70,24 @@
     assert_eq!(response.expect("the node answers").status(), StatusCode::OK);
 }
 
-/// Guards against a node that callers reach, or that calls itself ready, while one of its addresses is
+/// Guards against a node that takes connections and does not serve them while one of its addresses is
 /// missing.
-#[ignore = "KNOWN-RED.txt"]
+#[test_case(FRONT; "front")]
+#[test_case(READINESS; "readiness")]
+#[test_case(CONTROL; "control")]
+#[test_case(DIRECTORY; "directory")]
 #[tokio::test(flavor = "multi_thread")]
-async fn node_serves_while_a_listen_address_is_missing() {
+async fn node_is_reached_while_a_listen_address_is_missing(position: usize) {
     let mut site = SiteCluster::prepare(&REGIONS, SHAPE).await;
-    let _held = hold_tcp(&site.entries[0].addresses[PEER]);
+    let held = hold_udp(&site.entries[0].addresses[PEER]);
     site.spawn(0);
     wait_awaited(&mut site).await;
-    let addresses = &site.entries[0].addresses;
-    let readiness = format!("http://{}/readiness", addresses[READINESS]);
-    let response = reqwest::get(readiness).await.expect("the node answers");
-    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
-    let text = response.text().await.expect("the answer is complete");
-    assert!(text.contains("[listen] peer"), "{text}");
+    let addresses = site.entries[0].addresses.clone();
+    let refused = TcpStream::connect(&*addresses[position]).map_err(|error| error.kind());
+    assert_eq!(refused.err(), Some(ErrorKind::ConnectionRefused));
+    assert!(site.log(0).contains("\"key\":\"peer\""));
+    drop(held);
+    site.wait_ready(0).await;
     let metrics = format!("http://{}/metrics", addresses[CONTROL]);
     let response = reqwest::get(metrics).await.expect("the node answers");
     let text = response.text().await.expect("the answer is complete");
@@ -91,12 +95,9 @@
         text.contains("zinniahatch_listen_retries_total{key=\"peer\"}"),
         "{text}"
     );
-    let refused = TcpStream::connect(&*addresses[FRONT]).map_err(|error| error.kind());
-    assert!(refused.is_err(), "callers reach the node");
 }
 
 /// Guards against a process that cannot be stopped while it waits for an address.
-#[ignore = "KNOWN-RED.txt"]
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_signal_is_lost_while_a_listen_address_is_awaited() {
     let mut site = SiteCluster::prepare(&REGIONS, SHAPE).await;
@@ -111,7 +112,6 @@
 
 /// Guards against a node without a process: its new one ends because the former still runs out its grace
 /// period.
-#[ignore = "KNOWN-RED.txt"]
 #[tokio::test(flavor = "multi_thread")]
 async fn start_beside_the_former_process_ends_the_new_one() {
     let site = SiteCluster::prepare(&REGIONS, SHAPE).await;
