Notice a task that panics, and run it again

A task of an entry VM that panicked was gone, and the process lived on without it: the runtime keeps the panic in the handle of the task, and all handles were dropped. Nothing stood in the JSON log or the metrics. The process of a node that no longer probed replicas, watched the store or answered other nodes looked sound. No panic of the code as it is was found, so that this is no shown cause of what operators saw.

Each long-lived task now runs under `run_restarted`, which reports a panic (`task-panicked`, `zinniahatch_task_panics_total`) and runs the task again after 1 s. The process does not end instead: an entry of the store that one node cannot bear would end all nodes, again and again. Tasks of a connection, a stream or a probe end as before, and are reported too. The number of work updates moves to the shared state, since other nodes ignore the updates of a task that counts from the start again.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -13,6 +13,10 @@
 use crate::request::body_memory::BodyMemory;
 use crate::request::pool::ConnectionPool;
 use crate::store::watch_topic::WatchTopic;
+use crate::supervisor::TaskName;
+use crate::supervisor::TaskPanic;
+use crate::supervisor::catch_panic;
+use crate::supervisor::run_restarted;
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
@@ -54,6 +58,9 @@
 use zinniahatch_route::VersionTable;
 use zinniahatch_route::process_tag;
 
+/// Pause before a task that panicked starts again, which bounds the work of one that panics at once.
+const RESTART_PAUSE: Duration = Duration::from_secs(1);
+
 /// Progress of the process's graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopPhase {
@@ -172,6 +179,9 @@
     /// The open connections of callers and other nodes.
     pub(crate) connections: OpenConnections,
     last_ticket: Cell<u64>,
+    /// Number of the last update of this node's work. Others ignore lower ones, so that it outlasts the
+    /// task that sends them.
+    last_work_number: Cell<u32>,
 }
 
 impl EntryCore {
@@ -254,6 +264,7 @@
             in_flight_count: Cell::new(0),
             connections: OpenConnections::default(),
             last_ticket: Cell::new(0),
+            last_work_number: Cell::new(0),
             settings,
         }
     }
@@ -265,6 +276,49 @@
         ticket
     }
 
+    /// Starts a task that runs as long as the process, again after a panic.
+    pub(crate) fn spawn_restarted<F: Future<Output = ()>>(
+        self: &Rc<Self>,
+        task: TaskName,
+        start: impl Fn(Rc<Self>) -> F + 'static,
+    ) {
+        let core = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let report = |panic| core.report_panic(&panic);
+            run_restarted(task, RESTART_PAUSE, || start(Rc::clone(&core)), report).await;
+        });
+    }
+
+    /// Starts a task for one connection, request or check.
+    pub(crate) fn spawn_task<T: 'static>(
+        self: &Rc<Self>,
+        task: TaskName,
+        run: impl Future<Output = T> + 'static,
+    ) {
+        let core = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            if let Err(panic) = catch_panic(task, run).await {
+                core.report_panic(&panic);
+            }
+        });
+    }
+
+    fn report_panic(&self, panic: &TaskPanic) {
+        self.metrics.process.note_task_panic(panic.task);
+        self.log.write(
+            "task-panicked",
+            serde_json::json!({"task": panic.task, "message": panic.message,
+                "lasted_ms": panic.lasted.as_millis() as u64}),
+        );
+    }
+
+    /// Returns the number of the next update of this node's work.
+    pub(crate) fn next_work_number(&self) -> u32 {
+        let number = self.last_work_number.get() + 1;
+        self.last_work_number.set(number);
+        number
+    }
+
     /// Returns the tag that identifies this process in gossiped work updates.
     pub(crate) fn origin(&self) -> ShortTag {
         process_tag(&self.settings.name, self.incarnation)
--- a/crates/zinniahatch_entry/src/decision_log.rs
+++ b/crates/zinniahatch_entry/src/decision_log.rs
@@ -5,6 +5,7 @@
 //! A full queue drops and counts lines, so that a stalled reader of the output cannot block
 //! requests.
 
+use crate::supervisor::message_of;
 use serde::Serialize;
 use std::cell::RefCell;
 use std::io::Write;
@@ -91,6 +92,30 @@
         let _ = self.writer.borrow_mut().write_all(&text);
     }
 
+    /// Writes panics to this log and no longer to standard error.
+    ///
+    /// A write to standard error that nobody reads would block, and the process with it.
+    pub(crate) fn take_panics(&self) {
+        let writer = self.writer.borrow().clone();
+        let node = self.node.clone();
+        std::panic::set_hook(Box::new(move |panic| {
+            let place = panic.location().map(ToString::to_string);
+            let line = LogLine {
+                time_ms: unix_millis(),
+                node: &node,
+                kind: "panic",
+                left_out: 0,
+                fields: serde_json::json!({"place": place, "message": message_of(panic.payload())}),
+            };
+            let Ok(mut text) = serde_json::to_vec(&line) else {
+                return;
+            };
+            text.push(b'\n');
+            // The writer is lossy by design and reports no error for a dropped line.
+            let _ = writer.clone().write_all(&text);
+        }));
+    }
+
     fn admit(&self, kind: &'static str, second: u64) -> Option<u64> {
         let mut budgets = self.budgets.borrow_mut();
         let row = budgets.entry(kind).or_default();
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod request;
 mod run;
 mod store;
+mod supervisor;
 
 pub use listeners::ListenError;
 pub use request::connection::BackendConnection;
@@ -28,3 +29,7 @@
 pub use request::pool::PoolError;
 pub use run::EntryError;
 pub use run::run_entry;
+pub use supervisor::TaskName;
+pub use supervisor::TaskPanic;
+pub use supervisor::catch_panic;
+pub use supervisor::run_restarted;
--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -25,6 +25,7 @@
 pub(crate) use open::open_sockets;
 pub(crate) use open_connections::OpenConnections;
 use rand::seq::SliceRandom;
+use socket2::SockRef;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -61,7 +62,11 @@
 }
 
 /// Accepts connections until the process ends, or those for requests until it disconnects.
-pub(crate) async fn run_listener(core: Rc<EntryCore>, listener: TcpListener, duty: ListenerKind) {
+pub(crate) async fn run_listener(
+    core: Rc<EntryCore>,
+    listener: Rc<TcpListener>,
+    duty: ListenerKind,
+) {
     let mut phases = core.phase.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -72,7 +77,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(run_connection(Rc::clone(&core), stream, duty));
+                core.spawn_task("connection", run_connection(Rc::clone(&core), stream, duty));
             }
             Err(error) => {
                 core.log.write(
@@ -84,7 +89,7 @@
             }
         }
     }
-    let rest = accept_rest(&core, listener, duty);
+    let rest = accept_rest(&core, &listener, duty);
     core.log.write(
         "unlisten",
         serde_json::json!({"duty": format!("{duty:?}"),
@@ -93,8 +98,8 @@
 }
 
 /// Accepts what the kernel has accepted before the listener is closed, which would reset it.
-fn accept_rest(core: &Rc<EntryCore>, listener: TcpListener, duty: ListenerKind) -> io::Result<()> {
-    let listener = listener.into_std()?;
+fn accept_rest(core: &Rc<EntryCore>, listener: &TcpListener, duty: ListenerKind) -> io::Result<()> {
+    let listener = SockRef::from(listener);
     loop {
         let stream = match listener.accept() {
             Ok((stream, _)) => stream,
@@ -102,8 +107,8 @@
             Err(error) => return Err(error),
         };
         stream.set_nonblocking(true)?;
-        let stream = TcpStream::from_std(stream)?;
-        tokio::task::spawn_local(run_connection(Rc::clone(core), stream, duty));
+        let stream = TcpStream::from_std(stream.into())?;
+        core.spawn_task("connection", run_connection(Rc::clone(core), stream, duty));
     }
 }
 
--- a/crates/zinniahatch_entry/src/nodes/work_reporter.rs
+++ b/crates/zinniahatch_entry/src/nodes/work_reporter.rs
@@ -37,7 +37,6 @@
 /// Reports this node's in-flight work, and that of other nodes while this one is a collector.
 pub(crate) struct WorkReporter {
     origin: ShortTag,
-    number: u32,
     path: WorkPath,
     /// Other live nodes of the region.
     others: usize,
@@ -57,7 +56,6 @@
     pub(crate) fn new(origin: ShortTag) -> Self {
         Self {
             origin,
-            number: 0,
             path: WorkPath::All,
             others: 0,
             collectors: CollectorSelector::default(),
@@ -148,14 +146,11 @@
     ) {
         let prefixes = core.replicas.borrow_mut().take_cached_prefixes();
         let usage = core.quotas.borrow_mut().take_local_usage();
-        let update = (!work.is_empty() || !prefixes.is_empty()).then(|| {
-            self.number += 1;
-            WorkUpdate {
-                origin: self.origin,
-                number: self.number,
-                work,
-                prefixes,
-            }
+        let update = (!work.is_empty() || !prefixes.is_empty()).then(|| WorkUpdate {
+            origin: self.origin,
+            number: core.next_work_number(),
+            work,
+            prefixes,
         });
         self.report_to_region(core, socket, update, usage, now)
             .await;
--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -39,7 +39,10 @@
             let Ok(reservation) = reserve_send(&core, &incarnation.id, Instant::now()) else {
                 continue;
             };
-            tokio::task::spawn_local(probe(Rc::clone(&core), incarnation, reservation, path));
+            core.spawn_task(
+                "probe",
+                probe(Rc::clone(&core), incarnation, reservation, path),
+            );
         }
     }
 }
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -183,7 +183,7 @@
     // stated, a stream that ends inside an event would look complete by then.
     let length = head.length.filter(|_| !has_events);
     let software = in_flight.software;
-    tokio::task::spawn_local(relay.run(in_flight));
+    core.spawn_task("relay", relay.run(in_flight));
     let body = StreamBody {
         chunks: receiver,
         length,
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -136,6 +136,7 @@
 ) -> Result<(), EntryError> {
     let metrics = EntryMetrics::new().map_err(setup_error)?;
     let log = DecisionLog::new(settings.name.clone(), settings.log_rate_limit);
+    log.take_panics();
     let sockets = tokio::select! {
         opened = open_sockets(&settings, &log, &metrics.process) => opened?,
         () = signals.stop() => {
@@ -154,7 +155,10 @@
         clock,
     ));
     for (listener, kind) in sockets.listeners {
-        tokio::task::spawn_local(run_listener(Rc::clone(&core), listener, kind));
+        let listener = Rc::new(listener);
+        core.spawn_restarted("listener", move |core| {
+            run_listener(core, Rc::clone(&listener), kind)
+        });
     }
     let socket = Rc::new(sockets.datagrams);
     let _ = core.peer_socket.set(Rc::clone(&socket));
@@ -163,21 +167,21 @@
         serde_json::json!({"region": core.settings.region, "front": core.settings.listen.front.to_string(),
             "incarnation": core.incarnation}),
     );
-    tokio::task::spawn_local(run_gossip(Rc::clone(&core), socket));
+    core.spawn_restarted("gossip", move |core| run_gossip(core, Rc::clone(&socket)));
     for topic in WatchTopic::ALL {
-        tokio::task::spawn_local(run_watch(Rc::clone(&core), topic));
+        core.spawn_restarted("watch", move |core| run_watch(core, topic));
     }
-    tokio::task::spawn_local(run_catch_up(Rc::clone(&core)));
-    tokio::task::spawn_local(run_registration(Rc::clone(&core)));
-    tokio::task::spawn_local(run_quarantine_reader(Rc::clone(&core)));
-    tokio::task::spawn_local(run_quarantine_writer(Rc::clone(&core)));
-    tokio::task::spawn_local(run_version_keeper(Rc::clone(&core)));
-    tokio::task::spawn_local(run_probes(Rc::clone(&core)));
-    tokio::task::spawn_local(run_freshness_prover(Rc::clone(&core)));
-    tokio::task::spawn_local(run_restore_recovery(Rc::clone(&core)));
-    tokio::task::spawn_local(run_maintenance(Rc::clone(&core)));
-    tokio::task::spawn_local(run_sealing(Rc::clone(&core)));
-    tokio::task::spawn_local(run_merging(Rc::clone(&core)));
+    core.spawn_restarted("catch-up", run_catch_up);
+    core.spawn_restarted("registration", run_registration);
+    core.spawn_restarted("quarantine-reader", run_quarantine_reader);
+    core.spawn_restarted("quarantine-writer", run_quarantine_writer);
+    core.spawn_restarted("version-keeper", run_version_keeper);
+    core.spawn_restarted("probes", run_probes);
+    core.spawn_restarted("freshness-prover", run_freshness_prover);
+    core.spawn_restarted("restore-recovery", run_restore_recovery);
+    core.spawn_restarted("maintenance", run_maintenance);
+    core.spawn_restarted("sealing", run_sealing);
+    core.spawn_restarted("merging", run_merging);
     wait_for_stop(&core, signals, load_settings).await;
     shut_down(&core).await;
     Ok(())
