Wait for a taken listen address at nodes of the first interface too

The same cause as at entry VMs: a node whose `listen` or `peer_listen` was held for a moment at its start ended at once. Both sockets are now opened together or not at all, tried again for the `stop_timeout` and 60 s, each try logged and counted (`listen_retries_total`); a stop signal ends the wait. The signals are installed before, once, so that none is lost between the wait and the serving, and the tables are made after.

With the daemon of the code before, both cases of listen_address_taken_for_a_moment_ends_the_daemon fail; with this one they pass.

--- a/crates/zinniahatch_daemon/src/lib.rs
+++ b/crates/zinniahatch_daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod counts;
 mod directory;
+mod listen;
 mod load_polls;
 mod logging;
 mod orders;
--- a/crates/zinniahatch_daemon/src/run.rs
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -4,6 +4,7 @@
 use crate::counts;
 use crate::counts::CountMerger;
 use crate::directory;
+use crate::listen::open_sockets;
 use crate::load_polls;
 use crate::logging;
 use crate::orders;
@@ -13,11 +14,10 @@
 use crate::transport::PeerTransport;
 use crate::watch;
 use rand::RngExt;
-use salvo::Listener;
 use salvo::Server;
-use salvo::conn::TcpListener;
 use std::sync::Arc;
 use thiserror::Error;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use zinniahatch_base::prelude::*;
@@ -106,17 +106,19 @@
 }
 
 async fn serve(settings: NodeSettings) -> Result<(), StartError> {
-    let now = Instant::now();
-    let core = build_core(settings, now);
+    let mut signals = StopSignals::install()?;
+    let sockets = tokio::select! {
+        opened = open_sockets(&settings) => opened.map_err(StartError::Resource)?,
+        () = signals.wait() => return Ok(()),
+    };
+    let core = build_core(settings, Instant::now());
+    core.counters.listen_retries.inc_by(sockets.retries);
     let codec = FrameCodec::new(&core.settings.secret);
-    let listen = core.settings.listen.to_string();
-    let acceptor = TcpListener::new(listen.clone())
-        .try_bind()
-        .await
-        .map_err(|error| StartError::Resource(format!("[node] listen: {listen}: {error}")))?;
-    transport::listen(Arc::clone(&core), codec.clone())
-        .await
-        .map_err(StartError::Resource)?;
+    tokio::spawn(transport::receive(
+        Arc::clone(&core),
+        codec.clone(),
+        sockets.frames,
+    ));
     let merger = Arc::new(CountMerger::default());
     tokio::spawn(ticks::run(
         Arc::clone(&core),
@@ -134,14 +136,14 @@
     tokio::spawn(counts::run_retention(Arc::clone(&core)));
     // The request path has its own limits for slow senders; those of the server would be checked for
     // every streamed event.
-    let mut server = Server::new(acceptor).disable_fuse();
+    let mut server = Server::new(sockets.acceptor).disable_fuse();
     server
         .http1_mut()
         .header_read_timeout(IDLE_TIMEOUT)
         .max_headers(100);
     let handle = server.handle();
     let serving = tokio::spawn(server.serve(build_service(&core)));
-    wait_for_signal().await?;
+    signals.wait().await;
     shutdown::shut_down(&core, &merger).await;
     handle.stop_graceful(Some(Duration::from_secs(1)));
     let _ = serving.await;
@@ -184,13 +186,25 @@
     )
 }
 
-async fn wait_for_signal() -> Result<(), StartError> {
-    let to_start_error = |error: std::io::Error| StartError::Resource(error.to_string());
-    let mut terminate = signal(SignalKind::terminate()).map_err(to_start_error)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(to_start_error)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Signals that stop the daemon.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn install() -> Result<Self, StartError> {
+        let install = |kind| signal(kind).map_err(|error| StartError::Resource(error.to_string()));
+        Ok(Self {
+            terminate: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
--- a/crates/zinniahatch_daemon/src/transport.rs
+++ b/crates/zinniahatch_daemon/src/transport.rs
@@ -4,6 +4,7 @@
 //! again later. nng's request protocol, which retransmits by itself, is not used.
 
 use anng::Message;
+use anng::Socket;
 use anng::protocols::pipeline0::Pull0;
 use anng::protocols::pipeline0::Push0;
 use std::ffi::CString;
@@ -92,21 +93,23 @@
     }
 }
 
+/// Opens the socket for frames of other nodes.
+///
+/// # Errors
+///
+/// The address cannot be used.
+pub(crate) async fn open(address: &str) -> std::io::Result<Socket<Pull0>> {
+    Pull0::listen(tcp_url(address).as_c_str()).await
+}
+
 /// Receives frames until the process ends.
-pub(crate) async fn listen(core: Arc<GatewayCore>, codec: FrameCodec) -> Result<(), String> {
-    let url = tcp_url(&core.settings.peer_listen);
-    let mut socket = Pull0::listen(url.as_c_str())
-        .await
-        .map_err(|error| format!("[node] peer_listen: {}: {error}", core.settings.peer_listen))?;
-    tokio::spawn(async move {
-        loop {
-            match socket.pull().await {
-                Ok(message) => receive_frame(&core, &codec, message.as_slice()),
-                Err(_) => sleep(RETRY_PAUSE).await,
-            }
+pub(crate) async fn receive(core: Arc<GatewayCore>, codec: FrameCodec, mut socket: Socket<Pull0>) {
+    loop {
+        match socket.pull().await {
+            Ok(message) => receive_frame(&core, &codec, message.as_slice()),
+            Err(_) => sleep(RETRY_PAUSE).await,
         }
-    });
-    Ok(())
+    }
 }
 
 fn receive_frame(core: &GatewayCore, codec: &FrameCodec, bytes: &[u8]) {
--- a/crates/zinniahatch_gateway/src/counters.rs
+++ b/crates/zinniahatch_gateway/src/counters.rs
@@ -36,6 +36,8 @@
     pub frames: IntCounterVec,
     /// Bytes between nodes, by direction.
     pub frame_bytes: IntCounterVec,
+    /// Tries to open the listen addresses that failed at the start.
+    pub listen_retries: IntCounter,
     /// Connections to nodes that were reopened.
     pub redials: IntCounter,
     /// Configuration changes requested at this node, by verdict.
@@ -163,6 +165,11 @@
                 "Bytes between nodes.",
                 &["direction"],
             ),
+            listen_retries: register_counter(
+                &registry,
+                "listen_retries_total",
+                "Tries to open the listen addresses that failed at the start.",
+            ),
             redials: register_counter(
                 &registry,
                 "redials_total",
--- a/crates/zinniahatch_lab/tests/start_faults.rs
+++ b/crates/zinniahatch_lab/tests/start_faults.rs
@@ -8,11 +8,15 @@
 use std::os::fd::OwnedFd;
 use std::time::Duration;
 use test_case::test_case;
+use zinniahatch_lab::cluster::ClusterOptions;
+use zinniahatch_lab::cluster::LabCluster;
+use zinniahatch_lab::cluster::NodeHandle;
 use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
+use zinniahatch_lab::users;
 
 const SHAPE: StreamShape = StreamShape {
     events: 3,
@@ -130,3 +134,25 @@
         "the new process is the one that serves"
     );
 }
+
+/// Guards against a node of the first interface that ends at its start because a listen address is taken for a
+/// moment.
+#[test_case(|node| &node.http; "callers")]
+#[test_case(|node| &node.peer; "peers")]
+#[tokio::test(flavor = "multi_thread")]
+async fn listen_address_taken_for_a_moment_ends_the_daemon(address: fn(&NodeHandle) -> &str) {
+    let mut plan = users::aqsu();
+    plan.regions.truncate(1);
+    plan.regions[0].entries = 1;
+    let mut cluster = LabCluster::prepare(plan, &ClusterOptions::default()).await;
+    let held = hold_tcp(address(&cluster.nodes[0]));
+    cluster.spawn(0);
+    wait_until("the address is awaited", async || {
+        assert_eq!(cluster.ended(0), None, "the process ended by itself");
+        let log = std::fs::read_to_string(&cluster.nodes[0].log);
+        log.is_ok_and(|log| log.contains("cannot listen yet"))
+    })
+    .await;
+    drop(held);
+    cluster.wait_ready().await;
+}
