Conclude that one version has served only from a fresh read of the store's records

Callers saw streams that were joined from two software versions, answered with 200, when they took them up at a node that was out of step during a release: it had stood still or was cut off, and took the version it knew for the only one.

Cause: what a node has seen, and what others told it, shows that there is a second version, but not that there is none.

A stream now begins at a version only once the record of its region in the store names it. A node that is asked for a stream which it does not know, and knows of a single version, reads the records of all regions; the read is sent after the question, and questions that come meanwhile share the next one. Records are merged by compare-and-swap, and say whether they are complete. A version is removed only by the writer, after it followed its region without a gap or a pause for the longest time of a stream since it read the version there, once its replicas are known up to a later revision of the store. A pause of the process begins that anew. Nodes of a region tell each other in their heartbeats what is recorded, behind what nodes of the code before read.

The tests of the tables that moved the time by seconds in one step now follow the region tick by tick, since such a step is a pause; what they assert is unchanged.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -12,6 +12,7 @@
 use crate::replicas::probe::PROBE_REUSE_PERIOD;
 use crate::request::body_memory::BodyMemory;
 use crate::request::pool::ConnectionPool;
+use crate::store::version_keys::RecordRead;
 use crate::store::watch_topic::WatchTopic;
 use crate::supervisor::TaskName;
 use crate::supervisor::TaskPanic;
@@ -114,6 +115,12 @@
     pub(crate) versions: RefCell<VersionTable>,
     /// Signalled when this node sees a new software version in its region.
     pub(crate) version_seen: Notify,
+    /// Signalled when a version that serves is to be in the record in the store.
+    pub(crate) record_wanted: Notify,
+    /// Signalled when this node learns that the record names a version.
+    pub(crate) record_learned: Notify,
+    /// The last read of the records of all regions.
+    pub(crate) record_read: tokio::sync::Mutex<RecordRead>,
     /// Longest time that a stream may last and be taken up again, known once the desired state is.
     pub(crate) longest_stream: Cell<LongestStream>,
     /// The socket for datagrams to other nodes.
@@ -227,6 +234,9 @@
             origin_learned: Notify::new(),
             versions: RefCell::default(),
             version_seen: Notify::new(),
+            record_wanted: Notify::new(),
+            record_learned: Notify::new(),
+            record_read: tokio::sync::Mutex::default(),
             longest_stream: Cell::default(),
             peer_socket: OnceCell::new(),
             retry_queues: RefCell::default(),
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -44,6 +44,7 @@
 use zinniahatch_route::RateLimitUpdate;
 use zinniahatch_route::RegionUsage;
 use zinniahatch_route::RosterPart;
+use zinniahatch_route::StreamOrigin;
 
 /// Interval between heartbeats; a node counts as silent after three lost ones.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -179,6 +180,7 @@
     tail.extend(postcard::to_allocvec(&report).unwrap_or_default());
     tail.extend(postcard::to_allocvec(&core.part_digest.get()).unwrap_or_default());
     tail.extend(postcard::to_allocvec(&heartbeat.member.store_progress).unwrap_or_default());
+    tail.extend(postcard::to_allocvec(&core.versions.borrow().recorded()).unwrap_or_default());
     for (address, wants_reply) in heartbeat_receivers(core, targets, now) {
         let node = core.members.borrow().at_address(address).cloned();
         heartbeat.wants_reply = wants_reply;
@@ -357,7 +359,16 @@
     let mut versions = core.versions.borrow_mut();
     versions.apply(&member.region, report, Instant::now());
     let (parts, rest) = postcard::take_from_bytes(rest).ok()?;
-    member.store_progress = postcard::from_bytes(rest).unwrap_or_default();
+    let Ok((progress, rest)) = postcard::take_from_bytes(rest) else {
+        return Some(parts);
+    };
+    member.store_progress = progress;
+    if let Ok((era, recorded)) = postcard::from_bytes::<(u64, BTreeSet<StreamOrigin>)>(rest)
+        && member.region == core.settings.region
+    {
+        versions.note_recorded(era, recorded.into_iter());
+        core.record_learned.notify_waiters();
+    }
     Some(parts)
 }
 
--- a/crates/zinniahatch_entry/src/nodes/stream_origins.rs
+++ b/crates/zinniahatch_entry/src/nodes/stream_origins.rs
@@ -73,6 +73,7 @@
         let mut versions = core.versions.borrow_mut();
         if versions.update(&replicas, follows, longest, now) {
             core.version_seen.notify_one();
+            core.record_wanted.notify_one();
         }
     }
     core.stream_origins.borrow_mut().tick(now);
--- a/crates/zinniahatch_entry/src/request/placement.rs
+++ b/crates/zinniahatch_entry/src/request/placement.rs
@@ -130,8 +130,9 @@
 
 /// Chooses a replica of this region.
 ///
-/// A stream that may be taken up does not begin at a version that other regions may not have heard of,
-/// as long as another version serves: a node there would take the other one for the only one.
+/// A stream that may be taken up begins only at a version that the record in the store names, and not
+/// at one that other regions may not have heard of as long as another version serves: a node there
+/// would take the other one for the only one.
 fn choose_here(
     core: &EntryCore,
     plan: &RequestPlan,
@@ -144,15 +145,28 @@
     let regions = &core.settings.regions;
     if plan.route.resumable && progress.began.is_none() {
         let versions = core.versions.borrow();
-        let unannounced = versions.unannounced(tag_of(&plan.service), now);
+        let service = tag_of(&plan.service);
+        let (_, recorded) = versions.recorded();
+        let origins = replicas.rows().map(|state| state.origin);
+        let unrecorded: BTreeSet<ShortTag> = origins
+            .filter(|origin| origin.service == service && !recorded.contains(origin))
+            .map(|origin| origin.version)
+            .collect();
+        let mut avoided = versions.unannounced(service, now);
+        avoided.extend(&unrecorded);
         let known_versions = PlacementQuery {
-            avoided: &unannounced,
+            avoided: &avoided,
             ..query.clone()
         };
         let choice = choose_local(&replicas, &limiter, regions, &known_versions, now);
-        if unannounced.is_empty() || choice.is_some() {
+        if avoided == unrecorded || choice.is_some() {
             return choice;
         }
+        let recorded_versions = PlacementQuery {
+            avoided: &unrecorded,
+            ..query.clone()
+        };
+        return choose_local(&replicas, &limiter, regions, &recorded_versions, now);
     }
     choose_local(&replicas, &limiter, regions, query, now)
 }
--- a/crates/zinniahatch_entry/src/request/serve.rs
+++ b/crates/zinniahatch_entry/src/request/serve.rs
@@ -31,6 +31,7 @@
 use crate::request::startup::wait_for_members;
 use crate::request::startup::wait_for_state;
 use crate::request::take_up::find_origin;
+use crate::store::version_keys::wait_for_record;
 use http::Response;
 use std::rc::Rc;
 use tokio::time::timeout_at;
@@ -168,6 +169,10 @@
         loop {
             let (core, request) = (self.core, &self.request);
             await_quarantine_decision(core, request, &self.plan).await;
+            if self.plan.route.resumable && self.progress.began.is_none() {
+                let service = tag_of(&self.plan.service);
+                wait_for_record(core, service, self.plan.deadline).await;
+            }
             let first = !self.progress.admitted;
             let placement = choose_placement(core, request, &self.plan, &self.progress, first);
             if matches!(placement, Placement::Refuse(ResultCode::NoBackend, _))
--- a/crates/zinniahatch_entry/src/request/stream_metrics.rs
+++ b/crates/zinniahatch_entry/src/request/stream_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of answers that end early, and of streams that callers take up.
 
 use crate::request::truncation::Truncation;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::Opts;
 use prometheus::Registry;
@@ -12,6 +13,7 @@
     taken_up: IntCounterVec,
     silences: IntCounterVec,
     stays: IntCounterVec,
+    unrecorded: IntCounter,
 }
 
 impl StreamMetrics {
@@ -53,11 +55,17 @@
             &["service", "reason"],
         )?;
         registry.register(Box::new(stays.clone()))?;
+        let unrecorded = IntCounter::new(
+            "zinniahatch_streams_unrecorded_total",
+            "Streams that waited in vain until the store had the version that is to begin them.",
+        )?;
+        registry.register(Box::new(unrecorded.clone()))?;
         Ok(Self {
             truncated,
             taken_up,
             silences,
             stays,
+            unrecorded,
         })
     }
 
@@ -79,6 +87,11 @@
         self.stays.with_label_values(&[service, reason]).inc();
     }
 
+    /// Counts a stream that waited in vain for the record of a version.
+    pub(crate) fn note_unrecorded(&self) {
+        self.unrecorded.inc();
+    }
+
     /// Counts a request that takes up a stream.
     pub(crate) fn note_taken_up(&self, service: &str, source: &str) {
         self.taken_up.with_label_values(&[service, source]).inc();
--- a/crates/zinniahatch_entry/src/request/take_up.rs
+++ b/crates/zinniahatch_entry/src/request/take_up.rs
@@ -5,10 +5,10 @@
 
 use crate::core::EntryCore;
 use crate::nodes::stream_origins::ask_origin;
-use crate::nodes::stream_origins::sole_version;
 use crate::request::plan::RequestPlan;
 use crate::request::received::ReceivedRequest;
 use crate::request::received::RequestOrigin;
+use crate::store::version_keys::read_sole_version;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::StreamOrigin;
 
@@ -95,26 +95,30 @@
     if known.is_some() {
         return (known, OriginSource::Known);
     }
-    if let Some(origin) = only_origin(core, plan) {
+    if let Some(origin) = only_origin(core, plan).await {
         return (Some(origin), OriginSource::SoleVersion);
     }
-    if let Some(origin) = ask_origin(core, stream).await {
-        return (Some(origin), OriginSource::Asked);
-    }
-    // A node that has just started may have heard from the other regions meanwhile.
-    match only_origin(core, plan) {
-        Some(origin) => (Some(origin), OriginSource::SoleVersion),
+    match ask_origin(core, stream).await {
+        Some(origin) => (Some(origin), OriginSource::Asked),
         None => (None, OriginSource::Unknown),
     }
 }
 
 /// Returns what alone can have begun a stream of a route.
-fn only_origin(core: &EntryCore, plan: &RequestPlan) -> Option<StreamOrigin> {
+///
+/// What this node has seen and was told can show that there are several versions, but not that there
+/// is one: it may have stood still, or be cut off.
+async fn only_origin(core: &EntryCore, plan: &RequestPlan) -> Option<StreamOrigin> {
+    let service = tag_of(&plan.service);
+    let now = Instant::now();
     // Where a route is split, the weights may have changed since the stream began.
-    if plan.route.is_split() {
+    if plan.route.is_split()
+        || core.versions.borrow().shows_several(service, now)
+        || core.replicas.borrow().store_failed_recently(now)
+    {
         return None;
     }
-    sole_version(core, tag_of(&plan.service))
+    read_sole_version(core, service).await
 }
 
 /// Returns whether the route has left the service of a stream, or no replica of its version takes
--- a/crates/zinniahatch_lab/tests/stream_versions.rs
+++ b/crates/zinniahatch_lab/tests/stream_versions.rs
@@ -1,9 +1,11 @@
 //! Streams of a service whose replicas run several software versions side by side: a stream goes on
 //! only at the version that began it, and most streams do go on.
 
+use futures_util::future::join_all;
 use reqwest::Response;
 use reqwest::StatusCode;
 use std::collections::BTreeSet;
+use std::net::UdpSocket;
 use std::time::Duration;
 use test_case::test_case;
 use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
@@ -30,6 +32,8 @@
 /// Number of times that a stream is taken up at processes that have just started. Each waits for
 /// other nodes to answer; a stream may last far longer than all of them take.
 const TRIES_AFTER_START: u32 = 8;
+/// Number of datagrams that fill the queue of a node, some 200 KB.
+const QUEUED_DATAGRAMS: u32 = 2_000;
 /// Header with the number of the result code.
 const CODE: &str = "x-zinnia-code";
 /// No replica of the version that began the stream is left.
@@ -428,3 +432,92 @@
         assert_eq!(refused, VERSION_UNKNOWN);
     }
 }
+
+/// Fills the queue of datagrams of a node that stands still, so that further ones are lost.
+fn fill_datagram_queue(address: &str) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    for _ in 0..QUEUED_DATAGRAMS {
+        let sent = socket.send_to(&[u8::MAX; 1_000], address);
+        sent.expect("a datagram can be sent");
+    }
+}
+
+/// Guards against a node that stood still while replicas of another version joined, whose news were
+/// lost, and goes by what it knew before: streams that began at that version elsewhere went on there at the other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_stood_still_does_not_guess() {
+    const STOPPED: usize = 1;
+    const BEGUN: u32 = STREAMS / 2;
+    let regions: [(&str, &[&str]); 2] = [("north", &["v1", "v1", "v1"]), ("south", &["v1"])];
+    let mut site = start_site(1, &regions).await;
+    let part = StreamPart {
+        ids: vec![1, 2, 3],
+        versions: BTreeSet::new(),
+    };
+    wait_until("the node knows that one version has served", async || {
+        take_up(&site, STOPPED, "nobody-saw-it", &part, "w")
+            .await
+            .is_ok()
+    })
+    .await;
+    site.signal(STOPPED, "-STOP");
+    fill_datagram_queue(&site.entries[STOPPED].addresses[4]);
+    site.register(0, "draining");
+    site.register(1, "draining");
+    site.release_version("v1.1");
+    site.replace_replica(2).await;
+    wait_until("no replica of v1 takes work there", async || {
+        let log = site.log(0);
+        let leaves = |id: &str| {
+            let mut lines = log.lines();
+            lines.any(|line| line.contains("\"leaving\":true") && line.contains(id))
+        };
+        leaves("i-north-0") && leaves("i-north-1")
+    })
+    .await;
+    let mut begun = Vec::new();
+    for number in 0..BEGUN {
+        begun.push(begin_stream(&site, 0, "v1.1", &format!("s{number}")).await);
+    }
+    let taken_up = begun.iter().enumerate().map(async |(number, stream)| {
+        let (attempt, part) = stream;
+        take_up(&site, STOPPED, attempt, part, &format!("t{number}")).await
+    });
+    let resume = async { site.signal(STOPPED, "-CONT") };
+    let (outcomes, ()) = tokio::join!(join_all(taken_up), resume);
+    let mut went_on = 0;
+    for outcome in &outcomes {
+        match outcome {
+            Ok(rest) => {
+                assert_eq!(rest.version(), "v1.1");
+                went_on += 1;
+            }
+            Err(code) => assert_eq!(code, VERSION_UNKNOWN),
+        }
+    }
+    println!("{went_on} of {BEGUN} went on");
+    assert!(went_on >= BEGUN / 2);
+}
+
+/// Guards against a version that stays in the record after its last stream, so that streams which
+/// nobody remembers are refused for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_that_left_is_struck_from_the_record() {
+    let site = start_site(1, &[("north", &["v1", "v1.1"])]).await;
+    wait_until("both versions are recorded", async || {
+        site.log(0).contains("versions-kept")
+    })
+    .await;
+    site.unregister(0);
+    let part = StreamPart {
+        ids: vec![1, 2, 3],
+        versions: BTreeSet::new(),
+    };
+    let refused = take_up(&site, 0, "nobody-saw-it", &part, "t").await;
+    assert_eq!(refused.unwrap_err(), VERSION_UNKNOWN);
+    wait_until("one version is left", async || {
+        let tried = take_up(&site, 0, "nobody-saw-it", &part, "u").await;
+        tried.is_ok()
+    })
+    .await;
+}
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -68,6 +68,7 @@
 mod update_queue;
 mod usage;
 mod usage_meter;
+mod version_record;
 mod version_table;
 mod work_sync;
 
@@ -217,6 +218,8 @@
 pub use usage::ProcessUsage;
 pub use usage::RegionUsage;
 pub use usage::UsageCounter;
+pub use version_record::VersionRecord;
+pub use version_record::sole_recorded;
 pub use version_table::VersionCount;
 pub use version_table::VersionReport;
 pub use version_table::VersionTable;
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -75,9 +75,7 @@
 impl PlacementQuery<'_> {
     /// Returns whether the software version of a replica may serve the request.
     pub(crate) fn allows_version(&self, state: &ReplicaState) -> bool {
-        let avoided = state
-            .version
-            .is_some_and(|version| self.avoided.contains(&version));
+        let avoided = self.avoided.contains(&state.origin.version);
         !avoided && (self.version.is_none() || self.version == state.version)
     }
 }
--- a/crates/zinniahatch_route/src/version_table.rs
+++ b/crates/zinniahatch_route/src/version_table.rs
@@ -1,7 +1,9 @@
 //! Software versions that serve in each region, as nodes report them to each other.
 
+use crate::PauseDetector;
 use crate::ReplicaTable;
 use crate::StreamOrigin;
+use crate::VersionRecord;
 use zinniahatch_base::prelude::*;
 
 /// Age up to which a report counts; reports come with the heartbeats, every 200 to 500 ms.
@@ -80,6 +82,15 @@
     /// The versions that the store had after that.
     stored: StoredView,
     reports: BTreeMap<RegionId, ReportedVersions>,
+    /// The versions of the own region that the record in the store names, as far as this node knows.
+    recorded: BTreeSet<StreamOrigin>,
+    /// Era of the store that has that record.
+    record_era: u64,
+    /// Since when this node has followed its region and known that the record names these.
+    read_since: BTreeMap<StreamOrigin, Instant>,
+    /// Pauses of this node.
+    pauses: PauseDetector,
+    updated_at: Option<Instant>,
 }
 
 impl VersionTable {
@@ -93,12 +104,7 @@
         keep: Option<Duration>,
         now: Instant,
     ) -> bool {
-        if follows {
-            self.followed_since.get_or_insert(now);
-        } else {
-            self.followed_since = None;
-            self.stored = StoredView::Unread;
-        }
+        self.note_gaps(follows, keep, now);
         for version in self.own.values_mut() {
             version.ready = 0;
         }
@@ -119,9 +125,108 @@
             self.own
                 .retain(|_, version| now.saturating_duration_since(version.last_seen) <= keep);
         }
+        let own = &self.own;
+        self.recorded.retain(|origin| own.contains_key(origin));
         is_new
     }
 
+    /// Begins to follow the region anew after a gap: the node lost the store or stood still.
+    fn note_gaps(&mut self, follows: bool, keep: Option<Duration>, now: Instant) {
+        self.pauses.tick(now);
+        let paused = |since| self.pauses.has_paused_since(since, now);
+        if !follows || self.followed_since.is_some_and(paused) {
+            self.followed_since = None;
+            self.stored = StoredView::Unread;
+            self.read_since.clear();
+        }
+        if follows {
+            self.followed_since.get_or_insert(now);
+        }
+        // A version is struck from the record only after it was absent for as long as a stream may last.
+        let gap = self.updated_at.map(|at| now.saturating_duration_since(at));
+        if gap.zip(keep).is_none_or(|(gap, keep)| gap >= keep) {
+            self.recorded.clear();
+        }
+        self.updated_at = Some(now);
+    }
+
+    /// Records that the record in a store of this era names versions of the own region.
+    pub fn note_recorded(&mut self, era: u64, origins: impl Iterator<Item = StreamOrigin>) {
+        self.note_era(era);
+        if era == self.record_era {
+            self.recorded.extend(origins);
+        }
+    }
+
+    /// Records the era of the store. A store that was restored lacks later records.
+    pub fn note_era(&mut self, era: u64) {
+        if era > self.record_era {
+            self.record_era = era;
+            self.recorded.clear();
+            self.read_since.clear();
+        }
+    }
+
+    /// Returns the era and the versions of the own region that the record names.
+    pub fn recorded(&self) -> (u64, &BTreeSet<StreamOrigin>) {
+        (self.record_era, &self.recorded)
+    }
+
+    /// Returns whether the record is not known to name some version that serves.
+    pub fn lacks_record(&self) -> bool {
+        self.own
+            .iter()
+            .any(|(origin, version)| version.ready > 0 && !self.recorded.contains(origin))
+    }
+
+    /// Takes over the record that this node has read for its own region.
+    pub fn note_read(&mut self, record: &VersionRecord, now: Instant) {
+        self.note_recorded(record.era, record.versions.iter().copied());
+        self.read_since
+            .retain(|origin, _| record.versions.contains(origin));
+        if self.followed_since.is_none() {
+            return;
+        }
+        for origin in &record.versions {
+            self.read_since.entry(*origin).or_insert(now);
+        }
+    }
+
+    /// Returns the versions of the record that this node has not seen for as long as a stream may last.
+    pub fn removable(&self, keep: Option<Duration>, now: Instant) -> BTreeSet<StreamOrigin> {
+        let mut found = BTreeSet::new();
+        let Some(keep) = keep.filter(|_| self.has_followed(keep, now)) else {
+            return found;
+        };
+        for (origin, since) in &self.read_since {
+            if now.saturating_duration_since(*since) >= keep && !self.own.contains_key(origin) {
+                found.insert(*origin);
+            }
+        }
+        found
+    }
+
+    /// Returns the record with the versions that this node knows; `stored` is what the store has,
+    /// `None` if it has nothing of this era.
+    ///
+    /// Where no record was ever written, no stream has begun: a restored store has a later era.
+    pub fn merged_record(
+        &self,
+        stored: Option<&VersionRecord>,
+        era: u64,
+        keep: Option<Duration>,
+        now: Instant,
+    ) -> VersionRecord {
+        let mut record = stored.cloned().unwrap_or(VersionRecord {
+            era,
+            versions: BTreeSet::new(),
+            complete: era == 0,
+        });
+        record.complete |= self.has_followed(keep, now);
+        record.versions.extend(self.own.keys());
+        record
+    }
+
     /// Returns the versions of a service that this node has first seen a short time ago, so that nodes
     /// of other regions may not have heard of them.
     pub fn unannounced(&self, service: ShortTag, now: Instant) -> BTreeSet<ShortTag> {
@@ -151,7 +256,8 @@
         self.stored = versions.map_or(StoredView::Missing, StoredView::Read);
     }
 
-    fn has_followed(&self, keep: Option<Duration>, now: Instant) -> bool {
+    /// Returns whether this node has followed its region for as long as a stream may last.
+    pub fn has_followed(&self, keep: Option<Duration>, now: Instant) -> bool {
         let Some((since, keep)) = self.followed_since.zip(keep) else {
             return false;
         };
@@ -250,6 +356,20 @@
         found.filter(|origin: &StreamOrigin| origin.is_known())
     }
 
+    /// Returns whether this node knows of several versions of a service that serve or have served lately.
+    pub fn shows_several(&self, service: ShortTag, now: Instant) -> bool {
+        let mut origins: BTreeSet<StreamOrigin> = self.own.keys().copied().collect();
+        if let StoredView::Read(stored) = &self.stored {
+            origins.extend(stored);
+        }
+        for region in self.reports.keys() {
+            let report = self.recent(region, now).unwrap_or_default();
+            origins.extend(report.versions.iter().map(|count| count.origin));
+        }
+        let of_service = origins.iter().filter(|origin| origin.service == service);
+        of_service.count() > 1
+    }
+
     /// Returns how many replicas of another region could go on with a stream; `None` if it is not
     /// known.
     pub fn ready_in(&self, region: &str, origin: StreamOrigin, now: Instant) -> Option<u16> {
--- a/crates/zinniahatch_route/tests/stream_version_simulation.rs
+++ b/crates/zinniahatch_route/tests/stream_version_simulation.rs
@@ -17,13 +17,17 @@
 use test_case::test_case;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::LongestStream;
+use zinniahatch_route::MemberInfo;
 use zinniahatch_route::MemberTable;
 use zinniahatch_route::OriginRecord;
 use zinniahatch_route::ReplicaEntry;
 use zinniahatch_route::ReplicaTable;
 use zinniahatch_route::StreamOrigin;
 use zinniahatch_route::StreamOriginTable;
+use zinniahatch_route::VersionRecord;
+use zinniahatch_route::VersionReport;
 use zinniahatch_route::VersionTable;
+use zinniahatch_route::sole_recorded;
 
 /// Schedules of each test; `ZINNIA_SCHEDULES` sets another number.
 const SCHEDULES: u64 = 60;
@@ -41,6 +45,12 @@
 const UNNOTICED_MS: std::ops::Range<u64> = 0..3_000;
 /// Share of datagrams that are lost.
 const LOSS: f64 = 0.05;
+/// Time for which a node that ran on has not read what was sent to it, in ms.
+const UNREAD_MS: std::ops::Range<u64> = 0..400;
+/// Datagrams that are kept for a node that stands still; further ones are lost.
+const MAX_QUEUED: usize = 12;
+/// Share of the steps in which a node compares its versions with the record.
+const RECORD_SHARE: f64 = 0.6;
 const REGIONS: [&str; 3] = ["north", "south", "west"];
 const SERVICE: &str = "s";
 
@@ -56,8 +66,10 @@
     /// All nodes end at once, the older versions leave meanwhile, and the nodes that start know the
     /// replicas before the desired state.
     LateRules,
-    /// Nodes are cut off from the store or from each other, too.
+    /// Nodes are cut off from the store or from each other, too, while a region changes its version.
     Cuts,
+    /// Nodes stand still, too, while a region changes its version.
+    Stops,
 }
 
 /// A replica and its entry in the store.
@@ -69,6 +81,12 @@
     ends_at: Option<Instant>,
 }
 
+/// A datagram that waits for its receiver.
+enum Datagram {
+    Heartbeat(Box<MemberInfo>, VersionReport),
+    Origin(OriginRecord),
+}
+
 /// A node and what it knows.
 struct Node {
     region: usize,
@@ -81,6 +99,10 @@
     store_cut: Option<(Instant, Instant)>,
     net_cut_until: Instant,
     disturbed_at: Instant,
+    /// Until when it stands still, and until when it has not read its datagrams.
+    still_until: Instant,
+    unread_until: Instant,
+    queue: Vec<Datagram>,
     /// Whether it has seen a new version, and not told others yet.
     sees_new: bool,
     replicas: ReplicaTable,
@@ -104,7 +126,7 @@
     nodes: Vec<Node>,
     replicas: BTreeMap<ReplicaId, Replica>,
     newest: u32,
-    stored: BTreeMap<usize, Vec<StreamOrigin>>,
+    stored: BTreeMap<RegionId, VersionRecord>,
     streams: Vec<Stream>,
     /// Streams taken up at nodes in touch while two replicas of their version served, and how many of
     /// them went on.
@@ -139,6 +161,9 @@
             store_cut: None,
             net_cut_until: start,
             disturbed_at: start,
+            still_until: start,
+            unread_until: start,
+            queue: Vec::new(),
             sees_new: false,
             replicas: ReplicaTable::default(),
             versions: VersionTable::default(),
@@ -163,8 +188,39 @@
         now >= self.starts_at
     }
 
+    /// Returns whether the node reads what was sent to it.
+    fn reads(&self, now: Instant) -> bool {
+        self.runs(now) && now >= self.unread_until
+    }
+
+    fn receive(&mut self, datagram: Datagram, now: Instant) {
+        if !self.reads(now) {
+            if self.queue.len() < MAX_QUEUED {
+                self.queue.push(datagram);
+            }
+            return;
+        }
+        match datagram {
+            Datagram::Heartbeat(info, report) => {
+                let region = info.region.clone();
+                self.members.update(*info, false, now);
+                self.versions.apply(&region, report, now);
+            }
+            Datagram::Origin(record) => self.origins.apply(&record, now),
+        }
+    }
+
+    fn read_queue(&mut self, now: Instant) {
+        if !self.reads(now) {
+            return;
+        }
+        for datagram in std::mem::take(&mut self.queue) {
+            self.receive(datagram, now);
+        }
+    }
+
     fn serves(&self, now: Instant) -> bool {
-        self.runs(now) && now >= self.rules_at
+        self.runs(now) && now >= self.rules_at && now >= self.still_until
     }
 
     /// Returns how long a stream may last, as far as this node knows.
@@ -185,6 +241,28 @@
     }
 }
 
+/// Lets a node read the record of its region and write what it lacks.
+fn sync_record(node: &mut Node, stored: &mut BTreeMap<RegionId, VersionRecord>, now: Instant) {
+    let keep = node.keep();
+    let region = RegionId::from(REGIONS[node.region]);
+    let record = stored.get(&region).cloned();
+    if let Some(record) = &record {
+        node.versions.note_read(record, now);
+    }
+    let complete = record.as_ref().filter(|record| record.complete);
+    let listed = complete.map(|record| record.versions.iter().copied().collect());
+    node.versions.note_stored(listed);
+    if keep.is_none() {
+        return;
+    }
+    let mut wanted = node.versions.merged_record(record.as_ref(), 0, keep, now);
+    let removed = node.versions.removable(keep, now);
+    wanted.versions.retain(|origin| !removed.contains(origin));
+    let origins = wanted.versions.iter().copied();
+    node.versions.note_recorded(0, origins);
+    stored.insert(region, wanted);
+}
+
 impl Fleet {
     fn new(seed: u64, kind: Disturbance) -> Self {
         let start = Instant::now();
@@ -234,7 +312,12 @@
 
     /// Replaces some replica by one of the newest version, which now and then is a further one.
     fn release(&mut self) {
-        if !self.random.random_bool(0.06) {
+        let share = match self.kind {
+            // Most of the time a single version serves, until a region changes its own.
+            Disturbance::Cuts | Disturbance::Stops => 0.01,
+            _ => 0.06,
+        };
+        if !self.random.random_bool(share) {
             return;
         }
         if self.random.random_bool(0.3) {
@@ -274,6 +357,21 @@
         }
     }
 
+    /// Replaces all replicas of a region by ones of a further version.
+    fn change_region(&mut self) {
+        let region = self.random.random_range(0..REGIONS.len());
+        self.newest += 1;
+        for replica in self.replicas.values_mut() {
+            if replica.region == region && replica.ends_at.is_none() {
+                replica.ends_at = Some(self.now + STEP);
+                replica.entry.leaving = true;
+            }
+        }
+        for _ in 0..2 {
+            self.add_replica(region, self.newest);
+        }
+    }
+
     fn disturb(&mut self) {
         let (now, kind) = (self.now, self.kind);
         let index = self.random.random_range(0..self.nodes.len());
@@ -303,6 +401,23 @@
                 if self.random.random_bool(0.5) {
                     node.net_cut_until = until;
                 }
+                if self.random.random_bool(0.3) {
+                    self.change_region();
+                } else {
+                    self.finish_release(now);
+                }
+            }
+            Disturbance::Stops if self.random.random_bool(0.04) => {
+                let unread = Duration::from_millis(self.random.random_range(UNREAD_MS));
+                let node = &mut self.nodes[index];
+                node.still_until = now + down * 2;
+                node.unread_until = node.still_until + unread;
+                node.disturbed_at = node.unread_until;
+                if self.random.random_bool(0.3) {
+                    self.change_region();
+                } else {
+                    self.finish_release(now);
+                }
             }
             _ => {}
         }
@@ -312,9 +427,10 @@
     fn sync_store(&mut self) {
         let now = self.now;
         for node in &mut self.nodes {
-            if !node.runs(now) {
+            if !node.reads(now) {
                 continue;
             }
+            node.read_queue(now);
             let reaches = node.reaches_store(now);
             if node.serves(now) {
                 node.longest.update(KEEP, now);
@@ -337,14 +453,8 @@
                 .versions
                 .update(&node.replicas, reaches || !notices, keep, now);
             node.origins.tick(now);
-            if reaches && node.versions.wants_stored(keep, now) {
-                let stored = self.stored.get(&node.region).cloned();
-                node.versions.note_stored(stored);
-            }
-            let report = node.versions.report(keep, now);
-            if reaches && report.complete {
-                let origins = report.versions.iter().map(|count| count.origin);
-                self.stored.insert(node.region, origins.collect());
+            if reaches && self.random.random_bool(RECORD_SHARE) {
+                sync_record(node, &mut self.stored, now);
             }
         }
     }
@@ -356,7 +466,8 @@
             let node = &self.nodes[index];
             node.runs(now) && now >= node.net_cut_until
         });
-        connected && !self.random.random_bool(LOSS)
+        let sends = self.nodes[from].reads(now);
+        sends && connected && !self.random.random_bool(LOSS)
     }
 
     /// Lets nodes send heartbeats: all of them, or those that have seen a new version.
@@ -376,9 +487,8 @@
                 info.peer = sender.address;
                 info.incarnation = sender.incarnation;
                 let report = sender.versions.report(sender.keep(), now);
-                let receiver = &mut self.nodes[to];
-                receiver.members.update(info, false, now);
-                receiver.versions.apply(&region, report, now);
+                let heartbeat = Datagram::Heartbeat(Box::new(info), report);
+                self.nodes[to].receive(heartbeat, now);
             }
         }
     }
@@ -400,7 +510,7 @@
                 if !self.arrives(from, to) {
                     continue;
                 }
-                self.nodes[to].origins.apply(&record, now);
+                self.nodes[to].receive(Datagram::Origin(record), now);
                 if target.passes_on {
                     self.pass_on(to, &record);
                 }
@@ -415,7 +525,7 @@
         if let Some(next) = node.members.passed_on_to(record.stream, &own, now) {
             let to = node_at(next);
             if self.arrives(from, to) {
-                self.nodes[to].origins.apply(record, now);
+                self.nodes[to].receive(Datagram::Origin(*record), now);
             }
         }
     }
@@ -445,6 +555,8 @@
                 .filter_map(|id| self.replicas.get(id))
                 .filter(|replica| self.runs(replica))
                 .collect();
+            let (_, recorded) = self.nodes[index].versions.recorded();
+            usable.retain(|replica| recorded.contains(&origin(replica.version)));
             let unannounced = self.nodes[index].versions.unannounced(tag_of(SERVICE), now);
             let is_announced =
                 |replica: &&Replica| !unannounced.contains(&origin(replica.version).version);
@@ -468,12 +580,23 @@
         }
     }
 
+    /// Returns the only version that can have begun a stream, by what a node reads now.
+    fn sole_version(&self, index: usize) -> Option<StreamOrigin> {
+        let node = &self.nodes[index];
+        let service = tag_of(SERVICE);
+        if !node.reaches_store(self.now) || node.versions.shows_several(service, self.now) {
+            return None;
+        }
+        let regions: Vec<RegionId> = REGIONS.map(RegionId::from).into();
+        sole_recorded(&self.stored, regions.iter(), service, 0)
+    }
+
     /// Returns what a node finds out about a stream.
     fn look_up(&mut self, index: usize, stream: ContentDigest) -> Option<StreamOrigin> {
         let now = self.now;
         let node = &self.nodes[index];
         let known = node.origins.get(stream, now);
-        if let Some(found) = known.or_else(|| node.sole_version(now)) {
+        if let Some(found) = known.or_else(|| self.sole_version(index)) {
             return Some(found);
         }
         let own = RegionId::from(REGIONS[node.region]);
@@ -558,6 +681,7 @@
 #[test_case(Disturbance::MassRestarts; "mass_restarts")]
 #[test_case(Disturbance::LateRules; "late_rules")]
 #[test_case(Disturbance::Cuts; "cuts")]
+#[test_case(Disturbance::Stops; "stops")]
 fn streams_keep_their_version(kind: Disturbance) {
     let schedules = std::env::var("ZINNIA_SCHEDULES");
     let schedules = schedules.ok().and_then(|number| number.parse().ok());
--- a/crates/zinniahatch_route/tests/stream_versions.rs
+++ b/crates/zinniahatch_route/tests/stream_versions.rs
@@ -20,12 +20,16 @@
 use zinniahatch_route::StreamOrigin;
 use zinniahatch_route::StreamOriginTable;
 use zinniahatch_route::VersionCount;
+use zinniahatch_route::VersionRecord;
 use zinniahatch_route::VersionReport;
 use zinniahatch_route::VersionTable;
 use zinniahatch_route::choose_local;
+use zinniahatch_route::sole_recorded;
 
 /// Longest time of a stream.
 const KEEP: Duration = Duration::from_secs(10);
+/// Interval at which a node takes over its replicas.
+const TICK: Duration = Duration::from_millis(200);
 
 fn versioned(id: &str, version: Option<&str>) -> ReplicaEntry {
     ReplicaEntry {
@@ -49,6 +53,16 @@
     }
 }
 
+/// Lets a node follow its region without a pause.
+fn follow(versions: &mut VersionTable, replicas: &ReplicaTable, from: Instant, to: Instant) {
+    let mut now = from;
+    while now < to {
+        versions.update(replicas, true, Some(KEEP), now);
+        now += TICK;
+    }
+    versions.update(replicas, true, Some(KEEP), to);
+}
+
 /// Guards against a stream that goes on at another version, or at one that is not known.
 #[test]
 fn choose_local_keeps_to_the_version() {
@@ -110,8 +124,7 @@
     let mut replicas = ReplicaTable::default();
     replicas.upsert(versioned("r1", Some("v1")), start);
     let mut versions = VersionTable::default();
-    versions.update(&replicas, true, Some(KEEP), start);
-    versions.update(&replicas, true, Some(KEEP), now);
+    follow(&mut versions, &replicas, start, now);
     let south = RegionId::from("south");
     for (complete, seen) in reports {
         versions.apply(&south, report(*complete, seen), now);
@@ -148,7 +161,7 @@
     versions.note_stored(None);
     assert_eq!(sole(&versions, start), None, "the store has none");
     let later = start + KEEP;
-    versions.update(&replicas, true, Some(KEEP), later);
+    follow(&mut versions, &replicas, start, later);
     assert_eq!(sole(&versions, later), Some(origin("v1.1")));
 }
 
@@ -231,3 +244,93 @@
     assert!(origins.take_unshared(|_| true, now).is_empty());
     assert_eq!(origins.take_record(1, now), None);
 }
+
+fn record(complete: bool, era: u64, versions: &[&str]) -> VersionRecord {
+    VersionRecord {
+        era,
+        versions: versions.iter().map(|version| origin(version)).collect(),
+        complete,
+    }
+}
+
+/// Guards against a conclusion from a record that does not name all versions: one that is missing, not
+/// complete, or of a store that was restored since.
+#[test_case(Some(record(true, 1, &["v1"])), true; "same_version")]
+#[test_case(Some(record(true, 1, &[])), true; "no_version")]
+#[test_case(Some(record(true, 1, &["v1.1"])), false; "other_version")]
+#[test_case(Some(record(false, 1, &["v1"])), false; "not_complete")]
+#[test_case(Some(record(true, 0, &["v1"])), false; "earlier_era")]
+#[test_case(None, false; "missing")]
+fn sole_recorded_is_proven(elsewhere: Option<VersionRecord>, proven: bool) {
+    let regions = ["north", "south"].map(RegionId::from);
+    let mut records = BTreeMap::from([(regions[0].clone(), record(true, 1, &["v1"]))]);
+    if let Some(elsewhere) = elsewhere {
+        records.insert(regions[1].clone(), elsewhere);
+    }
+    let sole = sole_recorded(&records, regions.iter(), tag_of("s"), 1);
+    assert_eq!(sole, proven.then(|| origin("v1")));
+}
+
+/// Guards against a record that is trusted though code that does not say whether it is complete wrote
+/// it.
+#[test]
+fn record_without_the_flag_is_not_complete() {
+    let text = r#"{"era":0,"versions":[{"service":1,"version":2}]}"#;
+    let record: VersionRecord = serde_json::from_str(text).expect("it can be read");
+    assert!(!record.complete);
+    assert_eq!(record.versions.len(), 1);
+}
+
+/// Guards against a version that a node strikes from the record though its streams may run: one that it
+/// has not followed for long enough, since it read the record or since it stood still.
+#[test]
+fn version_is_removable_only_after_its_streams() {
+    let start = Instant::now();
+    let mut replicas = ReplicaTable::default();
+    replicas.upsert(versioned("r1", Some("v1.1")), start);
+    let mut versions = VersionTable::default();
+    versions.update(&replicas, true, Some(KEEP), start);
+    let stored = record(true, 0, &["v1", "v1.1"]);
+    let read_at = start + KEEP / 2;
+    follow(&mut versions, &replicas, start, read_at);
+    versions.note_read(&stored, read_at);
+    let soon = start + KEEP;
+    follow(&mut versions, &replicas, read_at, soon);
+    assert!(versions.has_followed(Some(KEEP), soon));
+    assert!(versions.removable(Some(KEEP), soon).is_empty());
+    let later = read_at + KEEP;
+    follow(&mut versions, &replicas, soon, later);
+    let removable = versions.removable(Some(KEEP), later);
+    assert_eq!(removable, BTreeSet::from([origin("v1")]));
+    assert!(versions.removable(None, later).is_empty());
+    let resumed = later + Duration::from_secs(3);
+    versions.update(&replicas, true, Some(KEEP), resumed);
+    assert!(!versions.has_followed(Some(KEEP), resumed));
+    assert!(versions.removable(Some(KEEP), resumed).is_empty());
+    assert_eq!(
+        versions.recorded().1.len(),
+        1,
+        "v1.1 has served all the time"
+    );
+}
+
+/// Guards against a stream that begins at a version which the record may not name any more: after a
+/// pause in which it can have been struck, or after the store was restored.
+#[test]
+fn recorded_versions_are_forgotten_after_a_long_pause_or_a_restore() {
+    let start = Instant::now();
+    let mut replicas = ReplicaTable::default();
+    replicas.upsert(versioned("r1", Some("v1")), start);
+    let mut versions = VersionTable::default();
+    versions.update(&replicas, true, Some(KEEP), start);
+    assert!(versions.lacks_record());
+    versions.note_recorded(0, [origin("v1")].into_iter());
+    assert!(!versions.lacks_record());
+    versions.update(&replicas, true, Some(KEEP), start + KEEP);
+    assert!(versions.lacks_record());
+    versions.note_recorded(0, [origin("v1")].into_iter());
+    versions.note_era(1);
+    assert!(versions.lacks_record());
+    versions.note_recorded(0, [origin("v1")].into_iter());
+    assert!(versions.lacks_record(), "news of the era before");
+}
