--- a/crates/zinniahatch_lab/tests/odd_entry.rs
+++ b/crates/zinniahatch_lab/tests/odd_entry.rs
@@ -1,6 +1,7 @@
 //! Tests that one odd item in the store, written by another program, affects nothing but itself.
 
 use serde_json::Value;
+use serde_json::json;
 use std::time::Duration;
 use test_case::test_case;
 use zinniahatch_lab::site::SiteCluster;
@@ -19,6 +20,8 @@
 const SOUND_ENTRIES: usize = 120;
 /// Depth of a nested value, far beyond the recursion limit of a JSON parser.
 const DEPTH: usize = 20_000;
+/// Length of a text that no datagram holds.
+const LONG_TEXT: usize = 100_000;
 const SHAPE: StreamShape = StreamShape {
     events: 3,
     pause: Duration::from_millis(5),
@@ -113,6 +116,56 @@
     }
 }
 
+/// Returns values of entries that name no replica that can be used.
+fn odd_values(sound: &Value) -> Vec<(&'static str, String)> {
+    let with = |field: &str, value: Value| {
+        let mut entry = sound.clone();
+        entry[field] = value;
+        entry.to_string()
+    };
+    let nested = format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
+    let too_large = with("born", Value::Null).replace("null", "1e400");
+    vec![
+        ("nested", nested.clone()),
+        (
+            "nested_slots",
+            with("slots", Value::Null).replace("null", &nested),
+        ),
+        ("born_too_large", too_large),
+        ("slots_too_large", with("slots", json!(4_294_967_296_u64))),
+        ("slots_out_of_range", with("slots", json!(u32::MAX))),
+        ("no_slots", with("slots", json!(0))),
+        ("port_too_large", with("address", json!("127.0.0.1:65536"))),
+        ("port_zero", with("address", json!("127.0.0.1:0"))),
+        ("any_address", with("address", json!("0.0.0.0:80"))),
+        ("multicast", with("address", json!("224.0.0.1:80"))),
+        ("broadcast", with("address", json!("255.255.255.255:80"))),
+        ("cold_too_long", with("cold_left_ms", json!(1e300))),
+        ("zone_too_long", with("zone", json!("z".repeat(LONG_TEXT)))),
+        (
+            "service_too_long",
+            with("service", json!("s".repeat(LONG_TEXT))),
+        ),
+        (
+            "version_too_long",
+            with("version", json!("v".repeat(LONG_TEXT))),
+        ),
+        ("no_json", "\u{0}\u{1}{{{".into()),
+    ]
+}
+
+/// Returns values of a sound entry with an unknown field that is odd.
+fn odd_fields(sound: &Value) -> Vec<(&'static str, String)> {
+    let sound = sound.to_string();
+    let insert = |field: &str| sound.replacen('{', &format!("{{\"x\":{field},"), 1);
+    let objects = format!("{}1{}", "{\"x\":".repeat(DEPTH), "}".repeat(DEPTH));
+    vec![
+        ("unknown_nested", insert(&objects)),
+        ("unknown_too_large", insert("1e999999")),
+        ("unknown_not_text", insert("\"\\ud800\"")),
+    ]
+}
+
 /// Waits until every entry VM has logged a kind of line on a replica.
 async fn wait_logged(site: &SiteCluster, case: &str, kind: &str, id: &str) {
     for index in 0..site.entries.len() {
@@ -169,6 +222,33 @@
     check_started_again(&mut site).await;
 }
 
+/// Guards against requests that are refused or sent in vain for entries that name no usable replica,
+/// and against a sound replica that is not used for an odd field that nobody reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_values_name_no_replica() {
+    let mut site = SiteCluster::start(&[SiteRegion::new("north", 2, 2)], SHAPE).await;
+    let key = "servers/i-north-1";
+    let sound = site.store.read(key).expect("the replica has an entry");
+    let sound: Value = serde_json::from_str(&sound).expect("an entry is JSON");
+    for (case, value) in odd_fields(&sound) {
+        site.store.write(key, &value);
+        check_followed(&mut site, case).await;
+    }
+    for (case, value) in odd_values(&sound) {
+        site.store.write(&format!("servers/odd-{case}"), &value);
+        check_followed(&mut site, case).await;
+    }
+    check_started_again(&mut site).await;
+    site.store.write(key, &odd_values(&sound)[0].1);
+    wait_logged(&site, "under_a_sound_id", "replica-entry-gone", "i-north-1").await;
+    check_serving(&mut site, "under_a_sound_id").await;
+    let sent = site.sending_nodes().into_keys();
+    let odd: Vec<_> = sent
+        .filter(|(_, replica)| replica.starts_with("odd-"))
+        .collect();
+    assert!(odd.is_empty(), "sent to odd entries: {odd:?}");
+}
+
 /// Guards against the same for what operators write; an evacuation is requested by its key alone.
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_follow_operators_past_odd_items() {
