Saturate sums of slots and requests that other programs state

What callers saw: nothing; found by reading beside the odd entries. A replica that states running requests, another node that reports as many, or forwarded entries with as many slots overflow a 32-bit sum: a panic of the connection's task where overflows are checked, a wrapped sum otherwise (a replica that looks idle, retry times that are not staggered).

Evidence: earliest_retry_of_countless_slots and total_work_of_countless_requests panicked on the code before with "attempt to add with overflow" (earliest_retry.rs:47, replica_state.rs:152).

Why it works: the sums saturate, as those of tokens did already; the same is done for the running requests of a region.

--- a/crates/zinniahatch_route/src/earliest_retry.rs
+++ b/crates/zinniahatch_route/src/earliest_retry.rs
@@ -28,7 +28,7 @@
     now: Instant,
 ) -> Option<EarliestRetry> {
     let mut first: Option<(Duration, SendRefusal)> = None;
-    let mut slots = 0;
+    let mut slots: u32 = 0;
     for state in table.rows() {
         let eligible = is_eligible(table, regions, query.service, query.region, state, now);
         if !eligible || !query.allows_version(state) {
@@ -44,7 +44,7 @@
         if after.is_zero() {
             return None;
         }
-        slots += state.entry.slots;
+        slots = slots.saturating_add(state.entry.slots);
         let reason = if backoff >= limit {
             SendRefusal::Resting
         } else {
--- a/crates/zinniahatch_route/src/in_flight_work.rs
+++ b/crates/zinniahatch_route/src/in_flight_work.rs
@@ -50,8 +50,8 @@
     }
 
     pub(crate) fn add_requests(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.urgent_requests += other.urgent_requests;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.urgent_requests = self.urgent_requests.saturating_add(other.urgent_requests);
     }
 
     pub(crate) fn subtract_requests(&mut self, other: Self) {
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -461,7 +461,7 @@
 ) -> ServiceCapacity {
     let model = table.model_of(service);
     let mut waits = Vec::new();
-    let mut running = 0;
+    let mut running: u32 = 0;
     for state in table.rows() {
         // The capacity of a rate-limited replica is for callers of its own region, and a replica in
         // backoff accepts nothing.
@@ -474,7 +474,7 @@
             continue;
         }
         let work = state.total_work(now);
-        running += work.requests;
+        running = running.saturating_add(work.requests);
         let slots = f64::from(state.entry.slots.max(1));
         let wait = model.queue_time(work.tokens, false)
             + expected_slot_wait(f64::from(work.requests), slots, model.slot_time());
--- a/crates/zinniahatch_route/src/replica_state.rs
+++ b/crates/zinniahatch_route/src/replica_state.rs
@@ -149,7 +149,7 @@
         if let Some((running, waiting, at)) = self.reported_load
             && now.saturating_duration_since(at) <= REPORT_TIME
         {
-            sum.requests = sum.requests.max(running + waiting);
+            sum.requests = sum.requests.max(running.saturating_add(waiting));
         }
         sum
     }
--- a/crates/zinniahatch_route/tests/earliest_retry.rs
+++ b/crates/zinniahatch_route/tests/earliest_retry.rs
@@ -8,6 +8,7 @@
 use test_case::test_case;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::BackoffNotice;
+use zinniahatch_route::EarliestRetry;
 use zinniahatch_route::PlacementQuery;
 use zinniahatch_route::ReceivedNotice;
 use zinniahatch_route::ReplicaEntry;
@@ -55,7 +56,12 @@
 #[test_case(&[], None; "none_there")]
 fn earliest_retry_of_region(backoffs: &[Option<u64>], expected: Option<(SendRefusal, u64)>) {
     let now = Instant::now();
-    let table = table(backoffs, now);
+    let found = find(&table(backoffs, now), now);
+    let found = found.map(|earliest| (earliest.reason, earliest.after.as_secs()));
+    assert_eq!(found, expected);
+}
+
+fn find(table: &ReplicaTable, now: Instant) -> Option<EarliestRetry> {
     let (size, tried, peers) = (prompt(1, 1), BTreeSet::new(), BTreeSet::new());
     let query = PlacementQuery {
         service: &"s".into(),
@@ -72,9 +78,20 @@
         node: "n",
         peers: &peers,
     };
-    let found = earliest_retry(&table, &regions(), &query, now);
-    let found = found.map(|earliest| (earliest.reason, earliest.after.as_secs()));
-    assert_eq!(found, expected);
+    earliest_retry(table, &regions(), &query, now)
+}
+
+/// Guards against a panic where entries forwarded by another node state more slots than a sum holds.
+#[test]
+fn earliest_retry_of_countless_slots() {
+    let now = Instant::now();
+    let mut table = table(&[Some(3), Some(2)], now);
+    for id in ["r0", "r1"] {
+        let mut entry = table.get(id).unwrap().entry.clone();
+        entry.slots = u32::MAX;
+        table.upsert(entry, now);
+    }
+    assert_eq!(find(&table, now).map(|found| found.slots), Some(u32::MAX));
 }
 
 /// Guards against callers who are all told to retry at the same time.
--- a/crates/zinniahatch_route/tests/replica_state.rs
+++ b/crates/zinniahatch_route/tests/replica_state.rs
@@ -297,3 +297,22 @@
     assert!(table.get("r1").unwrap().is_cold(later));
     assert!(!table.get("r1").unwrap().is_cold(warm));
 }
+
+/// Guards against a panic where replicas or other nodes report more work than a sum holds.
+#[test]
+fn total_work_of_countless_requests() {
+    let now = Instant::now();
+    let mut table = table(&["r1"], now);
+    let mut state = table.get("r1").unwrap().clone();
+    state.reported_load = Some((u32::MAX, 1, now));
+    assert_eq!(state.total_work(now).requests, u32::MAX);
+    let work = InFlightWork {
+        requests: u32::MAX,
+        urgent_requests: u32::MAX,
+        ..InFlightWork::default()
+    };
+    state.peer_work.insert(1, (work, now));
+    state.peer_work.insert(2, (work, now));
+    assert_eq!(state.total_work(now).urgent_requests, u32::MAX);
+    table.tick(now);
+}
