Count replicas of a data centre that is back in use as cold until they say otherwise

What callers saw: requests cut off or failed when a data centre was taken back after an evacuation. Replicas that had become cold meanwhile got up to 9 requests in a second (6.3 allowed) and ended with what ran there.

Cause: the entry of a replica is written when the replica changes, so that it shows warmth as of its revision. Nodes took it for now, and heard of the end of the evacuation before the entries that said that the replicas were cold. Ruled out from the logs: shares of the cold rate that add up to too much (`placed` says cold: false), an entry that was lost or ignored (none had come).

Mend: at the end of an evacuation, replicas whose entries are older count as not known to be warm. Within the limit of cold ones they get health checks alone, until a health answer, a later entry or 4 s show what they are. The log lines `evacuation` and `probe` say so.

--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -1,5 +1,5 @@
-//! Health probes of replicas under suspicion; others are not probed, since each probe costs the
-//! replica a request.
+//! Health probes of replicas under suspicion and of those that may be cold; others are not probed,
+//! since each probe costs the replica a request.
 
 use crate::core::EntryCore;
 use crate::replicas::notice::apply_probe_notice;
@@ -29,13 +29,13 @@
 /// Time limit of a probe; a health check takes a millisecond.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Probes suspected replicas until the process ends.
+/// Probes such replicas until the process ends.
 pub(crate) async fn run_probes(core: Rc<EntryCore>) {
     loop {
         sleep(PROBE_INTERVAL).await;
-        for (incarnation, path) in suspected_replicas(&core) {
+        for (incarnation, path) in unsure_replicas(&core) {
             // Probes need a reservation too, since every node with requests at a silent replica
-            // suspects it.
+            // suspects it, and a cold one takes few requests.
             let Ok(reservation) = reserve_send(&core, &incarnation.id, Instant::now()) else {
                 continue;
             };
@@ -47,12 +47,13 @@
     }
 }
 
-fn suspected_replicas(core: &EntryCore) -> Vec<(ReplicaIncarnation, Box<str>)> {
+fn unsure_replicas(core: &EntryCore) -> Vec<(ReplicaIncarnation, Box<str>)> {
     let now = Instant::now();
     let replicas = core.replicas.borrow();
     replicas
         .rows()
-        .filter(|state| state.leaving.is_none() && state.health.is_suspect(now))
+        .filter(|state| state.leaving.is_none())
+        .filter(|state| state.health.is_suspect(now) || state.doubts_warmth(now))
         .filter(|state| {
             core.settings.regions.get(&state.entry.data_centre) == Some(&core.settings.region)
         })
@@ -104,8 +105,10 @@
     let sent = Instant::now();
     let response = timeout(PROBE_TIMEOUT, send_probe(&core, reservation, &path)).await;
     let alive = matches!(response, Ok(Ok(_)));
+    let mut is_warm = false;
     if let Ok(Ok(head)) = &response {
         apply_probe_notice(&core, &incarnation, head, sent);
+        is_warm = names_no_cold_time(&incarnation, head);
     }
     let now = Instant::now();
     let mut replicas = core.replicas.borrow_mut();
@@ -113,12 +116,18 @@
         Err(_) | Ok(Err(ConnectionError::Connect(_))) => {
             replicas.note_unanswered_probe(&incarnation, sent, now);
         }
-        Ok(result) => replicas.note_probe(&incarnation, result.is_ok(), now),
+        Ok(result) => {
+            replicas.note_probe(&incarnation, result.is_ok(), now);
+            if is_warm {
+                replicas.note_warm(&incarnation, sent);
+            }
+        }
     }
     drop(replicas);
     core.log.write(
         "probe",
-        serde_json::json!({"replica": incarnation.id, "born_ms": incarnation.started_ms, "sound": alive})
+        serde_json::json!({"replica": incarnation.id, "born_ms": incarnation.started_ms,
+            "sound": alive, "warm": is_warm}),
     );
     alive
 }
@@ -154,6 +163,15 @@
     Ok(head.parsed_headers.replica)
 }
 
+/// Returns whether a response to a health check comes from a replica incarnation that is warm.
+fn names_no_cold_time(incarnation: &ReplicaIncarnation, head: &ResponseHead) -> bool {
+    let parsed = &head.parsed_headers;
+    let cold_for = parsed.notice.cold_for.unwrap_or_default();
+    head.status.is_success()
+        && parsed.replica.as_ref() == Some(&incarnation.id)
+        && cold_for.is_zero()
+}
+
 /// Sends a probe to a replica and returns the head of the response.
 async fn send_probe(
     core: &EntryCore,
--- a/crates/zinniahatch_entry/src/store/updates.rs
+++ b/crates/zinniahatch_entry/src/store/updates.rs
@@ -285,7 +285,12 @@
     let changed = replicas.set_evacuated(evacuated, revision, Instant::now());
     drop(replicas);
     for data_centre in changed {
-        log_evacuation(core, &data_centre, evacuated.contains(&data_centre));
+        note_evacuation_change(
+            core,
+            &data_centre,
+            evacuated.contains(&data_centre),
+            revision,
+        );
     }
 }
 
@@ -312,14 +317,30 @@
     let changed = replicas.note_evacuation(data_centre, on, revision);
     drop(replicas);
     if changed {
-        log_evacuation(core, data_centre, on);
+        note_evacuation_change(core, data_centre, on, revision);
     }
 }
 
-fn log_evacuation(core: &EntryCore, data_centre: &DataCentreId, on: bool) {
+/// Logs an evacuation that began or ended; after its end the replicas may be cold.
+fn note_evacuation_change(
+    core: &EntryCore,
+    data_centre: &DataCentreId,
+    on: bool,
+    revision: StoreRevision,
+) {
+    let mut doubted = 0;
+    if !on {
+        let warms_up = |service: &ServiceId| {
+            let service = core.service(service);
+            service.is_some_and(|service| service.cold_rate > 0.0)
+        };
+        let mut replicas = core.replicas.borrow_mut();
+        doubted = replicas.doubt_warmth(data_centre, warms_up, revision, Instant::now());
+    }
     core.log.write(
         "evacuation",
-        serde_json::json!({"data_centre": data_centre, "on": on}),
+        serde_json::json!({"data_centre": data_centre, "on": on, "revision": revision,
+            "doubted": doubted}),
     );
 }
 
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -116,6 +116,8 @@
 
 #[derive(Debug, Default)]
 struct FakeReplicaState {
+    /// Until when it is cold.
+    cold_until: Option<Instant>,
     behaviour: ReplicaBehaviour,
     /// Version of its software, if its events name it.
     version: Option<Box<str>>,
@@ -226,6 +228,11 @@
             .record_limit(rate, Instant::now());
     }
 
+    /// Says in its health responses that it is cold for the time `left`; its entry does not change.
+    pub fn set_cold(&self, left: Duration) {
+        lock(&self.state).cold_until = Some(Instant::now() + left);
+    }
+
     /// Announces in every response from now on that it is leaving.
     pub fn announce_leaving(&self) {
         lock(&self.state).leaving = true;
@@ -347,8 +354,9 @@
             .record_arrival(Instant::now());
         if &*request.content.path == "/health" {
             let head = format!(
-                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n{}{}Content-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n{}{}{}Content-Length: 0\r\n\r\n",
                 self.id,
+                self.cold_line(),
                 self.limit_line(),
                 self.leaving_line("")
             );
@@ -416,6 +424,15 @@
         }
     }
 
+    /// Returns the header line that says for how long it is cold; empty if it is warm.
+    fn cold_line(&self) -> String {
+        let left = lock(&self.state).cold_until;
+        let left = left.map(|until| until.saturating_duration_since(Instant::now()));
+        left.filter(|left| !left.is_zero())
+            .map(|left| format!("X-Cold-Remaining: {}\r\n", left.as_millis()))
+            .unwrap_or_default()
+    }
+
     /// Returns the header line that announces the rate limit; empty if there is none.
     fn limit_line(&self) -> String {
         let rate = lock(&self.state).observations.limits.rate();
--- a/crates/zinniahatch_lab/tests/cold_replica.rs
+++ b/crates/zinniahatch_lab/tests/cold_replica.rs
@@ -1,8 +1,10 @@
 //! Tests of cold replicas, with real entry VMs.
 
 use futures_util::future::join_all;
+use serde_json::Value;
 use std::time::Duration;
 use std::time::Instant;
+use test_case::test_case;
 use tokio::time::sleep;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
@@ -49,3 +51,55 @@
     };
     assert!(most <= MAX_REQUESTS, "{most} requests in a second");
 }
+
+/// Guards against the whole load of a data centre at replicas that became cold during its evacuation,
+/// before their entries say so.
+#[test_case(true; "cold")]
+#[test_case(false; "warm")]
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_that_is_back_in_use(cold: bool) {
+    const CALLS: usize = 40;
+    let site = SiteCluster::start(&[SiteRegion::new("north", 2, 1)], SHAPE).await;
+    let mut state = site.desired_state(2);
+    state["services"][0]["warmup_s"] = Value::from(3);
+    state["services"][0]["cold_per_s"] = Value::from(MAX_REQUESTS);
+    site.write_desired_state(&state);
+    site.store.write("op/evacuate/north-a", "{}");
+    for node in 0..2 {
+        wait_until("the data centre is evacuated", async || {
+            let log = site.log(node);
+            log.contains("\"to\":2") && log.contains("\"on\":true")
+        })
+        .await;
+    }
+    let replica = &site.replicas[0].0;
+    if cold {
+        replica.set_cold(Duration::from_secs(60));
+    }
+    site.store.remove("op/evacuate/north-a");
+    for node in 0..2 {
+        wait_until("the data centre is back in use", async || {
+            site.log(node).contains("\"on\":false")
+        })
+        .await;
+    }
+    let from = Instant::now();
+    let mut answered = 0;
+    let mut round = 0;
+    while answered < CALLS && !(cold && from.elapsed() > Duration::from_secs(6)) {
+        round += 1;
+        let calls = (0..2).map(|node| {
+            let request = site.request(node, "/plain/look", &format!("look-{round}-{node}"));
+            request.send()
+        });
+        for response in join_all(calls).await {
+            let response = response.expect("the node answers");
+            answered += usize::from(response.status().is_success());
+        }
+    }
+    let limits = replica.observations().limits;
+    let most = limits.max_within(Duration::from_secs(1), from);
+    if cold {
+        assert!(most <= MAX_REQUESTS, "{most} requests in a second");
+    }
+}
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -174,6 +174,7 @@
 pub use replica_notice::ReplicaNotice;
 pub use replica_state::LeaveReason;
 pub use replica_state::ReplicaState;
+pub use replica_state::WarmthDoubt;
 pub use replica_table::EntryChange;
 pub use replica_table::RESTORE_HOLD;
 pub use replica_table::ReplicaTable;
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -302,6 +302,7 @@
         && state.leaving.is_none()
         && !table.evacuated().contains(&entry.data_centre)
         && !state.health.is_suspect(now)
+        && !state.doubts_warmth(now)
 }
 
 /// Returns the replicas that may get the request among those of the group of `key`, or of the next
--- a/crates/zinniahatch_route/src/replica_state.rs
+++ b/crates/zinniahatch_route/src/replica_state.rs
@@ -18,6 +18,19 @@
 /// Weight of a new observation in the slowness of a replica; about the last ten count.
 const SLOWNESS_GAIN: f64 = 0.1;
 
+/// Time after which a replica whose warmth was doubted is warm unless its entry says otherwise: it
+/// writes its entry within about a second of a change, and every node reads that within 2.5 s.
+const MAX_DOUBT: Duration = Duration::from_secs(4);
+
+/// When a replica may have become cold without having said so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WarmthDoubt {
+    /// Revision of the store; entries written later say how long the replica is cold.
+    pub revision: StoreRevision,
+    /// When this node learned of it.
+    pub since: Instant,
+}
+
 /// Why a replica gets no new work for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaveReason {
@@ -42,6 +55,8 @@
     pub origin: StreamOrigin,
     /// When it stops being cold.
     pub cold_until: Option<Instant>,
+    /// When it may have become cold without having said so since.
+    pub warmth_doubt: Option<WarmthDoubt>,
     /// Why it gets no new work.
     pub leaving: Option<LeaveReason>,
     /// When it terminates, if it leaves at short notice.
@@ -78,6 +93,7 @@
             version: None,
             origin: StreamOrigin::new(&entry.service, None),
             cold_until: None,
+            warmth_doubt: None,
             leaving: None,
             terminates_at: None,
             missing_since: None,
@@ -119,6 +135,9 @@
         } else if self.leaving == Some(LeaveReason::EntryGone) {
             self.leaving = None;
         }
+        self.warmth_doubt = self
+            .warmth_doubt
+            .filter(|doubt| entry.revision <= doubt.revision);
         let counted = known && self.cold_until.is_some();
         if !entry.cold_for.is_zero() && !counted {
             self.cold_until = Some(now + entry.cold_for);
@@ -131,9 +150,16 @@
         self.in_flight_requests.contains_key(&ticket)
     }
 
-    /// Returns whether the replica is cold.
+    /// Returns whether the replica is cold, or may be.
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.is_some_and(|until| now < until)
+        self.cold_until.is_some_and(|until| now < until) || self.doubts_warmth(now)
+    }
+
+    /// Returns whether the replica may have become cold and has not said since whether it is. Until
+    /// then it gets only health checks.
+    pub fn doubts_warmth(&self, now: Instant) -> bool {
+        self.warmth_doubt
+            .is_some_and(|doubt| now.saturating_duration_since(doubt.since) < MAX_DOUBT)
     }
 
     /// Returns the in-flight work of all nodes at the replica.
--- a/crates/zinniahatch_route/src/replica_table.rs
+++ b/crates/zinniahatch_route/src/replica_table.rs
@@ -11,6 +11,7 @@
 use crate::ReplicaIncarnation;
 use crate::ReplicaState;
 use crate::StreamModel;
+use crate::WarmthDoubt;
 use crate::placement_index::PlacementIndex;
 use crate::prompt::rendezvous_score;
 use crate::work_sync::WorkSync;
@@ -352,6 +353,42 @@
         }
     }
 
+    /// Doubts the warmth of the replicas of a data centre that is back in use as of a revision of the
+    /// store, for the services that have a warm-up; returns their number.
+    ///
+    /// Replicas without work may become cold. The entry that says so may reach a node after the end of
+    /// the evacuation does.
+    pub fn doubt_warmth(
+        &mut self,
+        data_centre: &DataCentreId,
+        warms_up: impl Fn(&ServiceId) -> bool,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> usize {
+        let mut doubted = 0;
+        for state in self.rows.values_mut() {
+            let entry = &state.entry;
+            let is_told = entry.revision > revision;
+            if is_told || entry.data_centre != *data_centre || !warms_up(&entry.service) {
+                continue;
+            }
+            state.warmth_doubt = Some(WarmthDoubt {
+                revision,
+                since: now,
+            });
+            doubted += 1;
+        }
+        doubted
+    }
+
+    /// Records that a replica incarnation named no time for which it is cold in the response to a
+    /// health check that was sent at `sent`.
+    pub fn note_warm(&mut self, incarnation: &ReplicaIncarnation, sent: Instant) {
+        if let Some(state) = self.incarnation_mut(incarnation) {
+            state.warmth_doubt = state.warmth_doubt.filter(|doubt| doubt.since > sent);
+        }
+    }
+
     /// Returns the evacuated data centres.
     pub fn evacuated(&self) -> &BTreeSet<DataCentreId> {
         &self.evacuated
