Notice a task that panics at nodes of the first interface too

The same cause as at entry VMs: ten tasks of the daemon and its receiver of frames were spawned and their handles dropped, so that a panic in one left the node without it and only a trace on standard error. Panics are logged and counted by task (`task_panics_total`).

No test of its own: no input is known that makes a task of the daemon panic.

--- a/crates/zinniahatch_daemon/src/lib.rs
+++ b/crates/zinniahatch_daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod run;
 mod shutdown;
+mod tasks;
 mod ticks;
 mod transport;
 mod watch;
--- a/crates/zinniahatch_daemon/src/run.rs
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -9,6 +9,7 @@
 use crate::logging;
 use crate::orders;
 use crate::shutdown;
+use crate::tasks::spawn_restarted;
 use crate::ticks;
 use crate::transport;
 use crate::transport::PeerTransport;
@@ -120,20 +121,26 @@
         sockets.frames,
     ));
     let merger = Arc::new(CountMerger::default());
-    tokio::spawn(ticks::run(
-        Arc::clone(&core),
-        PeerTransport::new(codec),
-        Arc::clone(&merger),
-    ));
-    tokio::spawn(directory::run_directory(Arc::clone(&core)));
-    tokio::spawn(watch::start_serving(Arc::clone(&core)));
-    tokio::spawn(watch::run(Arc::clone(&core)));
-    tokio::spawn(directory::run_vm_list(Arc::clone(&core)));
-    tokio::spawn(load_polls::run(Arc::clone(&core)));
-    tokio::spawn(orders::run(Arc::clone(&core)));
-    tokio::spawn(counts::run_sealing(Arc::clone(&core), Arc::clone(&merger)));
-    tokio::spawn(counts::run_merging(Arc::clone(&core), Arc::clone(&merger)));
-    tokio::spawn(counts::run_retention(Arc::clone(&core)));
+    let counts_merger = Arc::clone(&merger);
+    spawn_restarted(&core, "ticks", move |core| {
+        let transport = PeerTransport::new(codec.clone());
+        ticks::run(core, transport, Arc::clone(&counts_merger))
+    });
+    spawn_restarted(&core, "directory", directory::run_directory);
+    spawn_restarted(&core, "start-serving", watch::start_serving);
+    spawn_restarted(&core, "watch", watch::run);
+    spawn_restarted(&core, "vm-list", directory::run_vm_list);
+    spawn_restarted(&core, "load-polls", load_polls::run);
+    spawn_restarted(&core, "orders", orders::run);
+    let counts_merger = Arc::clone(&merger);
+    spawn_restarted(&core, "sealing", move |core| {
+        counts::run_sealing(core, Arc::clone(&counts_merger))
+    });
+    let counts_merger = Arc::clone(&merger);
+    spawn_restarted(&core, "merging", move |core| {
+        counts::run_merging(core, Arc::clone(&counts_merger))
+    });
+    spawn_restarted(&core, "retention", counts::run_retention);
     // The request path has its own limits for slow senders; those of the server would be checked for
     // every streamed event.
     let mut server = Server::new(sockets.acceptor).disable_fuse();
--- a/crates/zinniahatch_daemon/src/transport.rs
+++ b/crates/zinniahatch_daemon/src/transport.rs
@@ -3,6 +3,7 @@
 //! The pipeline protocol fits, since every message is one-way and may be lost: its content is sent
 //! again later. nng's request protocol, which retransmits by itself, is not used.
 
+use crate::tasks::report_panic;
 use anng::Message;
 use anng::Socket;
 use anng::protocols::pipeline0::Pull0;
@@ -15,6 +16,7 @@
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
 use zinniahatch_control::OutboundFrame;
+use zinniahatch_entry::catch_panic;
 use zinniahatch_gateway::GatewayCore;
 use zinniahatch_protocol::FrameCodec;
 
@@ -106,7 +108,12 @@
 pub(crate) async fn receive(core: Arc<GatewayCore>, codec: FrameCodec, mut socket: Socket<Pull0>) {
     loop {
         match socket.pull().await {
-            Ok(message) => receive_frame(&core, &codec, message.as_slice()),
+            Ok(message) => {
+                let receiving = async { receive_frame(&core, &codec, message.as_slice()) };
+                if let Err(panic) = catch_panic("frames", receiving).await {
+                    report_panic(&core, &panic);
+                }
+            }
             Err(_) => sleep(RETRY_PAUSE).await,
         }
     }
--- a/crates/zinniahatch_gateway/src/counters.rs
+++ b/crates/zinniahatch_gateway/src/counters.rs
@@ -38,6 +38,8 @@
     pub frame_bytes: IntCounterVec,
     /// Tries to open the listen addresses that failed at the start.
     pub listen_retries: IntCounter,
+    /// Tasks that panicked, by task.
+    pub task_panics: IntCounterVec,
     /// Connections to nodes that were reopened.
     pub redials: IntCounter,
     /// Configuration changes requested at this node, by verdict.
@@ -170,6 +172,12 @@
                 "listen_retries_total",
                 "Tries to open the listen addresses that failed at the start.",
             ),
+            task_panics: register_counter_vec(
+                &registry,
+                "task_panics_total",
+                "Tasks that panicked, by task.",
+                &["task"],
+            ),
             redials: register_counter(
                 &registry,
                 "redials_total",
