Answer a request whose handling panics

A caller whose request had been read, and perhaps passed on, got no answer where its handling panicked: the panic ended the task of its connection. Found by review, by reading; no panic of the code is known. The panic is now caught around the handling of one request, counted and logged, and the caller gets 502 with the result code that says that the outcome is not known. No test of its own: nothing that a test can send makes the handling panic.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -313,7 +313,8 @@
         });
     }
 
-    fn report_panic(&self, panic: &TaskPanic) {
+    /// Counts and logs the panic of a task.
+    pub(crate) fn report_panic(&self, panic: &TaskPanic) {
         self.metrics.process.note_task_panic(panic.task);
         self.log.write(
             "task-panicked",
--- a/crates/zinniahatch_entry/src/listeners/connection.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection.rs
@@ -12,6 +12,7 @@
 use crate::request::ingress::request_limits;
 use crate::request::response_body::ResponseBody;
 use crate::request::response_body::TruncatedBody;
+use crate::supervisor::catch_panic;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -175,7 +176,15 @@
     record: Rc<ConnectionRecord>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let mut response = respond(Rc::clone(&core), kind, request).await;
+    // A caller whose request was read gets an answer, also where handling it panics.
+    let responding = Box::pin(respond(Rc::clone(&core), kind, request));
+    let mut response = match catch_panic("request", responding).await {
+        Ok(response) => response,
+        Err(panic) => {
+            core.report_panic(&panic);
+            gateway_response(ResultCode::OutcomeUnknown, None, None)
+        }
+    };
     let headers = response.headers_mut();
     let ListenerKind::Calls(source) = kind else {
         return Ok(response.map(|body| AnswerBody::new(body, record)));
