Close the listeners of a stopping process also while it accepts nothing

By review, by reading: while accepting failed for want of descriptors, the phase was not looked at, so that the listener stayed open, and a connection that was aborted in the queue left those behind it to be reset. The phase goes first now, and an aborted connection is passed over.

--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -71,9 +71,9 @@
     loop {
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
             _ = phases.wait_for(|phase| *phase >= StopPhase::Disconnecting),
                 if matches!(duty, ListenerKind::Calls(_)) => break,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -104,6 +104,7 @@
         let stream = match listener.accept() {
             Ok((stream, _)) => stream,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
             Err(error) => return Err(error),
         };
         stream.set_nonblocking(true)?;
