--- a/crates/zinniahatch_route/src/replica_state.rs
+++ b/crates/zinniahatch_route/src/replica_state.rs
@@ -130,7 +130,7 @@
         if entry.leaving {
             self.leaving = Some(LeaveReason::Draining);
             if !known || self.terminates_at.is_none() {
-                self.terminates_at = entry.gone_in.map(|left| now + left);
+                self.terminates_at = entry.gone_in.and_then(|left| now.checked_add(left));
             }
         } else if self.leaving == Some(LeaveReason::EntryGone) {
             self.leaving = None;
@@ -140,7 +140,7 @@
             .filter(|doubt| entry.revision <= doubt.revision);
         let counted = known && self.cold_until.is_some();
         if !entry.cold_for.is_zero() && !counted {
-            self.cold_until = Some(now + entry.cold_for);
+            self.cold_until = now.checked_add(entry.cold_for);
         }
         self.entry = entry;
     }
