Keep versions for as long as a stream may be taken up

By review, by reading: versions were kept for the timeout of the longest route, while what began a stream is remembered for up to twice the timeout and 5 s. A caller that came back in between, after all nodes had ended, would have found a record without the version that began its stream. One function says both now.

--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -31,10 +31,7 @@
 use zinniahatch_route::SURVIVAL_TIME;
 use zinniahatch_route::StreamFailover;
 use zinniahatch_route::StreamOrigin;
-
-/// Time for which a stream may be taken up after its caller's time is over, for the clocks and
-/// connections between them.
-const TAKE_UP_SLACK: Duration = Duration::from_secs(5);
+use zinniahatch_route::take_up_time;
 
 /// A stream being forwarded to its caller.
 pub(crate) struct StreamRelay {
@@ -353,9 +350,8 @@
         if !request.is_direct() || !began.is_known() {
             return;
         }
-        let timeout = plan.route.timeout;
-        let longest = request.time_left.unwrap_or(timeout * 2).max(timeout);
-        let until = request.arrived + longest + TAKE_UP_SLACK;
+        let stated = request.time_left.unwrap_or_default();
+        let until = request.arrived + take_up_time(plan.route.timeout).max(stated);
         note_begun(core, request.stream(), began, until, plan.route.is_split());
     }
 
--- a/crates/zinniahatch_route/src/lib.rs
+++ b/crates/zinniahatch_route/src/lib.rs
@@ -116,6 +116,7 @@
 pub use key_freshness::KeyFreshness;
 pub use listen_wait::ListenWait;
 pub use longest_stream::LongestStream;
+pub use longest_stream::take_up_time;
 pub use members::DISCOVERY_TIME;
 pub use members::MemberInfo;
 pub use members::MemberStage;
--- a/crates/zinniahatch_route/src/longest_stream.rs
+++ b/crates/zinniahatch_route/src/longest_stream.rs
@@ -2,6 +2,15 @@
 
 use zinniahatch_base::prelude::*;
 
+/// Time that a caller may take to notice that its stream has broken off.
+const TAKE_UP_SLACK: Duration = Duration::from_secs(5);
+
+/// Returns for how long after its arrival a stream of a route with this timeout may be taken up. A caller
+/// may begin it again when the route's time has run out.
+pub fn take_up_time(timeout: Duration) -> Duration {
+    timeout.saturating_mul(2).saturating_add(TAKE_UP_SLACK)
+}
+
 /// A limit on the time of streams.
 #[derive(Clone, Copy, Debug)]
 struct StreamLimit {
--- a/crates/zinniahatch_route/src/route_table.rs
+++ b/crates/zinniahatch_route/src/route_table.rs
@@ -2,6 +2,7 @@
 
 use crate::DesiredRoute;
 use crate::DesiredState;
+use crate::longest_stream::take_up_time;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
 
@@ -28,12 +29,12 @@
         }
     }
 
-    /// Returns the longest time that a stream of a resumable route may take.
+    /// Returns the longest time for which a stream of a resumable route may be taken up.
     pub fn longest_resumable(&self) -> Duration {
         let routes = self.hosts.values().flat_map(BTreeMap::values);
         let resumable = routes.filter(|route| route.resumable);
         resumable
-            .map(|route| route.timeout)
+            .map(|route| take_up_time(route.timeout))
             .max()
             .unwrap_or_default()
     }
