Shorten the records of versions in regions whose writer relies on store readers

By review, by reading: a version was removed once the writer itself had read the store up to a later revision. In a region of four or more nodes, the writer mostly leaves reading to others, so that its record would never shrink. Streams that a node did not know were refused with 235 as long as the record showed two versions, and no node had been told of them, since the nodes themselves saw one.

What the writer has from the readers of its region counts now. Nodes go on to see a version that has left for 20 s longer, and learn from the heartbeats of other regions what their records name, so that they tell others of their streams for as long as the record shows several versions. An item under the key of the record that cannot be decoded is written over.

version_that_left_shows_for_as_long_as_its_record fails without the longer time; no run with processes shows the writer in a large region.

--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -363,11 +363,13 @@
         return Some(parts);
     };
     member.store_progress = progress;
-    if let Ok((era, recorded)) = postcard::from_bytes::<(u64, BTreeSet<StreamOrigin>)>(rest)
-        && member.region == core.settings.region
-    {
-        versions.note_recorded(era, recorded.into_iter());
-        core.record_learned.notify_waiters();
+    if let Ok((era, recorded)) = postcard::from_bytes::<(u64, BTreeSet<StreamOrigin>)>(rest) {
+        if member.region == core.settings.region {
+            versions.note_recorded(era, recorded.into_iter());
+            core.record_learned.notify_waiters();
+        } else {
+            versions.apply_recorded(&member.region, recorded.into_iter(), Instant::now());
+        }
     }
     Some(parts)
 }
--- a/crates/zinniahatch_entry/src/store/version_keys.rs
+++ b/crates/zinniahatch_entry/src/store/version_keys.rs
@@ -7,8 +7,10 @@
 
 use crate::core::EntryCore;
 use crate::nodes::roles::holds_role;
+use crate::store::updates::reject_items;
 use crate::store::updates::reject_value;
 use crate::store::watch::wait_for_store;
+use crate::store::watch_topic::WatchTopic;
 use std::rc::Rc;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -131,7 +133,9 @@
 
     /// Returns whether the replicas are known up to the revision at which versions may be removed.
     fn is_confirmed(&self, core: &EntryCore) -> bool {
-        let reached = core.replicas_revision.get();
+        // A node that relies on the store readers of its region reads nothing itself.
+        let covered = core.covered(WatchTopic::Replicas);
+        let reached = core.replicas_revision.get().max(covered);
         let wanted = self.to_remove.as_ref().map(|(wanted, _)| *wanted);
         wanted.is_some_and(|wanted| reached.is_some_and(|reached| reached >= wanted))
     }
@@ -157,7 +161,11 @@
             serde_json::json!({"record": stored, "revision": listing.revision}),
         );
         let now = Instant::now();
-        let is_first = item.is_none();
+        let undecoded = listing.rejected.iter();
+        let mut undecoded = undecoded.filter(|item| item.key.as_deref() == Some(&*key));
+        let undecoded = undecoded.next();
+        reject_items(core, &listing.rejected);
+        let is_first = item.is_none() && undecoded.is_none();
         let (wanted, removed) = {
             let mut versions = core.versions.borrow_mut();
             versions.note_era(era);
@@ -192,7 +200,9 @@
         if !writes || keep.is_none() {
             return Ok(());
         }
-        let revision = item.map(|item| item.revision).unwrap_or_default();
+        let written_at = item.map(|item| item.revision);
+        let written_at = written_at.or(undecoded.map(|item| item.revision));
+        let revision = written_at.unwrap_or_default();
         if write_record(core, &wanted, revision).await? == CommitOutcome::Conflict {
             self.known = None;
             return Ok(());
--- a/crates/zinniahatch_route/src/version_table.rs
+++ b/crates/zinniahatch_route/src/version_table.rs
@@ -11,6 +11,9 @@
 /// Time after which a new version counts as known in all regions: until then an older report may
 /// stand, or the node that reports may not have learned of it.
 const ANNOUNCE_TIME: Duration = Duration::from_secs(3);
+/// Time for which the record in the store may name a version longer than it may have begun a stream. Nodes
+/// go on to tell others what they began meanwhile, since the record shows several versions.
+const RECORD_LAG: Duration = Duration::from_secs(20);
 
 domain! {
     /// Replicas of one software version of a service in a region.
@@ -122,8 +125,9 @@
         }
         let is_new = self.own.len() > known;
         if let Some(keep) = keep {
+            let limit = keep.saturating_add(RECORD_LAG);
             self.own
-                .retain(|_, version| now.saturating_duration_since(version.last_seen) <= keep);
+                .retain(|_, version| now.saturating_duration_since(version.last_seen) <= limit);
         }
         let own = &self.own;
         self.recorded.retain(|origin| own.contains_key(origin));
@@ -199,7 +203,8 @@
             return found;
         };
         for (origin, since) in &self.read_since {
-            if now.saturating_duration_since(*since) >= keep && !self.own.contains_key(origin) {
+            let has_served = self.has_served(*origin, Some(keep), now);
+            if now.saturating_duration_since(*since) >= keep && !has_served {
                 found.insert(*origin);
             }
         }
@@ -223,10 +228,22 @@
             complete: era == 0,
         });
         record.complete |= self.has_followed(keep, now);
-        record.versions.extend(self.own.keys());
+        let own = self.own.keys().copied();
+        let served = own.filter(|origin| self.has_served(*origin, keep, now));
+        record.versions.extend(served);
         record
     }
 
+    /// Returns whether a version has served in the own region within the longest time of a stream, as far
+    /// as this node has seen.
+    fn has_served(&self, origin: StreamOrigin, keep: Option<Duration>, now: Instant) -> bool {
+        let version = self.own.get(&origin);
+        version.is_some_and(|version| {
+            let absent_for = now.saturating_duration_since(version.last_seen);
+            keep.is_none_or(|keep| absent_for <= keep)
+        })
+    }
+
     /// Returns the versions of a service that this node has first seen a short time ago, so that nodes
     /// of other regions may not have heard of them.
     pub fn unannounced(&self, service: ShortTag, now: Instant) -> BTreeSet<ShortTag> {
@@ -267,7 +284,9 @@
     /// Returns the report on the own region; `keep` is how long a stream may last. It is not complete
     /// while that is not known.
     pub fn report(&self, keep: Option<Duration>, now: Instant) -> VersionReport {
-        let versions = self.own.iter().map(|(origin, version)| VersionCount {
+        let own = self.own.iter();
+        let served = own.filter(|(origin, _)| self.has_served(**origin, keep, now));
+        let versions = served.map(|(origin, version)| VersionCount {
             origin: *origin,
             ready: version.ready,
         });
@@ -306,6 +325,20 @@
             .retain(|_, (_, at)| now.saturating_duration_since(*at) <= REPORT_TIME);
     }
 
+    /// Applies what a node of another region knows of the record of that region.
+    pub fn apply_recorded(
+        &mut self,
+        region: &RegionId,
+        origins: impl Iterator<Item = StreamOrigin>,
+        now: Instant,
+    ) {
+        let known = self.reports.entry(region.clone()).or_default();
+        for origin in origins {
+            let (_, at) = known.versions.entry(origin).or_insert((0, now));
+            *at = now;
+        }
+    }
+
     /// Returns what the nodes of a region have reported lately; `None` if that is nothing.
     fn recent(&self, region: &str, now: Instant) -> Option<VersionReport> {
         let known = self.reports.get(region)?;
--- a/crates/zinniahatch_route/tests/stream_versions.rs
+++ b/crates/zinniahatch_route/tests/stream_versions.rs
@@ -199,6 +199,32 @@
     assert!(versions.report(Some(KEEP), later).versions.is_empty());
 }
 
+/// Guards against streams that no other node is told of while the record still names a version that has
+/// left: whoever is asked for them sees several versions.
+#[test]
+fn version_that_left_shows_for_as_long_as_its_record() {
+    let start = Instant::now();
+    let mut replicas = ReplicaTable::default();
+    replicas.upsert(versioned("r1", Some("v1")), start);
+    replicas.upsert(versioned("r2", Some("v1.1")), start);
+    let mut versions = VersionTable::default();
+    versions.update(&replicas, true, Some(KEEP), start);
+    let mut left = ReplicaTable::default();
+    left.upsert(versioned("r2", Some("v1.1")), start);
+    let service = origin("v1").service;
+    let shows_after = |versions: &mut VersionTable, seconds| {
+        let now = start + KEEP + Duration::from_secs(seconds);
+        versions.update(&left, true, Some(KEEP), now);
+        versions.shows_several(service, now)
+    };
+    assert!(shows_after(&mut versions, 15));
+    assert!(!shows_after(&mut versions, 25));
+
+    let now = start + KEEP + Duration::from_secs(25);
+    versions.apply_recorded(&"west".into(), [origin("v1")].into_iter(), now);
+    assert!(versions.shows_several(service, now));
+}
+
 /// Guards against a record that a later one contradicts, and against one that outlives its stream.
 #[test]
 fn first_origin_of_a_stream_stands() {
