Await the end of an entry VM whose address is taken for good

The test awaited the end within 60 s. A process now waits for an address for its grace period and a minute, which is the design: what holds an address for a moment no longer ends it. The test asks for the same outcome as before, and besides that the process waits first.

--- a/crates/zinniahatch_lab/tests/addresses.rs
+++ b/crates/zinniahatch_lab/tests/addresses.rs
@@ -50,7 +50,7 @@
     cluster.wait_ready().await;
 }
 
-/// Guards against an entry VM that keeps running although one of its addresses is taken.
+/// Guards against an entry VM that keeps running although one of its addresses is taken for good.
 #[tokio::test(flavor = "multi_thread")]
 async fn taken_address_ends_an_entry_vm() {
     let shape = StreamShape {
@@ -61,6 +61,17 @@
     let address = site.entries[0].addresses[0].to_string();
     let _listener = TcpListener::bind(&address).unwrap();
     site.spawn(0);
+    wait_until("the entry VM waits for its address", async || {
+        site.log(0).contains("\"listen-retry\"")
+    })
+    .await;
+    assert_eq!(site.ended(0), None);
+    // It waits for the grace period and a minute, longer than a condition is awaited.
+    wait_until("the entry VM has tried for a while", async || {
+        site.log(0).matches("\"listen-retry\"").count() > 100
+    })
+    .await;
+    assert_eq!(site.ended(0), None);
     wait_until("the entry VM ends", async || site.ended(0).is_some()).await;
     assert_eq!(site.ended(0), Some(false));
 }
