Ask of a candidate whether a stream may begin at it, in place of a list of what to avoid

Each stream that may be taken up went through all replicas of the region to list the versions that are not recorded. The query names what may begin it now, which the record is, and only candidates are compared with it. Which replicas are chosen stays the same.

--- a/crates/zinniahatch_entry/src/request/placement.rs
+++ b/crates/zinniahatch_entry/src/request/placement.rs
@@ -22,6 +22,7 @@
 use zinniahatch_route::RemotePlacement;
 use zinniahatch_route::SendRefusal;
 use zinniahatch_route::ServingPreset;
+use zinniahatch_route::StreamOrigin;
 use zinniahatch_route::all_leaving;
 use zinniahatch_route::choose_local;
 use zinniahatch_route::choose_remote;
@@ -31,9 +32,6 @@
 /// Retry time given to callers when no replica is usable.
 pub(crate) const NO_BACKEND_RETRY: Duration = Duration::from_millis(700);
 
-/// Stands for the versions that a request avoids where there are none.
-static NO_VERSIONS: BTreeSet<ShortTag> = BTreeSet::new();
-
 /// Where the next try goes.
 #[derive(Debug)]
 pub(crate) enum Placement {
@@ -145,28 +143,25 @@
     let regions = &core.settings.regions;
     if plan.route.resumable && progress.began.is_none() {
         let versions = core.versions.borrow();
-        let service = tag_of(&plan.service);
         let (_, recorded) = versions.recorded();
-        let origins = replicas.rows().map(|state| state.origin);
-        let unrecorded: BTreeSet<ShortTag> = origins
-            .filter(|origin| origin.service == service && !recorded.contains(origin))
-            .map(|origin| origin.version)
+        let unannounced = versions.unannounced(tag_of(&plan.service), now);
+        let announced: BTreeSet<StreamOrigin> = recorded
+            .iter()
+            .filter(|origin| !unannounced.contains(&origin.version))
+            .copied()
             .collect();
-        let mut avoided = versions.unannounced(service, now);
-        avoided.extend(&unrecorded);
-        let known_versions = PlacementQuery {
-            avoided: &avoided,
-            ..query.clone()
+        let choose = |origins| {
+            let query = PlacementQuery {
+                begins_at: Some(origins),
+                ..query.clone()
+            };
+            choose_local(&replicas, &limiter, regions, &query, now)
         };
-        let choice = choose_local(&replicas, &limiter, regions, &known_versions, now);
-        if avoided == unrecorded || choice.is_some() {
+        let choice = choose(&announced);
+        if choice.is_some() || announced == *recorded {
             return choice;
         }
-        let recorded_versions = PlacementQuery {
-            avoided: &unrecorded,
-            ..query.clone()
-        };
-        return choose_local(&replicas, &limiter, regions, &recorded_versions, now);
+        return choose(recorded);
     }
     choose_local(&replicas, &limiter, regions, query, now)
 }
@@ -254,7 +249,7 @@
         urgent: plan.urgent,
         tried: &progress.tried,
         version: progress.began.map(|began| began.version),
-        avoided: &NO_VERSIONS,
+        begins_at: None,
         deadline: plan.deadline.saturating_duration_since(now),
         copy_token: plan.spec.copy_token,
         cold_bound: plan.cold_bound,
--- a/crates/zinniahatch_route/src/placement.rs
+++ b/crates/zinniahatch_route/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::ReplicaTable;
 use crate::ServiceCapacity;
 use crate::StreamModel;
+use crate::StreamOrigin;
 use crate::placement_cost::COLD_COST;
 use crate::placement_cost::PlacementCost;
 use crate::placement_cost::PromptPlan;
@@ -56,8 +57,8 @@
     pub tried: &'a BTreeSet<ReplicaId>,
     /// Tag of the only software version that may serve the request.
     pub version: Option<ShortTag>,
-    /// Software versions that are not to serve the request.
-    pub avoided: &'a BTreeSet<ShortTag>,
+    /// What alone the request may begin; any if there is none.
+    pub begins_at: Option<&'a BTreeSet<StreamOrigin>>,
     /// Longest time that the whole response may take.
     pub deadline: Duration,
     /// Time to copy one cached token between replicas; zero if they cannot.
@@ -75,8 +76,10 @@
 impl PlacementQuery<'_> {
     /// Returns whether the software version of a replica may serve the request.
     pub(crate) fn allows_version(&self, state: &ReplicaState) -> bool {
-        let avoided = self.avoided.contains(&state.origin.version);
-        !avoided && (self.version.is_none() || self.version == state.version)
+        let may_begin = self
+            .begins_at
+            .is_none_or(|origins| origins.contains(&state.origin));
+        may_begin && (self.version.is_none() || self.version == state.version)
     }
 }
 
--- a/crates/zinniahatch_route/tests/common/mod.rs
+++ b/crates/zinniahatch_route/tests/common/mod.rs
@@ -125,8 +125,6 @@
     }
 }
 
-static NO_VERSIONS: BTreeSet<ShortTag> = BTreeSet::new();
-
 pub(crate) struct QueryParts {
     pub(crate) service: ServiceId,
     pub(crate) tried: BTreeSet<ReplicaId>,
@@ -154,7 +152,7 @@
             urgent: false,
             tried: &self.tried,
             version: None,
-            avoided: &NO_VERSIONS,
+            begins_at: None,
             deadline: Duration::from_secs(5),
             copy_token: self.copy_token,
             cold_bound: 6.0,
--- a/crates/zinniahatch_route/tests/earliest_retry.rs
+++ b/crates/zinniahatch_route/tests/earliest_retry.rs
@@ -70,7 +70,7 @@
         urgent: false,
         tried: &tried,
         version: None,
-        avoided: &BTreeSet::new(),
+        begins_at: None,
         deadline: Duration::from_secs(5),
         copy_token: Duration::ZERO,
         cold_bound: 0.0,
