Let the table itself see that several versions are known

The check stood before the call of sole_version at its only caller in the product, and built a set of all versions of all services for each stream that begins. It is part of sole_version now, which the simulation uses too, and compares without a set. The rule for recent reports stands once.

--- a/crates/zinniahatch_entry/src/nodes/stream_origins.rs
+++ b/crates/zinniahatch_entry/src/nodes/stream_origins.rs
@@ -47,18 +47,14 @@
 /// or if this node cannot tell.
 pub(crate) fn sole_version(core: &EntryCore, service: ShortTag) -> Option<StreamOrigin> {
     let others = other_regions(core);
-    let now = Instant::now();
     let versions = core.versions.borrow();
-    if versions.shows_several(service, now) {
-        return None;
-    }
     let keep = core.longest_stream.get().limit();
     versions.sole_version(
         service,
         &core.settings.region,
         others.into_iter(),
         keep,
-        now,
+        Instant::now(),
     )
 }
 
--- a/crates/zinniahatch_entry/src/store/version_keys.rs
+++ b/crates/zinniahatch_entry/src/store/version_keys.rs
@@ -161,9 +161,8 @@
             serde_json::json!({"record": stored, "revision": listing.revision}),
         );
         let now = Instant::now();
-        let undecoded = listing.rejected.iter();
-        let mut undecoded = undecoded.filter(|item| item.key.as_deref() == Some(&*key));
-        let undecoded = undecoded.next();
+        let mut rejected = listing.rejected.iter();
+        let undecoded = rejected.find(|item| item.key.as_deref() == Some(&*key));
         reject_items(core, &listing.rejected);
         let is_first = item.is_none() && undecoded.is_none();
         let (wanted, removed) = {
--- a/crates/zinniahatch_route/src/version_table.rs
+++ b/crates/zinniahatch_route/src/version_table.rs
@@ -320,9 +320,7 @@
         for count in report.versions {
             known.versions.insert(count.origin, (count.ready, now));
         }
-        known
-            .versions
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) <= REPORT_TIME);
+        known.versions.retain(|_, (_, at)| is_recent(*at, now));
     }
 
     /// Applies what a node of another region knows of the record of that region.
@@ -342,16 +340,15 @@
     /// Returns what the nodes of a region have reported lately; `None` if that is nothing.
     fn recent(&self, region: &str, now: Instant) -> Option<VersionReport> {
         let known = self.reports.get(region)?;
-        let is_recent = |at: Instant| now.saturating_duration_since(at) <= REPORT_TIME;
         let versions = known.versions.iter();
-        let versions = versions.filter(|(_, (_, at))| is_recent(*at));
+        let versions = versions.filter(|(_, (_, at))| is_recent(*at, now));
         let versions: Vec<VersionCount> = versions
             .map(|(origin, (ready, _))| VersionCount {
                 origin: *origin,
                 ready: *ready,
             })
             .collect();
-        let complete = known.complete_at.is_some_and(is_recent);
+        let complete = known.complete_at.is_some_and(|at| is_recent(at, now));
         (complete || !versions.is_empty()).then_some(VersionReport { complete, versions })
     }
 
@@ -365,6 +362,10 @@
         keep: Option<Duration>,
         now: Instant,
     ) -> Option<StreamOrigin> {
+        // A version that has left counts for as long as the record may name it.
+        if self.shows_several(service, now) {
+            return None;
+        }
         let mut own = self.report(keep, now);
         // Another node of the region may have followed it for longer.
         if let Some(report) = self.recent(own_region, now) {
@@ -391,16 +392,17 @@
 
     /// Returns whether this node knows of several versions of a service that serve or have served lately.
     pub fn shows_several(&self, service: ShortTag, now: Instant) -> bool {
-        let mut origins: BTreeSet<StreamOrigin> = self.own.keys().copied().collect();
-        if let StoredView::Read(stored) = &self.stored {
-            origins.extend(stored);
-        }
-        for region in self.reports.keys() {
-            let report = self.recent(region, now).unwrap_or_default();
-            origins.extend(report.versions.iter().map(|count| count.origin));
-        }
-        let of_service = origins.iter().filter(|origin| origin.service == service);
-        of_service.count() > 1
+        let stored = match &self.stored {
+            StoredView::Read(stored) => stored.as_slice(),
+            StoredView::Unread | StoredView::Missing => &[],
+        };
+        let reported = self.reports.values().flat_map(|known| &known.versions);
+        let recent = reported.filter(|(_, (_, at))| is_recent(*at, now));
+        let origins = self.own.keys().chain(stored);
+        let origins = origins.chain(recent.map(|(origin, _)| origin));
+        let mut of_service = origins.filter(|origin| origin.service == service);
+        let first = of_service.next();
+        of_service.any(|origin| first != Some(origin))
     }
 
     /// Returns how many replicas of another region could go on with a stream; `None` if it is not
@@ -415,3 +417,8 @@
         }
     }
 }
+
+/// Returns whether a report that arrived at a time still counts.
+fn is_recent(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) <= REPORT_TIME
+}
