--- a/crates/zinniahatch_daemon/src/tasks.rs
+++ b/crates/zinniahatch_daemon/src/tasks.rs
@@ -2,15 +2,12 @@
 
 use log::error;
 use std::sync::Arc;
-use zinniahatch_base::prelude::*;
+use zinniahatch_entry::RESTART_PAUSE;
 use zinniahatch_entry::TaskName;
 use zinniahatch_entry::TaskPanic;
 use zinniahatch_entry::run_restarted;
 use zinniahatch_gateway::GatewayCore;
 
-/// Pause before a task that panicked starts again, which bounds the work of one that panics at once.
-const RESTART_PAUSE: Duration = Duration::from_secs(1);
-
 /// Starts a task, which starts again after a panic.
 pub(crate) fn spawn_restarted<F: Future<Output = ()> + Send + 'static>(
     core: &Arc<GatewayCore>,
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -14,6 +14,7 @@
 use crate::request::pool::ConnectionPool;
 use crate::store::version_keys::RecordRead;
 use crate::store::watch_topic::WatchTopic;
+use crate::supervisor::RESTART_PAUSE;
 use crate::supervisor::TaskName;
 use crate::supervisor::TaskPanic;
 use crate::supervisor::catch_panic;
@@ -59,9 +60,6 @@
 use zinniahatch_route::VersionTable;
 use zinniahatch_route::process_tag;
 
-/// Pause before a task that panicked starts again, which bounds the work of one that panics at once.
-const RESTART_PAUSE: Duration = Duration::from_secs(1);
-
 /// Progress of the process's graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopPhase {
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub use request::pool::PoolError;
 pub use run::EntryError;
 pub use run::run_entry;
+pub use supervisor::RESTART_PAUSE;
 pub use supervisor::TaskName;
 pub use supervisor::TaskPanic;
 pub use supervisor::catch_panic;
--- a/crates/zinniahatch_entry/src/supervisor.rs
+++ b/crates/zinniahatch_entry/src/supervisor.rs
@@ -9,6 +9,9 @@
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
 
+/// Pause before a task that panicked starts again, which bounds the work of one that panics at once.
+pub const RESTART_PAUSE: Duration = Duration::from_secs(1);
+
 /// Name of a kind of task in logs and metrics.
 pub type TaskName = &'static str;
 
