Share the common parts of two pairs of tests

The tests of a stream whose replica ends, and those of versions that outlive all nodes, each repeated their set-up and checks. The assertions stay.

--- a/crates/zinniahatch_lab/tests/stream_versions.rs
+++ b/crates/zinniahatch_lab/tests/stream_versions.rs
@@ -377,24 +377,30 @@
     }
 }
 
-/// Guards against processes that know no version after all have ended at once: where a service has
-/// had a single version, streams go on; where another one left meanwhile, nobody guesses.
-#[test_case("v1", true; "one_version")]
-#[test_case("v1.1", false; "version_left_meanwhile")]
-#[tokio::test(flavor = "multi_thread")]
-async fn versions_outlive_all_nodes(other: &str, goes_on: bool) {
-    let regions: [(&str, &[&str]); 2] = [("north", &["v1", other]), ("south", &[other])];
-    let mut site = start_site(1, &regions).await;
+/// Begins a stream at v1 once the versions are in the store, and kills both nodes.
+async fn begin_before_all_end(site: &mut SiteCluster) -> (String, StreamPart) {
     for node in 0..2 {
         wait_until("the versions are in the store", async || {
             site.log(node).contains("versions-kept")
         })
         .await;
     }
-    let (attempt, part) = begin_stream(&site, 0, "v1", "s").await;
+    let begun = begin_stream(site, 0, "v1", "s").await;
     for node in 0..2 {
         site.kill(node);
     }
+    begun
+}
+
+/// Guards against processes that know no version after all have ended at once: where a service has
+/// had a single version, streams go on; where another one left meanwhile, nobody guesses.
+#[test_case("v1", true; "one_version")]
+#[test_case("v1.1", false; "version_left_meanwhile")]
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_outlive_all_nodes(other: &str, goes_on: bool) {
+    let regions: [(&str, &[&str]); 2] = [("north", &["v1", other]), ("south", &[other])];
+    let mut site = start_site(1, &regions).await;
+    let (attempt, part) = begin_before_all_end(&mut site).await;
     if !goes_on {
         site.unregister(0);
     }
@@ -420,16 +426,7 @@
 async fn versions_outlive_a_start_without_desired_state() {
     let regions: [(&str, &[&str]); 2] = [("north", &["v1", "v1.1"]), ("south", &["v1.1"])];
     let mut site = start_site(1, &regions).await;
-    for node in 0..2 {
-        wait_until("the versions are in the store", async || {
-            site.log(node).contains("versions-kept")
-        })
-        .await;
-    }
-    let (attempt, part) = begin_stream(&site, 0, "v1", "s").await;
-    for node in 0..2 {
-        site.kill(node);
-    }
+    let (attempt, part) = begin_before_all_end(&mut site).await;
     site.unregister(0);
     let desired = site.desired_state(1);
     site.remove_desired_state();
--- a/crates/zinniahatch_lab/tests/truncated_answers.rs
+++ b/crates/zinniahatch_lab/tests/truncated_answers.rs
@@ -209,17 +209,9 @@
     }
 }
 
-/// Guards against a truncated stream that is passed on as complete since the end of its replica was not
-/// looked for: it was known to leave, or had just been found to run.
-#[test_case(PriorNews::Draining, "/stream/t"; "draining_resumable")]
-#[test_case(PriorNews::Draining, "/stream-once/t"; "draining_once")]
-#[test_case(PriorNews::EntryGone, "/stream/t"; "entry_gone_resumable")]
-#[test_case(PriorNews::EntryGone, "/stream-once/t"; "entry_gone_once")]
-#[test_case(PriorNews::Checked, "/stream/t"; "checked_resumable")]
-#[test_case(PriorNews::Checked, "/stream-once/t"; "checked_once")]
-#[tokio::test(flavor = "multi_thread")]
-async fn stream_of_ended_replica_does_not_look_whole(news: PriorNews, path: &str) {
-    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], LONG_SHAPE).await;
+/// Begins a stream without a length, ends its replica after what happens `before`, and checks that the
+/// stream does not look complete.
+async fn end_replica_of_stream(site: &SiteCluster, path: &str, before: impl AsyncFnOnce()) {
     let (replica, _) = &site.replicas[0];
     let form = AnswerForm::whole(AnswerFraming::Close);
     replica.set_behaviour(ReplicaBehaviour::Answer(form));
@@ -227,7 +219,7 @@
     let response = response.as_mut().expect("the node answers");
     let first = response.chunk().await.expect("the stream begins");
     assert!(first.is_some());
-    news.tell(&site).await;
+    before().await;
     replica.crash();
     let ended = loop {
         match response.chunk().await {
@@ -238,6 +230,20 @@
     assert!(ended.is_err(), "the truncated stream looks complete");
 }
 
+/// Guards against a truncated stream that is passed on as complete since the end of its replica was not
+/// looked for: it was known to leave, or had just been found to run.
+#[test_case(PriorNews::Draining, "/stream/t"; "draining_resumable")]
+#[test_case(PriorNews::Draining, "/stream-once/t"; "draining_once")]
+#[test_case(PriorNews::EntryGone, "/stream/t"; "entry_gone_resumable")]
+#[test_case(PriorNews::EntryGone, "/stream-once/t"; "entry_gone_once")]
+#[test_case(PriorNews::Checked, "/stream/t"; "checked_resumable")]
+#[test_case(PriorNews::Checked, "/stream-once/t"; "checked_once")]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_ended_replica_does_not_look_whole(news: PriorNews, path: &str) {
+    let site = SiteCluster::start(&[SiteRegion::new("north", 1, 1)], LONG_SHAPE).await;
+    end_replica_of_stream(&site, path, async || news.tell(&site).await).await;
+}
+
 /// Guards against a truncated stream that is passed on as complete since something before its replica
 /// accepts connections when the replica has ended, and closes them later.
 #[test_case("/stream/t"; "resumable")]
@@ -252,21 +258,7 @@
     let key = format!("servers/{}", replica.id);
     site.store.write(&key, &entry);
     let site = site.start_prepared(AMPLE_RETRY_SLACK).await;
-    let (replica, _) = &site.replicas[0];
-    let form = AnswerForm::whole(AnswerFraming::Close);
-    replica.set_behaviour(ReplicaBehaviour::Answer(form));
-    let mut response = site.request(0, path, "e").send().await;
-    let response = response.as_mut().expect("the node answers");
-    let first = response.chunk().await.expect("the stream begins");
-    assert!(first.is_some());
-    replica.crash();
-    let ended = loop {
-        match response.chunk().await {
-            Ok(Some(_)) => {}
-            ended => break ended,
-        }
-    };
-    assert!(ended.is_err(), "the truncated stream looks complete");
+    end_replica_of_stream(&site, path, async || {}).await;
 }
 
 /// Guards against plain answers that are truncated and passed on, and against whole ones that are
