Check an address again that closes connections at once after a replica's connection broke

Cause: after a connection broke, the address was tried twice. A process that ends closes its connections before its listener, so that both were accepted and closed within 2 ms; the result was "unknown", counted as alive, and reused for 400 ms.

A relay whose listener accepts three more connections after its others are closed shows it: crash_counts_where_the_listener_closes_last failed before. Connections that close at once are now tried again after 2, 4, 8 ms and so on, within the 60 ms that a check had already. An address that goes on closing them stays unknown.

--- a/crates/zinniahatch_entry/src/replicas/crash_detection.rs
+++ b/crates/zinniahatch_entry/src/replicas/crash_detection.rs
@@ -36,6 +36,8 @@
 /// closed the others; without the watch the request that crashed it went uncounted, and the
 /// requests beside it were quarantined.
 const WATCH_PERIOD: Duration = Duration::from_millis(20);
+/// Pause after the first connection that closes at once; each further one is twice as long.
+const FIRST_CHECK_PAUSE: Duration = Duration::from_millis(2);
 
 /// Handles a connection that broke during a request; the request becomes suspect if its replica
 /// crashed.
@@ -145,19 +147,25 @@
     refused.then_some(tag)
 }
 
-/// Checks whether an address has a listener that keeps a connection, with a second one if the first
-/// closes at once.
+/// Checks whether an address has a listener that keeps a connection, again and again while it closes them
+/// at once: that is what a process does that is about to end, and something before one that has.
 async fn check_listener(address: SocketAddrV4, limit: Duration) -> ListenerState {
-    for _ in 0..2 {
-        match BackendConnection::connect(address, limit).await {
+    let deadline = Instant::now() + limit;
+    let mut pause = FIRST_CHECK_PAUSE;
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        match BackendConnection::connect(address, left).await {
             Err(ConnectionError::Refused) => return ListenerState::Ended,
             Err(_) => return ListenerState::Unknown,
             Ok(connection) if connection.closes_within(WATCH_PERIOD).await => {}
             Ok(_) => return ListenerState::Listening,
         }
+        if Instant::now() + pause >= deadline {
+            return ListenerState::Unknown;
+        }
+        sleep(pause).await;
+        pause *= 2;
     }
-    // What closes its connections at once may be about to end, or a relay before a process that has.
-    ListenerState::Unknown
 }
 
 async fn detect_crash(core: &Rc<EntryCore>, address: SocketAddrV4) -> bool {
--- a/crates/zinniahatch_lab/src/relay.rs
+++ b/crates/zinniahatch_lab/src/relay.rs
@@ -167,6 +167,23 @@
         delay: Duration,
         link: LinkState,
         ended: CancellationToken,
+    ) -> Self {
+        Self::start_until_refused(to, delay, link, ended, 0).await
+    }
+
+    /// Starts a relay that closes its open connections when `ended` is cancelled, and refuses new ones
+    /// after it has accepted and closed `late` of them, as a process does whose connections close before
+    /// its listener.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no port is free.
+    pub async fn start_until_refused(
+        to: &str,
+        delay: Duration,
+        link: LinkState,
+        ended: CancellationToken,
+        late: u32,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
@@ -184,6 +201,10 @@
                 }
             };
             ended.run_until_cancelled(accept).await;
+            for _ in 0..late {
+                // Dropping a connection closes it.
+                let _ = listener.accept().await;
+            }
         });
         Self {
             address: address.into(),
--- a/crates/zinniahatch_lab/tests/crashing_request.rs
+++ b/crates/zinniahatch_lab/tests/crashing_request.rs
@@ -3,6 +3,9 @@
 use reqwest::StatusCode;
 use std::time::Duration;
 use test_case::test_case;
+use zinniahatch_lab::relay::LinkState;
+use zinniahatch_lab::relay::TcpRelay;
+use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
@@ -286,3 +289,27 @@
         }
     }
 }
+
+/// Guards against a crash that is not counted, since the process still accepted connections for a moment after
+/// it had closed those of its requests. Another request's crashes would outnumber it.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_counts_where_the_listener_closes_last() {
+    const LATE_CONNECTIONS: u32 = 3;
+    let site = SiteCluster::prepare(&[SiteRegion::new("north", 1, 1)], SHAPE).await;
+    let (replica, _) = &site.replicas[0];
+    let to = replica.address.to_string();
+    let ended = replica.ended().clone();
+    let link = LinkState::default();
+    let relay =
+        TcpRelay::start_until_refused(&to, Duration::ZERO, link, ended, LATE_CONNECTIONS).await;
+    let entry = replica.entry_at(&relay.address, "desk", "north-a", "ready");
+    site.store.write(&format!("servers/{}", replica.id), &entry);
+    let site = site.start_prepared(AMPLE_RETRY_SLACK).await;
+    let crashing = RequestContent::from_path("/stream/fatal");
+    site.crashing_requests.add(crashing.clone());
+    wait_serves(&site, 0, "before").await;
+    send(&site, 0, &crashing.path, "fatal").await;
+    assert_eq!(site.crashing_requests.crashes(&crashing), 1);
+    let log = site.log(0);
+    assert!(log.contains("\"replica-ended\""), "{log}");
+}
