Say which process starts and which signal asked for a stop

A process that ended by itself left no line, and one that was told to stop left none of the signal. An entry VM now writes `starting` with its process id once it handles signals and has read its settings, and names the signal in `stop`, and in `stopped` where it still waited for its addresses; a node of the first interface logs the same. No behaviour changes.

--- a/crates/zinniahatch_ctl/src/explain.rs
+++ b/crates/zinniahatch_ctl/src/explain.rs
@@ -9,7 +9,7 @@
 /// Time before and after a request, in ms, within which state changes of its nodes are shown.
 const CONTEXT_MS: u64 = 3_000;
 /// Kinds of lines that record a state change of a node and not a step of a request.
-const STATE_KINDS: [&str; 20] = [
+const STATE_KINDS: [&str; 21] = [
     "version",
     "preset",
     "member",
@@ -26,6 +26,7 @@
     "store-compacted",
     "lease-lapsed",
     "lease-failed",
+    "starting",
     "start",
     "stop",
     "stopped",
--- a/crates/zinniahatch_daemon/src/run.rs
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -14,6 +14,7 @@
 use crate::transport;
 use crate::transport::PeerTransport;
 use crate::watch;
+use log::info;
 use rand::RngExt;
 use salvo::Server;
 use std::sync::Arc;
@@ -85,6 +86,7 @@
     }
     logging::start(&settings.log_level, &settings.log_file)
         .map_err(|error| StartError::Resource(format!("{file}: {error}")))?;
+    info!("starting as process {}", std::process::id());
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
@@ -110,7 +112,10 @@
     let mut signals = StopSignals::install()?;
     let sockets = tokio::select! {
         opened = open_sockets(&settings) => opened.map_err(StartError::Resource)?,
-        () = signals.wait() => return Ok(()),
+        signal = signals.wait() => {
+            info!("{signal} received before any address was open");
+            return Ok(());
+        }
     };
     let core = build_core(settings, Instant::now());
     core.counters.listen_retries.inc_by(sockets.retries);
@@ -150,7 +155,8 @@
         .max_headers(100);
     let handle = server.handle();
     let serving = tokio::spawn(server.serve(build_service(&core)));
-    signals.wait().await;
+    let signal = signals.wait().await;
+    info!("{signal} received");
     shutdown::shut_down(&core, &merger).await;
     handle.stop_graceful(Some(Duration::from_secs(1)));
     let _ = serving.await;
@@ -208,10 +214,11 @@
         })
     }
 
-    async fn wait(&mut self) {
+    /// Waits for a signal to stop and returns its name.
+    async fn wait(&mut self) -> &'static str {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => "SIGTERM",
+            _ = self.interrupt.recv() => "SIGINT",
         }
     }
 }
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -120,11 +120,11 @@
         })
     }
 
-    /// Waits for a signal to stop.
-    async fn stop(&mut self) {
+    /// Waits for a signal to stop and returns its name.
+    async fn stop(&mut self) -> &'static str {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => "SIGTERM",
+            _ = self.interrupt.recv() => "SIGINT",
         }
     }
 }
@@ -137,10 +137,14 @@
     let metrics = EntryMetrics::new().map_err(setup_error)?;
     let log = DecisionLog::new(settings.name.clone(), settings.log_rate_limit);
     log.take_panics();
+    log.write(
+        "starting",
+        serde_json::json!({"process": std::process::id()}),
+    );
     let sockets = tokio::select! {
         opened = open_sockets(&settings, &log, &metrics.process) => opened?,
-        () = signals.stop() => {
-            log.write("stopped", serde_json::json!({"open_calls": 0}));
+        signal = signals.stop() => {
+            log.write("stopped", serde_json::json!({"open_calls": 0, "signal": signal}));
             return Ok(());
         }
     };
@@ -182,8 +186,8 @@
     core.spawn_restarted("maintenance", run_maintenance);
     core.spawn_restarted("sealing", run_sealing);
     core.spawn_restarted("merging", run_merging);
-    wait_for_stop(&core, signals, load_settings).await;
-    shut_down(&core).await;
+    let signal = wait_for_stop(&core, signals, load_settings).await;
+    shut_down(&core, signal).await;
     Ok(())
 }
 
@@ -227,15 +231,16 @@
     }
 }
 
+/// Handles signals until one asks the process to stop, and returns its name.
 async fn wait_for_stop(
     core: &Rc<EntryCore>,
     mut signals: EntrySignals,
     load_settings: impl Fn() -> Result<EntrySettings, String>,
-) {
+) -> &'static str {
     loop {
         tokio::select! {
-            _ = signals.terminate.recv() => return,
-            _ = signals.interrupt.recv() => return,
+            _ = signals.terminate.recv() => return "SIGTERM",
+            _ = signals.interrupt.recv() => return "SIGINT",
             _ = signals.hangup.recv() => {
                 let outcome = match load_settings() {
                     Ok(settings) if settings == core.settings => "unchanged".to_owned(),
@@ -272,12 +277,12 @@
 
 /// Shuts down: announces that this node is leaving, serves callers that still arrive, then ends the
 /// requests in progress.
-async fn shut_down(core: &Rc<EntryCore>) {
+async fn shut_down(core: &Rc<EntryCore>, signal: &'static str) {
     let began = Instant::now();
     let deadline = began + core.settings.bounds.grace.saturating_sub(EXIT_RESERVE);
     core.log.write(
         "stop",
-        serde_json::json!({"open_calls": core.in_flight_count.get()}),
+        serde_json::json!({"open_calls": core.in_flight_count.get(), "signal": signal}),
     );
     core.phase.send_replace(StopPhase::Leaving);
     if let Ok(socket) = UdpSocket::bind("0.0.0.0:0").await {
