Show the memory that bodies and answers hold

A process that exceeds its memory is killed with all its requests, and nothing that it wrote or counted showed it coming: a body that found no memory was counted among all answers alone, and answers not at all.

Bytes held in bodies of requests and in answers that were read whole are gauges now, beside the bound of the former, the memory that the process occupies and its open file descriptors. A reservation that fails is counted and logged as memory-full with what was wanted, held and allowed. An answer's bytes count until the last reference to them is dropped, which is when the connection has written them. full_memory_is_counted asks a real process.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -10,7 +10,7 @@
 use crate::replicas::address_checks::AddressChecks;
 use crate::replicas::crash_detection::CRASH_REUSE_PERIOD;
 use crate::replicas::probe::PROBE_REUSE_PERIOD;
-use crate::request::body_memory::BodyMemory;
+use crate::request::held_memory::HeldMemory;
 use crate::request::pool::ConnectionPool;
 use crate::store::version_keys::RecordRead;
 use crate::store::watch_topic::WatchTopic;
@@ -162,7 +162,10 @@
     /// Whether this node leaves reading the desired state from the store to other nodes.
     pub(crate) skips_watch: Cell<bool>,
     pub(crate) pool: ConnectionPool,
-    pub(crate) body_memory: BodyMemory,
+    /// Memory of the bodies of requests.
+    pub(crate) body_memory: HeldMemory,
+    /// Memory of answers that were read whole.
+    pub(crate) answer_memory: HeldMemory,
     pub(crate) store: KvClient,
     /// Signalled when a store call fails while the watch is waiting.
     pub(crate) store_lost: Notify,
@@ -258,7 +261,8 @@
             role_ranks: RefCell::default(),
             skips_watch: Cell::new(false),
             pool: ConnectionPool::default(),
-            body_memory: BodyMemory::new(settings.memory_mib),
+            body_memory: HeldMemory::for_bodies(settings.memory_mib, &metrics.process.memory),
+            answer_memory: HeldMemory::for_answers(settings.memory_mib, &metrics.process.memory),
             store,
             store_lost: Notify::new(),
             store_reachable: watch::Sender::new(true),
@@ -321,6 +325,15 @@
         );
     }
 
+    /// Logs that a request finds too little memory left for a number of bytes.
+    pub(crate) fn log_memory_full(&self, memory: &HeldMemory, request: &str, bytes: usize) {
+        self.log.write(
+            "memory-full",
+            serde_json::json!({"request": request, "use": memory.purpose().name(), "wanted": bytes,
+                "held": memory.held(), "limit": memory.limit()}),
+        );
+    }
+
     /// Returns the number of the next update of this node's work.
     pub(crate) fn next_work_number(&self) -> u32 {
         let number = self.last_work_number.get() + 1;
--- a/crates/zinniahatch_entry/src/lib.rs
+++ b/crates/zinniahatch_entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod counts;
 mod decision_log;
 mod listeners;
+mod memory_metrics;
 mod metrics;
 mod nodes;
 mod process_metrics;
--- a/crates/zinniahatch_entry/src/metrics.rs
+++ b/crates/zinniahatch_entry/src/metrics.rs
@@ -233,6 +233,7 @@
     /// Encodes all metrics in the text format.
     pub(crate) fn text(&self, open_connections: usize) -> String {
         self.connections.set(open_connections as i64);
+        self.process.update();
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .unwrap_or_default()
--- a/crates/zinniahatch_entry/src/request.rs
+++ b/crates/zinniahatch_entry/src/request.rs
@@ -2,13 +2,13 @@
 //! the target, `send` sends it over a `connection` from the `pool`, and `response` and `relay`
 //! respond to the caller; `failover` and `resume` move a stream to another replica. Each module calls only those after it in this order.
 
-pub(crate) mod body_memory;
 pub(crate) mod chunks;
 pub(crate) mod connection;
 pub(crate) mod event_scanner;
 pub(crate) mod events;
 pub(crate) mod failover;
 pub(crate) mod gateway_response;
+pub(crate) mod held_memory;
 pub(crate) mod in_flight;
 pub(crate) mod ingress;
 pub(crate) mod placement;
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -5,10 +5,10 @@
 use crate::request::connection::BodyEnd;
 use crate::request::connection::ConnectionError;
 use crate::request::connection::ResponseHead;
+use crate::request::held_memory::HeldBytes;
 use crate::request::received::ReceivedRequest;
 use crate::request::truncation::Truncation;
 use bytes::Bytes;
-use bytes::BytesMut;
 use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -152,13 +152,14 @@
         }
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body, which counts as held until it is dropped.
     pub(crate) async fn read_whole(&mut self) -> Result<Bytes, ConnectionError> {
-        let mut whole = BytesMut::new();
+        let mut bytes = Vec::new();
         while let Some(chunk) = self.read_body().await? {
-            whole.extend_from_slice(&chunk);
+            bytes.extend_from_slice(&chunk);
         }
-        Ok(whole.freeze())
+        let reservation = self.core.answer_memory.hold(bytes.len());
+        Ok(HeldBytes::new(bytes, reservation).into())
     }
 
     /// Records that response bytes arrived. The first of them train the latency model.
--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -186,6 +186,7 @@
     // A body whose length is not stated may have any that is allowed.
     let most = length.unwrap_or(limits.max_body_bytes);
     let Some(mut reservation) = core.body_memory.reserve(most) else {
+        core.log_memory_full(&core.body_memory, &caller.attempt, most);
         tokio::task::spawn_local(discard_body(body));
         return Err(ResultCode::BodyMemoryFull);
     };
--- a/crates/zinniahatch_entry/src/request/received.rs
+++ b/crates/zinniahatch_entry/src/request/received.rs
@@ -1,6 +1,6 @@
 //! A request read whole, in the same form for all listeners.
 
-use crate::request::body_memory::BodyReservation;
+use crate::request::held_memory::MemoryReservation;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -72,7 +72,7 @@
     /// The body.
     pub(crate) body: Bytes,
     /// Keeps the memory of the body reserved.
-    pub(crate) _reservation: BodyReservation,
+    pub(crate) _reservation: MemoryReservation,
     /// Digest of the request's content and its caller. Each retry by a caller has its own attempt
     /// id but the same digest.
     pub(crate) content: ContentDigest,
--- a/crates/zinniahatch_lab/tests/body_memory.rs
+++ b/crates/zinniahatch_lab/tests/body_memory.rs
@@ -16,6 +16,9 @@
     pause: Duration::from_millis(10),
 };
 const MEMORY_MIB: u32 = 120;
+const BYTES_PER_MIB: usize = 1 << 20;
+/// Position of the listener that serves the metrics.
+const CONTROL_LISTENER: usize = 2;
 const BODY_BYTES: usize = 4 << 20;
 /// Requests whose bodies together are more than the memory.
 const REQUESTS: usize = 40;
@@ -24,6 +27,13 @@
 const ANSWERS: usize = 20;
 const CALLER_TIME: Duration = Duration::from_secs(4);
 
+async fn metrics_of(site: &SiteCluster) -> String {
+    let control = &site.entries[0].addresses[CONTROL_LISTENER];
+    let response = reqwest::get(format!("http://{control}/metrics")).await;
+    let text = response.expect("the node answers").text().await;
+    text.expect("the metrics are text")
+}
+
 /// Guards against a process that is killed with all its requests, since it keeps more bodies than it has
 /// memory for, some of them twice.
 #[tokio::test(flavor = "multi_thread")]
@@ -64,6 +74,30 @@
     .await;
 }
 
+/// Guards against a node whose memory is filled without a trace for those on call.
+#[tokio::test(flavor = "multi_thread")]
+async fn full_memory_is_counted() {
+    let mut site = SiteCluster::prepare(&[SiteRegion::new("north", 1, 1)], SHAPE).await;
+    site.set_memory(MEMORY_MIB);
+    let site = site.start_prepared(AMPLE_RETRY_SLACK).await;
+    let body_bytes = MEMORY_MIB as usize * BYTES_PER_MIB;
+    let mut state = site.desired_state(2);
+    state["limits"]["max_body_bytes"] = body_bytes.into();
+    site.write_desired_state(&state);
+    wait_until("the limit is in force", async || {
+        site.log(0).contains("\"to\":2")
+    })
+    .await;
+    let request = site.request(0, "/plain/t", "large");
+    let response = request.body(vec![b'x'; body_bytes]).send().await;
+    let response = response.expect("the node answers");
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let metrics = metrics_of(&site).await;
+    let refused = "zinniahatch_memory_full_total{use=\"bodies\"} 1\n";
+    assert!(metrics.contains(refused), "{metrics}");
+    assert!(site.log(0).contains("memory-full"));
+}
+
 /// Guards against a process that is killed with all its requests, since it keeps more answers than it has
 /// memory for.
 #[ignore = "KNOWN-RED.txt"]
