Count and log connections that are closed with bytes unread

A caller whose refusal is lost in a reset and one whose request crossed the close of a stopping node saw the same, and the node left no sign of either connection. `zinniahatch_unread_connections_total`, by reason, and the line `closed-unread`, with the bytes that were buffered and still in the socket, tell them apart: the first has `unread` and `closed-unread` with reason `answered`, the second no line, or `closed-unread` with reason `stopping`.

No change of logic.

--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -61,6 +61,16 @@
     Control,
 }
 
+impl ListenerKind {
+    /// Returns whose limits apply to its connections.
+    fn source(self) -> RequestSource {
+        match self {
+            Self::Calls(source) => source,
+            _ => RequestSource::Front,
+        }
+    }
+}
+
 /// Accepts connections until the process ends, or those for requests until it disconnects.
 pub(crate) async fn run_listener(
     core: Rc<EntryCore>,
--- a/crates/zinniahatch_entry/src/listeners/caller_metrics.rs
+++ b/crates/zinniahatch_entry/src/listeners/caller_metrics.rs
@@ -9,6 +9,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerMetrics {
     closed: IntCounterVec,
+    unread: IntCounterVec,
 }
 
 impl CallerMetrics {
@@ -26,11 +27,24 @@
             &["reason"],
         )?;
         registry.register(Box::new(closed.clone()))?;
-        Ok(Self { closed })
+        let unread = IntCounterVec::new(
+            Opts::new(
+                "zinniahatch_unread_connections_total",
+                "Connections of callers and other nodes that this node closed while bytes on them were unread, by reason.",
+            ),
+            &["reason"],
+        )?;
+        registry.register(Box::new(unread.clone()))?;
+        Ok(Self { closed, unread })
     }
 
     /// Counts a connection that this node closed.
     pub(crate) fn note_closed(&self, reason: CloseReason) {
         self.closed.with_label_values(&[reason.as_str()]).inc();
     }
+
+    /// Counts a connection that this node closed while bytes on it were unread.
+    pub(crate) fn note_unread(&self, reason: &str) {
+        self.unread.with_label_values(&[reason]).inc();
+    }
 }
--- a/crates/zinniahatch_entry/src/listeners/connection.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection.rs
@@ -8,7 +8,6 @@
 use crate::core::EntryCore;
 use crate::core::StopPhase;
 use crate::request::gateway_response::gateway_response;
-use crate::request::ingress::RequestSource;
 use crate::request::ingress::request_limits;
 use crate::request::response_body::ResponseBody;
 use crate::request::response_body::TruncatedBody;
@@ -22,10 +21,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -47,6 +48,10 @@
 /// Time for which the rest of a refused head is read and dropped. Closing with unread bytes would
 /// reset the connection before the caller has read the refusal.
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Name of the reason for which a connection is closed after its last answer.
+const ANSWERED: &str = "answered";
+/// Maximum number of unread bytes that are looked at.
+const PEEK_BYTES: usize = 1 << 10;
 /// Bytes per read of the rest of a refused head.
 const LINGER_READ_BYTES: usize = 2 << 10;
 
@@ -75,13 +80,9 @@
     let mut closing = std::pin::pin!(wait_for_closing(&core, kind, StopPhase::Closing));
     let mut timer = std::pin::pin!(sleep_until(tokio::time::Instant::now()));
     let mut stop_phase = StopPhase::Serving;
-    let source = match kind {
-        ListenerKind::Calls(source) => source,
-        _ => RequestSource::Front,
-    };
     loop {
         let reached = poll_fn(|context| {
-            let limits = request_limits(&core, source);
+            let limits = request_limits(&core, kind.source());
             record.max_head_bytes.set(limits.max_header_bytes);
             if Pin::new(&mut connection).poll(context).is_ready() {
                 return Poll::Ready(None);
@@ -106,13 +107,9 @@
             ready!(timer.as_mut().poll(context));
             Poll::Ready(Some(reason))
         });
-        let reason = tokio::select! {
+        let reached = tokio::select! {
             biased;
-            reached = reached => match reached {
-                Some(reason) => reason,
-                // The caller closed it, or was told so by an answer.
-                None => return,
-            },
+            reached = reached => reached,
             () = closing.as_mut(), if stop_phase < StopPhase::Disconnecting => {
                 stop_phase = match stop_phase {
                     StopPhase::Closing => StopPhase::Disconnecting,
@@ -122,6 +119,13 @@
                 continue;
             }
         };
+        // The caller closed it, or was told so by an answer.
+        let Some(reason) = reached else {
+            let parts = connection.into_parts();
+            let stream = parts.io.into_inner().into_inner();
+            note_unread(&core, ANSWERED, parts.read_buf.len(), &stream);
+            return;
+        };
         let refusal = match reason {
             CloseReason::Idle | CloseReason::Stopping | CloseReason::StoppingUnused => {
                 record.confirms_idle.set(true);
@@ -142,16 +146,33 @@
             CloseReason::LargeHead => Some(ResultCode::HeadTooLarge),
         };
         core.metrics.callers.note_closed(reason);
+        let parts = connection.into_parts();
+        let stream = parts.io.into_inner().into_inner();
         if let Some(code) = refusal {
             core.metrics.note_response("", code.name());
-            let stream = connection.into_parts().io.into_inner().into_inner();
             // Boxed, so that connections without a refusal hold no memory for it.
             Box::pin(refuse_head(stream, code)).await;
+        } else {
+            note_unread(&core, reason.as_str(), parts.read_buf.len(), &stream);
         }
         return;
     }
 }
 
+/// Records that a connection is closed while bytes on it are unread, `buffered` of them already received.
+fn note_unread(core: &EntryCore, reason: &str, buffered: usize, stream: &TcpStream) {
+    let mut bytes = [MaybeUninit::uninit(); PEEK_BYTES];
+    let waiting = SockRef::from(stream).peek(&mut bytes).unwrap_or_default();
+    if buffered + waiting == 0 {
+        return;
+    }
+    core.metrics.callers.note_unread(reason);
+    core.log.write(
+        "closed-unread",
+        serde_json::json!({"reason": reason, "buffered": buffered, "waiting": waiting}),
+    );
+}
+
 /// Waits until connections of a listener are to be closed because the node stops: those that have been
 /// used in phase `Closing`, all in phase `Disconnecting`.
 async fn wait_for_closing(core: &EntryCore, kind: ListenerKind, phase: StopPhase) {
