Log what a node knew when it looked for the origin of a stream

A line `taken-up` with the source `unknown` did not show whether the node had just started or why it could not conclude that there is one version: both had to be put together from lines of other kinds. It now says whether the node knows of several versions of the service, and how long it has run.

--- a/crates/zinniahatch_entry/src/request/take_up.rs
+++ b/crates/zinniahatch_entry/src/request/take_up.rs
@@ -65,11 +65,16 @@
     core.metrics
         .streams
         .note_taken_up(&plan.service, source.name());
+    let several = core
+        .versions
+        .borrow()
+        .shows_several(tag_of(&plan.service), Instant::now());
     core.log.write(
         "taken-up",
         serde_json::json!({"request": request.attempt, "resumes": request.resumes,
             "after_event": request.last_event, "direct": request.is_direct(),
             "service": plan.service, "source": source.name(), "origin": found,
+            "several": several, "up_ms": core.started.elapsed().as_millis() as u64,
             "took_ms": began.elapsed().as_millis() as u64}),
     );
     match found {
