Show that streams of two versions do not outlive all nodes

Where all entry VMs end while two versions serve, callers that take up their streams are refused with 235, though replicas of their version serve. It is listed in KNOWN-RED.txt until the fault is mended.

--- a/crates/zinniahatch_lab/tests/stream_versions.rs
+++ b/crates/zinniahatch_lab/tests/stream_versions.rs
@@ -8,6 +8,7 @@
 use std::net::UdpSocket;
 use std::time::Duration;
 use test_case::test_case;
+use tokio::time::sleep;
 use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
@@ -32,6 +33,8 @@
 /// Number of times that a stream is taken up at processes that have just started. Each waits for
 /// other nodes to answer; a stream may last far longer than all of them take.
 const TRIES_AFTER_START: u32 = 8;
+/// Age at which a stream outlives all nodes.
+const RECORD_TIME: Duration = Duration::from_secs(2);
 /// Number of datagrams that fill the queue of a node, some 200 KB.
 const QUEUED_DATAGRAMS: u32 = 2_000;
 /// Header with the number of the result code.
@@ -420,6 +423,37 @@
     assert_eq!(outcome.is_ok(), goes_on);
 }
 
+/// Guards against streams that nobody remembers after all nodes have ended while two versions serve: each
+/// goes on at its version, taken up at any node.
+#[ignore = "KNOWN-RED.txt"]
+#[test_case(0; "at_its_node")]
+#[test_case(1; "in_another_region")]
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_two_versions_outlive_all_nodes(node: usize) {
+    let regions: [(&str, &[&str]); 2] = [("north", &["v1", "v1.1"]), ("south", &["v1.1", "v1"])];
+    let mut site = start_site(1, &regions).await;
+    let mut begun = Vec::new();
+    for number in 0..STREAMS / 4 {
+        let version = version_of(number);
+        begun.push(begin_stream(&site, 0, version, &format!("s{number}")).await);
+    }
+    sleep(RECORD_TIME).await;
+    for node in 0..2 {
+        site.kill(node);
+    }
+    for node in 0..2 {
+        site.spawn(node);
+    }
+    for node in 0..2 {
+        site.wait_ready(node).await;
+    }
+    for (number, (attempt, part)) in begun.iter().enumerate() {
+        let rest = take_up_again(&site, node, attempt, part, &format!("t{number}")).await;
+        let rest = rest.expect("the stream goes on");
+        assert_eq!(rest.version(), part.version());
+    }
+}
+
 /// Guards against processes that take the unknown time of streams for none: they know the replicas
 /// before the desired state, and overwrite what the store says of the versions that have served.
 #[tokio::test(flavor = "multi_thread")]
