Test answers that stop inside their head or just after it

Replicas stop at each byte of the head, and just after it, with a length, chunks or neither, with an orderly close or a reset, with and without an interim response before, alone and beside a sound replica, through a node of their region and one that forwards; and a form in which something between ends the head with an empty line.

Just after the head of an answer with neither length nor chunks, and where the head is ended before the line that frames the body, callers get a 200 with an empty body that looks whole: 16 of 96 answers on each of the four routes where no other replica was there, 34 of 438 (plain) and 76 of 438 (streams) of the heads that were ended early, and the first take-up of a stream.

--- a/crates/zinniahatch_lab/src/test_doubles.rs
+++ b/crates/zinniahatch_lab/src/test_doubles.rs
@@ -6,6 +6,7 @@
 pub mod directory;
 pub mod engine;
 pub mod faults;
+pub mod head_cut;
 pub mod limit_record;
 pub mod notice_record;
 pub mod plain;
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -10,6 +10,7 @@
 use super::answer_form::reset_on_drop;
 use super::crashing::CrashingRequests;
 use super::crashing::RequestContent;
+use super::head_cut::HeadCut;
 use super::limit_record::LimitRecord;
 use super::notice_record::NoticeRecord;
 use httparse::EMPTY_HEADER;
@@ -37,6 +38,11 @@
 /// Size of a read, in bytes.
 const READ_BYTES: usize = 16 << 10;
 
+/// Header line of a stream of events.
+const EVENT_STREAM_LINE: &str = "Content-Type: text/event-stream\r\n";
+/// Length that a cut head announces.
+const CUT_LENGTH: usize = 100;
+
 /// Behaviour of a replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReplicaBehaviour {
@@ -53,6 +59,8 @@
     BreakAfter(u32),
     /// It gives its answers this form.
     Answer(AnswerForm),
+    /// It cuts the heads of its answers as the paths of the requests describe.
+    CutHeads,
     /// It sends the bodies of plain answers byte by byte, with this pause before each.
     Trickle(Duration),
     /// It accepts requests and never responds.
@@ -409,6 +417,11 @@
         {
             return self.crash_during(stream, request).await;
         }
+        if behaviour == ReplicaBehaviour::CutHeads
+            && let Some(cut) = HeadCut::of_path(&request.content.path)
+        {
+            return self.cut_head(stream, request, cut).await;
+        }
         match (behaviour, requested_bytes(&request.content.path)) {
             (ReplicaBehaviour::LoseAnswer, _) => false,
             (ReplicaBehaviour::Fail, Some(bytes)) => {
@@ -582,12 +595,7 @@
             || format!("{}@{}", request.attempt, self.id),
             |bytes| "x".repeat(bytes),
         );
-        let head = format!(
-            "{}X-Server-Seal: {}\r\n{}\r\n",
-            self.head(request, "200 OK"),
-            self.id,
-            form.header_line(body.len())
-        );
+        let head = self.head_in_form(request, form, "", body.len());
         let sent = match form.broken {
             Some(_) => &body[..body.len() / 2],
             None => &body,
@@ -602,6 +610,37 @@
         }
     }
 
+    /// Returns the head of a success in a form; `more` is a further header line or empty.
+    fn head_in_form(
+        &self,
+        request: &ReplicaRequest,
+        form: AnswerForm,
+        more: &str,
+        length: usize,
+    ) -> String {
+        format!(
+            "{}X-Server-Seal: {}\r\n{more}{}\r\n",
+            self.head(request, "200 OK"),
+            self.id,
+            form.header_line(length)
+        )
+    }
+
+    /// Sends the beginning of a head and breaks the answer off.
+    async fn cut_head(
+        &self,
+        stream: &mut TcpStream,
+        request: &ReplicaRequest,
+        cut: HeadCut,
+    ) -> bool {
+        let is_stream = request.content.path.starts_with("/stream");
+        let more = if is_stream { EVENT_STREAM_LINE } else { "" };
+        let head = self.head_in_form(request, cut.form(), more, CUT_LENGTH);
+        // The answer breaks off next; whether these bytes arrive does not matter.
+        let _ = stream.write_all(cut.apply(&head).as_bytes()).await;
+        self.break_off(stream, cut.end).await
+    }
+
     async fn events(
         &self,
         stream: &mut TcpStream,
@@ -615,12 +654,8 @@
         for id in request.last_event + 1..=self.shape.events {
             events.push(format!("id: {id}\ndata: {}{version}\n\n", request.attempt));
         }
-        let head = format!(
-            "{}X-Server-Seal: {}\r\nContent-Type: text/event-stream\r\n{}\r\n",
-            self.head(request, "200 OK"),
-            self.id,
-            form.header_line(events.iter().map(String::len).sum())
-        );
+        let length = events.iter().map(String::len).sum();
+        let head = self.head_in_form(request, form, EVENT_STREAM_LINE, length);
         if stream.write_all(head.as_bytes()).await.is_err() {
             return false;
         }
