Pass on a promise that a request has not run only if its replica gave one

Callers of routes that may run a request once got 503, 429 or 408 for requests that had run, and these statuses tell them to send the request again. A replica's refusal carries its mark in a header line of its own; where the head is ended early on the way, or the replica fails with such a status, there is none, and the status was passed on as the replica's.

Such a response counts as one of a request that may have run: another try where the route may be repeated, otherwise 502, outcome unknown, without the replica's seal. A node does the same with what another node passes on.

--- a/crates/zinniahatch_entry/src/request/send.rs
+++ b/crates/zinniahatch_entry/src/request/send.rs
@@ -338,9 +338,31 @@
         }
         return Err(SendFailure::NotRun(hint));
     }
+    if promises_not_run(head.status) {
+        in_flight.record_failure();
+        return Err(unmarked_refusal(head.status));
+    }
     Ok((head, in_flight))
 }
 
+/// Returns whether callers take a status for the promise that a request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// A status that promises what nothing else in the response says.
+fn unmarked_refusal(status: StatusCode) -> SendFailure {
+    SendFailure::Unknown(
+        format!("status {status} without a mark that the request did not run").into(),
+    )
+}
+
 /// Returns the software version that another node says has served a request.
 fn served_software(headers: &HeaderMap) -> Option<ShortTag> {
     let value = headers.get(&SERVED_SOFTWARE)?.to_str().ok()?;
@@ -414,6 +436,9 @@
         }
     };
     if gateway_code(&head.headers).is_none() {
+        if promises_not_run(head.status) {
+            return Err(unmarked_refusal(head.status));
+        }
         in_flight.software = served_software(&head.headers);
         // A node of an earlier version does not know which version it was asked for.
         if head.status.is_success() && !point.allows(in_flight.software) {
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -53,6 +53,8 @@
     Shed,
     /// It runs every request and responds with a failure.
     Fail,
+    /// It runs every request and responds with this status, without a mark that it did not run.
+    FailAs(u16),
     /// It runs every request and closes the connection without a response.
     LoseAnswer,
     /// It cuts off each stream inside an event, after this many complete ones.
@@ -424,6 +426,10 @@
         }
         match (behaviour, requested_bytes(&request.content.path)) {
             (ReplicaBehaviour::LoseAnswer, _) => false,
+            (ReplicaBehaviour::FailAs(status), _) => {
+                self.plain(stream, request, &format!("{status} Failed"))
+                    .await
+            }
             (ReplicaBehaviour::Fail, Some(bytes)) => {
                 self.large(stream, request, "500 Internal Error", bytes)
                     .await
--- a/crates/zinniahatch_lab/tests/at_most_once.rs
+++ b/crates/zinniahatch_lab/tests/at_most_once.rs
@@ -66,6 +66,34 @@
     site
 }
 
+/// Guards against a status that promises that a request has not run, passed on although the replica does not
+/// say so: the mark is lost where the head of its answer is ended early.
+#[test_case(HERE, StatusCode::SERVICE_UNAVAILABLE; "unavailable")]
+#[test_case(HERE, StatusCode::TOO_MANY_REQUESTS; "too_many_requests")]
+#[test_case(HERE, StatusCode::REQUEST_TIMEOUT; "request_timeout")]
+#[test_case(FORWARDED, StatusCode::SERVICE_UNAVAILABLE; "unavailable_forwarded")]
+#[tokio::test(flavor = "multi_thread")]
+async fn unmarked_refusal_is_no_promise(regions: &[SiteRegion], status: StatusCode) {
+    let site = start_site(regions).await;
+    for (replica, _) in &site.replicas {
+        replica.set_behaviour(ReplicaBehaviour::FailAs(status.as_u16()));
+    }
+    for path in ["/once/t", "/stream-once/t", "/plain/t", "/stream/t"] {
+        let attempt = format!("unmarked{}", path.replace('/', "-"));
+        let request = site.request_with_timeout(NODE, path, &attempt, CALLER_TIME);
+        let response = request.send().await.expect("the node answers");
+        let seal = response.headers().get("x-server-seal");
+        assert_eq!(
+            (response.status(), seal),
+            (StatusCode::BAD_GATEWAY, None),
+            "{path}"
+        );
+        let runs = site.runs(&attempt);
+        let once = path.contains("once");
+        assert!(runs == 1 || !once && runs > 0, "{path}: {runs} runs");
+    }
+}
+
 /// Lets every replica fall silent inside its answers.
 fn silence_answers(site: &SiteCluster) {
     let form = AnswerForm {
