--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -43,6 +43,10 @@
 const SIGTERM: i32 = 15;
 /// Default retry slack of all nodes together: tests that count no retries are not to run out of them.
 pub const AMPLE_RETRY_SLACK: f64 = 5_000_000.0;
+/// Size of the files that an entry VM may write if it is limited, in bytes.
+pub const LIMITED_FILE_BYTES: usize = 4_096;
+/// Unit in which a shell takes the limit, in bytes.
+const FILE_LIMIT_BLOCK: usize = 512;
 /// Grace period of a planned stop, in seconds.
 pub const GRACE_SECONDS: u64 = 8;
 
@@ -492,6 +496,27 @@
     ///
     /// Panics if the daemon cannot be started.
     pub fn spawn_process(&mut self, index: usize) {
+        self.spawn_command(index, Command::new(daemon_path()));
+    }
+
+    /// Starts an entry VM that may write files of [`LIMITED_FILE_BYTES`], such as its decision log.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the daemon cannot be started.
+    pub fn spawn_with_file_limit(&mut self, index: usize) {
+        self.place_settings(index);
+        let blocks = LIMITED_FILE_BYTES / FILE_LIMIT_BLOCK;
+        let mut command = Command::new("sh");
+        command
+            .arg("-c")
+            .arg(format!("ulimit -f {blocks} && exec \"$0\" \"$@\""))
+            .arg(daemon_path());
+        self.spawn_command(index, command);
+    }
+
+    /// Starts an entry VM by a command that takes the daemon's arguments.
+    fn spawn_command(&mut self, index: usize, mut command: Command) {
         let settings = self.settings_path(index);
         let log = File::options()
             .create(true)
@@ -504,7 +529,7 @@
             .append(true)
             .open(self.errors_path(index))
             .expect("a file for errors can be opened");
-        let child = Command::new(daemon_path())
+        let child = command
             .arg("--config")
             .arg(&settings)
             .stdout(log)
--- a/crates/zinniahatch_lab/tests/start_faults.rs
+++ b/crates/zinniahatch_lab/tests/start_faults.rs
@@ -15,6 +15,7 @@
 use zinniahatch_lab::cluster::is_ready;
 use zinniahatch_lab::settings_gate::SettingsGate;
 use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
+use zinniahatch_lab::site::LIMITED_FILE_BYTES;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
@@ -300,3 +301,22 @@
     assert_eq!(site.ended(0), Some(false), "it ends with an error");
     assert_eq!(site.log(0), "", "it served nobody");
 }
+
+/// Guards against a process that the system ends because its log may not grow any more.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED.txt"]
+async fn log_at_its_size_limit_ends_the_process() {
+    let mut site = SiteCluster::prepare(&REGIONS, SHAPE).await;
+    site.spawn_with_file_limit(0);
+    site.wait_ready(0).await;
+    wait_until("the log reaches its limit", async || {
+        site.signal(0, "-HUP");
+        site.log(0).len() >= LIMITED_FILE_BYTES
+    })
+    .await;
+    let response = site.request(0, "/plain/x", "a1").send().await;
+    assert_eq!(response.expect("the node answers").status(), StatusCode::OK);
+    site.terminate(0);
+    wait_until("the process ends", async || site.ended(0).is_some()).await;
+    assert_eq!(site.ended(0), Some(true), "it ends by its stop");
+}
