Read on after an answer of the OpenAI-style gateway too

Callers of the OpenAI-style gateway could not send their request to its end, or found the connection closed after an answer that did not say so: with a body over the limit, stated or in chunks, with one that arrived slowly, and with a body beyond 2 MiB where their request was refused for another reason. Bodies of requests that were refused for their head were drained, within 2 MiB and 1 s, those that were refused while they were read were not.

The connection is a `LingeringStream` now, which is closed for writing and read on within the same bounds when the server drops it; the daemon waits for those for a second at its end. Refusals of requests that were not read to their end say `Connection: close`.

The four cases of refusal_of_gateway_reaches_its_caller failed before (EPIPE, resets, a closed connection), near by and 40 ms away, and pass.

--- a/crates/zinniahatch_daemon/src/lib.rs
+++ b/crates/zinniahatch_daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod counts;
 mod directory;
+mod lingering;
 mod listen;
 mod load_polls;
 mod logging;
--- a/crates/zinniahatch_daemon/src/run.rs
+++ b/crates/zinniahatch_daemon/src/run.rs
@@ -4,6 +4,8 @@
 use crate::counts;
 use crate::counts::CountMerger;
 use crate::directory;
+use crate::lingering::LingerSlots;
+use crate::lingering::LingeringAcceptor;
 use crate::listen::open_sockets;
 use crate::load_polls;
 use crate::logging;
@@ -149,7 +151,9 @@
     spawn_restarted(&core, "retention", counts::run_retention);
     // The request path has its own limits for slow senders; those of the server would be checked for
     // every streamed event.
-    let mut server = Server::new(sockets.acceptor).disable_fuse();
+    let slots = LingerSlots::default();
+    let acceptor = LingeringAcceptor::new(sockets.acceptor, slots.clone());
+    let mut server = Server::new(acceptor).disable_fuse();
     server
         .http1_mut()
         .header_read_timeout(IDLE_TIMEOUT)
@@ -163,6 +167,7 @@
     shutdown::shut_down(&core, &merger).await;
     handle.stop_graceful(Some(Duration::from_secs(1)));
     let _ = serving.await;
+    slots.wait_free().await;
     Ok(())
 }
 
--- a/crates/zinniahatch_gateway/src/body.rs
+++ b/crates/zinniahatch_gateway/src/body.rs
@@ -53,33 +53,32 @@
     match timeout(time, request.payload_with_max_size(size)).await {
         Ok(Ok(bytes)) => Ok(bytes.clone()),
         Ok(Err(ParseError::PayloadTooLarge)) => {
-            Err(Box::new(Refusal::new(ResultCode::BodyTooLarge)))
+            Err(Box::new(Refusal::unread(ResultCode::BodyTooLarge)))
         }
         Ok(Err(error)) => Err(Box::new(Refusal::detail(
             ResultCode::BadRequest,
             &format!("the body cannot be read: {error}"),
         ))),
-        Err(_) => Err(Box::new(Refusal::new(ResultCode::BodyTooSlow))),
+        Err(_) => Err(Box::new(Refusal::unread(ResultCode::BodyTooSlow))),
     }
 }
 
-/// Drains the body of a refused request, up to a size and a time limit.
-///
-/// Closing a connection with unread bytes resets it, and the caller would then see a broken
-/// connection instead of the refusal. The bytes are not inspected.
-pub(crate) async fn discard_body(request: &mut Request) {
+/// Drains the body of a refused request, up to a size and a time limit, so that its connection can be
+/// kept; returns whether it came to its end. The bytes are not inspected.
+pub(crate) async fn discard_body(request: &mut Request) -> bool {
     let mut body = request.take_body();
     let discard = async {
         let mut remaining = MAX_DISCARD_BYTES;
         while let Some(Ok(frame)) = body.next().await {
             let size = frame.data_ref().map_or(0, Bytes::len);
             if size >= remaining {
-                return;
+                return false;
             }
             remaining -= size;
         }
+        true
     };
-    let _ = timeout(DISCARD_TIMEOUT, discard).await;
+    timeout(DISCARD_TIMEOUT, discard).await.unwrap_or(false)
 }
 
 /// Extracts what routing needs from a body; refuses a model request that is not chat JSON.
--- a/crates/zinniahatch_gateway/src/caller.rs
+++ b/crates/zinniahatch_gateway/src/caller.rs
@@ -226,21 +226,21 @@
     let head = read_head(request);
     let mut admitted = match admit(core, head) {
         Ok(admitted) => admitted,
-        Err(refusal) => {
-            discard_body(request).await;
+        Err(mut refusal) => {
+            refusal.closes = !discard_body(request).await;
             return Reply::Refused(core.request_id(), refusal);
         }
     };
     if core.is_draining() {
         let mut refusal = Refusal::new(ResultCode::NodeLeaving);
         refusal.entries = core.control().entries(Instant::now());
-        discard_body(request).await;
+        refusal.closes = !discard_body(request).await;
         return refuse(&mut admitted, Box::new(refusal));
     }
     let key = match find_key(core, &admitted) {
         Ok(key) => key,
-        Err(refusal) => {
-            discard_body(request).await;
+        Err(mut refusal) => {
+            refusal.closes = !discard_body(request).await;
             return refuse(&mut admitted, refusal);
         }
     };
--- a/crates/zinniahatch_gateway/src/refusal.rs
+++ b/crates/zinniahatch_gateway/src/refusal.rs
@@ -12,6 +12,8 @@
     pub(crate) entries: Vec<EntryAddress>,
     pub(crate) key: Option<Box<str>>,
     pub(crate) detail: Option<Box<str>>,
+    /// Whether the connection closes since the request was not read to its end.
+    pub(crate) closes: bool,
 }
 
 /// JSON body of a refusal.
@@ -39,6 +41,15 @@
             entries: Vec::new(),
             key: None,
             detail: None,
+            closes: false,
+        }
+    }
+
+    /// Refuses a request that was not read to its end.
+    pub(crate) fn unread(code: ResultCode) -> Self {
+        Self {
+            closes: true,
+            ..Self::new(code)
         }
     }
 
--- a/crates/zinniahatch_gateway/src/respond.rs
+++ b/crates/zinniahatch_gateway/src/respond.rs
@@ -126,6 +126,9 @@
         &core.identity.region,
         refusal.code,
     );
+    if refusal.closes {
+        set(response, "connection", "close");
+    }
     if let Some(after) = refusal.retry_after {
         set(response, "retry-after", &after.as_secs().max(1).to_string());
     }
