Bound the memory of events that are not whole or not sent

The buffer of an event beyond 16 KiB is reserved from the memory of answers. An event that finds too little is forwarded in parts, and no other replica goes on with the stream from then on, since its caller may have half an event. Events are queued in parts of 8 KiB, so that the queue of a caller that does not read stops the reading of the replica within the event, and an event's reservation ends with its last part.

--- a/crates/zinniahatch_entry/src/request/events.rs
+++ b/crates/zinniahatch_entry/src/request/events.rs
@@ -10,6 +10,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Size up to which a buffer is kept for the next event.
+const MAX_SPARE_BYTES: usize = 16 << 10;
+
 /// Buffers bytes and returns whole events.
 #[derive(Debug)]
 pub struct EventSplitter {
@@ -43,6 +46,10 @@
         self.buffer.extend_from_slice(bytes);
         let end = buffered + self.scanner.push(bytes)?;
         let mut whole = self.buffer.split_to(end).freeze();
+        // What follows would keep the memory of a large event.
+        if self.buffer.capacity() > MAX_SPARE_BYTES {
+            self.buffer = BytesMut::from(&*self.buffer);
+        }
         // A byte order mark may stand only at the beginning of a stream.
         if self.continues && whole.starts_with(&BYTE_ORDER_MARK) {
             whole.advance(BYTE_ORDER_MARK.len());
@@ -54,6 +61,11 @@
         (!whole.is_empty()).then_some(whole)
     }
 
+    /// Returns the size of the buffer for what belongs to no whole event yet.
+    pub fn buffer_size(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Follows bytes that are passed on as they arrive.
     pub fn follow(&mut self, bytes: &[u8]) {
         self.scanner.push(bytes);
@@ -74,15 +86,15 @@
         self.scanner.position()
     }
 
-    /// Returns what follows the last event of a complete stream, such as a comment.
+    /// Returns what follows the last whole event, such as a comment at the end of a stream.
     pub fn take_rest(&mut self) -> Option<Bytes> {
-        let rest = self.buffer.split().freeze();
+        let rest = std::mem::take(&mut self.buffer).freeze();
         (!rest.is_empty()).then_some(rest)
     }
 
     /// Discards an incomplete event, before another replica continues the stream.
     pub fn discard_partial(&mut self) {
-        self.buffer.clear();
+        self.buffer = BytesMut::new();
         self.scanner = EventScanner::at_start();
     }
 }
--- a/crates/zinniahatch_entry/src/request/held_memory.rs
+++ b/crates/zinniahatch_entry/src/request/held_memory.rs
@@ -103,9 +103,17 @@
 }
 
 impl MemoryReservation {
-    /// Adds another reservation of the same memory.
-    fn merge(&mut self, mut other: Self) {
-        self.bytes += std::mem::take(&mut other.bytes);
+    /// Reserves more, up to a number of bytes in all; returns whether there is memory for that.
+    pub(crate) fn grow_to(&mut self, memory: &HeldMemory, bytes: usize) -> bool {
+        let missing = bytes.saturating_sub(self.bytes);
+        if missing == 0 {
+            return true;
+        }
+        let Some(mut more) = memory.reserve(missing) else {
+            return false;
+        };
+        self.bytes += std::mem::take(&mut more.bytes);
+        true
     }
 
     /// Gives back what a body of this length does not need.
@@ -124,11 +132,18 @@
 
 /// Bytes whose memory is reserved, as `Bytes` until the last reference to them is dropped.
 #[derive(Debug)]
-pub(crate) struct HeldBytes {
-    bytes: Vec<u8>,
+pub(crate) struct HeldBytes<B = Vec<u8>> {
+    bytes: B,
     reservation: MemoryReservation,
 }
 
+impl HeldBytes<Bytes> {
+    /// Joins bytes with the reservation of their memory.
+    pub(crate) fn new(bytes: Bytes, reservation: MemoryReservation) -> Self {
+        Self { bytes, reservation }
+    }
+}
+
 impl HeldBytes {
     /// Reserves memory for a number of bytes; returns `None` if there is too little left.
     pub(crate) fn with_capacity(memory: &HeldMemory, bytes: usize) -> Option<Self> {
@@ -145,10 +160,9 @@
         let capacity = self.bytes.capacity();
         if needed > capacity {
             let grown = needed.max(capacity * 2);
-            let Some(more) = memory.reserve(grown - capacity) else {
+            if !self.reservation.grow_to(memory, grown) {
                 return false;
-            };
-            self.reservation.merge(more);
+            }
             self.bytes.reserve_exact(grown - self.bytes.len());
         }
         self.bytes.extend_from_slice(bytes);
@@ -156,14 +170,14 @@
     }
 }
 
-impl AsRef<[u8]> for HeldBytes {
+impl<B: AsRef<[u8]>> AsRef<[u8]> for HeldBytes<B> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
-impl From<HeldBytes> for Bytes {
-    fn from(held: HeldBytes) -> Self {
+impl<B: AsRef<[u8]> + Send + 'static> From<HeldBytes<B>> for Bytes {
+    fn from(held: HeldBytes<B>) -> Self {
         Self::from_owner(held)
     }
 }
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -11,6 +11,8 @@
 use crate::request::failover::SilenceEnd;
 use crate::request::failover::SilenceWait;
 use crate::request::failover::WaitedConnection;
+use crate::request::held_memory::HeldBytes;
+use crate::request::held_memory::MemoryReservation;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::in_flight::RESTART_CHECK_INTERVAL;
 use crate::request::plan::InFlightGuard;
@@ -33,6 +35,12 @@
 use zinniahatch_route::StreamOrigin;
 use zinniahatch_route::take_up_time;
 
+/// Size of a buffer for an event up to which its memory is not reserved.
+const MAX_UNRESERVED_EVENT_BYTES: usize = 16 << 10;
+/// Maximum bytes of a part in which a large event is queued. What a caller reads slowly is mostly not
+/// queued, and the replica is not read on.
+const MAX_PART_BYTES: usize = 8 << 10;
+
 /// A stream being forwarded to its caller.
 pub(crate) struct StreamRelay {
     pub(crate) core: Rc<EntryCore>,
@@ -58,6 +66,10 @@
     pub(crate) failed: bool,
     /// Position of the response relative to its events.
     pub(crate) splitter: EventSplitter,
+    /// Memory of the event that is being read.
+    pub(crate) event_memory: Option<MemoryReservation>,
+    /// Whether the caller has a part of an event, so that no other replica can go on.
+    pub(crate) split_event: bool,
     /// How the current replica's response marks its end.
     pub(crate) body_end: Option<BodyEnd>,
     /// Decides when another replica is looked for.
@@ -286,7 +298,7 @@
 
     /// Returns whether another replica may continue the stream.
     fn may_resume(&self) -> bool {
-        self.plan.route.resumable && self.has_events
+        self.plan.route.resumable && self.has_events && !self.split_event
     }
 
     async fn forward_events(
@@ -294,7 +306,6 @@
         in_flight: &mut InFlightRequest,
         begun: &mut impl Iterator<Item = Bytes>,
     ) -> ForwardStop {
-        let resumable = self.may_resume();
         self.body_end = in_flight.body_end();
         let mut restart_check = Instant::now() + RESTART_CHECK_INTERVAL;
         let mut survival_noted = false;
@@ -304,6 +315,7 @@
             }
         }
         loop {
+            let resumable = self.may_resume();
             let silent_at = self.failover.silent_at();
             let chunk = tokio::select! {
                 biased;
@@ -344,24 +356,63 @@
     async fn forward(&mut self, in_flight: &InFlightRequest, bytes: Bytes) -> Result<(), RelayEnd> {
         let resumable = self.may_resume();
         let ready = if resumable {
-            self.splitter.push(&bytes)
+            let whole = self.splitter.push(&bytes);
+            whole
+                .map(|events| self.hold_events(events))
+                .or_else(|| self.reserve_event())
         } else {
             self.splitter.follow(&bytes);
             Some(bytes)
         };
-        let Some(ready) = ready else {
+        let Some(mut ready) = ready else {
             return Ok(());
         };
         if resumable && self.first_event.is_none() {
             self.record_origin(in_flight);
         }
         self.record_event();
+        while ready.len() > MAX_PART_BYTES {
+            self.send(ready.split_to(MAX_PART_BYTES)).await?;
+        }
         self.send(ready).await?;
         // While the caller read nothing, the replica was not read either.
         self.failover.on_bytes(Instant::now());
         Ok(())
     }
 
+    /// Keeps the memory of events reserved until they are sent.
+    fn hold_events(&mut self, events: Bytes) -> Bytes {
+        match self.event_memory.take() {
+            Some(reservation) => HeldBytes::new(events, reservation).into(),
+            None => events,
+        }
+    }
+
+    /// Reserves memory for the event that is being read. If there is too little, returns what there is of it,
+    /// which is forwarded in parts from then on.
+    fn reserve_event(&mut self) -> Option<Bytes> {
+        let size = self.splitter.buffer_size();
+        if size <= MAX_UNRESERVED_EVENT_BYTES {
+            return None;
+        }
+        let memory = &self.core.answer_memory;
+        let granted = match &mut self.event_memory {
+            Some(reservation) => reservation.grow_to(memory, size),
+            none => {
+                *none = memory.reserve(size);
+                none.is_some()
+            }
+        };
+        if granted {
+            return None;
+        }
+        let core = &self.core;
+        core.log_memory_full(memory, &self.request.attempt, size);
+        self.split_event = true;
+        let begun = self.splitter.take_rest()?;
+        Some(self.hold_events(begun))
+    }
+
     /// Records what began the stream, whose first event its caller gets now.
     fn record_origin(&mut self, in_flight: &InFlightRequest) {
         let (core, request, plan) = (&self.core, &self.request, &self.plan);
--- a/crates/zinniahatch_entry/src/request/response.rs
+++ b/crates/zinniahatch_entry/src/request/response.rs
@@ -237,6 +237,8 @@
         has_events: has_events(plan, &head),
         failed: head.status.is_server_error(),
         splitter: EventSplitter::after(request.last_event.clone()),
+        event_memory: None,
+        split_event: false,
         body_end: None,
         failover,
     };
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -656,9 +656,11 @@
         let _run = StreamRunGuard::start(&self.state, &request.attempt);
         let version = lock(&self.state).version.clone();
         let version = version.map_or_else(String::new, |version| format!(" {version}"));
+        let padding = "x".repeat(requested_bytes(&request.content.path).unwrap_or_default());
         let mut events = Vec::new();
         for id in request.last_event + 1..=self.shape.events {
-            events.push(format!("id: {id}\ndata: {}{version}\n\n", request.attempt));
+            let event = format!("id: {id}\ndata: {}{version}{padding}\n\n", request.attempt);
+            events.push(event);
         }
         let length = events.iter().map(String::len).sum();
         let head = self.head_in_form(request, form, EVENT_STREAM_LINE, length);
--- a/crates/zinniahatch_lab/tests/body_memory.rs
+++ b/crates/zinniahatch_lab/tests/body_memory.rs
@@ -32,6 +32,11 @@
 const ANSWERS: usize = 20;
 /// Length of an answer that the memory for answers does not hold.
 const LONG_ANSWER_BYTES: usize = 30 << 20;
+/// Length of the events of large streams.
+const LARGE_EVENT_BYTES: usize = 4 << 20;
+const STREAMS: usize = 12;
+/// Pauses of a caller that reads the first event.
+const READ_PAUSES: usize = 10;
 const CALLER_TIME: Duration = Duration::from_secs(4);
 
 async fn metrics_of(site: &SiteCluster) -> String {
@@ -124,6 +129,40 @@
     assert!(peak < u64::from(MEMORY_MIB), "{peak} MiB, {begun} begun");
 }
 
+/// Guards against a process that is killed with all its requests, since it keeps more of large events than
+/// it has memory for.
+#[tokio::test(flavor = "multi_thread")]
+async fn events_stay_within_the_memory() {
+    let site = start_small().await;
+    let front = &site.entries[0].addresses[0];
+    let calls = (0..STREAMS).map(async |number| {
+        let attempt = format!("events-{number}");
+        let mut reading = SlowReading::begin(front, "stream", &attempt, LARGE_EVENT_BYTES).await?;
+        reading.read_to(LARGE_EVENT_BYTES, READ_PAUSES).await
+    });
+    let readings = join_all(calls).await;
+    assert!(readings.iter().all(Result::is_ok), "{readings:?}");
+    let peak = site.peak_memory_kib(0) >> 10;
+    assert!(peak < u64::from(MEMORY_MIB), "{peak} MiB");
+    wait_for_release(&site).await;
+}
+
+/// Guards against a stream that is lost, or loses a part, since one of its events is longer than the memory for
+/// answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn event_beyond_the_memory_arrives_whole() {
+    let site = start_small().await;
+    let path = format!("/stream/t?bytes={LONG_ANSWER_BYTES}");
+    let response = site.request(0, &path, "long").send().await;
+    let response = response.expect("the node answers");
+    let body = response.text().await.expect("the stream is whole");
+    let padding = "x".repeat(LONG_ANSWER_BYTES);
+    let event = |id| format!("id: {id}\ndata: long{padding}\n\n");
+    let expected: String = (1..=SHAPE.events).map(event).collect();
+    assert!(body == expected, "{} bytes", body.len());
+    wait_for_release(&site).await;
+}
+
 /// A site of one entry VM with little memory and one replica.
 async fn start_small() -> SiteCluster {
     let mut site = SiteCluster::prepare(&[SiteRegion::new("north", 1, 1)], SHAPE).await;
