Discard a response of another node that nothing frames

Nodes state the length of what they send one another or send it in chunks. With the body cut after some bytes, or its chunk sizes taken for body, callers would have got that as whole.

--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -10,6 +10,7 @@
 use crate::nodes::own_info::is_store_reader;
 use crate::nodes::replica_updates::attach_versions;
 use crate::nodes::replica_updates::versions_of;
+use crate::request::connection::ResponseHead;
 use crate::store::updates::handle_entry_change;
 use crate::store::updates::is_in_region;
 use crate::store::watch_topic::WatchTopic;
@@ -253,7 +254,8 @@
     let mut response_body = Vec::new();
     let read = async {
         connection.send(peer, head.as_bytes(), body).await.ok()?;
-        let head = connection.read_head(&Method::GET, EXCHANGE_ID).await.ok()?;
+        let head = connection.read_head(&Method::GET, EXCHANGE_ID).await;
+        let head = head.and_then(ResponseHead::framed).ok()?;
         while let Some(chunk) = connection.read_body().await.ok()? {
             response_body.extend_from_slice(&chunk);
         }
--- a/crates/zinniahatch_entry/src/replicas/crash_detection.rs
+++ b/crates/zinniahatch_entry/src/replicas/crash_detection.rs
@@ -99,7 +99,7 @@
     }
     let (address, limit) = (in_flight.address(), limit.min(END_CHECK_TIMEOUT));
     let Some(replica) = in_flight.replica() else {
-        return check_listener(address, limit).await;
+        return ListenerState::Unknown;
     };
     let path = core.service(service).map(|service| service.health_path);
     let asking = ask_name(core, replica, address, path.as_deref().unwrap_or_default());
--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -123,6 +123,21 @@
     pub body_end: BodyEnd,
 }
 
+impl ResponseHead {
+    /// Returns the head of a response of another node. Nodes state the length of a body or send it in
+    /// chunks, so that one without either has lost a part of its head.
+    ///
+    /// # Errors
+    ///
+    /// Nothing marks the end of the body.
+    pub fn framed(self) -> Result<Self, ConnectionError> {
+        if self.body_end == BodyEnd::ConnectionClose {
+            return Err(ConnectionError::Malformed("unframed response of a node"));
+        }
+        Ok(self)
+    }
+}
+
 /// A connection to a backend server or another node.
 #[derive(Debug)]
 pub struct BackendConnection {
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -118,6 +118,10 @@
         let head = connection
             .read_replica_head(&request.method, &request.attempt)
             .await?;
+        let head = match self.assigned {
+            Some(_) => head,
+            None => head.framed()?,
+        };
         self.body_end = Some(head.body_end);
         let now = Instant::now();
         self.answer_began = Some(now);
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -26,6 +26,7 @@
 const FOREIGN: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: other\r\ncontent-length: 5\r\n\r\nwrong";
 const SEALED: &str =
     "HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\ncontent-length: 5\r\n\r\nhello";
+const SEALED_CHUNKS: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
 const ANONYMOUS: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
 
@@ -241,6 +242,27 @@
     }
 }
 
+/// Guards against a response of another node whose head was ended early on the way: without its framing,
+/// the end of the connection would end it.
+#[test_case(SEALED, true; "length")]
+#[test_case(SEALED_CHUNKS, true; "chunks")]
+#[test_case("HTTP/1.1 204 No Content\r\nx-attempt-id: mine\r\nx-server-seal: s\r\n\r\n", true; "without_a_body")]
+#[test_case("HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\n\r\n", false; "cut_before_its_framing")]
+#[test_case("HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\n\r\n2\r\nhe\r\n", false; "chunks_without_their_header")]
+#[tokio::test]
+async fn node_response_is_framed(response: &str, expected: bool) {
+    let address = serve_once(response.into(), true).await;
+    let mut connection = BackendConnection::connect(address, CONNECT_LIMIT)
+        .await
+        .unwrap();
+    connection
+        .send(permit(address), REQUEST, &[])
+        .await
+        .unwrap();
+    let head = connection.read_replica_head(&Method::GET, "mine").await;
+    assert_eq!(head.unwrap().framed().is_ok(), expected);
+}
+
 /// Guards against bytes after a complete response that are given to the next caller as its answer.
 #[test_case(&[SEALED], Some("hello"); "own")]
 #[test_case(&[ANONYMOUS, SEALED], Some("hello"); "anonymous_before")]
