--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -242,6 +242,48 @@
     }
 }
 
+/// Guards against a response that something ended early, or whose framing contradicts itself, and that is
+/// taken for a whole one.
+#[test_case("content-length: 5\r\n\r\nhell", None; "length_not_reached")]
+#[test_case("transfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n", None; "last_chunk_missing")]
+#[test_case("transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", None; "last_chunk_cut")]
+#[test_case("transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx: 1\r\n", None; "trailers_cut")]
+#[test_case("transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nx: 1\r\n\r\n", Some("hello"); "trailers")]
+#[test_case("transfer-encoding: chunk\r\n\r\n", None; "coding_cut")]
+#[test_case("content-length: 5\r\ncontent-length: 4\r\n\r\nhello", None; "lengths_differ")]
+#[test_case("content-length: 5\r\ncontent-length: 5\r\n\r\nhello", Some("hello"); "lengths_alike")]
+#[test_case("content-length: \r\n\r\n", None; "length_cut")]
+#[test_case("content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", Some("hello"); "length_and_chunks")]
+#[test_case("content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhe", None; "length_and_chunks_cut")]
+#[tokio::test]
+async fn response_is_framed_as_it_says(rest: &str, expected: Option<&str>) {
+    let head = "HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\n";
+    let address = serve_once(format!("{head}{rest}").into_bytes(), true).await;
+    let (body, _) = exchange(address).await;
+    assert_eq!(body.ok().as_deref(), expected.map(str::as_bytes));
+}
+
+/// Guards against the beginning of a head, or an interim response, that is taken for a response.
+#[test_case("HTTP/1.1 20"; "status_cut")]
+#[test_case("HTTP/1.1 20\r\n\r\n"; "status_cut_and_ended")]
+#[test_case("HTTP/1.1 200\r\n\r\n"; "status_alone")]
+#[test_case("HTTP/1.1 204 No Con\r\n\r\n"; "status_without_a_body_alone")]
+#[test_case("HTTP/1.1 100 Continue\r\n\r\n"; "interim_alone")]
+#[test_case("HTTP/1.1 103 Early Hints\r\nx-attempt-id: mine\r\nx-server-seal: s\r\n\r\nHTTP/1.1 200 OK\r\n"; "interim_and_status")]
+#[tokio::test]
+async fn cut_head_is_no_response(response: &str) {
+    let address = serve_once(response.into(), true).await;
+    let mut connection = BackendConnection::connect(address, CONNECT_LIMIT)
+        .await
+        .unwrap();
+    connection
+        .send(permit(address), REQUEST, &[])
+        .await
+        .unwrap();
+    let head = connection.read_replica_head(&Method::GET, "mine").await;
+    assert!(head.is_err(), "{head:?}");
+}
+
 /// Guards against a response of another node whose head was ended early on the way: without its framing,
 /// the end of the connection would end it.
 #[test_case(SEALED, true; "length")]
