Let the test double of the store hold any bytes

Values in the platform's store are any bytes, but the double refused those that are not text with 400, so that a client that writes them could not be tested.

--- a/crates/zinniahatch_lab/src/test_doubles/store/wire.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/store/wire.rs
@@ -108,7 +108,7 @@
 pub(super) fn item_body(key: &str, value: &StoredValue) -> ItemBody {
     ItemBody {
         key: key.into(),
-        value: STANDARD.encode(value.value.as_bytes()),
+        value: STANDARD.encode(&value.value),
         revision: value.revision,
         create_rev: value.created,
         lease: value.lease,
