Add a failing test of a log that nobody reads

A node of the first interface writes its log to standard output from the threads that serve requests.

--- a/crates/zinniahatch_lab/src/cluster.rs
+++ b/crates/zinniahatch_lab/src/cluster.rs
@@ -12,6 +12,7 @@
 use crate::test_doubles::store::FakeStore;
 use crate::users::UserPlan;
 use std::fs;
+use std::io::PipeReader;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -19,6 +20,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use tokio::net::unix::pipe::Sender;
 use tokio::time::sleep;
 use zinniahatch_base::prelude::*;
 use zinniahatch_config::ClusterConfig;
@@ -103,6 +105,20 @@
     child: Option<Child>,
 }
 
+impl NodeHandle {
+    fn spawn(&mut self, output: Stdio, errors: Stdio) {
+        let child = Command::new(daemon_path())
+            .arg("--config")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .expect("zinniahatchd is built; run cargo build --workspace first");
+        self.child = Some(child);
+    }
+}
+
 /// A running cluster; its processes are killed when it is dropped.
 pub struct LabCluster {
     /// The user's plan, with the addresses of the test doubles in its configuration parts.
@@ -240,15 +256,23 @@
             .open(&node.log)
             .expect("the log can be written");
         let errors = log.try_clone().expect("a file handle can be copied");
-        let child = Command::new(daemon_path())
-            .arg("--config")
-            .arg(&node.settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .expect("zinniahatchd is built; run cargo build --workspace first");
-        node.child = Some(child);
+        node.spawn(log.into(), errors.into());
+    }
+
+    /// Starts a node's process whose output goes to a full pipe that nobody reads while the returned reader is kept.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no pipe or the daemon's binary is not built.
+    pub async fn spawn_unread(&mut self, index: usize) -> PipeReader {
+        let (reader, writer) = std::io::pipe().expect("there is a pipe");
+        let sender = Sender::from_owned_fd(writer.into()).expect("a pipe can be written to");
+        sender.writable().await.expect("a pipe can be written to");
+        while sender.try_write(b" ").is_ok() {}
+        let output = sender.into_blocking_fd().expect("a pipe can block");
+        let errors = output.try_clone().expect("a file handle can be copied");
+        self.nodes[index].spawn(output.into(), errors.into());
+        reader
     }
 
     /// Waits until every started node is ready.
--- a/crates/zinniahatch_lab/tests/start_faults.rs
+++ b/crates/zinniahatch_lab/tests/start_faults.rs
@@ -319,3 +319,12 @@
     wait_until("the process ends", async || site.ended(0).is_some()).await;
     assert_eq!(site.ended(0), Some(true), "it ends by its stop");
 }
+
+/// Guards against a node of the first interface that stands still because nobody reads its log.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED.txt"]
+async fn unread_log_holds_the_daemon() {
+    let mut cluster = prepare_daemon().await;
+    let _reader = cluster.spawn_unread(0).await;
+    cluster.wait_ready().await;
+}
