Test that a node sees the refusal of the node to which it forwards a long body

A node without replicas forwards bodies of 50 MiB to one that has memory for 48 MiB, which refuses them before it has read them. The sending node must learn that they did not run (503, no unknown outcome) and say so to its caller in order.

--- a/crates/zinniahatch_lab/tests/refused_bodies.rs
+++ b/crates/zinniahatch_lab/tests/refused_bodies.rs
@@ -290,6 +290,39 @@
     expect_refused(&relay.address, target, request, status).await;
 }
 
+/// Guards against a refusal of another node that is lost in a reset, so that the node which forwarded the request
+/// cannot say that it did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_passes_through_another_node() {
+    const SENDING: usize = 0;
+    const REFUSING: usize = 1;
+    const REQUESTS: usize = 3;
+    const TOO_MUCH: LargeRequest = LargeRequest::new(BodyFraming::Length, 50 << 20);
+    let regions = [
+        SiteRegion::new("north", 1, 0),
+        SiteRegion::new("south", 1, 1),
+    ];
+    let mut site = SiteCluster::prepare(&regions, SHAPE).await;
+    site.spawn(SENDING);
+    site.set_memory(MEMORY_MIB);
+    site.spawn(REFUSING);
+    set_limits(&site, |limits| {
+        limits["max_body_bytes"] = TOO_MUCH.body.into();
+    })
+    .await;
+    wait_until("requests are forwarded", async || {
+        let response = site.request(SENDING, "/plain/t", "first").send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    })
+    .await;
+    let front = &site.entries[SENDING].addresses[FRONT];
+    for _ in 0..REQUESTS {
+        // An unknown outcome would be a 502.
+        expect_refused(front, "/plain/t", TOO_MUCH, 503).await;
+    }
+    assert!(site.log(REFUSING).contains("\"unread\""));
+}
+
 /// More than any node takes from another.
 const LARGE_FOR_PEER: LargeRequest = LargeRequest::new(BodyFraming::Length, 20 << 20);
 
