--- a/crates/zinniahatch_lab/tests/refused_bodies.rs
+++ b/crates/zinniahatch_lab/tests/refused_bodies.rs
@@ -1,8 +1,10 @@
 //! Requests that are answered before their body was read, with callers that give up when they cannot send on.
 
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::io;
 use std::time::Duration;
+use std::time::Instant;
 use test_case::test_case;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -232,6 +234,90 @@
     }
 }
 
+/// Returns why a request on a kept connection got no sound answer.
+async fn ask_kept(stream: &mut TcpStream, request: LargeRequest) -> Result<ReadAnswer, String> {
+    let sent = request.send(stream, "/plain/t").await;
+    sent.map_err(|error| format!("not sent: {error}"))?;
+    let answer = read_answer(stream).await;
+    let answer = answer.map_err(|error| format!("no answer: {error}"))?;
+    if answer.closes {
+        let mut rest = Vec::new();
+        let ended = stream.read_to_end(&mut rest).await;
+        ended.map_err(|error| format!("no end: {error}"))?;
+    }
+    Ok(answer)
+}
+
+/// Sends requests one after the other until a time, and returns what became of them.
+async fn run_caller(address: Box<str>, until: Instant) -> BTreeMap<String, usize> {
+    const REQUESTS: [LargeRequest; 5] = [
+        BODY,
+        LargeRequest::new(BodyFraming::Chunks, BODY.body),
+        BODY.with_padding(12_000),
+        LargeRequest::new(BodyFraming::Length, 600_000),
+        LargeRequest::new(BodyFraming::Length, 100),
+    ];
+    let mut ends = BTreeMap::new();
+    let mut kept = None;
+    for request in REQUESTS.into_iter().cycle() {
+        if Instant::now() >= until {
+            break;
+        }
+        let mut stream = match kept.take() {
+            Some(stream) => stream,
+            None => TcpStream::connect(&*address).await.expect("it listens"),
+        };
+        let end = match ask_kept(&mut stream, request).await {
+            Ok(answer) => {
+                kept = (!answer.closes).then_some(stream);
+                answer.status.to_string()
+            }
+            Err(error) => error,
+        };
+        *ends.entry(end).or_default() += 1;
+    }
+    ends
+}
+
+/// Guards against requests that end without an answer while the limits of heads and bodies change.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_while_limits_change() {
+    const CALLERS: usize = 24;
+    const LOAD_TIME: Duration = Duration::from_secs(6);
+    const CHANGE_PAUSE: Duration = Duration::from_millis(300);
+    const RAISED_BYTES: usize = 65_536;
+    let (site, near) = start_lowered(FRONT, NEAR).await;
+    let front = &site.entries[0].addresses[FRONT];
+    let far = TcpRelay::start(front, FAR_DELAY, LinkState::default()).await;
+    let until = Instant::now() + LOAD_TIME;
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let addresses = [front, &near.address, &far.address];
+        let address = addresses[number % addresses.len()].clone();
+        callers.spawn(run_caller(address, until));
+    }
+    let limits = [RAISED_BYTES, BODY_BYTES].into_iter().cycle();
+    for (version, limit) in (3..).zip(limits) {
+        if Instant::now() >= until {
+            break;
+        }
+        let mut state = site.desired_state(version);
+        state["limits"]["max_header_bytes"] = limit.into();
+        state["limits"]["max_body_bytes"] = limit.into();
+        site.write_desired_state(&state);
+        sleep(CHANGE_PAUSE).await;
+    }
+    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+    for caller in callers.join_all().await {
+        for (end, count) in caller {
+            *ends.entry(end).or_default() += count;
+        }
+    }
+    println!("{ends:?}");
+    let statuses = ends.keys().map(String::as_str).collect::<Vec<_>>();
+    assert_eq!(statuses, ["200", "413", "431"], "{ends:?}");
+}
+
 /// Guards against a refusal of a head that is lost while its caller sends the body.
 #[test_case(NEAR, BODY; "near")]
 #[test_case(FAR_DELAY, LONG_BODY; "far")]
