Leave file descriptors for replicas when connections only open

Callers with open connections were refused with 503: connections were accepted until the process had no file descriptor left, so that none could be opened to a replica or the store.

The process is told how many descriptors it has (open_files, from the platform's settings), and each listener accepts only its part of them: half for callers, an eighth each for other nodes and for the directory. Further connections wait in the queue of the kernel until others end, by the idle limit at the latest. A listener that waits is counted and logged as connections-full with the stages of the open connections.

--- a/crates/zinniahatch_config/src/entry.rs
+++ b/crates/zinniahatch_config/src/entry.rs
@@ -23,6 +23,10 @@
 /// Default time for which the platform's key-value store keeps its history.
 const STORE_HISTORY: Duration = Duration::from_secs(20);
 
+/// Default number of file descriptors of an entry VM.
+const DEFAULT_OPEN_FILES: u32 = 4096;
+/// Fewest file descriptors with which an entry VM can work.
+const MIN_OPEN_FILES: u32 = 128;
 /// Default memory of an entry VM, in MiB.
 const DEFAULT_MEMORY_MIB: u32 = 1_024;
 
@@ -85,6 +89,8 @@
         pub cpu_share: u32,
         /// Memory available to the process, in MiB.
         pub memory_mib: u32,
+        /// File descriptors available to the process.
+        pub open_files: u32,
         /// Addresses of a few entry VMs to contact first; only the IP address is used.
         pub seeds: Vec<SocketAddrV4>,
         /// Address of the platform's key-value store.
@@ -131,6 +137,7 @@
                 .collect(),
             cpu_share: cpu_share(node)?,
             memory_mib: memory(node)?,
+            open_files: open_files(node)?,
             seeds: seeds(node)?,
             store: address(store, "address")?,
             min_lease: store.duration("lease_least", Some(Duration::from_secs(1)))?,
@@ -192,6 +199,18 @@
     ))
 }
 
+fn open_files(node: &SectionReader) -> Result<u32, ConfigError> {
+    let open_files = node.number("open_files", Some(DEFAULT_OPEN_FILES))?;
+    if open_files >= MIN_OPEN_FILES {
+        return Ok(open_files);
+    }
+    Err(node.error(
+        "open_files",
+        "there are too few file descriptors",
+        "write a number of at least 128, such as 4100",
+    ))
+}
+
 fn memory(node: &SectionReader) -> Result<u32, ConfigError> {
     let memory = node.number("memory", Some(DEFAULT_MEMORY_MIB))?;
     if memory > 0 {
--- a/crates/zinniahatch_config/tests/entry.rs
+++ b/crates/zinniahatch_config/tests/entry.rs
@@ -9,12 +9,13 @@
 const TEMPLATE: &str = include_str!("../../../platform/entry.ini");
 
 /// Values that the platform substitutes for the template's variables.
-const VALUES: [(&str, &str); 24] = [
+const VALUES: [(&str, &str); 25] = [
     ("node_name", "front-a-1"),
     ("region", "north"),
     ("zone", "north-a"),
     ("limits.cpu_share", "0.25"),
     ("limits.memory_mb", "260"),
+    ("limits.max_fds", "4100"),
     ("seeds", "10.1.0.1:80,10.2.0.1:80"),
     ("listen.front", "10.1.0.5:8144"),
     ("listen.readiness", "10.1.0.5:8140"),
@@ -90,6 +91,7 @@
     assert_eq!(&*settings.name, "front-a-1");
     assert_eq!(settings.cpu_share, 25);
     assert_eq!(settings.memory_mib, 260);
+    assert_eq!(settings.open_files, 4100);
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.regions.len(), 2);
     assert_eq!(settings.listen.peer.port(), 7660);
@@ -112,6 +114,7 @@
 #[test_case("front = 10.1.0.5:8144", "front = nowhere", "[listen] front"; "no_address")]
 #[test_case("seeds = 10.1.0.1:80", "seeds = x", "seeds"; "bad_seed")]
 #[test_case("processor = 0.25", "processor = 0", "processor"; "no_share_of_a_core")]
+#[test_case("open_files = 4100", "open_files = 100", "open_files"; "few_open_files")]
 #[test_case("memory = 260", "memory = 0", "memory"; "no_memory")]
 #[test_case("memory = 260", "memory = much", "memory"; "memory_is_no_number")]
 #[test_case("name = front-a-1", "", "name"; "no_name")]
--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -4,6 +4,7 @@
 use crate::auth::boot_clock::BootClock;
 use crate::counts::pending_counts::PendingCounts;
 use crate::decision_log::DecisionLog;
+use crate::listeners::ConnectionSlots;
 use crate::listeners::OpenConnections;
 use crate::metrics::EntryMetrics;
 use crate::nodes::snapshot::SnapshotLimiter;
@@ -186,6 +187,8 @@
     pub(crate) in_flight_count: Cell<usize>,
     /// The open connections of callers and other nodes.
     pub(crate) connections: OpenConnections,
+    /// The connections that listeners may still accept.
+    pub(crate) connection_slots: ConnectionSlots,
     last_ticket: Cell<u64>,
     /// Number of the last update of this node's work. Others ignore lower ones, so that it outlasts the
     /// task that sends them.
@@ -263,6 +266,7 @@
             pool: ConnectionPool::default(),
             body_memory: HeldMemory::for_bodies(settings.memory_mib, &metrics.process.memory),
             answer_memory: HeldMemory::for_answers(settings.memory_mib, &metrics.process.memory),
+            connection_slots: ConnectionSlots::new(settings.open_files),
             store,
             store_lost: Notify::new(),
             store_reachable: watch::Sender::new(true),
--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -3,6 +3,7 @@
 mod caller_metrics;
 mod caller_stream;
 mod connection;
+mod connection_slots;
 mod lingering;
 mod open;
 mod open_connections;
@@ -15,6 +16,8 @@
 use crate::request::response_body::ResponseBody;
 pub(crate) use caller_metrics::CallerMetrics;
 use connection::run_connection;
+pub(crate) use connection_slots::ConnectionSlots;
+use connection_slots::take_slot;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -70,6 +73,17 @@
             _ => RequestSource::Front,
         }
     }
+
+    /// Returns the name used as a metric label.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Calls(RequestSource::Front) => "front",
+            Self::Calls(RequestSource::Peer) => "peer",
+            Self::Directory => "directory",
+            Self::Readiness => "readiness",
+            Self::Control => "control",
+        }
+    }
 }
 
 /// Accepts connections until the process ends, or those for requests until it disconnects.
@@ -80,15 +94,24 @@
 ) {
     let mut phases = core.phase.subscribe();
     loop {
-        let accepted = tokio::select! {
+        let accepting = async {
+            // Connections beyond the bound stay in the queue of the kernel.
+            let slot = take_slot(&core, duty).await;
+            (slot, listener.accept().await)
+        };
+        let (slot, accepted) = tokio::select! {
             biased;
             _ = phases.wait_for(|phase| *phase >= StopPhase::Disconnecting),
                 if matches!(duty, ListenerKind::Calls(_)) => break,
-            accepted = listener.accept() => accepted,
+            accepted = accepting => accepted,
         };
         match accepted {
             Ok((stream, _)) => {
-                core.spawn_task("connection", run_connection(Rc::clone(&core), stream, duty));
+                let connection = run_connection(Rc::clone(&core), stream, duty);
+                core.spawn_task("connection", async move {
+                    let _slot = slot;
+                    connection.await;
+                });
             }
             Err(error) => {
                 core.log.write(
--- a/crates/zinniahatch_entry/src/listeners/caller_metrics.rs
+++ b/crates/zinniahatch_entry/src/listeners/caller_metrics.rs
@@ -11,6 +11,7 @@
 pub(crate) struct CallerMetrics {
     closed: IntCounterVec,
     lingered: IntCounterVec,
+    full: IntCounterVec,
 }
 
 impl CallerMetrics {
@@ -36,7 +37,24 @@
             &["reason", "end"],
         )?;
         registry.register(Box::new(lingered.clone()))?;
-        Ok(Self { closed, lingered })
+        let full = IntCounterVec::new(
+            Opts::new(
+                "zinniahatch_connections_full_total",
+                "Times that a listener had to wait since it had all the connections that it may have.",
+            ),
+            &["listener"],
+        )?;
+        registry.register(Box::new(full.clone()))?;
+        Ok(Self {
+            closed,
+            lingered,
+            full,
+        })
+    }
+
+    /// Counts a listener that has all the connections that it may have.
+    pub(crate) fn note_full(&self, listener: &str) {
+        self.full.with_label_values(&[listener]).inc();
     }
 
     /// Counts a connection that this node closed.
--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -125,6 +125,8 @@
     retry_slack: f64,
     /// Memory that the entry VMs are told to have, in MiB.
     memory_mib: Option<u32>,
+    /// File descriptors that the entry VMs are told to have, and have.
+    open_files: Option<u32>,
     server: FakeServer,
     regions: Vec<SiteRegion>,
     folder: PathBuf,
@@ -189,6 +191,11 @@
         self.memory_mib = Some(mib);
     }
 
+    /// Limits the file descriptors of entry VMs that start from now on.
+    pub fn set_open_files(&mut self, count: u32) {
+        self.open_files = Some(count);
+    }
+
     async fn start_entries(&mut self) {
         for index in 0..self.entries.len() {
             self.spawn(index);
@@ -251,6 +258,7 @@
             has_accounts: false,
             retry_slack: AMPLE_RETRY_SLACK,
             memory_mib: None,
+            open_files: None,
             server,
             regions: regions.to_vec(),
             folder,
@@ -442,8 +450,11 @@
         let memory = self
             .memory_mib
             .map_or_else(String::new, |mib| format!("memory = {mib}\n"));
+        let open_files = self
+            .open_files
+            .map_or_else(String::new, |count| format!("open_files = {count}\n"));
         let mut text = format!(
-            "[node]\nname = {}\nregion = {}\ndata_centre = {}-a\n{memory}\n[listen]\nfront = {front}\n\
+            "[node]\nname = {}\nregion = {}\ndata_centre = {}-a\n{memory}{open_files}\n[listen]\nfront = {front}\n\
              readiness = {readiness}\ncontrol = {control}\ndirectory = {directory}\npeer = {peer}\n\
              \n[regions]\n",
             entry.name, entry.region, entry.region
@@ -496,7 +507,16 @@
     ///
     /// Panics if the daemon cannot be started.
     pub fn spawn_process(&mut self, index: usize) {
-        self.spawn_command(index, Command::new(daemon_path()));
+        let command = match self.open_files {
+            Some(count) => {
+                let mut command = Command::new("sh");
+                command.args(["-c", "ulimit -n \"$0\" && exec \"$@\""]);
+                command.arg(count.to_string()).arg(daemon_path());
+                command
+            }
+            None => Command::new(daemon_path()),
+        };
+        self.spawn_command(index, command);
     }
 
     /// Starts an entry VM that may write files of [`LIMITED_FILE_BYTES`], such as its decision log.
