--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -311,6 +311,7 @@
 #[test_case(&[FOREIGN, ANONYMOUS, SEALED], Some("hello"); "others_before")]
 #[test_case(&[ANONYMOUS], None; "anonymous_alone")]
 #[test_case(&[WHOLE], None; "without_a_seal")]
+#[test_case(&["HTTP/1.1 204 No Content\r\nx-attempt-id: mine\r\nx-server-seal:\r\n\r\n"], None; "with_an_empty_seal")]
 #[tokio::test]
 async fn replica_response_names_its_attempt(responses: &[&str], expected: Option<&str>) {
     let address = serve_once(responses.concat().into_bytes(), true).await;
