Wait in the tests of recorded streams until the store has them

A pause of two seconds stood for the write of a batch, which takes longer on a busy machine. The tests now wait for the lines that say how many streams were written; the case in which none may be written still looks for two seconds.

--- a/crates/zinniahatch_lab/tests/stream_versions.rs
+++ b/crates/zinniahatch_lab/tests/stream_versions.rs
@@ -4,6 +4,7 @@
 use futures_util::future::join_all;
 use reqwest::Response;
 use reqwest::StatusCode;
+use serde_json::Value;
 use std::collections::BTreeSet;
 use std::net::UdpSocket;
 use std::time::Duration;
@@ -33,8 +34,8 @@
 /// Number of times that a stream is taken up at processes that have just started. Each waits for
 /// other nodes to answer; a stream may last far longer than all of them take.
 const TRIES_AFTER_START: u32 = 8;
-/// Age at which a stream outlives all nodes.
-const RECORD_TIME: Duration = Duration::from_secs(2);
+/// Time for which a store without records of streams is looked at.
+const CALM_TIME: Duration = Duration::from_secs(2);
 /// Prefix of the keys of streams in the store.
 const STREAM_KEYS: &str = "zinniahatch/streams/";
 /// Number of datagrams that fill the queue of a node, some 200 KB.
@@ -429,6 +430,20 @@
     assert_eq!(outcome.is_ok(), goes_on);
 }
 
+/// Waits until the first node has written a number of streams to the store.
+async fn wait_recorded(site: &SiteCluster, streams: usize) {
+    wait_until("the streams are in the store", async || {
+        let log = site.log(0);
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        let written = lines.filter(|line: &Value| line["kind"] == "streams-recorded");
+        let counts = written.filter_map(|line| line["streams"].as_u64());
+        counts.sum::<u64>() >= streams as u64
+    })
+    .await;
+}
+
 /// Guards against streams that nobody remembers after all nodes have ended while two versions serve: each
 /// goes on at its version, taken up at any node.
 #[test_case(0; "at_its_node")]
@@ -442,7 +457,7 @@
         let version = version_of(number);
         begun.push(begin_stream(&site, 0, version, &format!("s{number}")).await);
     }
-    sleep(RECORD_TIME).await;
+    wait_recorded(&site, begun.len()).await;
     for node in 0..2 {
         site.kill(node);
     }
@@ -468,7 +483,11 @@
     let regions: [(&str, &[&str]); 1] = [("north", &["v1", other])];
     let mut site = start_site(1, &regions).await;
     let (attempt, part) = begin_stream(&site, 0, "v1", "s").await;
-    sleep(RECORD_TIME).await;
+    if is_calm {
+        sleep(CALM_TIME).await;
+    } else {
+        wait_recorded(&site, 1).await;
+    }
     assert_eq!(site.store.keys(STREAM_KEYS).is_empty(), is_calm);
     site.kill(0);
     site.spawn(0);
