Let only a framed health answer show that a replica is warm

A replica that became cold during an evacuation got the whole load at once: 43 requests in a second where 3 are allowed. Its health answer says for how long it stays cold in a header line of its own. Where something between ended the head before that line, the answer named the replica and no cold time, and counted as a proof that it is warm.

--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -6,6 +6,7 @@
 use crate::replicas::send_admission::permit_send;
 use crate::replicas::send_admission::reserve_send;
 use crate::request::connection::BackendConnection;
+use crate::request::connection::BodyEnd;
 use crate::request::connection::ConnectionError;
 use crate::request::connection::ResponseHead;
 use http::Method;
@@ -164,10 +165,13 @@
 }
 
 /// Returns whether a response to a health check comes from a replica incarnation that is warm.
+///
+/// A head without a length or chunks may have been ended early, and lack the line that says otherwise.
 fn names_no_cold_time(incarnation: &ReplicaIncarnation, head: &ResponseHead) -> bool {
     let parsed = &head.parsed_headers;
     let cold_for = parsed.notice.cold_for.unwrap_or_default();
     head.status.is_success()
+        && head.body_end != BodyEnd::ConnectionClose
         && parsed.replica.as_ref() == Some(&incarnation.id)
         && cold_for.is_zero()
 }
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -63,6 +63,8 @@
     Answer(AnswerForm),
     /// It cuts the heads of its answers as the paths of the requests describe.
     CutHeads,
+    /// The heads of its health answers are ended after its name, and the connections closed.
+    CutHealth,
     /// It sends the bodies of plain answers byte by byte, with this pause before each.
     Trickle(Duration),
     /// It accepts requests and never responds.
@@ -363,6 +365,12 @@
             .limits
             .record_arrival(Instant::now());
         if &*request.content.path == "/health" {
+            if lock(&self.state).behaviour == ReplicaBehaviour::CutHealth {
+                let head = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n\r\n", self.id);
+                // The connection is closed whether or not this arrives.
+                let _ = stream.write_all(head.as_bytes()).await;
+                return false;
+            }
             let head = format!(
                 "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n{}{}{}Content-Length: 0\r\n\r\n",
                 self.id,
--- a/crates/zinniahatch_lab/tests/cold_replica.rs
+++ b/crates/zinniahatch_lab/tests/cold_replica.rs
@@ -14,6 +14,8 @@
 
 /// Requests per second to a cold replica that the desired state allows all nodes together.
 const MAX_REQUESTS: usize = 3;
+/// Time after which the entry of a replica whose health answers are cut says that it is cold.
+const ENTRY_DELAY: Duration = Duration::from_millis(2_500);
 const NODES: usize = 10;
 const SHAPE: StreamShape = StreamShape {
     events: 3,
@@ -53,11 +55,12 @@
 }
 
 /// Guards against the whole load of a data centre at replicas that became cold during its evacuation,
-/// before their entries say so.
-#[test_case(true; "cold")]
-#[test_case(false; "warm")]
+/// before their entries say so, also where the line that tells it is lost from their health answers.
+#[test_case(true, ReplicaBehaviour::Serve; "cold")]
+#[test_case(true, ReplicaBehaviour::CutHealth; "cold_with_cut_health_answers")]
+#[test_case(false, ReplicaBehaviour::Serve; "warm")]
 #[tokio::test(flavor = "multi_thread")]
-async fn replica_that_is_back_in_use(cold: bool) {
+async fn replica_that_is_back_in_use(cold: bool, behaviour: ReplicaBehaviour) {
     const CALLS: usize = 40;
     let site = SiteCluster::start(&[SiteRegion::new("north", 2, 1)], SHAPE).await;
     let mut state = site.desired_state(2);
@@ -73,6 +76,7 @@
         .await;
     }
     let replica = &site.replicas[0].0;
+    replica.set_behaviour(behaviour);
     if cold {
         replica.set_cold(Duration::from_secs(60));
     }
@@ -86,8 +90,13 @@
     let from = Instant::now();
     let mut answered = 0;
     let mut round = 0;
+    let mut told = behaviour != ReplicaBehaviour::CutHealth;
     while answered < CALLS && !(cold && from.elapsed() > Duration::from_secs(6)) {
         round += 1;
+        if !told && from.elapsed() > ENTRY_DELAY {
+            told = true;
+            site.register_cold(0, Duration::from_secs(60));
+        }
         let calls = (0..2).map(|node| {
             let request = site.request(node, "/plain/look", &format!("look-{round}-{node}"));
             request.send()
