Bound the memory of heads that are not complete

Beyond 8 KiB they are reserved from the memory of bodies, as complete heads are with their bodies; one that finds too little is refused with 503 and closed as head-memory.

--- a/crates/zinniahatch_entry/src/listeners/caller_stream.rs
+++ b/crates/zinniahatch_entry/src/listeners/caller_stream.rs
@@ -1,5 +1,7 @@
 //! The stream and the bodies of a caller's connection, which record its progress.
 
+use crate::request::held_memory::HeldMemory;
+use crate::request::held_memory::MemoryReservation;
 use crate::request::response_body::ResponseBody;
 use crate::request::response_body::TruncatedBody;
 use bytes::Bytes;
@@ -29,16 +31,50 @@
 /// Bytes per read. The HTTP library grows its buffer as long as reads fill it.
 const READ_BYTES: u64 = 16 << 10;
 
+/// Size of an incomplete head up to which its memory is not reserved.
+const MAX_UNRESERVED_HEAD_BYTES: usize = 8 << 10;
+
 /// The progress of a connection, shared by its stream and its answers.
 #[derive(Debug)]
 pub(super) struct ConnectionRecord {
     pub(super) connection: RefCell<CallerConnection>,
     /// Maximum size of a head in force.
     pub(super) max_head_bytes: Cell<usize>,
+    /// Memory of a large head that is not complete.
+    pub(super) head_memory: RefCell<Option<MemoryReservation>>,
     /// Whether to ask the kernel for bytes that the runtime has not announced yet.
     pub(super) confirms_idle: Cell<bool>,
 }
 
+impl ConnectionRecord {
+    /// Starts with a connection on which nothing has arrived.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            connection: RefCell::new(CallerConnection::new(now)),
+            max_head_bytes: Cell::new(0),
+            head_memory: RefCell::default(),
+            confirms_idle: Cell::new(false),
+        }
+    }
+
+    /// Reserves memory for the part of a head that has arrived; returns whether there is enough.
+    pub(super) fn reserve_head(&self, memory: &HeldMemory) -> bool {
+        let head_bytes = self.connection.borrow().head_bytes();
+        let mut reservation = self.head_memory.borrow_mut();
+        let Some(bytes) = head_bytes.filter(|bytes| *bytes > MAX_UNRESERVED_HEAD_BYTES) else {
+            *reservation = None;
+            return true;
+        };
+        match &mut *reservation {
+            Some(reservation) => reservation.grow_to(memory, bytes),
+            none => {
+                *none = memory.reserve(bytes);
+                none.is_some()
+            }
+        }
+    }
+}
+
 /// The stream of a caller's connection.
 #[derive(Debug)]
 pub(super) struct CallerStream {
--- a/crates/zinniahatch_entry/src/listeners/connection.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection.rs
@@ -9,6 +9,7 @@
 use crate::core::EntryCore;
 use crate::core::StopPhase;
 use crate::request::gateway_response::gateway_response;
+use crate::request::ingress::refusal_retry;
 use crate::request::ingress::request_limits;
 use crate::request::response_body::ResponseBody;
 use crate::request::response_body::TruncatedBody;
@@ -23,8 +24,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
-use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -38,7 +37,6 @@
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::keep_alive_header;
-use zinniahatch_route::CallerConnection;
 use zinniahatch_route::CloseReason;
 
 /// Time for which a stopping node waits for the first request on a connection that it has accepted. The
@@ -53,11 +51,7 @@
 pub(super) async fn run_connection(core: Rc<EntryCore>, stream: TcpStream, kind: ListenerKind) {
     // Without this option the connection still works, with higher latency.
     let _ = stream.set_nodelay(true);
-    let record = Rc::new(ConnectionRecord {
-        connection: RefCell::new(CallerConnection::new(Instant::now())),
-        max_head_bytes: Cell::new(0),
-        confirms_idle: Cell::new(false),
-    });
+    let record = Rc::new(ConnectionRecord::new(Instant::now()));
     let service = service_fn(|request| {
         record.connection.borrow_mut().on_request();
         answer(Rc::clone(&core), kind, Rc::clone(&record), request)
@@ -81,10 +75,14 @@
             if Pin::new(&mut connection).poll(context).is_ready() {
                 return Poll::Ready(None);
             }
+            let has_memory = record.reserve_head(&core.body_memory);
             let connection = record.connection.borrow();
             if connection.has_large_head(limits.max_header_bytes) {
                 return Poll::Ready(Some(CloseReason::LargeHead));
             }
+            if !has_memory {
+                return Poll::Ready(Some(CloseReason::HeadMemory));
+            }
             if stop_phase >= StopPhase::Closing {
                 let closes_unused = stop_phase >= StopPhase::Disconnecting;
                 if let Some(reason) = connection.stop_reason(closes_unused) {
@@ -122,29 +120,23 @@
             Box::pin(closing).await;
             return;
         };
-        let refusal = match reason {
-            CloseReason::Idle | CloseReason::Stopping | CloseReason::StoppingUnused => {
-                record.confirms_idle.set(true);
-                // A request that has arrived meanwhile is answered.
-                let ended =
-                    poll_fn(|context| Poll::Ready(Pin::new(&mut connection).poll(context))).await;
-                record.confirms_idle.set(false);
-                if ended.is_ready() {
-                    return;
-                }
-                if !record.connection.borrow().is_idle() {
-                    continue;
-                }
-                None
+        if reason.is_idle() {
+            record.confirms_idle.set(true);
+            // A request that has arrived meanwhile is answered.
+            let ended =
+                poll_fn(|context| Poll::Ready(Pin::new(&mut connection).poll(context))).await;
+            record.confirms_idle.set(false);
+            if ended.is_ready() {
+                return;
             }
-            CloseReason::UnreadAnswer => None,
-            CloseReason::SlowHead => Some(ResultCode::HeadTooSlow),
-            CloseReason::LargeHead => Some(ResultCode::HeadTooLarge),
-        };
+            if !record.connection.borrow().is_idle() {
+                continue;
+            }
+        }
         core.metrics.callers.note_closed(reason);
         let parts = connection.into_parts();
         let mut stream = parts.io.into_inner().into_inner();
-        if let Some(code) = refusal {
+        if let Some(code) = refusal_code(reason) {
             core.metrics.note_response("", code.name());
             Box::pin(write_refusal(&mut stream, code)).await;
         }
@@ -156,6 +148,16 @@
     }
 }
 
+/// Returns with what the request on a connection is refused that is closed for a reason.
+fn refusal_code(reason: CloseReason) -> Option<ResultCode> {
+    match reason {
+        CloseReason::HeadMemory => Some(ResultCode::BodyMemoryFull),
+        CloseReason::SlowHead => Some(ResultCode::HeadTooSlow),
+        CloseReason::LargeHead => Some(ResultCode::HeadTooLarge),
+        _ => None,
+    }
+}
+
 /// Waits until connections of a listener are to be closed because the node stops: those that have been
 /// used in phase `Closing`, all in phase `Disconnecting`.
 async fn wait_for_closing(core: &EntryCore, kind: ListenerKind, phase: StopPhase) {
@@ -209,7 +211,7 @@
 
 /// Writes the refusal of a request whose head is not complete.
 async fn write_refusal(stream: &mut TcpStream, code: ResultCode) {
-    let Ok(text) = refusal_text(gateway_response(code, None, None)).await else {
+    let Ok(text) = refusal_text(gateway_response(code, None, refusal_retry(code))).await else {
         return;
     };
     // The caller may have left.
--- a/crates/zinniahatch_entry/src/request/ingress.rs
+++ b/crates/zinniahatch_entry/src/request/ingress.rs
@@ -114,8 +114,7 @@
         }
         Err(code) => {
             core.metrics.note_response("", code.name());
-            let retry = (code == ResultCode::BodyMemoryFull).then_some(BODY_MEMORY_RETRY);
-            refuse_unread(&core, &parts, body, code, retry).await
+            refuse_unread(&core, &parts, body, code).await
         }
     }
 }
@@ -128,9 +127,8 @@
     parts: &Parts,
     mut body: Incoming,
     code: ResultCode,
-    retry: Option<Duration>,
 ) -> Response<ResponseBody> {
-    let mut response = gateway_response(code, None, retry);
+    let mut response = gateway_response(code, None, refusal_retry(code));
     // A caller that asks whether to send its body has its answer.
     let asks = parts.headers.contains_key(header::EXPECT);
     let keeps = body.is_end_stream() || !asks && drop_short_rest(&mut body).await;
@@ -145,6 +143,11 @@
     response
 }
 
+/// Returns the retry time given with the refusal of a request that was not read to its end.
+pub(crate) fn refusal_retry(code: ResultCode) -> Option<Duration> {
+    (code == ResultCode::BodyMemoryFull).then_some(BODY_MEMORY_RETRY)
+}
+
 /// Serves a request, or tells its caller at the end of the grace period that the outcome is unknown. A
 /// closed connection would tell it less.
 async fn serve_until_end(
@@ -172,7 +175,7 @@
     let (parts, mut rest) = request.into_parts();
     let body = match read_body(&mut rest, MAX_SNAPSHOT_REQUEST_BYTES).await {
         Ok(body) => body,
-        Err(code) => return refuse_unread(core, &parts, rest, code, None).await,
+        Err(code) => return refuse_unread(core, &parts, rest, code).await,
     };
     match encode_snapshot(core, &body, Instant::now()) {
         Some(snapshot) => Response::new(ResponseBody::whole(snapshot)),
@@ -184,7 +187,7 @@
     let (parts, mut rest) = request.into_parts();
     let body = match read_body(&mut rest, MAX_COUNTS_BYTES).await {
         Ok(body) => body,
-        Err(code) => return refuse_unread(core, &parts, rest, code, None).await,
+        Err(code) => return refuse_unread(core, &parts, rest, code).await,
     };
     match accept_post(core, &body) {
         Some(merged) => Response::new(ResponseBody::whole(merged)),
@@ -217,13 +220,13 @@
         .into();
     let length = stated_length(body, limits.max_body_bytes)?;
     // A body whose length is not stated may have any that is allowed.
-    let most = length.unwrap_or(limits.max_body_bytes);
+    let most = length.unwrap_or(limits.max_body_bytes) + head_bytes(parts);
     let Some(mut reservation) = core.body_memory.reserve(most) else {
         core.log_memory_full(&core.body_memory, &caller.attempt, most);
         return Err(ResultCode::BodyMemoryFull);
     };
     let body = read_body(body, limits.max_body_bytes).await?;
-    reservation.shrink_to(body.len());
+    reservation.shrink_to(body.len() + head_bytes(parts));
     let origin = match source {
         RequestSource::Front => RequestOrigin::Direct,
         RequestSource::Peer => RequestOrigin::Forwarded(read_forward_info(&parts.headers)),
--- a/crates/zinniahatch_lab/tests/open_files.rs
+++ b/crates/zinniahatch_lab/tests/open_files.rs
@@ -6,11 +6,13 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use zinniahatch_lab::site::AMPLE_RETRY_SLACK;
 use zinniahatch_lab::site::HOST;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
 
 const SHAPE: StreamShape = StreamShape {
@@ -26,6 +28,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 const CALLERS: usize = 20;
+const HEAD_BYTES: usize = 100_000;
+/// Time in which the node reads what callers have sent.
+const READ_PERIOD: Duration = Duration::from_secs(2);
 /// Position of the listener for callers.
 const FRONT_LISTENER: usize = 0;
 
@@ -92,3 +97,45 @@
     let peak = site.peak_memory_kib(0) >> 10;
     assert!(peak < u64::from(MEMORY_MIB), "{peak} MiB");
 }
+
+/// Guards against a process that is killed with all its requests, since it keeps more heads that have not
+/// arrived to their end than it has memory for.
+#[tokio::test(flavor = "multi_thread")]
+async fn partial_heads_stay_within_the_memory() {
+    let site = start_site().await;
+    let mut state = site.desired_state(2);
+    state["limits"]["max_header_bytes"] = (HEAD_BYTES * 2).into();
+    state["limits"]["header_timeout_ms"] = 30_000.into();
+    site.write_desired_state(&state);
+    wait_until("the limit is in force", async || {
+        site.log(0).contains("\"to\":2")
+    })
+    .await;
+    let front = &*site.entries[0].addresses[FRONT_LISTENER];
+    let mut open = open_connections(front).await;
+    let head = format!(
+        "GET /plain/t HTTP/1.1\r\nHost: {HOST}\r\nX-Padding: {}",
+        "p".repeat(HEAD_BYTES)
+    );
+    let writes = open.iter_mut().map(async |stream| {
+        let write = timeout(ANSWER_TIMEOUT, stream.write_all(head.as_bytes())).await;
+        write.is_ok_and(|write| write.is_ok())
+    });
+    let written = join_all(writes)
+        .await
+        .into_iter()
+        .filter(|written| *written);
+    let written = written.count();
+    sleep(READ_PERIOD).await;
+    let peak = site.peak_memory_kib(0) >> 10;
+    assert!(
+        peak < u64::from(MEMORY_MIB),
+        "{peak} MiB, {written} written"
+    );
+    drop(open);
+    wait_until("requests are served", async || {
+        let response = site.request(0, "/plain/t", "after").send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    })
+    .await;
+}
--- a/crates/zinniahatch_route/src/caller_connection.rs
+++ b/crates/zinniahatch_route/src/caller_connection.rs
@@ -18,6 +18,8 @@
         SlowHead = "slow-head",
         /// The head of a request is larger than allowed.
         LargeHead = "large-head",
+        /// The head of a request is not complete and finds no memory.
+        HeadMemory = "head-memory",
         /// The caller stopped reading an answer.
         UnreadAnswer = "unread-answer",
         /// The node stops.
@@ -28,10 +30,17 @@
 }
 
 impl CloseReason {
+    /// Returns whether nothing is in progress on the connection.
+    pub fn is_idle(self) -> bool {
+        matches!(self, Self::Idle | Self::Stopping | Self::StoppingUnused)
+    }
+
     /// Returns whether the last answer may still be on its way, so that a reset would discard it.
     pub fn lingers(self) -> bool {
         match self {
-            Self::Idle | Self::SlowHead | Self::LargeHead | Self::Stopping => true,
+            Self::Idle | Self::SlowHead | Self::LargeHead | Self::HeadMemory | Self::Stopping => {
+                true
+            }
             // The caller does not read, or has been sent nothing.
             Self::UnreadAnswer | Self::StoppingUnused => false,
         }
@@ -167,6 +176,14 @@
         )
     }
 
+    /// Returns how much of a head has arrived; `None` if none is incomplete.
+    pub fn head_bytes(&self) -> Option<usize> {
+        match self.phase {
+            ConnectionPhase::Head { bytes, .. } => Some(bytes),
+            _ => None,
+        }
+    }
+
     /// Returns whether the part of a head that has arrived is larger than `limit`.
     pub fn has_large_head(&self, limit: usize) -> bool {
         matches!(self.phase, ConnectionPhase::Head { bytes, .. } if bytes > limit)
