Bound the look-up of a stream, and let no closed connection keep its buffer

- A take-up waited for the store outside the time of its request, 1 s for each page, behind one lock for all callers.
It ends with the request's time now, and a read of all pages with 2 s.
A read that fails keeps what an earlier one showed.
The request counts as in flight from its look-up on.
- A connection that was answered while it was looked at once more before its close was closed without reading on.
- A replica that announced its leave, or started again, during the check of its address counted as crashed by the request.
- The file descriptors that are not for sockets were divided among the listeners; other nodes get a fifth, since one node may open 500 connections.

--- a/crates/zinniahatch_entry/src/listeners/caller_stream.rs
+++ b/crates/zinniahatch_entry/src/listeners/caller_stream.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Gives back the memory of a head that is not complete.
+    pub(super) fn release_head(&self) {
+        *self.head_memory.borrow_mut() = None;
+    }
+
     /// Reserves memory for the part of a head that has arrived; returns whether there is enough.
     pub(super) fn reserve_head(&self, memory: &HeldMemory) -> bool {
         let head_bytes = self.connection.borrow().head_bytes();
--- a/crates/zinniahatch_entry/src/listeners/connection.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection.rs
@@ -38,6 +38,7 @@
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::keep_alive_header;
 use zinniahatch_route::CloseReason;
+use zinniahatch_route::ConnectionStage;
 
 /// Time for which a stopping node waits for the first request on a connection that it has accepted. The
 /// request of a caller in another region arrives a round trip after the connection.
@@ -111,37 +112,41 @@
                 continue;
             }
         };
-        // The caller closed it, or was told so by an answer.
-        let Some(reason) = reached else {
-            let parts = connection.into_parts();
-            let stream = parts.io.into_inner().into_inner();
-            let closing = close_lingering(&core, stream, ANSWERED, parts.read_buf.len());
-            // Boxed, so that the connection holds no memory for it before.
-            Box::pin(closing).await;
-            return;
-        };
-        if reason.is_idle() {
+        let mut reached = reached;
+        if reached.is_some_and(CloseReason::is_idle) {
             record.confirms_idle.set(true);
             // A request that has arrived meanwhile is answered.
             let ended =
                 poll_fn(|context| Poll::Ready(Pin::new(&mut connection).poll(context))).await;
             record.confirms_idle.set(false);
             if ended.is_ready() {
-                return;
-            }
-            if !record.connection.borrow().is_idle() {
+                reached = None;
+            } else if !record.connection.borrow().is_idle() {
                 continue;
             }
         }
-        core.metrics.callers.note_closed(reason);
         let parts = connection.into_parts();
         let mut stream = parts.io.into_inner().into_inner();
+        let buffered = parts.read_buf.len();
+        // A connection that lingers holds no buffer.
+        drop(parts.read_buf);
+        record.release_head();
+        // The caller closed it, or was told so by an answer.
+        let Some(reason) = reached else {
+            let closing = close_lingering(&core, stream, ANSWERED, buffered);
+            // Boxed, so that the connection holds no memory for it before.
+            Box::pin(closing).await;
+            return;
+        };
+        core.metrics.callers.note_closed(reason);
         if let Some(code) = refusal_code(reason) {
             core.metrics.note_response("", code.name());
             Box::pin(write_refusal(&mut stream, code)).await;
         }
-        if reason.lingers() {
-            let closing = close_lingering(&core, stream, reason.as_str(), parts.read_buf.len());
+        // An unused connection may have been answered while it was looked at once more.
+        let answered = record.connection.borrow().stage() == ConnectionStage::Idle;
+        if reason.lingers() || answered {
+            let closing = close_lingering(&core, stream, reason.as_str(), buffered);
             Box::pin(closing).await;
         }
         return;
--- a/crates/zinniahatch_entry/src/listeners/connection_slots.rs
+++ b/crates/zinniahatch_entry/src/listeners/connection_slots.rs
@@ -8,13 +8,15 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
-/// Parts of the file descriptors that connections of callers, connections of other nodes and those to the
+/// File descriptors that are not for sockets.
+const RESERVED_FILES: u32 = 200;
+/// Parts of the other file descriptors that connections of callers, connections of other nodes and those to the
 /// directory may take.
 const FRONT_PART: f64 = 0.5;
-const PEER_PART: f64 = 0.125;
-const DIRECTORY_PART: f64 = 0.125;
+const PEER_PART: f64 = 0.2;
+const DIRECTORY_PART: f64 = 0.08;
 /// Part of them for each of the other listeners.
-const OTHER_PART: f64 = 0.03;
+const OTHER_PART: f64 = 0.02;
 
 /// The connections that listeners may still accept.
 #[derive(Debug)]
@@ -29,8 +31,9 @@
 impl ConnectionSlots {
     /// Divides the file descriptors of a process.
     pub(crate) fn new(open_files: u32) -> Self {
+        let sockets = open_files - RESERVED_FILES.min(open_files / 2);
         let slots = |part| {
-            let count = (f64::from(open_files) * part) as usize;
+            let count = (f64::from(sockets) * part) as usize;
             Arc::new(Semaphore::new(count))
         };
         Self {
--- a/crates/zinniahatch_entry/src/replicas/crash_detection.rs
+++ b/crates/zinniahatch_entry/src/replicas/crash_detection.rs
@@ -144,7 +144,11 @@
     };
     let check = core.crash_checks.check(address, Instant::now());
     let refused = *check.get_or_init(|| detect_crash(core, address)).await;
-    refused.then_some(tag)
+    // It may have announced its leave, or started again, during the check.
+    let replicas = core.replicas.borrow();
+    let state = replicas.get(in_flight.replica()?);
+    let leaves = state.is_some_and(|state| state.tag == tag && state.leaving.is_some());
+    (refused && !leaves).then_some(tag)
 }
 
 /// Checks whether an address has a listener that keeps a connection, again and again while it closes them
--- a/crates/zinniahatch_entry/src/request/serve.rs
+++ b/crates/zinniahatch_entry/src/request/serve.rs
@@ -68,6 +68,7 @@
             budget.record_request(Instant::now());
         }
     });
+    let guard = InFlightGuard::new(core);
     let mut progress = RequestProgress::default();
     match find_origin(core, &request, &plan).await {
         Ok(None) => {}
@@ -91,7 +92,6 @@
         fallback: None,
         units: None,
     };
-    let guard = InFlightGuard::new(core);
     match runner.run(guard).await {
         Ok(response) => response,
         Err((code, retry)) => refuse(
--- a/crates/zinniahatch_entry/src/request/take_up.rs
+++ b/crates/zinniahatch_entry/src/request/take_up.rs
@@ -11,6 +11,7 @@
 use crate::store::stream_records::read_recorded;
 use crate::store::version_keys::read_sole_version;
 use tokio::time::sleep;
+use tokio::time::timeout_at;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::OriginRecord;
 use zinniahatch_route::StreamOrigin;
@@ -68,7 +69,8 @@
         return Ok(None);
     }
     let began = Instant::now();
-    let (found, mut source) = look_up(core, request, plan).await;
+    let looking = timeout_at(plan.deadline_tokio(), look_up(core, request, plan));
+    let (found, mut source) = looking.await.unwrap_or((None, OriginSource::Unknown));
     let gone = found.is_some_and(|origin| is_gone(core, plan, origin));
     if gone {
         source = OriginSource::Gone;
--- a/crates/zinniahatch_entry/src/store/stream_records.rs
+++ b/crates/zinniahatch_entry/src/store/stream_records.rs
@@ -11,10 +11,12 @@
 use tokio::time::interval;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::CommitOutcome;
 use zinniahatch_platform::KvError;
 use zinniahatch_platform::StoreLeaseId;
+use zinniahatch_platform::StoreListing;
 use zinniahatch_platform::StoreTransaction;
 use zinniahatch_route::StreamBatch;
 use zinniahatch_route::StreamOrigin;
@@ -33,6 +35,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(900);
 /// Time limit of each page of a read on which a caller waits.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit of all pages of a read, for which other callers wait too.
+const READ_LIMIT: Duration = Duration::from_secs(2);
 /// Time between two reads of a part, so that many callers share one.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a read is kept for later callers.
@@ -157,46 +161,51 @@
         sleep_until((tried + READ_INTERVAL).into()).await;
     }
     read.tried = Some(Instant::now());
-    *read = read_shard(core, shard).await;
+    if let Some(newer) = read_shard(core, shard).await {
+        *read = newer;
+    }
     recorded_origin(&read.batches, stream, read.era)
 }
 
-/// Reads a part of the streams.
-async fn read_shard(core: &EntryCore, shard: u8) -> StreamRead {
+/// Reads a part of the streams; `None` if the store does not tell it in time.
+async fn read_shard(core: &EntryCore, shard: u8) -> Option<StreamRead> {
     let sent = Instant::now();
-    let mut read = StreamRead {
-        tried: Some(sent),
-        sent: Some(sent),
-        ..StreamRead::default()
-    };
     let prefix = format!("{KEY_PREFIX}{shard}/");
-    let listing = match core.store.items(&prefix, READ_TIMEOUT).await {
-        Ok(listing) => listing,
-        Err(error) => {
-            core.metrics.note_store("streams", "failed");
-            core.log.write(
-                "streams-not-read",
-                serde_json::json!({"error": error.to_string()}),
-            );
-            return read;
-        }
+    let reading = timeout(READ_LIMIT, core.store.items(&prefix, READ_TIMEOUT));
+    let error = match reading.await {
+        Ok(Ok(listing)) => return Some(decode_shard(core, shard, sent, &listing)),
+        Ok(Err(error)) => error.to_string(),
+        Err(error) => error.to_string(),
     };
+    core.metrics.note_store("streams", "failed");
+    core.log
+        .write("streams-not-read", serde_json::json!({"error": error}));
+    None
+}
+
+fn decode_shard(core: &EntryCore, shard: u8, sent: Instant, listing: &StoreListing) -> StreamRead {
     core.metrics.note_store("streams", "read");
     reject_items(core, &listing.rejected);
-    read.era = listing.revision.era;
+    let mut batches = Vec::new();
     for item in &listing.items {
         match postcard::from_bytes(&item.value) {
-            Ok(batch) => read.batches.push(batch),
+            Ok(batch) => batches.push(batch),
             Err(error) => reject_value(core, &item.key, &error.to_string()),
         }
     }
-    let streams: usize = read.batches.iter().map(StreamBatch::len).sum();
+    let era = listing.revision.era;
+    let streams: usize = batches.iter().map(StreamBatch::len).sum();
     core.log.write(
         "streams-read",
-        serde_json::json!({"shard": shard, "batches": read.batches.len(), "streams": streams,
-            "era": read.era, "took_ms": sent.elapsed().as_millis() as u64}),
+        serde_json::json!({"shard": shard, "batches": batches.len(), "streams": streams,
+            "era": era, "took_ms": sent.elapsed().as_millis() as u64}),
     );
-    read
+    StreamRead {
+        tried: Some(sent),
+        sent: Some(sent),
+        era,
+        batches,
+    }
 }
 
 /// Frees reads that no caller has needed lately.
