--- a/crates/zinniahatch_lab/tests/soak.rs
+++ b/crates/zinniahatch_lab/tests/soak.rs
@@ -222,7 +222,6 @@
 }
 
 /// Seed 704 of the cases above.
-#[ignore = "KNOWN-RED.txt"]
 #[tokio::test(flavor = "multi_thread")]
 async fn innocent_request_that_began_just_after_is_not_quarantined() {
     check_seed(704, 10, 3, 20, ExtraFault::CrashingRequest).await;
