Show that heads with a line that is no field, or without a status, are not passed on

The parser of the entry VM rejects these heads already; the product is unchanged. The stand-in answers with given bytes.

--- a/crates/zinniahatch_lab/src/site.rs
+++ b/crates/zinniahatch_lab/src/site.rs
@@ -12,6 +12,7 @@
 use crate::test_doubles::replica::FakeReplica;
 use crate::test_doubles::replica::ReplicaObservations;
 use crate::test_doubles::replica::StreamShape;
+use crate::test_doubles::scripted_replica::ScriptedReplica;
 use crate::test_doubles::serve::FakeServer;
 use crate::test_doubles::store::FakeStore;
 use desired::desired_state;
@@ -316,6 +317,15 @@
         self.store.write(&key, &entry);
     }
 
+    /// Writes the store entry of a replica of a region that is not one of the site's own.
+    pub fn register_scripted(&self, replica: &ScriptedReplica, region: &str) {
+        let entry = serde_json::json!({"service": "desk", "address": replica.address.to_string(),
+            "zone": format!("{region}-a"), "version": "v1", "slots": 8, "state": "ready",
+            "cold_left_ms": 0, "sequence": 1, "born": 1});
+        let key = format!("servers/{}", replica.id);
+        self.store.write(&key, &entry.to_string());
+    }
+
     /// Sets the version of a replica's software and writes its store entry.
     pub fn set_version(&self, index: usize, version: &str) {
         self.replicas[index].0.set_version(version);
--- a/crates/zinniahatch_lab/src/test_doubles.rs
+++ b/crates/zinniahatch_lab/src/test_doubles.rs
@@ -13,6 +13,7 @@
 pub mod notice_record;
 pub mod plain;
 pub mod replica;
+pub mod scripted_replica;
 pub mod serve;
 pub mod store;
 pub mod text;
--- /dev/null
+++ b/crates/zinniahatch_lab/tests/broken_answers.rs
@@ -0,0 +1,185 @@
+//! Answers of replicas in trouble that are no answers in HTTP/1.1 are never passed on as answers.
+
+use futures_util::StreamExt;
+use futures_util::stream;
+use reqwest::RequestBuilder;
+use reqwest::StatusCode;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::time::sleep;
+use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::test_doubles::replica::StreamShape;
+use zinniahatch_lab::test_doubles::scripted_replica::ScriptEnd;
+use zinniahatch_lab::test_doubles::scripted_replica::ScriptedAnswer;
+use zinniahatch_lab::test_doubles::scripted_replica::ScriptedReplica;
+
+const SHAPE: StreamShape = StreamShape {
+    events: 1,
+    pause: Duration::ZERO,
+};
+/// Node of the replica's region, and node that forwards to it.
+const HERE: usize = 0;
+const FORWARDING: usize = 1;
+/// Time of a caller.
+const CALLER_TIME: Duration = Duration::from_secs(10);
+/// Number of requests that are open at once.
+const CONCURRENT_REQUESTS: usize = 8;
+/// Number of times that a request which was not run is sent, and the pause between these.
+const MAX_REQUESTS: u32 = 200;
+const REQUEST_PAUSE: Duration = Duration::from_millis(50);
+/// The lines of a head that are sound.
+const SOUND: &str = "X-Attempt-Id: ATTEMPT\r\nX-Server-Seal: s\r\n";
+
+/// A body that is a whole event too.
+const EVENT: &str = "id: 1\ndata: x\n\n";
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct CallerView {
+    status: StatusCode,
+    sealed: bool,
+    /// The body, if it looks complete.
+    body: Option<String>,
+}
+
+impl CallerView {
+    /// Returns whether the caller was given what a replica sent as an answer that looks complete.
+    fn looks_whole(&self) -> bool {
+        self.body.is_some() && (self.sealed || self.status.is_success())
+    }
+}
+
+/// Starts a site whose only replica answers by a script.
+async fn start_site(script: Vec<ScriptedAnswer>) -> (SiteCluster, ScriptedReplica) {
+    let regions = [
+        SiteRegion::new("north", 1, 0),
+        SiteRegion::new("south", 1, 0),
+    ];
+    let site = SiteCluster::start(&regions, SHAPE).await;
+    let replica = ScriptedReplica::start("i-north-0", script).await;
+    site.register_scripted(&replica, "north");
+    (site, replica)
+}
+
+/// Sends a request until a replica was asked, and returns what its caller got; `None` if the connection
+/// ended without an answer.
+async fn call(prepare: impl Fn(&str) -> RequestBuilder, tag: &str) -> Option<CallerView> {
+    for number in 0..MAX_REQUESTS {
+        let response = prepare(&format!("{tag}-{number}")).send().await.ok()?;
+        let status = response.status();
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            sleep(REQUEST_PAUSE).await;
+            continue;
+        }
+        let sealed = response.headers().contains_key("x-server-seal");
+        let body = response.text().await.ok();
+        return Some(CallerView {
+            status,
+            sealed,
+            body,
+        });
+    }
+    panic!("no replica was asked for {tag}");
+}
+
+/// Checks that both nodes give no caller an answer of the script that looks complete, but a sound one.
+async fn check(route: &str, mut script: Vec<ScriptedAnswer>) {
+    script.push(closed(format!(
+        "HTTP/1.1 200 OK\r\n{SOUND}Content-Length: 15\r\n\r\n{EVENT}"
+    )));
+    let sound = script.len() - 1;
+    let names: Vec<String> = script
+        .iter()
+        .map(|answer| String::from_utf8_lossy(&answer.text).into_owned())
+        .collect();
+    let (site, _replica) = start_site(script).await;
+    let cells = [HERE, FORWARDING]
+        .into_iter()
+        .flat_map(|node| (0..names.len()).map(move |position| (node, position)));
+    let seen: Vec<_> = stream::iter(cells)
+        .map(async |(node, position)| {
+            let prepare = |attempt: &str| {
+                let path = format!("{route}/{position}");
+                site.request_with_timeout(node, &path, attempt, CALLER_TIME)
+            };
+            let view = call(prepare, &format!("a{node}-{position}")).await;
+            let whole = view.as_ref().is_some_and(CallerView::looks_whole);
+            (node, &names[position], view, whole == (position == sound))
+        })
+        .buffer_unordered(CONCURRENT_REQUESTS)
+        .collect()
+        .await;
+    let wrong: Vec<_> = seen.iter().filter(|(.., right)| !right).collect();
+    let total = seen.len();
+    assert!(wrong.is_empty(), "{} of {total}: {wrong:#?}", wrong.len());
+}
+
+fn closed(text: impl AsRef<[u8]>) -> ScriptedAnswer {
+    ScriptedAnswer {
+        text: text.as_ref().into(),
+        end: ScriptEnd::Close,
+    }
+}
+
+/// Returns answers whose heads hold some lines each, before and after the sound ones.
+fn heads_with(lines: &[(&str, &str)]) -> Vec<ScriptedAnswer> {
+    let before = |(line, body): &(&str, &str)| {
+        closed(format!("HTTP/1.1 200 OK\r\n{line}\r\n{SOUND}\r\n{body}"))
+    };
+    let after = |(line, body): &(&str, &str)| {
+        closed(format!("HTTP/1.1 200 OK\r\n{SOUND}{line}\r\n\r\n{body}"))
+    };
+    let mut script: Vec<_> = lines.iter().map(after).collect();
+    script.extend(lines.iter().map(before));
+    script
+}
+
+/// Guards against an answer whose head holds a line that is no field, and that is passed on.
+#[test_case("/plain"; "idempotent")]
+#[test_case("/once"; "once")]
+#[test_case("/stream"; "resumable")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_a_line_that_is_no_field_is_not_passed_on(route: &str) {
+    let lines = [
+        "no field",
+        "nofield",
+        ": value",
+        " X-Folded: 1",
+        "\tX-Folded: 1",
+        "X Blank: 1",
+        "X-Blank : 1",
+        "X-Tab\t: 1",
+        "X\u{1}Control: 1",
+        "X-Control\u{7f}: 1",
+        "X-\u{0}: 1",
+        "X-\u{e9}: 1",
+        "X(Paren): 1",
+        "X-Value: a\u{0}b",
+        "X-Value: a\rb",
+        "HTTP/1.1 200 OK",
+    ];
+    let framed = |line: &str| format!("{line}\r\nContent-Length: 15");
+    let lines: Vec<String> = lines.into_iter().map(framed).collect();
+    let lines: Vec<_> = lines.iter().map(|line| (&**line, EVENT)).collect();
+    let mut script = heads_with(&lines);
+    script.push(closed("HTTP/1.1 200 OK\r\nno field\r\n\r\n"));
+    check(route, script).await;
+}
+
+/// Guards against an answer whose status is no status, and that is passed on.
+#[test_case("/plain"; "idempotent")]
+#[test_case("/once"; "once")]
+#[test_case("/stream"; "resumable")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_a_status_that_is_none_is_not_passed_on(route: &str) {
+    let statuses = [
+        "000 OK", "000", "099 OK", "20 OK", "2000 OK", "20x OK", " 200 OK", "+20 OK", "OK", "",
+    ];
+    let answer = |status: &str| {
+        closed(format!(
+            "HTTP/1.1 {status}\r\n{SOUND}Content-Length: 15\r\n\r\n{EVENT}"
+        ))
+    };
+    check(route, statuses.into_iter().map(answer).collect()).await;
+}
