Take an answer without a length for broken where its request could not be sent on

What callers saw: a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. Its caller got that part as a complete answer.

Cause: the system reports a reset once. Where a write met it, the read that followed saw what had arrived and then an orderly end, and the replica, which runs on, answered the health check that is asked for after such an end. Reads that met the reset themselves kept it (`broken`), writes did not.

The failure of a write is kept as well, and the end of the connection after it is no orderly one. What arrived before is still read, so that a response whose framing shows that it is whole is one. A replica that ends an answer without a length in order and then has more of the upload arrive may have it counted as broken, since callers cannot tell these apart.

--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -167,7 +167,8 @@
     /// What was read of the current response and dropped.
     budget: ResponseBudget,
     turn: ReadTurn,
-    /// Why it broke. A reset is reported once by the system, and then looks like an orderly close.
+    /// Why it broke. The system reports a reset once, to a read or to a write. What had arrived before can
+    /// still be read, and its end then looks like an orderly close.
     broken: Option<ConnectionError>,
 }
 
@@ -331,10 +332,8 @@
     /// After a failed write, checks whether an early response had arrived before.
     async fn early_response_or(&mut self, error: io::Error) -> Result<(), ConnectionError> {
         self.reusable = false;
-        match read_more(&self.stream, &mut self.buffer).await {
-            Ok(count) if count > 0 => Ok(()),
-            _ => Err(broken(error)),
-        }
+        self.broken = Some(broken(error));
+        self.fill().await.map(drop)
     }
 
     /// Reads the head of the response to an attempt.
@@ -570,16 +569,17 @@
         Ok(())
     }
 
+    /// Reads what has arrived, or waits for it. Returns 0 at an orderly end alone.
     async fn fill(&mut self) -> Result<usize, ConnectionError> {
-        if let Some(error) = &self.broken {
-            return Err(error.clone());
-        }
         self.give_way().await;
-        let read = read_more(&self.stream, &mut self.buffer).await;
-        if let Ok(count) = read {
-            self.turn.note_step(count);
+        match read_more(&self.stream, &mut self.buffer).await {
+            Ok(0) => self.broken.clone().map_or(Ok(0), Err),
+            Ok(count) => {
+                self.turn.note_step(count);
+                Ok(count)
+            }
+            Err(error) => Err(self.broken.get_or_insert(broken(error)).clone()),
         }
-        read.map_err(|error| self.broken.insert(broken(error)).clone())
     }
 
     /// Lets other tasks and timers run once enough was read. A socket with bytes to read is always ready,
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -241,6 +241,38 @@
     assert!(!connection.is_reusable());
 }
 
+/// Guards against a part of a response that is taken for a whole one: its connection was reset while the
+/// request was still being sent, and the reset was reported to the write alone.
+#[test_case("content-length: 5\r\n\r\nhello", Some("hello"); "length")]
+#[test_case("transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", Some("hello"); "chunks")]
+#[test_case("\r\nhello", None; "without_an_end")]
+#[test_case("content-length: 6\r\n\r\nhello", None; "length_not_reached")]
+#[tokio::test]
+async fn early_response_that_is_reset(rest: &str, expected: Option<&str>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else {
+        unreachable!("an IPv4 address was bound")
+    };
+    let text = format!("HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\n{rest}");
+    let mut connection = BackendConnection::connect(address, CONNECT_LIMIT)
+        .await
+        .unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream.set_zero_linger().unwrap();
+    drop(stream);
+    // The response and the reset have arrived before the request is sent, and the write may come first.
+    let body = vec![b'x'; 1 << 20];
+    let result = async {
+        connection.send(permit(address), REQUEST, &body).await?;
+        connection.read_head(&Method::GET, "mine").await?;
+        connection.read_whole_body(body.len()).await
+    }
+    .await;
+    assert_eq!(result.ok().as_deref(), expected.map(str::as_bytes));
+    assert!(!connection.is_reusable());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(60))]
 
--- a/crates/zinniahatch_lab/tests/broken_answers.rs
+++ b/crates/zinniahatch_lab/tests/broken_answers.rs
@@ -4,11 +4,13 @@
 use futures_util::stream;
 use reqwest::RequestBuilder;
 use reqwest::StatusCode;
+use serde_json::Value;
 use std::time::Duration;
 use test_case::test_case;
 use tokio::time::sleep;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
 use zinniahatch_lab::test_doubles::scripted_replica::ScriptEnd;
 use zinniahatch_lab::test_doubles::scripted_replica::ScriptedAnswer;
@@ -28,6 +30,11 @@
 /// Number of times that a request which was not run is sent, and the pause between these.
 const MAX_REQUESTS: u32 = 200;
 const REQUEST_PAUSE: Duration = Duration::from_millis(50);
+/// Size of a body that is still being written when its answer arrives, and limit of bodies.
+const UPLOAD_BYTES: usize = 3 << 20;
+const BODY_LIMIT: usize = 4 << 20;
+/// Number of uploads to each node, since the answer and its reset race with the writes.
+const UPLOADS: usize = 24;
 /// The lines of a head that are sound.
 const SOUND: &str = "X-Attempt-Id: ATTEMPT\r\nX-Server-Seal: s\r\n";
 
@@ -183,3 +190,55 @@
     };
     check(route, statuses.into_iter().map(answer).collect()).await;
 }
+
+/// Raises the limit of bodies.
+async fn allow_uploads(site: &SiteCluster) {
+    let mut state = site.desired_state(2);
+    state["limits"]["max_body_bytes"] = Value::from(BODY_LIMIT);
+    site.write_desired_state(&state);
+    for node in [HERE, FORWARDING] {
+        wait_until("the limit is in force", async || {
+            site.log(node).contains("\"to\":2")
+        })
+        .await;
+    }
+}
+
+/// Guards against a part of an answer that is passed on as a complete one: it has no length, and its
+/// connection is reset while the request is still being written.
+#[test_case("/plain"; "idempotent")]
+#[test_case("/once"; "once")]
+#[test_case("/stream"; "resumable")]
+#[test_case("/stream-once"; "stream_once")]
+#[tokio::test(flavor = "multi_thread")]
+async fn early_answer_that_is_reset_does_not_look_whole(route: &str) {
+    let text = format!("HTTP/1.1 200 OK\r\n{SOUND}Connection: close\r\n\r\n{EVENT}");
+    let answer = ScriptedAnswer {
+        text: text.as_bytes().into(),
+        end: ScriptEnd::Reset,
+    };
+    let (site, _replica) = start_site(vec![answer]).await;
+    allow_uploads(&site).await;
+    let mut seen = Vec::new();
+    for node in [HERE, FORWARDING] {
+        for number in 0..UPLOADS {
+            let prepare = |attempt: &str| {
+                let path = format!("{route}/0");
+                let request = site.request_with_timeout(node, &path, attempt, CALLER_TIME);
+                request.body(vec![b'x'; UPLOAD_BYTES])
+            };
+            seen.push((node, call(prepare, &format!("a{node}-{number}")).await));
+        }
+    }
+    let wrong: Vec<_> = seen
+        .iter()
+        .filter(|(_, view)| view.as_ref().is_some_and(CallerView::looks_whole))
+        .collect();
+    let total = seen.len();
+    assert!(
+        wrong.is_empty(),
+        "{} of {total}: {:?}",
+        wrong.len(),
+        wrong.first()
+    );
+}
