Reject heads whose length or coding is spoilt

What callers saw: a replica in trouble sent an answer whose head was spoilt where it tells the length of the body. Its caller got it as a complete answer with a body that was not the replica's.

Cause: what a head says of the end of its body was read for what was wanted of it. The parser of integers takes a sign, so that `+5` was a length; of several transfer codings only the first was looked at; beside chunks a length was not read at all, and for a status without a body nothing was. A transfer coding in a head of HTTP/1.0 was taken as in one of HTTP/1.1.

Lengths that are no number, negative or in conflict, spoilt names of fields, and codings that are not `chunked` were rejected before; their cases stay.

Now all that a head says of its framing is read before anything is decided, and what HTTP/1.1 does not know is no response. A length beside chunks that is a number is still passed over, as the protocol says.

--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -13,6 +13,7 @@
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
+use http::Version as HttpVersion;
 use http::header;
 use std::io;
 use std::io::ErrorKind;
@@ -465,7 +466,10 @@
             .code
             .and_then(|code| StatusCode::from_u16(code).ok())
             .ok_or(ConnectionError::Malformed("invalid status code"))?;
-        let is_http_1_0 = parsed.version == Some(0);
+        let version = match parsed.version {
+            Some(0) => HttpVersion::HTTP_10,
+            _ => HttpVersion::HTTP_11,
+        };
         let mut headers = HeaderMap::with_capacity(parsed.headers.len());
         for line in parsed.headers.iter() {
             let name = HeaderName::from_bytes(line.name.as_bytes());
@@ -477,11 +481,14 @@
         }
         let _ = self.buffer.split_to(used);
         let parsed_headers = read_response(status, &headers);
-        self.frame = body_framing(method, status, &headers)?;
+        self.frame = body_framing(method, status, version, &headers)?;
         if let Some(limit) = parsed_headers.idle_limit {
             self.idle_limit = limit;
         }
-        if parsed_headers.closes || is_http_1_0 || self.frame == BodyFraming::UntilClose {
+        if parsed_headers.closes
+            || version == HttpVersion::HTTP_10
+            || self.frame == BodyFraming::UntilClose
+        {
             self.reusable = false;
         }
         let body_end = BodyEnd::from(self.frame);
@@ -621,23 +628,38 @@
 fn body_framing(
     method: &Method,
     status: StatusCode,
+    version: HttpVersion,
     headers: &HeaderMap,
 ) -> Result<BodyFraming, ConnectionError> {
+    // A head that is spoilt is no response, also where it needs no framing.
+    let framing = stated_framing(version, headers)?;
     let empty = status.is_informational()
         || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
         || *method == Method::HEAD;
-    if empty {
-        return Ok(BodyFraming::Done);
-    }
-    if let Some(coding) = headers.get(header::TRANSFER_ENCODING) {
-        if !coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
-            return Err(ConnectionError::Malformed("unknown transfer coding"));
-        }
-        return Ok(BodyFraming::Chunked(ChunkDecoder::default()));
+    Ok(if empty { BodyFraming::Done } else { framing })
+}
+
+/// Reads what a head says of the end of its body.
+fn stated_framing(
+    version: HttpVersion,
+    headers: &HeaderMap,
+) -> Result<BodyFraming, ConnectionError> {
+    let length = stated_length(headers)?;
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let Some(coding) = codings.next() else {
+        return Ok(length.map_or(BodyFraming::UntilClose, BodyFraming::Length));
+    };
+    let is_chunked = codings.next().is_none() && coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    if !is_chunked || version != HttpVersion::HTTP_11 {
+        return Err(ConnectionError::Malformed("unknown transfer coding"));
     }
+    Ok(BodyFraming::Chunked(ChunkDecoder::default()))
+}
+
+fn stated_length(headers: &HeaderMap) -> Result<Option<u64>, ConnectionError> {
     let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
     let Some(first) = lengths.next() else {
-        return Ok(BodyFraming::UntilClose);
+        return Ok(None);
     };
     if lengths.any(|other| other != first) {
         return Err(ConnectionError::Malformed("conflicting content lengths"));
@@ -645,7 +667,9 @@
     first
         .to_str()
         .ok()
+        // The parser of integers takes a sign as well.
+        .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()))
         .and_then(|text| text.parse().ok())
-        .map(BodyFraming::Length)
+        .map(Some)
         .ok_or(ConnectionError::Malformed("invalid content length"))
 }
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -188,6 +188,12 @@
 #[test_case("garbage garbage garbage\r\n\r\n"; "no_answer")]
 #[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nhello"; "bad_chunk")]
 #[test_case("HTTP/1.1 200 OK\r\nx-attempt-id: other\r\n\r\nhello"; "unframed_answer_of_another")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: +5\r\n\r\nhello"; "signed_length")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: -2\r\n\r\n"; "negative_length")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n\r\n0\r\n\r\n"; "second_coding")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: x\r\n\r\n0\r\n\r\n"; "chunks_and_no_number")]
+#[test_case("HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"; "chunks_in_an_older_version")]
+#[test_case("HTTP/1.1 204 No Content\r\ncontent-length: +5\r\n\r\n"; "signed_length_without_a_body")]
 #[tokio::test]
 async fn read_malformed_response(response: &str) {
     let address = serve_once(response.into(), true).await;
--- a/crates/zinniahatch_lab/tests/broken_answers.rs
+++ b/crates/zinniahatch_lab/tests/broken_answers.rs
@@ -40,6 +40,8 @@
 
 /// A body that is a whole event too.
 const EVENT: &str = "id: 1\ndata: x\n\n";
+/// The same body in chunks.
+const CHUNKS: &str = "f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n";
 
 /// What a caller got.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -142,6 +144,64 @@
     script
 }
 
+/// Guards against an answer whose head is spoilt where it tells the length of the body, and that is passed on
+/// with another body as a complete one.
+#[test_case("/plain"; "idempotent")]
+#[test_case("/once"; "once")]
+#[test_case("/stream"; "resumable")]
+#[test_case("/stream-once"; "stream_once")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_spoilt_length_is_not_passed_on(route: &str) {
+    let lines = [
+        ("Content-Length: +5", EVENT),
+        ("Content-Length: -5", EVENT),
+        ("Content-Length: 5x", EVENT),
+        ("Content-Length: 0x5", EVENT),
+        ("Content-Length: 1 5", EVENT),
+        ("Content-Length: 1\t5", EVENT),
+        ("Content-Length: 15.0", EVENT),
+        ("Content-Length: ?5", EVENT),
+        ("Content-Length:", EVENT),
+        ("Content-Length: 1,5", EVENT),
+        ("Content-Length: 99999999999999999999", EVENT),
+        ("Content-Length: 15\r\nContent-Length: 14", EVENT),
+        ("Content-Length: 15\r\nContent-Length: +15", EVENT),
+        ("Content-Length : 15", EVENT),
+        ("Content-Length 15", EVENT),
+        ("Content-Length; 15", EVENT),
+        ("Content Length: 15", EVENT),
+        ("Content-Length\u{1}: 15", EVENT),
+        ("Transfer-Encoding: chunke", CHUNKS),
+        ("Transfer-Encoding: xchunked", CHUNKS),
+        ("Transfer-Encoding: chunked\u{e9}", CHUNKS),
+        ("Transfer-Encoding: chunked chunked", CHUNKS),
+        ("Transfer-Encoding: chunked, chunked", CHUNKS),
+        (
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+            CHUNKS,
+        ),
+        (
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            CHUNKS,
+        ),
+        ("Transfer-Encoding:", CHUNKS),
+        ("Transfer-Encoding : chunked", CHUNKS),
+        ("Transfer-Encoding: chunked\r\nContent-Length: 1x", CHUNKS),
+    ];
+    let mut script = heads_with(&lines);
+    let status = "HTTP/1.0 200 OK\r\n";
+    script.push(closed(format!(
+        "{status}{SOUND}Transfer-Encoding: chunked\r\n\r\n{CHUNKS}"
+    )));
+    for status in ["204 No Content", "304 Not Modified"] {
+        let head = format!("HTTP/1.1 {status}\r\n{SOUND}");
+        script.push(closed(format!("{head}Content-Length: +5\r\n\r\n")));
+        script.push(closed(format!("{head}Transfer-Encoding: chunke\r\n\r\n")));
+    }
+    script.push(closed("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\n"));
+    check(route, script).await;
+}
+
 /// Guards against an answer whose head holds a line that is no field, and that is passed on.
 #[test_case("/plain"; "idempotent")]
 #[test_case("/once"; "once")]
