Reject chunk sizes without a digit and trailers that are no fields

What callers saw: the beginning of an answer in chunks, passed on as a complete one, where a later size line had lost its digits or was `0` with the body's bytes after it. Found while looking for the same cause as that of spoilt heads.

Cause: the parser takes a size line without a digit for a size of 0, which ends the body, and lines after the last chunk were skipped whatever they were.

A size line starts with a digit, and each line of the trailer section is a field; anything else is a broken answer.

--- a/crates/zinniahatch_entry/src/request/chunks.rs
+++ b/crates/zinniahatch_entry/src/request/chunks.rs
@@ -3,6 +3,8 @@
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderName;
+use http::HeaderValue;
 use zinniahatch_route::ChunkBudget;
 use zinniahatch_route::ReadBound;
 
@@ -54,6 +56,8 @@
     pub(crate) fn step(&mut self, buffer: &mut BytesMut) -> ChunkStep {
         loop {
             match self.state {
+                // The parser takes a line without a digit for a size of 0, which would end the body.
+                ChunkState::Size if starts_with_no_digit(buffer) => return ChunkStep::Malformed,
                 ChunkState::Size => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((used, size))) => {
                         buffer.advance(used);
@@ -104,12 +108,14 @@
                         }
                         return ChunkStep::More;
                     };
-                    buffer.advance(end + 2);
-                    if let Err(bound) = self.budget.note_trailer(end + 2) {
+                    let line = buffer.split_to(end + 2);
+                    if let Err(bound) = self.budget.note_trailer(line.len()) {
                         return ChunkStep::Excess(bound);
                     }
                     if end == 0 {
                         self.state = ChunkState::Done;
+                    } else if !is_field(&line[..end]) {
+                        return ChunkStep::Malformed;
                     }
                 }
                 ChunkState::Done => return ChunkStep::End,
@@ -117,3 +123,16 @@
         }
     }
 }
+
+fn starts_with_no_digit(buffer: &[u8]) -> bool {
+    buffer.first().is_some_and(|byte| !byte.is_ascii_hexdigit())
+}
+
+/// Returns whether a line of the trailer section is a field.
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let value = line[colon + 1..].trim_ascii();
+    HeaderName::from_bytes(&line[..colon]).is_ok() && HeaderValue::from_bytes(value).is_ok()
+}
--- a/crates/zinniahatch_lab/tests/broken_answers.rs
+++ b/crates/zinniahatch_lab/tests/broken_answers.rs
@@ -202,6 +202,30 @@
     check(route, script).await;
 }
 
+/// Guards against an answer in chunks whose size line or trailer is spoilt, and whose beginning is passed on as a
+/// complete answer.
+#[test_case("/plain"; "idempotent")]
+#[test_case("/once"; "once")]
+#[test_case("/stream"; "resumable")]
+#[test_case("/stream-once"; "stream_once")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_spoilt_chunks_is_not_passed_on(route: &str) {
+    let first = "f\r\nid: 1\ndata: x\n\n\r\n";
+    let rests = [
+        "\r\n\r\n",
+        ";a\r\n\r\n",
+        " \r\n\r\n",
+        "-f\r\n\r\n",
+        "0\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n",
+        "0\r\nno field\r\n\r\n",
+        "0\r\nX Blank: 1\r\n\r\n",
+        "0\r\n: value\r\n\r\n",
+    ];
+    let head = format!("HTTP/1.1 200 OK\r\n{SOUND}Transfer-Encoding: chunked\r\n\r\n");
+    let answer = |rest: &str| closed(format!("{head}{first}{rest}"));
+    check(route, rests.into_iter().map(answer).collect()).await;
+}
+
 /// Guards against an answer whose head holds a line that is no field, and that is passed on.
 #[test_case("/plain"; "idempotent")]
 #[test_case("/once"; "once")]
