Reject answers without an end on connections that stay open

What callers saw: as with spoilt heads, an answer with a body that was not the replica's, passed on as a complete one. Found while looking for the same cause: where the name of the field with the length or the coding is spoilt into another name, nothing of the head is invalid.

Cause: an answer without a length and without chunks ends with its connection, so that the sizes of the chunks, or what followed the body, became a part of it as soon as the replica closed its idle connection in order.

Such a head says that its connection stays open (`Keep-Alive`, and no `Connection: close`), which an answer that ends with it cannot: it has lost a line, and is no response. A refusal with the mark that the request did not run needs no body and still counts. A replica that says neither is believed as before.

--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -364,7 +364,8 @@
     ///
     /// # Errors
     ///
-    /// As `read_head`, or a success does not bear the replica's seal.
+    /// As `read_head`, a success does not bear the replica's seal, or the end of the connection would mark the
+    /// end of the response although the replica keeps it open.
     pub async fn read_replica_head(
         &mut self,
         method: &Method,
@@ -375,6 +376,14 @@
             named.map_or(head.status.is_success(), |named| named != attempt)
         };
         let head = self.read_head_unless(method, is_other).await?;
+        let parsed = &head.parsed_headers;
+        // The response has lost the line that says where it ends.
+        let contradictory = head.body_end == BodyEnd::ConnectionClose && parsed.announces_reuse();
+        if contradictory && !parsed.not_run {
+            return Err(ConnectionError::Malformed(
+                "unframed response on a connection that stays open",
+            ));
+        }
         if head.status.is_success() && !head.parsed_headers.sealed {
             return Err(ConnectionError::Malformed("success without a seal"));
         }
--- a/crates/zinniahatch_lab/tests/broken_answers.rs
+++ b/crates/zinniahatch_lab/tests/broken_answers.rs
@@ -226,6 +226,26 @@
     check(route, rests.into_iter().map(answer).collect()).await;
 }
 
+/// Guards against an answer whose length or coding has another name, and that is passed on with all that follows as
+/// a complete one once its connection ends.
+#[test_case("/plain"; "idempotent")]
+#[test_case("/once"; "once")]
+#[test_case("/stream"; "resumable")]
+#[test_case("/stream-once"; "stream_once")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_a_lost_length_is_not_passed_on(route: &str) {
+    let surplus = format!("{EVENT}HTTP/1.1 200 OK\r\n");
+    let lines = [
+        ("Content-Lengt!: 15", &*surplus),
+        ("Content_Length: 15", &surplus),
+        ("Transfer-Encodin: chunked", CHUNKS),
+        ("Transfer-Encoding!: chunked", CHUNKS),
+    ];
+    let kept = lines.map(|(line, body)| (format!("Keep-Alive: timeout=10\r\n{line}"), body));
+    let kept: Vec<_> = kept.iter().map(|(line, body)| (&**line, *body)).collect();
+    check(route, heads_with(&kept)).await;
+}
+
 /// Guards against an answer whose head holds a line that is no field, and that is passed on.
 #[test_case("/plain"; "idempotent")]
 #[test_case("/once"; "once")]
