Take `Connection: keep-alive` for the same word as `Keep-Alive`

An answer without an end whose head says that its connection stays open has lost a line; a replica may say so by either field. Both gateways ask one function now, which reads all lines of `Connection`.

Evidence: without_an_end_and_kept_by_an_option of replica_response_names_its_attempt, a response that was taken for whole before.

--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -24,6 +24,7 @@
 use tokio::time::timeout;
 use zinniahatch_base::prelude::*;
 use zinniahatch_platform::ResponseHeaders;
+use zinniahatch_platform::announces_reuse;
 use zinniahatch_platform::read_response;
 use zinniahatch_route::ReadBound;
 use zinniahatch_route::ReadTurn;
@@ -376,10 +377,10 @@
             named.map_or(head.status.is_success(), |named| named != attempt)
         };
         let head = self.read_head_unless(method, is_other).await?;
-        let parsed = &head.parsed_headers;
         // The response has lost the line that says where it ends.
-        let contradictory = head.body_end == BodyEnd::ConnectionClose && parsed.announces_reuse();
-        if contradictory && !parsed.not_run {
+        let lost_its_end =
+            head.body_end == BodyEnd::ConnectionClose && announces_reuse(&head.headers);
+        if lost_its_end && !head.parsed_headers.not_run {
             return Err(ConnectionError::Malformed(
                 "unframed response on a connection that stays open",
             ));
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -375,6 +375,7 @@
 #[test_case(&[WHOLE], None; "without_a_seal")]
 #[test_case(&["HTTP/1.1 204 No Content\r\nx-attempt-id: mine\r\nx-server-seal:\r\n\r\n"], None; "with_an_empty_seal")]
 #[test_case(&["HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\nkeep-alive: timeout=5\r\n\r\nhello"], None; "without_an_end_and_kept")]
+#[test_case(&["HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\nconnection: Keep-Alive\r\n\r\nhello"], None; "without_an_end_and_kept_by_an_option")]
 #[test_case(&["HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\nkeep-alive: timeout=5\r\nconnection: close\r\n\r\nhello"], Some("hello"); "until_it_closes")]
 #[test_case(&["HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\n\r\nhello"], Some("hello"); "without_an_end")]
 #[test_case(&["HTTP/1.1 503 Service Unavailable\r\nx-attempt-id: mine\r\nx-not-executed: 1\r\nkeep-alive: timeout=5\r\n\r\nfull"], Some("full"); "refusal_without_an_end")]
--- a/crates/zinniahatch_gateway/src/framing.rs
+++ b/crates/zinniahatch_gateway/src/framing.rs
@@ -1,11 +1,8 @@
 //! What marks the end of a response body.
 
 use reqwest::Response;
-use salvo::http::HeaderMap;
 use salvo::http::header;
-
-/// The idle time after which the other side closes the connection.
-const KEEP_ALIVE: &str = "keep-alive";
+use zinniahatch_platform::announces_reuse;
 
 /// Returns whether a response states the length of its body, sends it in chunks, or has none. The body of any
 /// other one ends with its connection, and so does one that is truncated.
@@ -24,16 +21,5 @@
     if let Some(coding) = codings.next() {
         return codings.next().is_none() && coding.as_bytes().eq_ignore_ascii_case(b"chunked");
     }
-    is_framed(response) || !headers.contains_key(KEEP_ALIVE) || closes(headers)
-}
-
-/// Returns whether the other side closes the connection after a response.
-fn closes(headers: &HeaderMap) -> bool {
-    let mut options = headers.get_all(header::CONNECTION).iter();
-    options.any(|value| {
-        let value = value.as_bytes().to_ascii_lowercase();
-        value
-            .split(|byte| *byte == b',')
-            .any(|option| option.trim_ascii() == b"close")
-    })
+    is_framed(response) || !announces_reuse(headers)
 }
