--- a/crates/zinniahatch_entry/src/request.rs
+++ b/crates/zinniahatch_entry/src/request.rs
@@ -8,6 +8,7 @@
 pub(crate) mod event_scanner;
 pub(crate) mod events;
 pub(crate) mod failover;
+pub(crate) mod framing;
 pub(crate) mod gateway_response;
 pub(crate) mod held_memory;
 pub(crate) mod in_flight;
--- a/crates/zinniahatch_entry/src/request/in_flight.rs
+++ b/crates/zinniahatch_entry/src/request/in_flight.rs
@@ -3,9 +3,9 @@
 use crate::core::EntryCore;
 use crate::request::body_position::BodyPosition;
 use crate::request::connection::BackendConnection;
-use crate::request::connection::BodyEnd;
 use crate::request::connection::ConnectionError;
 use crate::request::connection::ResponseHead;
+use crate::request::framing::BodyEnd;
 use crate::request::held_memory::HeldBytes;
 use crate::request::received::ReceivedRequest;
 use crate::request::truncation::Truncation;
