Show that the other gateway takes no early answer that is reset for whole

A part of an answer without a length, whose connection is reset during an upload of 3 MiB, ends as unknown there; the same answer to a short request is passed on.

--- a/crates/zinniahatch_lab/tests/one_node.rs
+++ b/crates/zinniahatch_lab/tests/one_node.rs
@@ -1,5 +1,6 @@
 //! One entry VM as a real process: idempotency keys, operator roles, and invalid or hostile input.
 
+use reqwest::Body;
 use reqwest::Client;
 use reqwest::Response;
 use reqwest::StatusCode;
@@ -18,6 +19,11 @@
 use zinniahatch_lab::users;
 
 const KEY: &str = "buyer-almaty-example-key";
+/// Limit of the bodies of a plain service, and one that uploads stay below.
+const BODY_LIMIT: &str = "body_limit_bytes = 500000";
+const RAISED_BODY_LIMIT: &str = "body_limit_bytes = 4000000";
+/// Size of a body that is still being written when its answer arrives.
+const UPLOAD_BYTES: usize = 3 << 20;
 
 async fn start() -> LabCluster {
     start_with(EngineSpeed::default()).await
@@ -54,7 +60,7 @@
     header.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
-async fn entry(cluster: &LabCluster, key: Option<&str>, body: &'static str) -> Response {
+async fn entry(cluster: &LabCluster, key: Option<&str>, body: impl Into<Body>) -> Response {
     let request = Client::new()
         .post(format!("{}/s/coldbook/entry", base(cluster)))
         .bearer_auth(KEY)
@@ -164,6 +170,34 @@
     assert!(!repeatable.status().is_success(), "{repeatable:?}");
 }
 
+/// Guards against a part of an answer without a length that is passed on as a whole one: its connection is reset
+/// while the request is still being written.
+#[tokio::test]
+async fn early_answer_that_is_reset_does_not_look_whole() {
+    let mut plan = users::aqsu();
+    plan.regions.truncate(1);
+    plan.regions[0].entries = 1;
+    for text in plan.parts.values_mut() {
+        *text = text.replace(BODY_LIMIT, RAISED_BODY_LIMIT).into();
+    }
+    let options = ClusterOptions {
+        plain_rest: Some("connection: close\r\n\r\nx"),
+        ..ClusterOptions::default()
+    };
+    let cluster = LabCluster::start(plan, &options).await;
+    let upload = "x".repeat(UPLOAD_BYTES);
+    let unknown = ResultCode::OutcomeUnknown.number();
+    let answered = ResultCode::Answered.number();
+    for (padding, expected) in [("", answered), (&upload, unknown), (&upload, unknown)] {
+        let body = format!("operation=1;{padding}");
+        let first = entry(&cluster, None, body.clone()).await;
+        let refusal: Value = first.json().await.expect("the refusal is JSON");
+        let key = refusal["key"].as_str().expect("the refusal holds a key");
+        let once = entry(&cluster, Some(key), body).await;
+        assert_eq!(code(&once), expected);
+    }
+}
+
 /// Guards against invalid input that reaches a backend server or goes uncounted: wrong tokens,
 /// forged and foreign keys, forwarded requests without a valid proof, oversize and malformed
 /// bodies. Each is refused with its own result code.
