Show that a region never serves again after a start without the store

A script: all processes are killed while the store turns the machines of one region away for 9 s. Once it serves them, they stay in the stage Starting and none of the requests at home there is served (rule RECOVER).

--- a/review/stand_ins_2/engine.rs
+++ b/review/stand_ins_2/engine.rs
@@ -16,6 +16,8 @@
 /// Prompt tokens that are read in a millisecond.
 const TOKENS_PER_MS: f64 = 38.4;
 const BEAT: Duration = Duration::from_millis(1_200);
+/// Work on a plain request.
+const PLAIN_WORK: Duration = Duration::from_millis(30);
 const STEP: Duration = Duration::from_millis(10);
 
 /// One request at the replica.
@@ -35,6 +37,7 @@
     pub name: &'static str,
     pub address: SocketAddr,
     work: Arc<Mutex<Vec<Work>>>,
+    arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
     crashed: Arc<AtomicBool>,
     record: Arc<Record>,
     events: u32,
@@ -50,6 +53,7 @@
             name,
             address: listener.local_addr().expect("it is bound"),
             work: Arc::default(),
+            arrivals: Arc::default(),
             crashed: Arc::default(),
             record: Arc::clone(record),
             events,
@@ -73,29 +77,32 @@
         engine
     }
 
-    /// Registers it in the store, where it writes about every beat; its entry goes three beats after its crash.
+    /// Registers it in the store. Its later beats change `sequence` alone, and so not the entry, which goes
+    /// three beats after its end.
     pub fn register(&self, store: &Store, zone: &'static str) {
         let (engine, store) = (self.clone(), store.clone());
         let key = format!("servers/{}", self.name);
-        store.write(&key, &engine.entry(zone, 1));
+        store.write(&key, &engine.entry(zone, "ready"));
         thread::spawn(move || {
-            for sequence in 2.. {
-                thread::sleep(BEAT);
-                if engine.has_crashed() {
-                    break;
-                }
-                store.write(&key, &engine.entry(zone, sequence));
+            while !engine.has_crashed() {
+                thread::sleep(STEP);
             }
-            thread::sleep(BEAT * 2);
+            thread::sleep(BEAT * 3);
             store.remove(&key);
         });
     }
 
-    fn entry(&self, zone: &str, sequence: u32) -> String {
+    /// Reports in the store that it is draining.
+    pub fn drain(&self, store: &Store, zone: &'static str) {
+        store.write(&format!("servers/{}", self.name), &self.entry(zone, "draining"));
+        self.record.note(&format!("the store has accepted that replica {} is draining", self.name));
+    }
+
+    fn entry(&self, zone: &str, state: &str) -> String {
         format!(
             "{{\"service\":\"desk\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":64,\
-             \"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\
-             \"adapters\":[]}}],\"sequence\":{sequence}}}",
+             \"state\":\"{state}\",\"cold_left_ms\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\
+             \"adapters\":[]}}],\"sequence\":1}}",
             self.address
         )
     }
@@ -176,15 +183,8 @@
             );
             return writer.write_all(head.as_bytes()).is_ok();
         }
-        if request.path.starts_with("/status/") {
-            let body = format!("status for {attempt}");
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal-{}-{attempt}\r\n\
-                 Content-Length: {}\r\n\r\n{body}",
-                self.name,
-                body.len()
-            );
-            return writer.write_all(head.as_bytes()).is_ok();
+        if !request.path.starts_with("/chat/") {
+            return self.answer(request, &attempt, reader, writer);
         }
         let tokens = request.header("x-token-count").and_then(|text| text.split(',').next()?.parse().ok());
         let place = {
@@ -204,6 +204,38 @@
         why == "complete"
     }
 
+    /// Answers a plain request after a moment of work.
+    fn answer(
+        &self,
+        request: &Request,
+        attempt: &str,
+        reader: &mut BufReader<TcpStream>,
+        writer: &mut TcpStream,
+    ) -> bool {
+        self.arrivals.lock().unwrap().push((Instant::now(), attempt.to_string()));
+        self.record.note(&format!("replica {} runs {attempt}", self.name));
+        let done = Instant::now() + PLAIN_WORK;
+        while Instant::now() < done {
+            if let Some(why) = self.broken(reader) {
+                self.record.note(&format!("replica {} stops to work on {attempt}: {why}", self.name));
+                return false;
+            }
+        }
+        let body = format!("{} for {attempt}", request.path);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Seal: seal-{}-{attempt}\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            self.name,
+            body.len()
+        );
+        writer.write_all(head.as_bytes()).is_ok()
+    }
+
+    /// The plain requests that reached it, and when.
+    pub fn arrivals(&self) -> Vec<(Instant, String)> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
     fn stream(
         &self,
         attempt: &str,
--- a/review/stand_ins_2/gone.rs
+++ b/review/stand_ins_2/gone.rs
@@ -1,7 +1,7 @@
 //! GONE: clients leave streams that the gateway takes to another replica.
 
 use crate::engine::Engine;
-use crate::site::{give_up, Entry, Record};
+use crate::site::{give_up, Entry, Ports, Record};
 use crate::store::Store;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -49,11 +49,11 @@
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> i32 {
     let store = Store::default();
-    let address = store.serve();
+    let (address, _) = store.serve();
     let replicas = ["i-1", "i-2", "i-3"].map(|name| Engine::start(name, EVENTS, EVENT_PAUSE, record));
     store.write("op/config", CONFIG);
     replicas[0].register(&store, ZONE);
-    let entry = Entry::start("front-1", "almaty-hall", address);
+    let entry = Entry::start(0, 0, &Ports::find(), address);
     entry.wait_ready(record);
     let done = Arc::new(AtomicBool::new(false));
     let lookups = look_up(entry.front, &done);
--- a/review/stand_ins_2/main.rs
+++ b/review/stand_ins_2/main.rs
@@ -1,8 +1,10 @@
 //! The stand-ins of the second review, and its cases that are scripts: `stand_ins CASE RECORD`.
 
 mod engine;
+mod fleet;
 mod gone;
 mod site;
+mod skipped;
 mod store;
 mod web;
 
@@ -19,6 +21,8 @@
     let record = Arc::new(Record::create(path));
     let code = match case.as_str() {
         "gone" => gone::run(&record, trouble),
+        "drain" => skipped::drain(&record, trouble),
+        "recover" => skipped::recover(&record, trouble),
         _ => site::give_up(&record, "there is no such case"),
     };
     println!("{}", ["the rule held", "the rule was broken"][code as usize]);
--- a/review/stand_ins_2/store.rs
+++ b/review/stand_ins_2/store.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -28,6 +29,20 @@
     last_lease: u64,
 }
 
+/// Whether the store turns the machines of a listener away, with 503.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<AtomicBool>);
+
+impl Gate {
+    pub fn set_closed(&self, closed: bool) {
+        self.0.store(closed, Ordering::SeqCst);
+    }
+
+    fn is_closed(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
@@ -77,15 +92,16 @@
 }
 
 impl Store {
-    /// Serves on a free port and returns the address.
-    pub fn serve(&self) -> SocketAddr {
+    /// Serves on a free port, and returns the address and the gate of the machines that use it.
+    pub fn serve(&self) -> (SocketAddr, Gate) {
+        let gate = Gate::default();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("it is bound");
-        let store = self.clone();
+        let (store, passes) = (self.clone(), gate.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = store.clone();
-                thread::spawn(move || store.run(stream));
+                let (store, passes) = (store.clone(), passes.clone());
+                thread::spawn(move || store.run(stream, &passes));
             }
         });
         let store = self.clone();
@@ -94,7 +110,7 @@
             store.state.0.lock().unwrap().expire();
             store.state.1.notify_all();
         });
-        address
+        (address, gate)
     }
 
     /// Writes an item, as operators and replicas do.
@@ -115,19 +131,22 @@
         self.state.1.notify_all();
     }
 
-    fn run(&self, stream: TcpStream) {
+    fn run(&self, stream: TcpStream, gate: &Gate) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
-            let (status, body) = self.respond(&request);
+            let (status, body) = self.respond(&request, gate);
             if answer(&mut writer, status, &body).is_err() {
                 return;
             }
         }
     }
 
-    fn respond(&self, request: &Request) -> (u16, String) {
+    fn respond(&self, request: &Request, gate: &Gate) -> (u16, String) {
+        if gate.is_closed() {
+            return (503, "{}".to_string());
+        }
         let text = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
@@ -147,7 +166,7 @@
                 let items = items.join(",");
                 (200, format!("{{\"items\":[{items}],\"truncated\":false,\"store_revision\":{}}}", state.revision))
             }
-            ("GET", "/kv-watch") => self.watch(&text("path_prefix"), number("after"), number("wait_ms")),
+            ("GET", "/kv-watch") => self.watch(&text("path_prefix"), number("after"), number("wait_ms"), gate),
             ("POST", "/kv-txn") => self.transact(&body),
             ("POST", "/kv-lease") => {
                 let mut state = self.state.0.lock().unwrap();
@@ -174,10 +193,13 @@
         }
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, String) {
+    fn watch(&self, prefix: &str, after: u64, wait_ms: u64, gate: &Gate) -> (u16, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state.0.lock().unwrap();
         loop {
+            if gate.is_closed() {
+                return (503, "{}".to_string());
+            }
             let new = state.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
             let events: Vec<String> = new
                 .map(|(at, key, item)| match item {
