--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -207,7 +207,8 @@
     for (entry, change) in changes {
         handle_entry_change(core, &entry, change);
     }
-    if has_replicas {
+    // A region may have no replica, which its readers know as well.
+    if has_replicas || covers_replicas {
         core.mark_replicas_listed();
     }
     true
--- a/crates/zinniahatch_lab/tests/start_faults.rs
+++ b/crates/zinniahatch_lab/tests/start_faults.rs
@@ -329,6 +329,17 @@
     cluster.wait_ready().await;
 }
 
+/// Waits until an entry VM that starts has heard from another one, and its listing of replicas has failed.
+async fn wait_listed_in_vain(site: &SiteCluster, node: usize) {
+    wait_until("it lists in vain", async || {
+        let log = site.log(node);
+        log.contains("\"source\":\"peer\"")
+            && log.contains("\"topic\":\"Replicas\"")
+            && log.contains("\"store-lost\"")
+    })
+    .await;
+}
+
 /// Guards against an entry VM that never lists the replicas, since a node of another region told it how far that one had
 /// read while the store was silent.
 #[tokio::test(flavor = "multi_thread")]
@@ -341,13 +352,29 @@
     site.kill(1);
     site.store_faults.set(ServiceMode::Silent);
     site.spawn(1);
-    wait_until("it lists in vain", async || {
-        let log = site.log(1);
-        log.contains("\"source\":\"peer\"")
-            && log.contains("\"topic\":\"Replicas\"")
-            && log.contains("\"store-lost\"")
+    wait_listed_in_vain(&site, 1).await;
+    site.store_faults.set(ServiceMode::Up);
+    site.wait_ready(1).await;
+}
+
+/// Guards against an entry VM that is never ready since its region has no replica, which it learned while the store
+/// was silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_in_a_region_without_replicas() {
+    let regions = [
+        SiteRegion::new("north", 1, 1),
+        SiteRegion::new("south", 2, 0),
+    ];
+    let mut site = SiteCluster::start(&regions, SHAPE).await;
+    wait_until("the other node reads for its region", async || {
+        site.register(0, "ready");
+        site.log(1).contains("replicas-read")
     })
     .await;
+    site.kill(2);
+    site.store_faults.set(ServiceMode::Silent);
+    site.spawn(2);
+    wait_listed_in_vain(&site, 2).await;
     site.store_faults.set(ServiceMode::Up);
-    site.wait_ready(1).await;
+    site.wait_ready(2).await;
 }
