End a stream that is being resumed when its caller leaves

What callers saw: nothing; replicas worked on for callers that had left.

Cause: a stream is forwarded by a task of its own. While it is being resumed, the wait for the next answer's head, the decision on a quarantine and the probe watched the deadline alone; only the pause between two looks for a place watched the caller.

The resumption as a whole is raced against the leave, so that no wait inside has to know of it. A send that was written counts as sent, as after a silence; the charge of one that was not is given back.

--- a/crates/zinniahatch_entry/src/request/failover.rs
+++ b/crates/zinniahatch_entry/src/request/failover.rs
@@ -414,12 +414,7 @@
         let place_before = self.progress.place.clone();
         log_resume(core, request, self.progress, point, SILENT_REASON);
         record_try(core, request, plan, self.progress, placement);
-        let mut guard = WrittenGuard {
-            core,
-            plan,
-            progress: self.progress,
-            written: false,
-        };
+        let mut guard = WrittenGuard::new(core, plan, self.progress);
         let mut sending = pin!(send_to(core, request, plan, placement, point));
         let mut broken = None;
         let sent = loop {
@@ -445,8 +440,7 @@
                 }
             }
         };
-        guard.written = false;
-        drop(guard);
+        guard.settle();
         let answer = record_outcome(core, request, plan, self.progress, placement, sent);
         if let Some(answer) = answer {
             *current = None;
@@ -469,11 +463,31 @@
 }
 
 /// Records a send that was written, if the request ends before its outcome is known.
-struct WrittenGuard<'a> {
+pub(crate) struct WrittenGuard<'a> {
     core: &'a EntryCore,
     plan: &'a RequestPlan,
     progress: &'a mut RequestProgress,
-    written: bool,
+    pub(crate) written: bool,
+}
+
+impl<'a> WrittenGuard<'a> {
+    pub(crate) fn new(
+        core: &'a EntryCore,
+        plan: &'a RequestPlan,
+        progress: &'a mut RequestProgress,
+    ) -> Self {
+        Self {
+            core,
+            plan,
+            progress,
+            written: false,
+        }
+    }
+
+    /// Leaves recording the send to the caller, who knows its outcome.
+    pub(crate) fn settle(mut self) {
+        self.written = false;
+    }
 }
 
 impl Drop for WrittenGuard<'_> {
--- a/crates/zinniahatch_entry/src/request/relay.rs
+++ b/crates/zinniahatch_entry/src/request/relay.rs
@@ -20,6 +20,7 @@
 use crate::request::plan::RequestPlan;
 use crate::request::plan::RequestProgress;
 use crate::request::received::ReceivedRequest;
+use crate::request::resume::AbandonReason;
 use crate::request::resume::BrokenStream;
 use crate::request::resume::resume;
 use crate::request::truncation::Truncation;
@@ -121,10 +122,10 @@
                     break end;
                 }
             };
-            let Some(next) = self.resume(&end, connection).await else {
-                break end;
-            };
-            in_flight = next;
+            match self.resume(end, connection).await {
+                Ok(next) => in_flight = next,
+                Err(end) => break end,
+            }
         };
         self.finish(&end);
     }
@@ -192,17 +193,17 @@
         }
     }
 
-    /// Resumes a broken stream, if its route allows that.
+    /// Resumes a broken stream, if its route allows that; otherwise returns how it ends.
     async fn resume(
         &mut self,
-        end: &RelayEnd,
+        end: RelayEnd,
         connection: WaitedConnection,
-    ) -> Option<InFlightRequest> {
-        let RelayEnd::Broken(truncation) = end else {
-            return None;
+    ) -> Result<InFlightRequest, RelayEnd> {
+        let RelayEnd::Broken(truncation) = &end else {
+            return Err(end);
         };
         if !self.may_resume() {
-            return None;
+            return Err(end);
         }
         self.splitter.discard_partial();
         let broken = BrokenStream {
@@ -212,9 +213,14 @@
             caller: &self.sender,
         };
         let (core, request, plan) = (&self.core, &self.request, &self.plan);
-        let resumed = resume(core, request, plan, &mut self.progress, &broken).await?;
-        self.failover = plan.stream_failover(&self.progress, resumed.expected);
-        Some(resumed)
+        match resume(core, request, plan, &mut self.progress, &broken).await {
+            Ok(resumed) => {
+                self.failover = plan.stream_failover(&self.progress, resumed.expected);
+                Ok(resumed)
+            }
+            Err(AbandonReason::CallerGone) => Err(RelayEnd::CallerGone),
+            Err(_) => Err(end),
+        }
     }
 
     /// Releases the connection of a stream that has ended.
--- a/crates/zinniahatch_entry/src/request/resume.rs
+++ b/crates/zinniahatch_entry/src/request/resume.rs
@@ -4,6 +4,7 @@
 use crate::replicas::quarantine::await_quarantine_decision;
 use crate::request::connection::ResponseHead;
 use crate::request::failover::WaitedConnection;
+use crate::request::failover::WrittenGuard;
 use crate::request::failover::may_take;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::placement::Placement;
@@ -18,7 +19,9 @@
 use crate::request::send::ResumePoint;
 use crate::request::send::SendFailure;
 use bytes::Bytes;
+use std::pin::pin;
 use std::rc::Rc;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::Sender;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
@@ -28,7 +31,7 @@
 
 /// Why a broken stream does not go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AbandonReason {
+pub(crate) enum AbandonReason {
     /// It had all the sends that its route allows.
     SendsSpent,
     /// Too many tries to go on failed.
@@ -70,14 +73,39 @@
 /// connection to the same one.
 ///
 /// If none takes it, one is looked for until the request or this node ends. A caller that can do better
-/// elsewhere leaves, which ends that too.
+/// elsewhere leaves, which ends that too, whatever is waited for: a place, a replica or its answer.
+///
+/// # Errors
+///
+/// Returns why the stream does not go on.
 pub(crate) async fn resume(
     core: &Rc<EntryCore>,
     request: &ReceivedRequest,
     plan: &RequestPlan,
     progress: &mut RequestProgress,
     broken: &BrokenStream<'_>,
-) -> Option<InFlightRequest> {
+) -> Result<InFlightRequest, AbandonReason> {
+    progress.broken_since = Some(Instant::now());
+    let resumed = tokio::select! {
+        biased;
+        () = broken.caller.closed() => Err(AbandonReason::CallerGone),
+        resumed = seek_and_send(core, request, plan, progress, broken) => resumed,
+    };
+    match &resumed {
+        Ok(_) => progress.broken_since = None,
+        Err(reason) => note_abandoned(core, request, plan, progress, *reason),
+    }
+    resumed
+}
+
+/// Looks for a place and sends the rest of the stream there, until a replica goes on with it.
+async fn seek_and_send(
+    core: &Rc<EntryCore>,
+    request: &ReceivedRequest,
+    plan: &RequestPlan,
+    progress: &mut RequestProgress,
+    broken: &BrokenStream<'_>,
+) -> Result<InFlightRequest, AbandonReason> {
     let point = ResumePoint {
         last_event: broken.last_event,
         began: progress.began,
@@ -85,7 +113,6 @@
         new_connection: true,
         written: None,
     };
-    progress.broken_since = Some(Instant::now());
     // What refused the request before it began may take the rest of it.
     let left = broken.connection.node().cloned();
     progress.remote = RemoteAttempts {
@@ -96,45 +123,61 @@
     loop {
         starts.allow_restarted(core, progress);
         if progress.sends >= plan.max_sends {
-            note_abandoned(core, request, plan, progress, AbandonReason::SendsSpent);
-            return None;
+            return Err(AbandonReason::SendsSpent);
         }
         await_quarantine_decision(core, request, plan).await;
         let Some(placement) = choose_resumption(core, request, plan, progress, broken).await else {
-            let reason = match wait_to_seek(core, plan, broken).await {
-                SeekWait::Due => continue,
-                SeekWait::Over => AbandonReason::NoPlace,
-                SeekWait::CallerGone => AbandonReason::CallerGone,
-            };
-            note_abandoned(core, request, plan, progress, reason);
-            return None;
+            wait_to_seek(core, plan)
+                .await
+                .ok_or(AbandonReason::NoPlace)?;
+            continue;
         };
         log_resume(core, request, progress, point, broken.reason);
         record_try(core, request, plan, progress, &placement);
-        let sending = send_to(core, request, plan, &placement, point);
-        let Ok(sent) = timeout_at(plan.deadline_tokio(), sending).await else {
-            plan.record_send(core, progress);
-            note_abandoned(core, request, plan, progress, AbandonReason::Deadline);
-            return None;
-        };
+        let sending = send_again(core, request, plan, progress, &placement, point);
+        let sent = timeout_at(plan.deadline_tokio(), sending)
+            .await
+            .map_err(|_| AbandonReason::Deadline)?;
         let answer = record_outcome(core, request, plan, progress, &placement, sent);
         if let Some((_, in_flight)) = answer {
-            progress.broken_since = None;
-            return Some(in_flight);
+            return Ok(in_flight);
         }
-        if progress.unsent_tries < MAX_UNSENT_TRIES {
-            continue;
+        if progress.unsent_tries >= MAX_UNSENT_TRIES {
+            wait_to_seek(core, plan)
+                .await
+                .ok_or(AbandonReason::TriesSpent)?;
         }
-        let reason = match wait_to_seek(core, plan, broken).await {
-            SeekWait::Due => continue,
-            SeekWait::Over => AbandonReason::TriesSpent,
-            SeekWait::CallerGone => AbandonReason::CallerGone,
-        };
-        note_abandoned(core, request, plan, progress, reason);
-        return None;
     }
 }
 
+/// Sends the rest of a stream to a place and reads the head of the response. A send that was written
+/// counts as received if this is dropped before the head has arrived.
+async fn send_again(
+    core: &Rc<EntryCore>,
+    request: &ReceivedRequest,
+    plan: &RequestPlan,
+    progress: &mut RequestProgress,
+    placement: &Placement,
+    point: ResumePoint<'_>,
+) -> Result<(ResponseHead, InFlightRequest), SendFailure> {
+    let written = Notify::new();
+    let point = ResumePoint {
+        written: Some(&written),
+        ..point
+    };
+    let mut guard = WrittenGuard::new(core, plan, progress);
+    let mut sending = pin!(send_to(core, request, plan, placement, point));
+    let sent = loop {
+        tokio::select! {
+            biased;
+            sent = &mut sending => break sent,
+            () = written.notified(), if !guard.written => guard.written = true,
+        }
+    };
+    guard.settle();
+    sent
+}
+
 /// The starts of other nodes, to tell a node that failed a stream from its next start.
 struct NodeStarts(BTreeMap<NodeId, Incarnation>);
 
@@ -162,28 +205,15 @@
     }
 }
 
-/// How the wait before another look for a place ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SeekWait {
-    /// The next look is due.
-    Due,
-    /// The request or this node would end before.
-    Over,
-    /// The caller left.
-    CallerGone,
-}
-
-/// Waits until another place is to be looked for.
-async fn wait_to_seek(core: &EntryCore, plan: &RequestPlan, broken: &BrokenStream<'_>) -> SeekWait {
+/// Waits until another place is to be looked for; `None` if the request or this node would end before.
+async fn wait_to_seek(core: &EntryCore, plan: &RequestPlan) -> Option<()> {
     let seek_at = Instant::now() + SEEK_INTERVAL;
     let answers_due = core.answers_due.get().unwrap_or(plan.deadline);
     if seek_at > plan.deadline.min(answers_due) {
-        return SeekWait::Over;
-    }
-    tokio::select! {
-        () = broken.caller.closed() => SeekWait::CallerGone,
-        () = sleep_until(seek_at.into()) => SeekWait::Due,
+        return None;
     }
+    sleep_until(seek_at.into()).await;
+    Some(())
 }
 
 /// Chooses where a broken stream goes on, and charges the retry.
--- a/crates/zinniahatch_lab/src/test_doubles/replica.rs
+++ b/crates/zinniahatch_lab/src/test_doubles/replica.rs
@@ -109,6 +109,8 @@
     pub stream_runs: Vec<StreamRun>,
     /// Number of streams whose connection the other side closed before the end.
     pub closed_early: u32,
+    /// Requests that it never answered and whose connection the other side closed.
+    pub closed_unanswered: BTreeSet<Box<str>>,
     /// When requests of callers reached it, and their attempts, including misdirected ones.
     pub arrivals: Vec<(Instant, Box<str>)>,
     /// Number of requests that were meant for another replica.
@@ -422,7 +424,7 @@
                 .await;
         }
         if behaviour == ReplicaBehaviour::Mute {
-            std::future::pending::<()>().await;
+            return self.wait_for_close(stream, request).await;
         }
         {
             let mut state = lock(&self.state);
@@ -477,6 +479,15 @@
         }
     }
 
+    /// Answers nothing until the other side closes the connection.
+    async fn wait_for_close(&self, stream: &TcpStream, request: &ReplicaRequest) -> bool {
+        // The other side sends nothing more, so that any result means that it has closed.
+        let _ = stream.peek(&mut [0]).await;
+        let closed = &mut lock(&self.state).observations.closed_unanswered;
+        closed.insert(request.attempt.clone());
+        false
+    }
+
     /// Returns the header line that says for how long it is cold; empty if it is warm.
     fn cold_line(&self) -> String {
         let left = lock(&self.state).cold_until;
