Send the rest of a request while its early response is read

What callers saw: a long upload whose replica sends an interim response, or begins its answer, before it has read all of it, got no further answer until its deadline.

Cause: the first bytes of a response ended the writing for good, as if every early response were a refusal. A replica that goes on reading waits for the rest, and the node for the answer.

The rest stays with the connection, and each wait for bytes sends of it what the system takes. A write that fails is kept as before: what had arrived is read, and an end without a length is no end. The connection is not used again.

--- a/crates/zinniahatch_entry/src/listeners.rs
+++ b/crates/zinniahatch_entry/src/listeners.rs
@@ -153,7 +153,7 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     match kind {
-        ListenerKind::Calls(source) => handle_request(core, source, request).await,
+        ListenerKind::Calls(source) => Box::pin(handle_request(core, source, request)).await,
         ListenerKind::Directory => resolve(&core, &request),
         ListenerKind::Readiness => readiness(&core, request.uri().path()),
         ListenerKind::Control => control(&core, request.method(), request.uri().path()),
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -13,6 +13,7 @@
 use crate::store::updates::handle_entry_change;
 use crate::store::updates::is_in_region;
 use crate::store::watch_topic::WatchTopic;
+use bytes::Bytes;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
@@ -265,7 +266,8 @@
     let head =
         format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\ncontent-length: {length}\r\n\r\n");
     let read = async {
-        connection.send(peer, head.as_bytes(), body).await?;
+        let body = Bytes::copy_from_slice(body);
+        connection.send(peer, head.as_bytes(), &body).await?;
         let head = connection.read_head(&Method::GET, EXCHANGE_ID).await?;
         let status = head.framed()?.status;
         Ok((
--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -9,6 +9,7 @@
 use crate::request::connection::ConnectionError;
 use crate::request::connection::ResponseHead;
 use crate::request::framing::BodyEnd;
+use bytes::Bytes;
 use http::Method;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -199,7 +200,9 @@
 ) -> Result<ResponseHead, ConnectionError> {
     let address = permit.address();
     let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
-    connection.send(permit, head.as_bytes(), &[]).await?;
+    connection
+        .send(permit, head.as_bytes(), &Bytes::new())
+        .await?;
     // Any response shows that the replica is alive. The health status that it reports may be wrong
     // either way, so whether it serves is judged by its answers to requests.
     connection.read_head(&Method::GET, "").await
--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -8,6 +8,7 @@
 use crate::request::framing::BodyEnd;
 use crate::request::framing::BodyFraming;
 use crate::request::framing::body_framing;
+use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::HeaderMap;
@@ -20,6 +21,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddrV4;
 use thiserror::Error;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::timeout;
@@ -119,6 +121,8 @@
     stream: TcpStream,
     address: SocketAddrV4,
     buffer: BytesMut,
+    /// What is left to be sent of a request whose response has begun.
+    unsent: Bytes,
     frame: BodyFraming,
     idle_limit: Duration,
     idle_since: Instant,
@@ -157,6 +161,7 @@
             stream,
             address,
             buffer: BytesMut::new(),
+            unsent: Bytes::new(),
             frame: BodyFraming::Done,
             idle_limit: DEFAULT_IDLE_LIMIT,
             idle_since: Instant::now(),
@@ -232,9 +237,9 @@
 
     /// Sends the request that `permit` was issued for.
     ///
-    /// The other side may respond before it has read a long body. Then the rest of the body is not
-    /// sent, and the connection is closed after the response. Anything else sent on it would be
-    /// read as the rest of that body.
+    /// The other side may respond before it has read a long body. Then the rest of the body is sent while
+    /// the response is read, since it may be needed for that, and the connection is closed after the
+    /// response. Anything else sent on it would be read as the rest of that body.
     ///
     /// # Errors
     ///
@@ -243,7 +248,7 @@
         &mut self,
         permit: P,
         head: &[u8],
-        body: &[u8],
+        body: &Bytes,
     ) -> Result<(), ConnectionError> {
         if permit.address() != self.address {
             return Err(ConnectionError::Connect(
@@ -255,49 +260,37 @@
         self.budget = ResponseBudget::default();
         // A short request is sent in one write, usually as a single packet. A long body is not copied.
         if body.len() <= MAX_JOINED_BODY_BYTES {
-            return self.write(&[head, body].concat()).await.map(drop);
+            return self.write([head, body].concat().into()).await.map(drop);
         }
-        if self.write(head).await? == WriteEnd::Written {
-            self.write(body).await?;
+        if self.write(Bytes::copy_from_slice(head)).await? == WriteEnd::Written {
+            self.write(body.clone()).await?;
         }
         Ok(())
     }
 
-    /// Writes a part of a request.
-    async fn write(&mut self, mut rest: &[u8]) -> Result<WriteEnd, ConnectionError> {
-        while !rest.is_empty() {
-            tokio::select! {
-                ready = self.stream.writable() => {
-                    ready.map_err(broken)?;
-                    match self.stream.try_write(rest) {
-                        Ok(count) => rest = &rest[count..],
-                        Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                        Err(error) => {
-                            self.early_response_or(error).await?;
-                            return Ok(WriteEnd::Responded);
-                        }
-                    }
-                }
-                read = read_more(&self.stream, &mut self.buffer) => {
-                    let count = read.map_err(broken)?;
-                    self.reusable = false;
-                    if count == 0 {
-                        return Err(ConnectionError::Broken("closed while sending".into()));
-                    }
-                    return Ok(WriteEnd::Responded);
-                }
+    /// Writes a part of a request, and keeps what is left of it when the other side responds.
+    async fn write(&mut self, part: Bytes) -> Result<WriteEnd, ConnectionError> {
+        self.unsent = part;
+        while !self.unsent.is_empty() {
+            let read = self.send_or_read().await;
+            if self.broken.is_some() {
+                self.reusable = false;
+                // An early response may have arrived before.
+                self.fill().await?;
+                return Ok(WriteEnd::Responded);
             }
+            let Some(count) = read.map_err(broken)? else {
+                continue;
+            };
+            self.reusable = false;
+            if count == 0 {
+                return Err(ConnectionError::Broken("closed while sending".into()));
+            }
+            return Ok(WriteEnd::Responded);
         }
         Ok(WriteEnd::Written)
     }
 
-    /// After a failed write, checks whether an early response had arrived before.
-    async fn early_response_or(&mut self, error: io::Error) -> Result<(), ConnectionError> {
-        self.reusable = false;
-        self.broken = Some(broken(error));
-        self.fill().await.map(drop)
-    }
-
     /// Reads the head of the response to an attempt.
     ///
     /// Responses that name another attempt are late second responses to an earlier request. They
@@ -549,13 +542,49 @@
     /// Reads what has arrived, or waits for it. Returns 0 at an orderly end alone.
     async fn fill(&mut self) -> Result<usize, ConnectionError> {
         self.give_way().await;
-        match read_more(&self.stream, &mut self.buffer).await {
-            Ok(0) => self.broken.clone().map_or(Ok(0), Err),
-            Ok(count) => {
-                self.turn.note_step(count);
-                Ok(count)
+        loop {
+            match self.send_or_read().await {
+                Ok(None) => {}
+                Ok(Some(0)) => return self.broken.clone().map_or(Ok(0), Err),
+                Ok(Some(count)) => {
+                    self.turn.note_step(count);
+                    return Ok(count);
+                }
+                Err(error) => return Err(self.broken.get_or_insert(broken(error)).clone()),
             }
-            Err(error) => Err(self.broken.get_or_insert(broken(error)).clone()),
+        }
+    }
+
+    /// Waits until the connection takes a part of the rest of the request, or bytes have arrived, and does
+    /// either or both; returns how many bytes were read, if any could be.
+    ///
+    /// A failed write is kept in `broken`: what has arrived of the response can still be read.
+    async fn send_or_read(&mut self) -> io::Result<Option<usize>> {
+        let interest = if self.unsent.is_empty() {
+            Interest::READABLE
+        } else {
+            Interest::READABLE | Interest::WRITABLE
+        };
+        let ready = self.stream.ready(interest).await?;
+        if ready.is_writable() && !self.unsent.is_empty() {
+            match self.stream.try_write(&self.unsent) {
+                Ok(count) => self.unsent.advance(count),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => {
+                    self.unsent.clear();
+                    self.broken = Some(broken(error));
+                    return Ok(None);
+                }
+            }
+        }
+        if !ready.is_readable() {
+            return Ok(None);
+        }
+        self.buffer.reserve(READ_BYTES);
+        match self.stream.try_read_buf(&mut self.buffer) {
+            Ok(count) => Ok(Some(count)),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(None),
+            Err(error) => Err(error),
         }
     }
 
@@ -579,17 +608,6 @@
     }
 }
 
-async fn read_more(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
-    loop {
-        stream.readable().await?;
-        buffer.reserve(READ_BYTES);
-        match stream.try_read_buf(buffer) {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            other => return other,
-        }
-    }
-}
-
 fn broken(error: io::Error) -> ConnectionError {
     ConnectionError::Broken(error.to_string().into())
 }
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -1,6 +1,7 @@
 //! `BackendConnection` against misbehaving backend servers: responses to other attempts, truncated
 //! bodies, reuse.
 
+use bytes::Bytes;
 use http::Method;
 use proptest::prelude::*;
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::time::timeout;
 use zinniahatch_base::prelude::StoreRevision;
 use zinniahatch_entry::BackendConnection;
 use zinniahatch_entry::ConnectionError;
@@ -77,7 +79,9 @@
         .await
         .unwrap();
     let result = async {
-        connection.send(permit(address), REQUEST, &[]).await?;
+        connection
+            .send(permit(address), REQUEST, &Bytes::new())
+            .await?;
         connection.read_head(&Method::GET, "mine").await?;
         let mut body = Vec::new();
         while let Some(chunk) = connection.read_body().await? {
@@ -98,7 +102,8 @@
         let address = serve_once(response.into(), false).await;
         let connecting = BackendConnection::connect(address, CONNECT_LIMIT);
         let mut connection = connecting.await.unwrap();
-        let sending = connection.send(permit(address), REQUEST, &[]);
+        let empty = Bytes::new();
+        let sending = connection.send(permit(address), REQUEST, &empty);
         sending.await.unwrap();
         let head = connection.read_head(&Method::GET, "mine").await;
         assert!(head.is_ok(), "{head:?}");
@@ -137,7 +142,7 @@
     let (mut stream, _) = listener.accept().await.unwrap();
     let body = vec![b'x'; 64 << 10];
     connection
-        .send(permit(address), REQUEST, &body)
+        .send(permit(address), REQUEST, &body.clone().into())
         .await
         .unwrap();
     drop(connection);
@@ -238,7 +243,7 @@
         .unwrap();
     let long = vec![b'x'; 64 << 20];
     connection
-        .send(permit(address), REQUEST, &long)
+        .send(permit(address), REQUEST, &long.into())
         .await
         .unwrap();
     let head = connection.read_head(&Method::POST, "mine").await.unwrap();
@@ -247,6 +252,44 @@
     assert!(!connection.is_reusable());
 }
 
+/// Guards against a request whose rest is held back once its response has begun, so that neither goes on.
+#[test_case("HTTP/1.1 100 Continue\r\n\r\n", SEALED; "interim")]
+#[test_case("HTTP/1.1 10", "3 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\ncontent-length: 5\r\n\r\nhello"; "part_of_an_interim")]
+#[test_case("HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\ncontent-length: 5\r\n\r\n", "hello"; "head")]
+#[test_case("HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\ncontent-length: 5\r\n\r\nhe", "llo"; "part_of_a_body")]
+#[test_case("HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\nx-server-seal: s\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhe\r\n", "3\r\nllo\r\n0\r\n\r\n"; "chunk")]
+#[tokio::test]
+async fn early_response_that_goes_on_after_the_request(early: &str, rest: &'static str) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else {
+        unreachable!("an IPv4 address was bound")
+    };
+    let body = vec![b'x'; 16 << 20];
+    let mut connection = BackendConnection::connect(address, CONNECT_LIMIT)
+        .await
+        .unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    // The response begins before the request is sent.
+    stream.write_all(early.as_bytes()).await.unwrap();
+    let request_bytes = REQUEST.len() + body.len();
+    let serving = tokio::spawn(async move {
+        let mut request = vec![0; request_bytes];
+        stream.read_exact(&mut request).await.unwrap();
+        stream.write_all(rest.as_bytes()).await.unwrap();
+        stream
+    });
+    let exchange = async {
+        connection
+            .send(permit(address), REQUEST, &body.into())
+            .await?;
+        connection.read_replica_head(&Method::POST, "mine").await?;
+        connection.read_whole_body(5).await
+    };
+    let result = timeout(CONNECT_LIMIT, exchange).await;
+    assert_eq!(result.expect("it goes on"), Ok(b"hello".to_vec()));
+    serving.await.unwrap();
+}
+
 /// Guards against a part of a response that is taken for a whole one: its connection was reset while the
 /// request was still being sent, and the reset was reported to the write alone.
 #[test_case("content-length: 5\r\n\r\nhello", Some("hello"); "length")]
@@ -270,7 +313,9 @@
     // The response and the reset have arrived before the request is sent, and the write may come first.
     let body = vec![b'x'; 1 << 20];
     let result = async {
-        connection.send(permit(address), REQUEST, &body).await?;
+        connection
+            .send(permit(address), REQUEST, &body.clone().into())
+            .await?;
         connection.read_head(&Method::GET, "mine").await?;
         connection.read_whole_body(body.len()).await
     }
@@ -339,7 +384,7 @@
         .await
         .unwrap();
     connection
-        .send(permit(address), REQUEST, &[])
+        .send(permit(address), REQUEST, &Bytes::new())
         .await
         .unwrap();
     let head = connection.read_replica_head(&Method::GET, "mine").await;
@@ -360,7 +405,7 @@
         .await
         .unwrap();
     connection
-        .send(permit(address), REQUEST, &[])
+        .send(permit(address), REQUEST, &Bytes::new())
         .await
         .unwrap();
     let head = connection.read_replica_head(&Method::GET, "mine").await;
@@ -386,7 +431,7 @@
         .await
         .unwrap();
     connection
-        .send(permit(address), REQUEST, &[])
+        .send(permit(address), REQUEST, &Bytes::new())
         .await
         .unwrap();
     let head = connection.read_replica_head(&Method::GET, "mine").await;
--- a/crates/zinniahatch_lab/tests/broken_answers.rs
+++ b/crates/zinniahatch_lab/tests/broken_answers.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
+use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
 use zinniahatch_lab::test_doubles::scripted_replica::ScriptEnd;
 use zinniahatch_lab::test_doubles::scripted_replica::ScriptedAnswer;
@@ -18,6 +19,11 @@
     events: 1,
     pause: Duration::ZERO,
 };
+/// A stream that another replica begins.
+const LONG_SHAPE: StreamShape = StreamShape {
+    events: 1_000,
+    pause: Duration::from_millis(40),
+};
 /// Node of the replica's region, and node that forwards to it.
 const HERE: usize = 0;
 const FORWARDING: usize = 1;
@@ -329,3 +335,85 @@
         wrong.first()
     );
 }
+
+/// Guards against an answer in trouble that is taken for the rest of a stream which another replica had begun.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_answer_does_not_end_a_resumed_stream() {
+    let sound = format!("{SOUND}Content-Length: 15\r\n");
+    let unframed = ScriptedAnswer {
+        text: format!("HTTP/1.1 200 OK\r\n{SOUND}Connection: close\r\n\r\n{EVENT}").into(),
+        end: ScriptEnd::Reset,
+    };
+    let script = vec![
+        closed(format!("HTTP/1.1 200 OK\r\n{sound}\r\n{EVENT}")),
+        unframed,
+        closed(format!("HTTP/1.1 000 OK\r\n{sound}\r\n{EVENT}")),
+        closed(format!("HTTP/1.1 999 OK\r\n{sound}\r\n{EVENT}")),
+        closed(format!(
+            "HTTP/1.1 200 OK\r\n{SOUND}Content-Length: +5\r\n\r\n{EVENT}"
+        )),
+        closed(format!(
+            "HTTP/1.1 200 OK\r\n{SOUND}Transfer-Encoding: chunked\r\n\r\nf\r\n{EVENT}\r\n-0\r\n\r\n"
+        )),
+    ];
+    let answers = script.len();
+    let regions = [
+        SiteRegion::new("north", 1, 1),
+        SiteRegion::new("south", 1, 0),
+    ];
+    let site = SiteCluster::start(&regions, LONG_SHAPE).await;
+    site.set_limits(|limits| limits["max_body_bytes"] = BODY_LIMIT.into())
+        .await;
+    let mut streams = Vec::new();
+    for node in [HERE, FORWARDING] {
+        for position in 0..answers {
+            let path = format!("/stream/{position}");
+            let attempt = format!("a{node}-{position}");
+            let request = site.request_with_timeout(node, &path, &attempt, CALLER_TIME);
+            let sent = request.body(vec![b'x'; UPLOAD_BYTES]).send().await;
+            let mut stream = sent.expect("the node answers");
+            stream.chunk().await.expect("the stream has begun");
+            streams.push((node, position, stream));
+        }
+    }
+    let replica = ScriptedReplica::start("i-north-9", script).await;
+    site.register_scripted(&replica, "north");
+    wait_until("the replica is known", async || {
+        site.log(HERE).contains("\"replica\":\"i-north-9\"")
+    })
+    .await;
+    site.replicas[0].0.crash();
+    for (node, position, stream) in streams {
+        let whole = stream.text().await.is_ok();
+        assert_eq!(whole, position == 0, "answer {position} at node {node}");
+    }
+}
+
+/// Guards against a status outside of the classes of HTTP that does not reach the caller as it came, or is taken for a
+/// success.
+#[test_case("/plain"; "idempotent")]
+#[test_case("/once"; "once")]
+#[test_case("/stream"; "resumable")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_an_unknown_class_is_passed_on_unchanged(route: &str) {
+    let statuses = [600, 777, 999];
+    let answer = |status: u16| {
+        closed(format!(
+            "HTTP/1.1 {status} Odd\r\n{SOUND}Content-Length: 15\r\n\r\n{EVENT}"
+        ))
+    };
+    let (site, _replica) = start_site(statuses.map(answer).into()).await;
+    for node in [HERE, FORWARDING] {
+        for (position, status) in statuses.into_iter().enumerate() {
+            let prepare = |attempt: &str| {
+                let path = format!("{route}/{position}");
+                site.request_with_timeout(node, &path, attempt, CALLER_TIME)
+            };
+            let view = call(prepare, &format!("a{node}-{position}")).await;
+            let view = view.expect("the node answers");
+            assert_eq!(view.status.as_u16(), status);
+            assert!(view.sealed);
+            assert_eq!(view.body.as_deref(), Some(EVENT));
+        }
+    }
+}
