Let digests of replicas tell that one is cold or about to terminate

What callers saw: nothing that was traced; by reading, a node that lost the datagram about a replica that became cold sends it the whole load until the replica writes its entry again.

Cause: a node whose digest is that of a reader covers all that the reader has read, but the digest leaves out the times that entries state.

Evidence: missed_time_of_a_replica_is_fetched, cold and terminating: 2 of 2 cases failed before (no group differs) and pass.

The entries that state a time count with their revision. All others have the digests of earlier versions, so that nodes of both read the store as seldom.

--- a/crates/zinniahatch_route/src/entry_groups.rs
+++ b/crates/zinniahatch_route/src/entry_groups.rs
@@ -26,9 +26,21 @@
         .collect()
 }
 
+/// Returns what tells an entry of an incarnation from an earlier one: whether it is leaving, and the
+/// revision if the entry states a time. Nodes of earlier versions have the same digest of the others.
+fn entry_detail(entry: &ReplicaEntry) -> u64 {
+    let states_time = !entry.cold_for.is_zero() || entry.gone_in.is_some();
+    let revision = if states_time {
+        entry.revision.packed()
+    } else {
+        0
+    };
+    revision << 1 | u64::from(entry.leaving)
+}
+
 impl ReplicaTable {
     /// Returns the digests of the store's entries for a region's replicas by group: ids,
-    /// incarnations, and which are leaving.
+    /// incarnations, which are leaving, and the entries of those that are cold or about to terminate.
     ///
     /// What responses state about them is left out, so that nodes that read the same entries have
     /// the same digests.
@@ -41,8 +53,8 @@
         for state in self.rows() {
             let present = state.removed_at <= state.entry.revision;
             if present && regions.get(&state.entry.data_centre) == Some(region) {
-                let leaving = u64::from(state.entry.leaving);
-                digests[group_of(state.tag)] ^= rendezvous_score(leaving, state.tag);
+                digests[group_of(state.tag)] ^=
+                    rendezvous_score(entry_detail(&state.entry), state.tag);
             }
         }
         digests
--- a/crates/zinniahatch_route/tests/entry_groups.rs
+++ b/crates/zinniahatch_route/tests/entry_groups.rs
@@ -5,8 +5,10 @@
 use common::entry;
 use common::regions;
 use common::table_of;
+use test_case::test_case;
 use zinniahatch_base::prelude::*;
 use zinniahatch_route::ENTRY_GROUPS;
+use zinniahatch_route::ReplicaEntry;
 use zinniahatch_route::ReplicaTable;
 use zinniahatch_route::differing_groups;
 
@@ -39,6 +41,34 @@
     );
 }
 
+/// Guards against a node that missed that a replica is cold, or about to terminate, and takes itself for current since it
+/// has the same replicas as the reader.
+#[test_case(false, |entry| entry.cold_for = Duration::from_secs(60); "cold")]
+#[test_case(true, |entry| entry.gone_in = Some(Duration::from_secs(60)); "terminates")]
+fn missed_time_of_a_replica_is_fetched(leaving: bool, change: fn(&mut ReplicaEntry)) {
+    let now = Instant::now();
+    let (mut reader, mut other) = (table_of(5, now), table_of(5, now));
+    let mut changed = entry("replica-4", "a");
+    changed.leaving = leaving;
+    changed.revision = StoreRevision::from(8);
+    for table in [&mut reader, &mut other] {
+        table.upsert(changed.clone(), now);
+    }
+    change(&mut changed);
+    changed.revision = StoreRevision::from(9);
+    reader.upsert(changed, now);
+    let north = RegionId::from("north");
+    let digests = |table: &ReplicaTable| table.group_digests(&regions(), &north);
+    let groups = differing_groups(&digests(&reader), &digests(&other));
+    assert_eq!(groups.len(), 1);
+    let entries = reader.rows_in(&groups).map(|row| row.entry.clone());
+    other.merge_reader_groups(entries.collect(), &groups, StoreRevision::from(9), now);
+    assert_eq!(digests(&reader), digests(&other));
+    let states = [&reader, &other].map(|table| table.get("replica-4").expect("it is known"));
+    let [expected, state] = states.map(|state| (state.cold_until, state.terminates_at));
+    assert_eq!(state, expected);
+}
+
 /// Guards against entries that are dropped because the reader had not seen them yet.
 #[test]
 fn groups_of_an_older_reader_remove_nothing_newer() {
