--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -10,6 +10,7 @@
 use crate::nodes::own_info::is_store_reader;
 use crate::nodes::replica_updates::attach_versions;
 use crate::nodes::replica_updates::versions_of;
+use crate::store::updates::apply_evacuations;
 use crate::store::updates::handle_entry_change;
 use crate::store::updates::is_in_region;
 use crate::store::watch_topic::WatchTopic;
@@ -190,16 +191,16 @@
         }
         None => replicas.merge_peer_snapshot(entries, &snapshot.ended, now),
     }
+    let has_replicas = replicas.rows().next().is_some();
+    drop(replicas);
     if let Some(read_at) = read_at {
-        replicas.set_evacuated(&snapshot.evacuated, read_at.rules, now);
+        apply_evacuations(core, &snapshot.evacuated, read_at.rules);
         core.note_covered(WatchTopic::Operator, &region, read_at.rules);
     } else if first_listing {
         // Evacuations that this node learned from the store or its region take precedence over those
         // of a peer.
-        replicas.set_evacuated(&snapshot.evacuated, StoreRevision::default(), now);
+        apply_evacuations(core, &snapshot.evacuated, StoreRevision::default());
     }
-    let has_replicas = replicas.rows().next().is_some();
-    drop(replicas);
     core.log.write(
         "snapshot-adopted",
         serde_json::json!({"peer": address.to_string(), "region": region, "groups": groups.len(),
--- a/crates/zinniahatch_entry/src/store/updates.rs
+++ b/crates/zinniahatch_entry/src/store/updates.rs
@@ -276,7 +276,7 @@
 }
 
 /// Applies the complete set of evacuations as of a revision.
-fn apply_evacuations(
+pub(crate) fn apply_evacuations(
     core: &EntryCore,
     evacuated: &BTreeSet<DataCentreId>,
     revision: StoreRevision,
--- a/crates/zinniahatch_lab/tests/region_without_store.rs
+++ b/crates/zinniahatch_lab/tests/region_without_store.rs
@@ -3,6 +3,7 @@
 use futures_util::future::join_all;
 use serde_json::Value;
 use std::time::Duration;
+use std::time::Instant;
 use test_case::test_case;
 use zinniahatch_lab::site::SiteCluster;
 use zinniahatch_lab::site::SiteRegion;
@@ -24,6 +25,8 @@
 };
 /// Requests to each entry VM that are sent at once.
 const CALLS: usize = 10;
+/// Duration of a load.
+const LOAD_TIME: Duration = Duration::from_secs(3);
 /// Requests per second to a cold replica that the desired state allows all nodes together.
 const COLD_RATE: usize = 3;
 
@@ -92,3 +95,46 @@
     })
     .await;
 }
+
+/// Guards against the whole load at cold replicas, since their region heard by a snapshot that the evacuation of their
+/// data centre had ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuation_ends_while_its_region_is_turned_away() {
+    let site = SiteCluster::start(&REGIONS, SHAPE).await;
+    configure(&site, 2).await;
+    site.store.write("op/evacuate/south-a", "{}");
+    for node in 0..site.entries.len() {
+        wait_logged(&site, node, "\"on\":true").await;
+    }
+    site.store_link("south").cut();
+    for node in SOUTH {
+        wait_logged(&site, node, "store-lost").await;
+    }
+    let replicas = site
+        .replicas
+        .iter()
+        .filter(|(_, region)| *region == "south");
+    let replicas: Vec<_> = replicas.map(|(replica, _)| replica).collect();
+    for replica in &replicas {
+        replica.set_cold(Duration::from_secs(60));
+    }
+    site.store.remove("op/evacuate/south-a");
+    wait_logged(&site, 0, "\"on\":false").await;
+    configure(&site, 3).await;
+    let from = Instant::now();
+    for round in 0.. {
+        if from.elapsed() > LOAD_TIME {
+            break;
+        }
+        count_arrivals(&site, round).await;
+    }
+    for replica in replicas {
+        let limits = replica.observations().limits;
+        let most = limits.max_within(Duration::from_secs(1), from);
+        assert!(
+            most <= COLD_RATE,
+            "{most} requests in a second at {}",
+            replica.id
+        );
+    }
+}
