Ask replicas whether they are cold while nobody reads their entries

Cause: an entry that does not say that its replica is cold was taken for warmth whatever its age. While no node of the region reads the store no entry arrives, and health answers, which say it too, were asked of suspects and of replicas whose evacuation had ended alone.

A node whose calls to the store fail and that knows of no live reader of its region checks its share of the replicas of services with a limit for cold ones every 150 ms, and tells the region of cold ones. What was sent meanwhile counts in the limit.

--- a/crates/zinniahatch_entry/src/core.rs
+++ b/crates/zinniahatch_entry/src/core.rs
@@ -11,6 +11,7 @@
 use crate::replicas::address_checks::AddressChecks;
 use crate::replicas::crash_detection::CRASH_REUSE_PERIOD;
 use crate::replicas::probe::PROBE_REUSE_PERIOD;
+use crate::replicas::warmth_checks::ColdReport;
 use crate::request::connection::ConnectionError;
 use crate::request::held_memory::HeldMemory;
 use crate::request::pool::ConnectionPool;
@@ -169,6 +170,10 @@
     pub(crate) counts: PendingCounts,
     /// Replica updates that have not been sent to the other nodes of the region.
     pub(crate) replica_updates: RefCell<UpdateOutbox>,
+    /// Whether no node of the region reads the entries of replicas.
+    pub(crate) lacks_entries: Cell<bool>,
+    /// Cold replicas that the other nodes of the region are to be told of.
+    pub(crate) cold_reports: RefCell<Vec<ColdReport>>,
     /// For each topic, how this node's state compares with that of its region's store readers.
     pub(crate) topic_coverage: RefCell<BTreeMap<WatchTopic, ReaderCoverage>>,
     /// For each role, how many nodes rank before this one, and when that was computed.
@@ -281,6 +286,8 @@
             region_peers: RefCell::default(),
             counts: PendingCounts::default(),
             replica_updates: RefCell::default(),
+            lacks_entries: Cell::default(),
+            cold_reports: RefCell::default(),
             topic_coverage: RefCell::default(),
             role_ranks: RefCell::default(),
             skips_watch: Cell::new(false),
--- a/crates/zinniahatch_entry/src/nodes/broadcast.rs
+++ b/crates/zinniahatch_entry/src/nodes/broadcast.rs
@@ -27,6 +27,8 @@
 const MAX_PART_SUSPECTS: usize = 9;
 /// Maximum rate limits per datagram: about 16 bytes each, so that they fit in one packet.
 const MAX_RATE_LIMITS: usize = 64;
+/// Maximum cold replicas per datagram: at most 15 bytes each, so that they fit in one packet.
+const MAX_COLD_REPORTS: usize = 64;
 
 /// Broadcasts pending replica updates to the region in batches.
 pub(crate) async fn broadcast_replica_updates(core: &EntryCore, socket: &UdpSocket) {
@@ -159,6 +161,14 @@
     }
 }
 
+/// Broadcasts pending reports of cold replicas to the region.
+pub(crate) async fn broadcast_cold_reports(core: &EntryCore, socket: &UdpSocket) {
+    let reports = core.cold_reports.take();
+    for part in reports.chunks(MAX_COLD_REPORTS) {
+        broadcast(core, socket, &GossipMessage::ColdReplicas(part.to_vec())).await;
+    }
+}
+
 /// Sends all known rate limits and leaving replicas to a node of the region whose digest differs.
 pub(crate) async fn send_known_notices(core: &EntryCore, socket: &UdpSocket, to: SocketAddrV4) {
     let leaving: Vec<ReplicaIncarnation> = core
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -29,6 +29,7 @@
 use crate::replicas::quarantine::UpdateSource;
 use crate::replicas::quarantine::apply_suspects;
 use crate::replicas::rate_limit::apply_rate_limit_updates;
+use crate::replicas::warmth_checks::apply_cold_reports;
 use crate::store::updates::apply_replica_updates;
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
@@ -344,6 +345,7 @@
                 add_to_record(core, &records, Instant::now());
             }
         }
+        GossipMessage::ColdReplicas(reports) => apply_cold_reports(core, &reports, from),
         GossipMessage::Replicas(mut batch) => {
             let range = decode_tail(&mut batch.written, rest);
             apply_replica_updates(core, batch, Instant::now());
--- a/crates/zinniahatch_entry/src/nodes/gossip_message.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip_message.rs
@@ -1,6 +1,7 @@
 //! Messages exchanged between nodes as UDP datagrams.
 
 use crate::nodes::stream_origins::OriginQuery;
+use crate::replicas::warmth_checks::ColdReport;
 use serde::Deserialize;
 use serde::Serialize;
 use std::net::SocketAddrV4;
@@ -49,6 +50,9 @@
     /// What began streams of the region, for the node that writes it to the store. Nodes of earlier
     /// versions reject it.
     StreamsToRecord(Vec<OriginRecord>),
+    /// Replicas of the region that are cold, while no node reads their entries. Nodes of earlier versions
+    /// reject it.
+    ColdReplicas(Vec<ColdReport>),
 }
 
 impl GossipMessage {
@@ -70,6 +74,7 @@
             Self::OriginQuery(_) => "origin-query",
             Self::PartSuspects(_) => "part-suspects",
             Self::StreamsToRecord(_) => "streams-to-record",
+            Self::ColdReplicas(_) => "cold-replicas",
         }
     }
 }
--- a/crates/zinniahatch_entry/src/nodes/work_reporter.rs
+++ b/crates/zinniahatch_entry/src/nodes/work_reporter.rs
@@ -1,6 +1,7 @@
 //! Reports of in-flight work to the nodes of the region, and aggregation of the reports of others.
 
 use crate::core::EntryCore;
+use crate::nodes::broadcast::broadcast_cold_reports;
 use crate::nodes::broadcast::broadcast_parts;
 use crate::nodes::broadcast::broadcast_rate_limits;
 use crate::nodes::broadcast::broadcast_replica_updates;
@@ -87,6 +88,7 @@
             broadcast_suspects(core, socket, false).await;
             broadcast_parts(core, socket, false).await;
             broadcast_rate_limits(core, socket).await;
+            broadcast_cold_reports(core, socket).await;
         }
         if self.batch_due.is_some_and(|due| due <= now) {
             self.batch_due = None;
--- a/crates/zinniahatch_entry/src/replicas.rs
+++ b/crates/zinniahatch_entry/src/replicas.rs
@@ -13,3 +13,4 @@
 pub(crate) mod rate_limit;
 pub(crate) mod send_admission;
 pub(crate) mod unknown_headers;
+pub(crate) mod warmth_checks;
--- a/crates/zinniahatch_entry/src/replicas/probe.rs
+++ b/crates/zinniahatch_entry/src/replicas/probe.rs
@@ -29,7 +29,7 @@
 /// time.
 pub(crate) const PROBE_REUSE_PERIOD: Duration = Duration::from_millis(100);
 /// Time limit of a probe; a health check takes a millisecond.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Probes such replicas until the process ends.
 pub(crate) async fn run_probes(core: Rc<EntryCore>) {
@@ -64,7 +64,9 @@
 }
 
 /// Returns a function that names a replica and the path of its health check.
-fn probe_target(core: &EntryCore) -> impl Fn(&ReplicaState) -> (ReplicaIncarnation, Box<str>) {
+pub(crate) fn probe_target(
+    core: &EntryCore,
+) -> impl Fn(&ReplicaState) -> (ReplicaIncarnation, Box<str>) {
     |state| {
         let service = core.service(&state.entry.service);
         let path = service.map(|service| service.health_path);
@@ -182,7 +184,7 @@
 }
 
 /// Sends a probe to a replica and returns the head of the response.
-async fn send_probe(
+pub(crate) async fn send_probe(
     core: &EntryCore,
     reservation: SendReservation,
     path: &str,
--- a/crates/zinniahatch_entry/src/replicas/send_admission.rs
+++ b/crates/zinniahatch_entry/src/replicas/send_admission.rs
@@ -15,7 +15,12 @@
 ) -> Result<SendReservation, SendRefusal> {
     let share = cold_share(core, replica, now);
     let mut replicas = core.replicas.borrow_mut();
-    let reserved = replicas.reserve(&mut core.cold_limiter.borrow_mut(), replica, share, now);
+    let mut limiter = core.cold_limiter.borrow_mut();
+    let reserved = replicas.reserve(&mut limiter, replica, share, now);
+    if core.lacks_entries.get() && reserved.is_ok() {
+        // It may be cold already without this node knowing.
+        limiter.note_unless_cold(&replicas, replica, now);
+    }
     reserved.inspect_err(|refusal| note_refusal(core, *refusal))
 }
 
--- a/crates/zinniahatch_entry/src/run.rs
+++ b/crates/zinniahatch_entry/src/run.rs
@@ -24,6 +24,7 @@
 use crate::replicas::probe::run_probes;
 use crate::replicas::quarantine::publish_quarantine_changes;
 use crate::replicas::rate_limit::update_limit_sharers;
+use crate::replicas::warmth_checks::run_warmth_checks;
 use crate::store::quarantine_keys::run_quarantine_reader;
 use crate::store::quarantine_keys::run_quarantine_writer;
 use crate::store::registration::run_registration;
@@ -187,6 +188,7 @@
     core.spawn_restarted("version-keeper", run_version_keeper);
     core.spawn_restarted("stream-recorder", run_stream_recorder);
     core.spawn_restarted("probes", run_probes);
+    core.spawn_restarted("warmth-checks", run_warmth_checks);
     core.spawn_restarted("freshness-prover", run_freshness_prover);
     core.spawn_restarted("restore-recovery", run_restore_recovery);
     core.spawn_restarted("maintenance", run_maintenance);
--- a/crates/zinniahatch_entry/src/store/updates.rs
+++ b/crates/zinniahatch_entry/src/store/updates.rs
@@ -5,6 +5,7 @@
 use crate::nodes::roles::STORE_READERS;
 use crate::nodes::roles::holds_role;
 use crate::replicas::notice::apply_leaving_updates;
+use crate::replicas::warmth_checks::warms_up;
 use crate::store::watch_topic::WatchTopic;
 use std::rc::Rc;
 use zinniahatch_base::prelude::*;
@@ -330,10 +331,7 @@
 ) {
     let mut doubted = 0;
     if !on {
-        let warms_up = |service: &ServiceId| {
-            let service = core.service(service);
-            service.is_some_and(|service| service.cold_rate > 0.0)
-        };
+        let warms_up = |service: &ServiceId| warms_up(core, service);
         let mut replicas = core.replicas.borrow_mut();
         doubted = replicas.doubt_warmth(data_centre, warms_up, revision, Instant::now());
     }
--- a/crates/zinniahatch_lab/tests/leaving_callers.rs
+++ b/crates/zinniahatch_lab/tests/leaving_callers.rs
@@ -72,8 +72,11 @@
     let mut sends = None;
     wait_until("the stream has ended", async || {
         let log = site.log(node);
-        let lines = log.lines().filter_map(|line| line.parse::<Value>().ok());
-        let end = lines.filter(|line| line["kind"] == "stream-end").last();
+        let mut lines = log
+            .lines()
+            .rev()
+            .filter_map(|line| line.parse::<Value>().ok());
+        let end = lines.find(|line| line["kind"] == "stream-end");
         sends = end.and_then(|end| (end["end"] == "CallerGone").then(|| end["sends"].as_u64())?);
         sends.is_some()
     })
--- a/crates/zinniahatch_lab/tests/region_without_store.rs
+++ b/crates/zinniahatch_lab/tests/region_without_store.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 use test_case::test_case;
+use tokio::time::sleep;
 use zinniahatch_lab::site::SiteCluster;
+use zinniahatch_lab::site::SiteLoad;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
@@ -29,6 +31,10 @@
 const LOAD_TIME: Duration = Duration::from_secs(3);
 /// Requests per second to a cold replica that the desired state allows all nodes together.
 const COLD_RATE: usize = 3;
+/// Requests in one second that a cold replica of such a rate bears, half as much again and three more.
+const MAX_COLD_REQUESTS: usize = 7;
+/// Interval between requests to one entry VM: twice as many as a cold replica bears, for each replica.
+const PACED_INTERVAL: Duration = Duration::from_millis(62);
 
 /// Waits until an entry VM has logged a text.
 async fn wait_logged(site: &SiteCluster, node: usize, text: &str) {
@@ -138,3 +144,43 @@
         );
     }
 }
+
+/// Guards against the whole load at replicas that become cold while their region is turned away: nothing but their
+/// health answers tells it.
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_become_cold_unseen() {
+    let site = SiteCluster::start(&REGIONS, SHAPE).await;
+    configure(&site, 2).await;
+    site.store_link("south").cut();
+    for node in SOUTH {
+        wait_logged(&site, node, "store-lost").await;
+    }
+    let callers = SiteLoad {
+        path: "/plain/look",
+        pause: PACED_INTERVAL,
+        timeout: Duration::from_secs(1),
+    };
+    let cooling = async {
+        sleep(LOAD_TIME / 2).await;
+        let replicas = site
+            .replicas
+            .iter()
+            .filter(|(_, region)| *region == "south");
+        let replicas: Vec<_> = replicas.map(|(replica, _)| replica).collect();
+        for replica in &replicas {
+            replica.set_cold(Duration::from_secs(60));
+        }
+        (Instant::now(), replicas)
+    };
+    let loading = site.load(&callers, "look", LOAD_TIME * 2);
+    let (_, (from, replicas)) = tokio::join!(loading, cooling);
+    for replica in replicas {
+        let limits = replica.observations().limits;
+        let most = limits.max_within(Duration::from_secs(1), from);
+        assert!(
+            most <= MAX_COLD_REQUESTS,
+            "{most} requests in a second at {}",
+            replica.id
+        );
+    }
+}
--- a/crates/zinniahatch_route/src/cold_limiter.rs
+++ b/crates/zinniahatch_route/src/cold_limiter.rs
@@ -1,6 +1,7 @@
 //! Rate limit of requests to cold replicas that holds across all nodes without communication between
 //! them.
 
+use crate::ReplicaTable;
 use std::collections::VecDeque;
 use zinniahatch_base::prelude::*;
 
@@ -66,6 +67,15 @@
         queue.push_back(now);
     }
 
+    /// Records a request to a replica that was not known to be cold, so that it counts once the replica
+    /// turns out to be.
+    pub fn note_unless_cold(&mut self, table: &ReplicaTable, replica: &str, now: Instant) {
+        let state = table.get(replica).filter(|state| !state.is_cold(now));
+        if let Some(state) = state {
+            self.note(&state.entry.id, now);
+        }
+    }
+
     /// Removes a replica that is gone.
     pub fn forget(&mut self, replica: &str) {
         self.sent.remove(replica);
--- a/crates/zinniahatch_route/src/replica_table.rs
+++ b/crates/zinniahatch_route/src/replica_table.rs
@@ -389,6 +389,16 @@
         }
     }
 
+    /// Records that a replica is cold for a time, as another node learned from it; returns its id if that is
+    /// new.
+    pub fn note_cold(&mut self, tag: ShortTag, left: Duration, now: Instant) -> Option<ReplicaId> {
+        let id = self.tags.get(&tag)?;
+        let state = self.rows.get_mut(id)?;
+        let was_cold = state.is_cold(now);
+        state.cold_until = state.cold_until.max(now.checked_add(left));
+        (!was_cold).then(|| id.clone())
+    }
+
     /// Returns the evacuated data centres.
     pub fn evacuated(&self) -> &BTreeSet<DataCentreId> {
         &self.evacuated
