Send a body whose response has begun before its head was written

Where the runtime already knew of bytes of the response when the request was to be written, the head went out and the body did not.

Cause: head and body were written in two steps, and the end of the first by a response dropped the second.

Head and body are one queue of what is left to be sent.

--- a/crates/zinniahatch_entry/src/nodes/datagrams.rs
+++ b/crates/zinniahatch_entry/src/nodes/datagrams.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 use std::net::SocketAddrV4;
 use tokio::net::UdpSocket;
+use zinniahatch_base::prelude::*;
 use zinniahatch_route::MemberInfo;
 
 /// Returns whether a node belongs to this node's region.
@@ -12,6 +13,12 @@
     member.region == core.settings.region
 }
 
+/// Returns the region of the node at an address; `None` if it is not known.
+pub(crate) fn region_of(core: &EntryCore, address: SocketAddrV4) -> Option<RegionId> {
+    let members = core.members.borrow();
+    Some(members.at_address(address)?.region.clone())
+}
+
 /// Returns whether an address belongs to a known node of this node's region.
 pub(crate) fn is_from_own_region(core: &EntryCore, from: SocketAddrV4) -> bool {
     let members = core.members.borrow();
--- a/crates/zinniahatch_entry/src/nodes/gossip.rs
+++ b/crates/zinniahatch_entry/src/nodes/gossip.rs
@@ -11,6 +11,7 @@
 use crate::nodes::broadcast::send_known_suspects;
 use crate::nodes::broadcast::send_reply;
 use crate::nodes::datagrams::is_from_own_region;
+use crate::nodes::datagrams::region_of;
 use crate::nodes::datagrams::send_bytes;
 use crate::nodes::gossip_message::GossipMessage;
 use crate::nodes::gossip_message::Heartbeat;
@@ -349,9 +350,8 @@
         GossipMessage::Replicas(mut batch) => {
             let range = decode_tail(&mut batch.written, rest);
             apply_replica_updates(core, batch, Instant::now());
-            let sender = core.members.borrow().at_address(from).cloned();
-            if let Some((sender, range)) = sender.zip(range) {
-                core.note_range(&sender.region, range);
+            if let Some((region, range)) = region_of(core, from).zip(range) {
+                core.note_range(&region, range);
             }
         }
     }
--- a/crates/zinniahatch_entry/src/nodes/snapshot.rs
+++ b/crates/zinniahatch_entry/src/nodes/snapshot.rs
@@ -7,6 +7,7 @@
 
 use crate::auth::proofs::apply_proof;
 use crate::core::EntryCore;
+use crate::nodes::datagrams::region_of;
 use crate::nodes::own_info::is_store_reader;
 use crate::nodes::replica_updates::attach_versions;
 use crate::nodes::replica_updates::versions_of;
@@ -156,16 +157,15 @@
 pub(crate) async fn fetch_snapshot(core: &Rc<EntryCore>, peer: NodePermit) -> bool {
     let sent = core.clock.now();
     let address = peer.address();
-    let sender = core.members.borrow().at_address(address).cloned();
+    let region = region_of(core, address);
     let fetched = timeout(FETCH_TIMEOUT, read_snapshot(core, peer)).await;
-    let (Ok(Some((snapshot, scope))), Some(sender)) = (fetched, sender) else {
+    let (Ok(Some((snapshot, scope))), Some(region)) = (fetched, region) else {
         core.log.write(
             "snapshot-failed",
             serde_json::json!({"peer": address.to_string()}),
         );
         return false;
     };
-    let region = sender.region;
     let now = Instant::now();
     if let Some(desired) = snapshot.desired {
         core.apply_desired_state(desired, "peer");
--- a/crates/zinniahatch_entry/src/request/connection.rs
+++ b/crates/zinniahatch_entry/src/request/connection.rs
@@ -11,6 +11,7 @@
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
+use bytes::buf::Chain;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -76,15 +77,6 @@
     }
 }
 
-/// How writing a part of a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WriteEnd {
-    /// All of it is written.
-    Written,
-    /// The other side responded before it had read all.
-    Responded,
-}
-
 /// The head of a response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
@@ -121,8 +113,8 @@
     stream: TcpStream,
     address: SocketAddrV4,
     buffer: BytesMut,
-    /// What is left to be sent of a request whose response has begun.
-    unsent: Bytes,
+    /// What is left to be sent of the head and the body of a request.
+    unsent: Chain<Bytes, Bytes>,
     frame: BodyFraming,
     idle_limit: Duration,
     idle_since: Instant,
@@ -161,7 +153,7 @@
             stream,
             address,
             buffer: BytesMut::new(),
-            unsent: Bytes::new(),
+            unsent: Bytes::new().chain(Bytes::new()),
             frame: BodyFraming::Done,
             idle_limit: DEFAULT_IDLE_LIMIT,
             idle_since: Instant::now(),
@@ -259,25 +251,22 @@
         self.awaits_head = true;
         self.budget = ResponseBudget::default();
         // A short request is sent in one write, usually as a single packet. A long body is not copied.
-        if body.len() <= MAX_JOINED_BODY_BYTES {
-            return self.write([head, body].concat().into()).await.map(drop);
-        }
-        if self.write(Bytes::copy_from_slice(head)).await? == WriteEnd::Written {
-            self.write(body.clone()).await?;
-        }
-        Ok(())
+        self.unsent = if body.len() <= MAX_JOINED_BODY_BYTES {
+            Bytes::from([head, body].concat()).chain(Bytes::new())
+        } else {
+            Bytes::copy_from_slice(head).chain(body.clone())
+        };
+        self.write().await
     }
 
-    /// Writes a part of a request, and keeps what is left of it when the other side responds.
-    async fn write(&mut self, part: Bytes) -> Result<WriteEnd, ConnectionError> {
-        self.unsent = part;
-        while !self.unsent.is_empty() {
+    /// Writes the request, or a part of it if the other side responds meanwhile.
+    async fn write(&mut self) -> Result<(), ConnectionError> {
+        while self.unsent.has_remaining() {
             let read = self.send_or_read().await;
             if self.broken.is_some() {
                 self.reusable = false;
                 // An early response may have arrived before.
-                self.fill().await?;
-                return Ok(WriteEnd::Responded);
+                return self.fill().await.map(drop);
             }
             let Some(count) = read.map_err(broken)? else {
                 continue;
@@ -286,9 +275,9 @@
             if count == 0 {
                 return Err(ConnectionError::Broken("closed while sending".into()));
             }
-            return Ok(WriteEnd::Responded);
+            return Ok(());
         }
-        Ok(WriteEnd::Written)
+        Ok(())
     }
 
     /// Reads the head of the response to an attempt.
@@ -560,18 +549,18 @@
     ///
     /// A failed write is kept in `broken`: what has arrived of the response can still be read.
     async fn send_or_read(&mut self) -> io::Result<Option<usize>> {
-        let interest = if self.unsent.is_empty() {
-            Interest::READABLE
-        } else {
+        let interest = if self.unsent.has_remaining() {
             Interest::READABLE | Interest::WRITABLE
+        } else {
+            Interest::READABLE
         };
         let ready = self.stream.ready(interest).await?;
-        if ready.is_writable() && !self.unsent.is_empty() {
-            match self.stream.try_write(&self.unsent) {
+        if ready.is_writable() && self.unsent.has_remaining() {
+            match self.stream.try_write(self.unsent.chunk()) {
                 Ok(count) => self.unsent.advance(count),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 Err(error) => {
-                    self.unsent.clear();
+                    self.unsent = Bytes::new().chain(Bytes::new());
                     self.broken = Some(broken(error));
                     return Ok(None);
                 }
--- a/crates/zinniahatch_entry/tests/connection.rs
+++ b/crates/zinniahatch_entry/tests/connection.rs
@@ -13,6 +13,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 use zinniahatch_base::prelude::StoreRevision;
 use zinniahatch_entry::BackendConnection;
@@ -24,6 +25,8 @@
 use zinniahatch_route::ReplicaTable;
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(5);
+/// Steps of a task in which the runtime polls its sockets at least once.
+const POLLING_STEPS: usize = 200;
 const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n";
 const WHOLE: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: mine\r\ncontent-length: 5\r\n\r\nhello";
 const FOREIGN: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: other\r\ncontent-length: 5\r\n\r\nwrong";
@@ -269,8 +272,11 @@
         .await
         .unwrap();
     let (mut stream, _) = listener.accept().await.unwrap();
-    // The response begins before the request is sent.
+    // The response begins before the request is sent, which the runtime learns by polling its sockets.
     stream.write_all(early.as_bytes()).await.unwrap();
+    for _ in 0..POLLING_STEPS {
+        yield_now().await;
+    }
     let request_bytes = REQUEST.len() + body.len();
     let serving = tokio::spawn(async move {
         let mut request = vec![0; request_bytes];
