--- a/crates/zinniahatch_lab/tests/region_without_store.rs
+++ b/crates/zinniahatch_lab/tests/region_without_store.rs
@@ -10,6 +10,7 @@
 use zinniahatch_lab::site::SiteLoad;
 use zinniahatch_lab::site::SiteRegion;
 use zinniahatch_lab::site::wait_until;
+use zinniahatch_lab::test_doubles::replica::FakeReplica;
 use zinniahatch_lab::test_doubles::replica::StreamShape;
 
 const REGIONS: [SiteRegion; 2] = [
@@ -51,6 +52,38 @@
     }
 }
 
+/// Cuts the region off from the store, and waits until its entry VMs have noticed.
+async fn turn_away(site: &SiteCluster) {
+    site.store_link("south").cut();
+    for node in SOUTH {
+        wait_logged(site, node, "store-lost").await;
+    }
+}
+
+/// Returns the replicas of the region that is turned away.
+fn south_replicas(site: &SiteCluster) -> impl Iterator<Item = &FakeReplica> {
+    let replicas = site.replicas.iter();
+    replicas
+        .filter(|(_, region)| *region == "south")
+        .map(|(replica, _)| replica)
+}
+
+/// Makes the replicas of the region cold, which their health answers alone say.
+fn cool_replicas(site: &SiteCluster) {
+    for replica in south_replicas(site) {
+        replica.set_cold(Duration::from_secs(60));
+    }
+}
+
+/// Checks that no replica of the region got more requests than `most` in any second since `from`.
+fn check_rate(site: &SiteCluster, most: usize, from: Instant) {
+    for replica in south_replicas(site) {
+        let limits = replica.observations().limits;
+        let got = limits.max_within(Duration::from_secs(1), from);
+        assert!(got <= most, "{got} requests in a second at {}", replica.id);
+    }
+}
+
 /// Sends some requests to each entry VM of the region, and returns how many the replica got.
 async fn count_arrivals(site: &SiteCluster, round: usize) -> usize {
     let arrived = || site.replicas[CHANGED].0.observations().arrivals.len();
@@ -84,10 +117,7 @@
             wait_logged(&site, node, "replica-entry-gone").await;
         }
     }
-    site.store_link("south").cut();
-    for node in SOUTH {
-        wait_logged(&site, node, "store-lost").await;
-    }
+    turn_away(&site).await;
     change(&site);
     // The other region has read the change once it knows of a later one.
     site.register(NORTH_REPLICA, "draining");
@@ -112,18 +142,8 @@
     for node in 0..site.entries.len() {
         wait_logged(&site, node, "\"on\":true").await;
     }
-    site.store_link("south").cut();
-    for node in SOUTH {
-        wait_logged(&site, node, "store-lost").await;
-    }
-    let replicas = site
-        .replicas
-        .iter()
-        .filter(|(_, region)| *region == "south");
-    let replicas: Vec<_> = replicas.map(|(replica, _)| replica).collect();
-    for replica in &replicas {
-        replica.set_cold(Duration::from_secs(60));
-    }
+    turn_away(&site).await;
+    cool_replicas(&site);
     site.store.remove("op/evacuate/south-a");
     wait_logged(&site, 0, "\"on\":false").await;
     configure(&site, 3).await;
@@ -134,15 +154,7 @@
         }
         count_arrivals(&site, round).await;
     }
-    for replica in replicas {
-        let limits = replica.observations().limits;
-        let most = limits.max_within(Duration::from_secs(1), from);
-        assert!(
-            most <= COLD_RATE,
-            "{most} requests in a second at {}",
-            replica.id
-        );
-    }
+    check_rate(&site, COLD_RATE, from);
 }
 
 /// Guards against the whole load at replicas that become cold while their region is turned away: nothing but their
@@ -151,10 +163,7 @@
 async fn replicas_become_cold_unseen() {
     let site = SiteCluster::start(&REGIONS, SHAPE).await;
     configure(&site, 2).await;
-    site.store_link("south").cut();
-    for node in SOUTH {
-        wait_logged(&site, node, "store-lost").await;
-    }
+    turn_away(&site).await;
     let callers = SiteLoad {
         path: "/plain/look",
         pause: PACED_INTERVAL,
@@ -162,25 +171,10 @@
     };
     let cooling = async {
         sleep(LOAD_TIME / 2).await;
-        let replicas = site
-            .replicas
-            .iter()
-            .filter(|(_, region)| *region == "south");
-        let replicas: Vec<_> = replicas.map(|(replica, _)| replica).collect();
-        for replica in &replicas {
-            replica.set_cold(Duration::from_secs(60));
-        }
-        (Instant::now(), replicas)
+        cool_replicas(&site);
+        Instant::now()
     };
     let loading = site.load(&callers, "look", LOAD_TIME * 2);
-    let (_, (from, replicas)) = tokio::join!(loading, cooling);
-    for replica in replicas {
-        let limits = replica.observations().limits;
-        let most = limits.max_within(Duration::from_secs(1), from);
-        assert!(
-            most <= MAX_COLD_REQUESTS,
-            "{most} requests in a second at {}",
-            replica.id
-        );
-    }
+    let (_, from) = tokio::join!(loading, cooling);
+    check_rate(&site, MAX_COLD_REQUESTS, from);
 }
